Lay the workspace, message schema, resource types and the reducer's shell

Cause: the parts need shared types before they can be built side by side. Change: workspace of the product, the unshipped lab and a code generator; the peer schema with its committed Rust types; resources and their configuration; events, effects and the view between control and traffic threads.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+.PHONY: build demo test ci bench
+
+build:
+	scripts/install-tools
+	cargo build --workspace --quiet
+
+demo: build
+	scripts/demo
+
+test: build
+	cargo test --workspace --quiet
+
+ci:
+	.ci/run
+
+bench:
+	cargo bench --workspace
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/src/carawayrun/control/event.rs
@@ -0,0 +1,126 @@
+//! What happens to the reducer.
+
+use compact_str::CompactString;
+
+use super::effect::Ticket;
+use crate::peer::{RequestId, message};
+use crate::platform::table::{TableAnswer, TableError};
+use crate::resource::Change;
+
+/// One event.
+#[derive(Debug)]
+pub enum Event {
+    /// Time passed; comes every [`super::TICK`].
+    Tick,
+    /// A peer's message arrived and its authentication code was right.
+    Received(Box<message::Envelope>),
+    /// The table service answered, or a call to it failed.
+    Stored(Ticket, Result<TableAnswer, TableError>),
+    /// The platform's host list was read.
+    HostsListed(Vec<HostEntry>),
+    /// An operator's change was accepted through this node.
+    Accepted(Box<Change>),
+    /// A request ended at this gateway.
+    Answered(Box<Outcome>),
+    /// An answer of this gateway was rated.
+    Rated(Box<Rating>),
+    /// A request of this gateway is due for billing.
+    Billed(Box<Bill>),
+    /// An attempt at this agent's upstream started, moved on or ended.
+    Used(Box<message::Usage>),
+    /// The load of this agent's upstream changed.
+    Loaded(Box<message::Load>),
+    /// The process was told to stop; it drains.
+    Stop,
+}
+
+/// A host as the platform lists it; the list lags.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct HostEntry {
+    /// Name of the node on it.
+    pub name: CompactString,
+    /// Data centre.
+    pub data_centre: CompactString,
+    /// host:port of the nng listener.
+    pub peer_addr: CompactString,
+    /// True where the platform is taking it away.
+    pub leaving: bool,
+}
+
+/// How a request ended at a gateway, for quality, burn and roll-outs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outcome {
+    /// The request.
+    pub id: RequestId,
+    /// Name of the team.
+    pub team: CompactString,
+    /// Name of the service.
+    pub service: CompactString,
+    /// Task, or method and path of a plain call.
+    pub task: CompactString,
+    /// Version that answered; empty for plain services.
+    pub version: CompactString,
+    /// True where the version was drawn by a roll-out's random split.
+    pub compared: bool,
+    /// True where the answer failed through our side or the upstream's.
+    pub failed: bool,
+    /// True where the request was refused before it ran.
+    pub refused: bool,
+    /// Time to the first byte, in milliseconds.
+    pub first_ms: u64,
+    /// Time to the last byte, in milliseconds.
+    pub total_ms: u64,
+    /// Generated tokens.
+    pub completion_tokens: u64,
+}
+
+/// A rating of one answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rating {
+    /// Version that answered.
+    pub version: CompactString,
+    /// Task of the request.
+    pub task: CompactString,
+    /// True where the version was drawn by a roll-out's random split.
+    pub compared: bool,
+    /// The rating, in 0..=1.
+    pub score: f64,
+}
+
+/// What one request costs its team: one record whatever the number of attempts
+/// and cascade steps.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Bill {
+    /// Sequence of the request within its gateway's life.
+    pub sequence: u64,
+    /// Name of the team.
+    pub team: CompactString,
+    /// Name of the service.
+    pub service: CompactString,
+    /// Sum over the steps, in millionths of the currency unit.
+    pub cost_micros: u64,
+    /// The attempts that ran.
+    pub steps: Vec<BillStep>,
+}
+
+/// One attempt that ran.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct BillStep {
+    /// Number of the cascade step.
+    pub step: u32,
+    /// Version; empty for plain services.
+    pub version: CompactString,
+    /// Upstream that ran it.
+    pub upstream: CompactString,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that were in the cache.
+    pub cached_tokens: u64,
+    /// Generated tokens.
+    pub completion_tokens: u64,
+    /// Cost, in millionths of the currency unit.
+    pub cost_micros: u64,
+}
--- /dev/null
+++ b/src/carawayrun/control/mod.rs
@@ -0,0 +1,20 @@
+//! The reducer over all control events, with effects as data.
+//!
+//! [`State::apply`] takes one [`Event`] and the time, and pushes [`Effect`]s.
+//! It does no I/O and reads no clock; the loop in `node` owns both. Each
+//! concern has a file of its own and is called from here in a fixed order.
+
+mod effect;
+mod event;
+mod state;
+mod time;
+mod view;
+
+pub use self::effect::{Concern, Effect, Effects, Ticket};
+pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
+pub use self::state::{Context, Identity, Role, State};
+pub use self::time::Millis;
+pub use self::view::{Admission, AgentView, RolloutPhase, RolloutView, ShareView, View};
+
+/// Time between two [`Event::Tick`]s, in milliseconds.
+pub const TICK: Millis = Millis(100);
--- /dev/null
+++ b/src/carawayrun/control/time.rs
@@ -0,0 +1,31 @@
+//! Time as the reducer sees it.
+
+use std::ops::{Add, Sub};
+
+/// Milliseconds since the start of the process, on the runtime's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The time that has passed since `earlier`; zero where it is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
--- /dev/null
+++ b/src/carawayrun/control/view.rs
@@ -0,0 +1,99 @@
+//! What the traffic threads see of the control state.
+
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use rustc_hash::FxHashMap;
+
+use super::time::Millis;
+use crate::peer::{NodeId, message};
+use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
+
+/// An immutable picture of the control state; replaced as a whole.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// This process.
+    pub node: NodeId,
+    /// The configuration in force.
+    pub config: Arc<Config>,
+    /// Agents that take new work or are finishing what they have.
+    pub agents: Vec<AgentView>,
+    /// This gateway's part of the team limits.
+    pub shares: FxHashMap<TeamKey, ShareView>,
+    /// Roll-outs under way.
+    pub rollouts: Vec<RolloutView>,
+    /// Versions that were judged bad and whose withdrawal is not yet in the
+    /// configuration; they take no new work either.
+    pub suspended: Vec<VersionKey>,
+    /// Whether new requests are taken.
+    pub admission: Admission,
+}
+
+/// An agent as this node knows it.
+#[derive(Debug, Clone)]
+pub struct AgentView {
+    /// The agent's life.
+    pub node: NodeId,
+    /// The upstream it stands before.
+    pub upstream: UpstreamKey,
+    /// Data centre it is in.
+    pub data_centre: CompactString,
+    /// host:port for runs.
+    pub http_addr: CompactString,
+    /// False while it is leaving or suspected: it gets no new work.
+    pub open: bool,
+    /// Its last known load and when it was learned.
+    pub load: Option<message::Load>,
+    /// When the load was learned.
+    pub load_time: Millis,
+}
+
+/// A gateway's part of a team's limits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareView {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once above the rate.
+    pub burst: f64,
+    /// Requests in flight.
+    pub concurrency: f64,
+}
+
+/// State of a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum RolloutPhase {
+    /// Traffic is split by `share`.
+    Running,
+    /// The share is held by an operator.
+    Paused,
+    /// All traffic is on the new version.
+    Complete,
+    /// The new version was judged bad and is withdrawn.
+    Withdrawn,
+}
+
+/// A roll-out as the traffic threads need it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutView {
+    /// The roll-out.
+    pub key: RolloutKey,
+    /// Its state.
+    pub phase: RolloutPhase,
+    /// Share of the model's new sessions and requests on the new version.
+    pub share: f64,
+}
+
+/// Whether a node takes new requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It does.
+    Open,
+    /// It does not, for the reason of the stable code.
+    Closed {
+        /// Stable code, as in the errors to callers.
+        code: &'static str,
+        /// When a caller should come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
--- /dev/null
+++ b/src/carawayrun/node/mod.rs
@@ -0,0 +1,1 @@
+//! A running process: threads, sockets and the loop around the reducer.
--- /dev/null
+++ b/src/carawayrun/ops/mod.rs
@@ -0,0 +1,1 @@
+//! Operators' commands and the resource API.
--- /dev/null
+++ b/src/carawayrun/policy/mod.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: plans, quality, roll-outs and choice of upstream.
--- /dev/null
+++ b/src/carawayrun/report/mod.rs
@@ -0,0 +1,1 @@
+//! Burn of service-level objectives.
--- /dev/null
+++ b/src/carawayrun/resource/config.rs
@@ -0,0 +1,253 @@
+//! The configuration at one generation, with names resolved to keys.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use rustc_hash::FxHashMap;
+use slotmap::{SlotMap, new_key_type};
+
+use super::change::{Change, ChangeAction};
+use super::check::Problem;
+use super::manifest::Resource;
+use super::spec::{Kind, Objective, Rollout, Service, Spec, Team, Upstream, Version};
+
+new_key_type! {
+    /// Key of a team.
+    pub struct TeamKey;
+    /// Key of a service.
+    pub struct ServiceKey;
+    /// Key of a version.
+    pub struct VersionKey;
+    /// Key of an upstream.
+    pub struct UpstreamKey;
+    /// Key of a roll-out.
+    pub struct RolloutKey;
+    /// Key of an objective.
+    pub struct ObjectiveKey;
+}
+
+/// A named entry of an arena.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Named<T> {
+    /// Name of the resource.
+    pub name: CompactString,
+    /// Desired state.
+    pub spec: T,
+}
+
+/// Entries of one kind, by key and by name.
+#[derive(Debug, Clone)]
+pub struct Table<K: slotmap::Key, T> {
+    entries: SlotMap<K, Named<T>>,
+    names: FxHashMap<CompactString, K>,
+}
+
+impl<K: slotmap::Key, T> Default for Table<K, T> {
+    fn default() -> Self {
+        Self {
+            entries: SlotMap::with_key(),
+            names: FxHashMap::default(),
+        }
+    }
+}
+
+impl<K: slotmap::Key, T> Table<K, T> {
+    /// The entry of `key`, if it still exists.
+    pub fn get(&self, key: K) -> Option<&Named<T>> {
+        self.entries.get(key)
+    }
+
+    /// The key of `name`.
+    pub fn key(&self, name: &str) -> Option<K> {
+        self.names.get(name).copied()
+    }
+
+    /// The entry of `name`.
+    pub fn by_name(&self, name: &str) -> Option<&Named<T>> {
+        self.key(name).and_then(|key| self.get(key))
+    }
+
+    /// All entries, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (K, &Named<T>)> {
+        self.entries.iter()
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// True where there are none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn put(&mut self, name: CompactString, spec: T) {
+        if let Some(entry) = self.key(&name).and_then(|key| self.entries.get_mut(key)) {
+            entry.spec = spec;
+            return;
+        }
+        let key = self.entries.insert(Named {
+            name: name.clone(),
+            spec,
+        });
+        self.names.insert(name, key);
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(key) = self.names.remove(name) {
+            self.entries.remove(key);
+        }
+    }
+}
+
+/// The checked set of all resources at one generation.
+///
+/// Keys stay the same from one generation to the next within a process, as
+/// long as the resource exists.
+#[derive(Debug, Clone, Default)]
+pub struct Config {
+    /// The generation; zero before the first change.
+    pub generation: u64,
+    /// All teams.
+    pub teams: Table<TeamKey, Team>,
+    /// All services.
+    pub services: Table<ServiceKey, Service>,
+    /// All versions.
+    pub versions: Table<VersionKey, Version>,
+    /// All upstreams.
+    pub upstreams: Table<UpstreamKey, Upstream>,
+    /// All roll-outs.
+    pub rollouts: Table<RolloutKey, Rollout>,
+    /// All objectives.
+    pub objectives: Table<ObjectiveKey, Objective>,
+    resources: BTreeMap<ResourceId, Resource>,
+    keys: FxHashMap<CompactString, TeamKey>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct ResourceId {
+    kind: Kind,
+    name: CompactString,
+}
+
+impl ResourceId {
+    fn of(resource: &Resource) -> Self {
+        Self {
+            kind: resource.kind,
+            name: resource.metadata.name.clone(),
+        }
+    }
+}
+
+impl Config {
+    /// The configuration before the first change.
+    pub fn empty() -> Self {
+        Self::default()
+    }
+
+    /// All resources, by kind and name.
+    pub fn resources(&self) -> impl Iterator<Item = &Resource> {
+        self.resources.values()
+    }
+
+    /// The resource of a kind and name.
+    pub fn resource(&self, kind: Kind, name: &str) -> Option<&Resource> {
+        self.resources.get(&ResourceId {
+            kind,
+            name: name.into(),
+        })
+    }
+
+    /// The team whose key has this SHA-256 digest, in lower-case hexadecimal.
+    pub fn team_by_digest(&self, digest: &str) -> Option<TeamKey> {
+        self.keys.get(digest).copied()
+    }
+
+    /// The configuration after `change`; the change is not checked again.
+    #[must_use]
+    pub fn applied(&self, change: &Change) -> Self {
+        let mut next = self.clone();
+        next.generation = change.generation;
+        for item in &change.items {
+            match (item.action, &item.after) {
+                (ChangeAction::Put, Some(resource)) => next.put(resource.clone()),
+                _ => next.remove(item.kind, &item.name),
+            }
+        }
+        next.index_keys();
+        next
+    }
+
+    /// The configuration made of exactly `resources`, with the keys of `self`.
+    ///
+    /// # Errors
+    ///
+    /// All problems found, in the order of the resources.
+    pub fn replaced(&self, generation: u64, resources: &[Resource]) -> Result<Self, Vec<Problem>> {
+        let mut next = self.clone();
+        next.generation = generation;
+        let kept: Vec<ResourceId> = resources.iter().map(ResourceId::of).collect();
+        let gone: Vec<ResourceId> = next
+            .resources
+            .keys()
+            .filter(|id| !kept.contains(id))
+            .cloned()
+            .collect();
+        for id in gone {
+            next.remove(id.kind, &id.name);
+        }
+        for resource in resources {
+            next.put(resource.clone());
+        }
+        next.index_keys();
+        let problems = next.problems();
+        if problems.is_empty() {
+            Ok(next)
+        } else {
+            Err(problems)
+        }
+    }
+
+    fn put(&mut self, resource: Resource) {
+        let name = resource.metadata.name.clone();
+        match resource.spec.clone() {
+            Spec::Team(spec) => self.teams.put(name, spec),
+            Spec::Service(spec) => self.services.put(name, spec),
+            Spec::Version(spec) => self.versions.put(name, spec),
+            Spec::Upstream(spec) => self.upstreams.put(name, spec),
+            Spec::Rollout(spec) => self.rollouts.put(name, spec),
+            Spec::Objective(spec) => self.objectives.put(name, spec),
+        }
+        self.resources.insert(ResourceId::of(&resource), resource);
+    }
+
+    fn remove(&mut self, kind: Kind, name: &CompactString) {
+        match kind {
+            Kind::Team => self.teams.remove(name),
+            Kind::Service => self.services.remove(name),
+            Kind::Version => self.versions.remove(name),
+            Kind::Upstream => self.upstreams.remove(name),
+            Kind::Rollout => self.rollouts.remove(name),
+            Kind::Objective => self.objectives.remove(name),
+        }
+        self.resources.remove(&ResourceId {
+            kind,
+            name: name.clone(),
+        });
+    }
+
+    fn index_keys(&mut self) {
+        self.keys.clear();
+        for (key, team) in self.teams.iter() {
+            for digest in &team.spec.key_digests {
+                self.keys.insert(digest.to_ascii_lowercase(), key);
+            }
+        }
+    }
+
+    /// Everything wrong with this set of resources.
+    pub fn problems(&self) -> Vec<Problem> {
+        super::check::problems(self)
+    }
+}
--- /dev/null
+++ b/src/carawayrun/resource/mod.rs
@@ -0,0 +1,23 @@
+//! The resources operators write: their types, their checks and the
+//! configuration built from them.
+//!
+//! A [`Resource`] is what the API carries. A [`Config`] is the checked set of
+//! all resources at one generation, with names resolved to small keys; the
+//! policy and the traffic threads read only that.
+
+mod change;
+mod check;
+mod config;
+mod manifest;
+mod spec;
+
+pub use self::change::{Change, ChangeAction, ChangeItem, WriteId};
+pub use self::check::{Problem, check_set};
+pub use self::config::{
+    Config, Named, ObjectiveKey, RolloutKey, ServiceKey, Table, TeamKey, UpstreamKey, VersionKey,
+};
+pub use self::manifest::{API_VERSION, Metadata, ParseManifestError, Resource, parse_manifests};
+pub use self::spec::{
+    Backend, Indicator, Kind, Limits, Objective, Phase, Price, Rollout, Route, Service, Spec, Task,
+    TaskClass, Team, Upstream, Version, Weights,
+};
--- /dev/null
+++ b/src/carawayrun/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! The data path of gateway and agent.
