--- /dev/null
+++ b/crates/lab/src/command.rs
@@ -0,0 +1,38 @@
+//! The command line of the lab.
+
+use bpaf::Bpaf;
+
+use crate::{engine, experiment, hosts, load, objects, plain, rater, table};
+
+/// One stand-in or tool.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, generate(options))]
+pub(crate) enum Command {
+    /// Model engine: chat completions, orders, cache events
+    #[bpaf(command)]
+    Engine(#[bpaf(external(engine::options))] engine::Options),
+    /// Drives the pure policy with seeded outcomes
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::options))] experiment::Options),
+    /// Lagging list of hosts
+    #[bpaf(command)]
+    Hosts(#[bpaf(external(hosts::options))] hosts::Options),
+    /// Sends a mixed load to gateways and reports what came back
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::options))] load::Options),
+    /// Object store
+    #[bpaf(command)]
+    Objects(#[bpaf(external(objects::options))] objects::Options),
+    /// Plain service whose calls may not all be repeated
+    #[bpaf(command)]
+    Plain(#[bpaf(external(plain::options))] plain::Options),
+    /// Rates answers
+    #[bpaf(command)]
+    Rater(#[bpaf(external(rater::options))] rater::Options),
+    /// Transactional table service
+    #[bpaf(command)]
+    Table(#[bpaf(external(table::options))] table::Options),
+}
+
+/// Why a tool of the lab stopped.
+pub(crate) type Failure = Box<dyn std::error::Error>;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,2 +1,45 @@
-//! placeholder
-fn main() {}
+//! Stand-ins for the platform and the upstreams, a load tool and experiments.
+//!
+//! Nothing here is shipped. Each stand-in is a process of its own that listens
+//! on loopback and can be told to misbehave, by flag and at run time by
+//! `PUT /faults`.
+
+mod command;
+mod engine;
+mod experiment;
+mod faults;
+mod hosts;
+mod load;
+mod objects;
+mod plain;
+mod rater;
+mod table;
+
+use command::Command;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> std::process::ExitCode {
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .init();
+    let command = command::options().run();
+    let result = match command {
+        Command::Engine(options) => engine::run(options),
+        Command::Experiment(options) => experiment::run(options),
+        Command::Hosts(options) => hosts::run(options),
+        Command::Load(options) => load::run(options),
+        Command::Objects(options) => objects::run(options),
+        Command::Plain(options) => plain::run(options),
+        Command::Rater(options) => rater::run(options),
+        Command::Table(options) => table::run(options),
+    };
+    match result {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
--- a/src/carawayrun/lib.rs
+++ b/src/carawayrun/lib.rs
@@ -9,6 +9,7 @@
 //! | [`resource`] | types of the resource API, checks, the configuration |
 //! | [`policy`] | pure decisions: plans, quality, roll-outs, choice of upstream |
 //! | [`control`] | the reducer over all control events, effects as data |
+//! | [`http`] | what all HTTP listeners share |
 //! | [`node`] | a running process: threads, sockets and the loop around the reducer |
 //! | [`peer`] | messages between processes: codec, authentication, nng links |
 //! | [`platform`] | clients of the table service, the object store and the host list |
@@ -17,6 +18,7 @@
 //! | [`report`] | burn of service-level objectives |
 
 pub mod control;
+pub mod http;
 pub mod node;
 pub mod ops;
 pub mod peer;
