--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -13,6 +13,6 @@
     listen: String,
 }
 
-pub(crate) fn run(options: Options) -> Result<(), Failure> {
+pub(crate) fn run(options: &Options) -> Result<(), Failure> {
     Err(format!("not written yet: {}", options.listen).into())
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,6 +13,7 @@
 mod objects;
 mod plain;
 mod rater;
+mod serve;
 mod table;
 
 use command::Command;
@@ -26,14 +27,14 @@
         .init();
     let command = command::options().run();
     let result = match command {
-        Command::Engine(options) => engine::run(options),
-        Command::Experiment(options) => experiment::run(options),
-        Command::Hosts(options) => hosts::run(options),
-        Command::Load(options) => load::run(options),
-        Command::Objects(options) => objects::run(options),
-        Command::Plain(options) => plain::run(options),
-        Command::Rater(options) => rater::run(options),
-        Command::Table(options) => table::run(options),
+        Command::Engine(options) => engine::run(&options),
+        Command::Experiment(options) => experiment::run(&options),
+        Command::Hosts(options) => hosts::run(&options),
+        Command::Load(options) => load::run(&options),
+        Command::Objects(options) => objects::run(&options),
+        Command::Plain(options) => plain::run(&options),
+        Command::Rater(options) => rater::run(&options),
+        Command::Table(options) => table::run(&options),
     };
     match result {
         Ok(()) => std::process::ExitCode::SUCCESS,
--- a/crates/lab/src/objects.rs
+++ b/crates/lab/src/objects.rs
@@ -1,8 +1,23 @@
-//! Not written yet; see docs/PLATFORM.md.
+//! Object store.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{Method, Request, Response, StatusCode};
 use bpaf::Bpaf;
+use bytes::Bytes;
+use carawayrun::http::{read_body, text};
 
 use crate::command::Failure;
+use crate::faults::FaultSwitch;
+use crate::serve::{common, lost, run as serve};
+
+/// Longest object, in bytes.
+const MAX_OBJECT: usize = 64 << 20;
+
+const PREFIX: &str = "/v1/objects/";
 
 /// Flags.
 #[derive(Debug, Clone, Bpaf)]
@@ -13,6 +28,66 @@
     listen: String,
 }
 
-pub(crate) fn run(options: Options) -> Result<(), Failure> {
-    Err(format!("not written yet: {}", options.listen).into())
+pub(crate) fn run(options: &Options) -> Result<(), Failure> {
+    let Options { listen } = options;
+    serve(listen, || {
+        let store = Rc::new(Store::default());
+        move |request| Rc::clone(&store).handle(request)
+    })
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    objects: RefCell<HashMap<String, Bytes>>,
+    faults: FaultSwitch,
+}
+
+impl Store {
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if let Some(answer) = common(&mut request, &self.faults).await {
+            return answer;
+        }
+        let Some(name) = request.path().strip_prefix(PREFIX).map(str::to_owned) else {
+            return text(StatusCode::NOT_FOUND, "no such call\n");
+        };
+        match *request.method() {
+            Method::GET => self.get(&name),
+            Method::PUT => self.put(name, &mut request).await,
+            Method::DELETE => self.delete(&name),
+            _ => text(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "accepted are GET, PUT and DELETE\n",
+            ),
+        }
+    }
+
+    fn get(&self, name: &str) -> Response<BoxBody> {
+        match self.objects.borrow().get(name) {
+            Some(object) => Response::with_body(StatusCode::OK, object.clone().boxed()),
+            None => text(StatusCode::NOT_FOUND, "no such object\n"),
+        }
+    }
+
+    async fn put(&self, name: String, request: &mut Request) -> Response<BoxBody> {
+        match read_body(request.take_payload(), MAX_OBJECT).await {
+            Ok(object) => {
+                self.objects.borrow_mut().insert(name, object);
+                self.written()
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        }
+    }
+
+    fn delete(&self, name: &str) -> Response<BoxBody> {
+        self.objects.borrow_mut().remove(name);
+        self.written()
+    }
+
+    fn written(&self) -> Response<BoxBody> {
+        if self.faults.take_lost_answer() {
+            lost()
+        } else {
+            text(StatusCode::OK, "")
+        }
+    }
 }
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -1,8 +1,24 @@
-//! Not written yet; see docs/PLATFORM.md.
+//! Transactional table service.
 
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
 use bpaf::Bpaf;
+use carawayrun::http::{json, text};
+use carawayrun::platform::table::{Condition, Row, Transaction};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::command::Failure;
+use crate::faults::FaultSwitch;
+use crate::serve::{common, lost, query_value, read_json, run as serve};
+
+/// Most rows of one list.
+const MAX_ROWS: usize = 10_000;
 
 /// Flags.
 #[derive(Debug, Clone, Bpaf)]
@@ -13,6 +29,143 @@
     listen: String,
 }
 
-pub(crate) fn run(options: Options) -> Result<(), Failure> {
-    Err(format!("not written yet: {}", options.listen).into())
+pub(crate) fn run(options: &Options) -> Result<(), Failure> {
+    let Options { listen } = options;
+    serve(listen, || {
+        let service = Rc::new(Service::default());
+        move |request| Rc::clone(&service).handle(request)
+    })
+}
+
+#[derive(Debug, Default)]
+struct Service {
+    rows: RefCell<BTreeMap<CompactString, Row>>,
+    faults: FaultSwitch,
+    reads: Cell<u64>,
+    writes: Cell<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ReadBody {
+    keys: Vec<CompactString>,
+}
+
+#[derive(Debug, Serialize)]
+struct RowsBody {
+    rows: Vec<Row>,
+}
+
+/// Calls served since the start, shown by `GET /counts`.
+#[derive(Debug, Serialize)]
+struct Counts {
+    reads: u64,
+    writes: u64,
+    rows: usize,
+}
+
+impl Service {
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if let Some(answer) = common(&mut request, &self.faults).await {
+            return answer;
+        }
+        match (request.method(), request.path()) {
+            (&Method::POST, "/v1/read") => self.read(&mut request).await,
+            (&Method::GET, "/v1/rows") => self.list(&request),
+            (&Method::POST, "/v1/commit") => self.commit(&mut request).await,
+            (&Method::GET, "/counts") => json(StatusCode::OK, &self.counts()),
+            _ => text(StatusCode::NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    async fn read(&self, request: &mut Request) -> Response<BoxBody> {
+        let wanted: ReadBody = match read_json(request).await {
+            Ok(wanted) => wanted,
+            Err(answer) => return answer,
+        };
+        self.reads.set(self.reads.get() + 1);
+        let rows = self.rows.borrow();
+        let found = wanted
+            .keys
+            .iter()
+            .filter_map(|key| rows.get(key).cloned())
+            .collect();
+        json(StatusCode::OK, &RowsBody { rows: found })
+    }
+
+    fn list(&self, request: &Request) -> Response<BoxBody> {
+        let prefix = query_value(request, "prefix").unwrap_or_default();
+        let after = query_value(request, "after").unwrap_or_default();
+        let limit = query_value(request, "limit").and_then(|text| text.parse().ok());
+        self.reads.set(self.reads.get() + 1);
+        let start = if after < prefix {
+            Bound::Included(prefix.as_str())
+        } else {
+            Bound::Excluded(after.as_str())
+        };
+        let rows = self.rows.borrow();
+        let found = rows
+            .range::<str, _>((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(&prefix))
+            .take(limit.unwrap_or(MAX_ROWS).min(MAX_ROWS))
+            .map(|(_, row)| row.clone())
+            .collect();
+        json(StatusCode::OK, &RowsBody { rows: found })
+    }
+
+    async fn commit(&self, request: &mut Request) -> Response<BoxBody> {
+        let transaction: Transaction = match read_json(request).await {
+            Ok(transaction) => transaction,
+            Err(answer) => return answer,
+        };
+        self.writes.set(self.writes.get() + 1);
+        let failed = self.failed_conditions(&transaction.conditions);
+        if !failed.is_empty() {
+            let rows = self.rows.borrow();
+            let found = failed
+                .iter()
+                .filter_map(|key| rows.get(key).cloned())
+                .collect();
+            return json(StatusCode::CONFLICT, &RowsBody { rows: found });
+        }
+        self.write(transaction);
+        if self.faults.take_lost_answer() {
+            return lost();
+        }
+        json(StatusCode::OK, &serde_json::json!({}))
+    }
+
+    fn failed_conditions(&self, conditions: &[Condition]) -> Vec<CompactString> {
+        let rows = self.rows.borrow();
+        conditions
+            .iter()
+            .filter(|wanted| rows.get(&wanted.key).map_or(0, |row| row.version) != wanted.version)
+            .map(|wanted| wanted.key.clone())
+            .collect()
+    }
+
+    fn write(&self, transaction: Transaction) {
+        let mut rows = self.rows.borrow_mut();
+        for put in transaction.puts {
+            let version = rows.get(&put.key).map_or(0, |row| row.version) + 1;
+            rows.insert(
+                put.key.clone(),
+                Row {
+                    key: put.key,
+                    version,
+                    value: put.value,
+                },
+            );
+        }
+        for key in transaction.deletes {
+            rows.remove(&key);
+        }
+    }
+
+    fn counts(&self) -> Counts {
+        Counts {
+            reads: self.reads.get(),
+            writes: self.writes.get(),
+            rows: self.rows.borrow().len(),
+        }
+    }
 }
