--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,2 +1,15 @@
-//! placeholder
-fn main() {}
+//! Tests of the whole product.
+//!
+//! The modules that start real processes build a small world with
+//! `support::WorldBuilder`, let callers and operators work against it while
+//! faults strike, and check the history of what everyone saw.
+
+mod support;
+
+mod answers;
+mod billing;
+mod configuration;
+mod once;
+mod path;
+mod sessions;
+mod stopping;
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,15 @@
+//! A small world of real processes, and the histories of what they did.
+
+mod bills;
+mod caller;
+mod history;
+mod process;
+mod traffic;
+mod world;
+
+pub(crate) use self::caller::{Answer, Call, Caller, Ran};
+pub(crate) use self::history::{CasOp, CasSpec, Recorder, Span, is_linearizable};
+pub(crate) use self::traffic::{Exchange, Traffic};
+pub(crate) use self::world::{
+    ASSOCIATION_KEY, LUZCENA_KEY, World, WorldBuilder, eventually, resource,
+};
--- /dev/null
+++ b/tests/testsuite/support/process.rs
@@ -0,0 +1,103 @@
+//! One process of a test world.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A running process; killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts `program` with `args`; its output goes to a file of `dir`.
+    pub(crate) fn spawn(dir: &Path, name: &str, program: &Path, args: &[String]) -> Self {
+        let log = dir.join(format!("{name}.log"));
+        let errors = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .expect("log opens");
+        let output = errors.try_clone().expect("log handle clones");
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{} starts: {error}", program.display()));
+        Self {
+            name: name.to_owned(),
+            child,
+            log,
+        }
+    }
+
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Ends it at once.
+    pub(crate) fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        self.child.wait().expect("a killed child is waited for");
+    }
+
+    /// Asks for a graceful stop.
+    pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Stops its threads until [`Process::wake`].
+    pub(crate) fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub(crate) fn wake(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// True once it has ended.
+    pub(crate) fn ended(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("a child can be asked")
+            .is_some()
+    }
+
+    /// The exit code, once it has ended by itself.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        self.child
+            .try_wait()
+            .expect("a child can be asked")
+            .and_then(|status| status.code())
+    }
+
+    /// Lines it wrote that contain `text`.
+    pub(crate) fn log_lines(&self, text: &str) -> Vec<String> {
+        let file = File::open(&self.log).expect("log opens");
+        let lines = BufReader::new(file).lines().map_while(Result::ok);
+        lines.filter(|line| line.contains(text)).collect()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("process ids fit");
+        let pid = Pid::from_raw(id).expect("process ids are positive");
+        // The process may have ended by itself; then there is nothing to signal.
+        let _ended = kill_process(pid, signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if !self.ended() {
+            self.kill();
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/support/world.rs
@@ -0,0 +1,584 @@
+//! A world of real processes on loopback: stand-ins, gateways and agents.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use super::bills::Bills;
+use super::caller::{Caller, read_json, send_json};
+use super::process::Process;
+
+/// Time after which a condition that never comes true fails its test.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
+const OPERATOR_KEY: &str = "operator-key";
+const CLUSTER_KEY: &str = "0123456789abcdef0123456789abcdef";
+
+/// Keys of the two teams of every world.
+pub(crate) const LUZCENA_KEY: &str = "key-luzcena";
+pub(crate) const ASSOCIATION_KEY: &str = "key-association";
+
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+/// Waits until `check` is true.
+pub(crate) async fn eventually<F: Future<Output = bool>>(what: &str, mut check: impl FnMut() -> F) {
+    let start = std::time::Instant::now();
+    while !check().await {
+        assert!(start.elapsed() < PATIENCE, "never came true: {what}");
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
+
+/// Sizes of a world.
+#[derive(Debug, Clone)]
+pub(crate) struct WorldBuilder {
+    name: &'static str,
+    gateways: usize,
+    engines: usize,
+    plains: usize,
+    engine_args: Vec<String>,
+    plain_args: Vec<String>,
+    node_args: Vec<String>,
+}
+
+impl WorldBuilder {
+    pub(crate) fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            gateways: 2,
+            engines: 2,
+            plains: 1,
+            engine_args: Vec::new(),
+            plain_args: Vec::new(),
+            node_args: Vec::new(),
+        }
+    }
+
+    pub(crate) fn gateways(mut self, count: usize) -> Self {
+        self.gateways = count;
+        self
+    }
+
+    pub(crate) fn engines(mut self, count: usize) -> Self {
+        self.engines = count;
+        self
+    }
+
+    pub(crate) fn plains(mut self, count: usize) -> Self {
+        self.plains = count;
+        self
+    }
+
+    pub(crate) fn engine_arg(mut self, name: &str, value: &str) -> Self {
+        self.engine_args.extend([name.to_owned(), value.to_owned()]);
+        self
+    }
+
+    pub(crate) fn plain_arg(mut self, name: &str, value: &str) -> Self {
+        self.plain_args.extend([name.to_owned(), value.to_owned()]);
+        self
+    }
+
+    /// Starts everything, applies the manifest and waits until it is in force.
+    pub(crate) async fn start(self) -> World {
+        let mut world = World::new(&self);
+        world.start_platform().await;
+        world.start_upstreams(&self).await;
+        world.start_nodes(&self).await;
+        world.apply(&world.manifest(&self)).await;
+        world.in_force(1).await;
+        world.agents_open().await;
+        world
+    }
+}
+
+/// A running world; all its processes end when it is dropped.
+#[derive(Debug)]
+pub(crate) struct World {
+    dir: PathBuf,
+    net: String,
+    node_args: Vec<String>,
+    platform: Vec<Process>,
+    upstreams: Vec<Process>,
+    pub(crate) gateways: Vec<Process>,
+    pub(crate) agents: Vec<Process>,
+    /// Name and service of each upstream.
+    slots: Vec<Slot>,
+}
+
+#[derive(Debug, Clone)]
+struct Slot {
+    upstream: String,
+    service: &'static str,
+    host: usize,
+}
+
+const TABLE: usize = 2;
+const OBJECTS: usize = 3;
+const HOSTS: usize = 4;
+const RATER: usize = 5;
+const FIRST_GATEWAY: usize = 10;
+const FIRST_AGENT: usize = 50;
+const FIRST_UPSTREAM: usize = 100;
+const HTTP_PORT: u16 = 7000;
+const OPERATOR_PORT: u16 = 7001;
+const PEER_PORT: u16 = 7002;
+
+impl World {
+    fn new(builder: &WorldBuilder) -> Self {
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        // Each world has a loopback network of its own, so ports are fixed and
+        // worlds of tests that run at the same time do not meet.
+        let net = format!(
+            "127.{}.{}",
+            1 + process % 250,
+            (process / 250 * 16 + number) % 256
+        );
+        let dir = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("{}-{process}-{number}", builder.name));
+        std::fs::create_dir_all(&dir).expect("world directory is made");
+        Self {
+            dir,
+            net,
+            node_args: builder.node_args.clone(),
+            platform: Vec::new(),
+            upstreams: Vec::new(),
+            gateways: Vec::new(),
+            agents: Vec::new(),
+            slots: Self::slots(builder),
+        }
+    }
+
+    fn slots(builder: &WorldBuilder) -> Vec<Slot> {
+        let engines = (0..builder.engines).map(|n| (format!("scene-{n}"), "scene"));
+        let plains = (0..builder.plains).map(|n| (format!("home-{n}"), "home"));
+        let all = engines.chain(plains).enumerate();
+        all.map(|(host, (upstream, service))| Slot {
+            upstream,
+            service,
+            host,
+        })
+        .collect()
+    }
+
+    fn addr(&self, host: usize, port: u16) -> String {
+        format!("{}.{host}:{port}", self.net)
+    }
+
+    async fn start_platform(&mut self) {
+        for (host, kind) in [
+            (TABLE, "table"),
+            (OBJECTS, "objects"),
+            (HOSTS, "hosts"),
+            (RATER, "rater"),
+        ] {
+            let args = vec![
+                kind.to_owned(),
+                "--listen".to_owned(),
+                self.addr(host, HTTP_PORT),
+            ];
+            self.platform
+                .push(Process::spawn(&self.dir, kind, &lab(), &args));
+            self.healthy(host).await;
+        }
+        self.list_hosts().await;
+    }
+
+    async fn list_hosts(&self) {
+        let entry = |name: String, host: usize| {
+            json!({
+                "name": name,
+                "dataCentre": data_centre(host),
+                "peerAddr": self.addr(host, PEER_PORT),
+                "leaving": false,
+            })
+        };
+        let gateways = (0..4).map(|n| entry(format!("gw-{n}"), FIRST_GATEWAY + n));
+        let agents = self
+            .slots
+            .iter()
+            .map(|s| entry(agent_name(s), FIRST_AGENT + s.host));
+        let list: Vec<Value> = gateways.chain(agents).collect();
+        let url = format!("http://{}/v1/hosts", self.addr(HOSTS, HTTP_PORT));
+        send_json(awc::http::Method::PUT, &url, "", &Value::from(list)).await;
+    }
+
+    async fn start_upstreams(&mut self, builder: &WorldBuilder) {
+        for slot in self.slots.clone() {
+            let host = FIRST_UPSTREAM + slot.host;
+            let kind = if slot.service == "scene" {
+                "engine"
+            } else {
+                "plain"
+            };
+            let mut args = vec![
+                kind.to_owned(),
+                "--listen".to_owned(),
+                self.addr(host, HTTP_PORT),
+            ];
+            let more = if kind == "engine" {
+                &builder.engine_args
+            } else {
+                &builder.plain_args
+            };
+            args.extend(more.iter().cloned());
+            self.upstreams
+                .push(Process::spawn(&self.dir, &slot.upstream, &lab(), &args));
+            self.healthy(host).await;
+        }
+    }
+
+    async fn start_nodes(&mut self, builder: &WorldBuilder) {
+        for number in 0..builder.gateways {
+            self.start_gateway(number);
+        }
+        for number in 0..self.slots.len() {
+            self.start_agent(number);
+        }
+        for number in 0..builder.gateways {
+            self.gateway_ready(number).await;
+        }
+    }
+
+    /// Starts gateway `number`, also after it has ended.
+    pub(crate) fn start_gateway(&mut self, number: usize) {
+        let host = FIRST_GATEWAY + number;
+        let name = format!("gw-{number}");
+        let mut args = vec!["gateway".to_owned()];
+        args.extend(self.common_args(&name, host));
+        args.extend([
+            "--operator-listen".to_owned(),
+            self.addr(host, OPERATOR_PORT),
+        ]);
+        args.extend(["--rater-addr".to_owned(), self.addr(RATER, HTTP_PORT)]);
+        args.extend([
+            "--operator-key-digest".to_owned(),
+            format!("tester={}", digest(OPERATOR_KEY)),
+        ]);
+        let process = Process::spawn(&self.dir, &name, &product(), &args);
+        put(&mut self.gateways, number, process);
+    }
+
+    /// Starts the agent of slot `number`, also after it has ended.
+    pub(crate) fn start_agent(&mut self, number: usize) {
+        let slot = self.slots[number].clone();
+        let name = agent_name(&slot);
+        let upstream_addr = self.addr(FIRST_UPSTREAM + slot.host, HTTP_PORT);
+        let mut args = vec!["agent".to_owned()];
+        args.extend(self.common_args(&name, FIRST_AGENT + slot.host));
+        args.extend(["--upstream".to_owned(), slot.upstream]);
+        args.extend(["--upstream-addr".to_owned(), upstream_addr]);
+        let process = Process::spawn(&self.dir, &name, &product(), &args);
+        put(&mut self.agents, number, process);
+    }
+
+    fn common_args(&self, name: &str, host: usize) -> Vec<String> {
+        let flags = [
+            ("--name", name.to_owned()),
+            ("--data-centre", data_centre(host).to_owned()),
+            ("--listen", self.addr(host, HTTP_PORT)),
+            ("--peer-listen", self.addr(host, PEER_PORT)),
+            ("--table-addr", self.addr(TABLE, HTTP_PORT)),
+            ("--objects-addr", self.addr(OBJECTS, HTTP_PORT)),
+            ("--hosts-addr", self.addr(HOSTS, HTTP_PORT)),
+            ("--cluster-key", CLUSTER_KEY.to_owned()),
+        ];
+        let given = flags
+            .into_iter()
+            .flat_map(|(flag, value)| [flag.to_owned(), value]);
+        given.chain(self.node_args.iter().cloned()).collect()
+    }
+
+    async fn healthy(&self, host: usize) {
+        let url = format!("http://{}/health", self.addr(host, HTTP_PORT));
+        eventually(&url, || async {
+            awc::Client::default()
+                .get(&url)
+                .send()
+                .await
+                .is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    async fn gateway_ready(&self, number: usize) {
+        let url = format!("{}/apis/v1/status", self.operator_url(number));
+        eventually(&url, || async {
+            !read_json(&url, OPERATOR_KEY).await.is_null()
+        })
+        .await;
+    }
+
+    /// URL of a gateway's operators' listener.
+    pub(crate) fn operator_url(&self, gateway: usize) -> String {
+        format!(
+            "http://{}",
+            self.addr(FIRST_GATEWAY + gateway, OPERATOR_PORT)
+        )
+    }
+
+    /// A caller of `gateway` with a team's key.
+    pub(crate) fn caller(&self, gateway: usize, key: &str) -> Caller {
+        Caller::new(
+            &format!("http://{}", self.addr(FIRST_GATEWAY + gateway, HTTP_PORT)),
+            key,
+        )
+    }
+
+    /// Reads JSON from a gateway's operators' API; `Null` where it fails.
+    pub(crate) async fn operator_get(&self, gateway: usize, path: &str) -> Value {
+        read_json(
+            &format!("{}{path}", self.operator_url(gateway)),
+            OPERATOR_KEY,
+        )
+        .await
+    }
+
+    /// Sends JSON to a gateway's operators' API and returns the status.
+    pub(crate) async fn operator_send(
+        &self,
+        gateway: usize,
+        method: awc::http::Method,
+        path: &str,
+        body: &Value,
+    ) -> u16 {
+        send_json(
+            method,
+            &format!("{}{path}", self.operator_url(gateway)),
+            OPERATOR_KEY,
+            body,
+        )
+        .await
+    }
+
+    /// Runs an operator's command against gateway 0.
+    pub(crate) fn command(&self, args: &[&str]) -> Output {
+        Command::new(product())
+            .args(args)
+            .env("CARAWAYRUN_SERVER", self.operator_url(0))
+            .env("CARAWAYRUN_OPERATOR_KEY", OPERATOR_KEY)
+            .output()
+            .expect("the command runs")
+    }
+
+    /// Applies a manifest through gateway 0.
+    pub(crate) async fn apply(&self, manifest: &Value) {
+        let status = self
+            .operator_send(0, awc::http::Method::POST, "/apis/v1/apply", manifest)
+            .await;
+        assert!((200..300).contains(&status), "apply answered {status}");
+    }
+
+    /// Waits until all live gateways have at least `generation` in force.
+    pub(crate) async fn in_force(&self, generation: u64) {
+        for number in 0..self.gateways.len() {
+            eventually("generation in force", || async {
+                let status = self.operator_get(number, "/apis/v1/status").await;
+                status["generation"]
+                    .as_u64()
+                    .is_some_and(|found| found >= generation)
+            })
+            .await;
+        }
+    }
+
+    /// Waits until each gateway takes a request for each service.
+    pub(crate) async fn agents_open(&self) {
+        for number in 0..self.gateways.len() {
+            let caller = self.caller(number, LUZCENA_KEY);
+            eventually("a chat is served", || async {
+                caller.send(Caller::chat("scene", 2, false)).await.is_ok()
+            })
+            .await;
+            eventually("a status read is served", || async {
+                caller
+                    .send(Caller::get("/services/home/status"))
+                    .await
+                    .is_ok()
+            })
+            .await;
+        }
+    }
+
+    /// Sets the faults of the table service.
+    pub(crate) async fn table_faults(&self, faults: &Value) {
+        self.faults(TABLE, faults).await;
+    }
+
+    /// Sets the faults of the upstream in slot `number`.
+    pub(crate) async fn upstream_faults(&self, number: usize, faults: &Value) {
+        self.faults(FIRST_UPSTREAM + number, faults).await;
+    }
+
+    async fn faults(&self, host: usize, faults: &Value) {
+        let url = format!("http://{}/faults", self.addr(host, HTTP_PORT));
+        assert_eq!(
+            send_json(awc::http::Method::PUT, &url, "", faults).await,
+            200,
+            "{url}"
+        );
+    }
+
+    /// Rows of the table service, by prefix.
+    pub(crate) async fn rows(&self, prefix: &str) -> Vec<Value> {
+        let url = format!(
+            "http://{}/v1/rows?prefix={prefix}",
+            self.addr(TABLE, HTTP_PORT)
+        );
+        let body = read_json(&url, "").await;
+        body["rows"].as_array().cloned().unwrap_or_default()
+    }
+
+    /// All bills in the table.
+    pub(crate) async fn bills(&self) -> Bills {
+        Bills::of_rows(&self.rows("bill/").await)
+    }
+
+    /// The process of the table service.
+    pub(crate) fn table(&mut self) -> &mut Process {
+        &mut self.platform[0]
+    }
+
+    /// How often each effect was run by the plain service in slot `number`.
+    pub(crate) async fn effects(&self, number: usize) -> Value {
+        let url = format!(
+            "http://{}/effects",
+            self.addr(FIRST_UPSTREAM + number, HTTP_PORT)
+        );
+        read_json(&url, "").await
+    }
+
+    /// Number of the first slot of a plain upstream.
+    pub(crate) fn first_plain(&self) -> usize {
+        self.slots
+            .iter()
+            .position(|slot| slot.service == "home")
+            .expect("there is one")
+    }
+
+    /// The process of an upstream.
+    pub(crate) fn upstream(&mut self, number: usize) -> &mut Process {
+        &mut self.upstreams[number]
+    }
+
+    fn manifest(&self, _builder: &WorldBuilder) -> Value {
+        let upstreams = self.slots.iter().map(|slot| {
+            let versions = if slot.service == "scene" {
+                json!(["scene-v1", "scene-v2"])
+            } else {
+                json!([])
+            };
+            resource(
+                "Upstream",
+                &slot.upstream,
+                json!({
+                    "service": slot.service,
+                    "dataCentre": data_centre(FIRST_AGENT + slot.host),
+                    "slots": 8,
+                    "versions": versions,
+                }),
+            )
+        });
+        let others = [
+            resource(
+                "Service",
+                "scene",
+                json!({
+                    "backend": "engine",
+                    "tasks": [
+                        {"name": "plan", "class": "interactive", "quality": 0.5, "latencyMs": 60000},
+                        {"name": "tweak", "class": "normal", "quality": 0.5, "latencyMs": 60000, "cascade": true},
+                    ],
+                }),
+            ),
+            resource(
+                "Service",
+                "home",
+                json!({
+                    "backend": "plain",
+                    "routes": [
+                        {"method": "GET", "path": "/status", "idempotent": true, "class": "interactive", "priceMicros": 1},
+                        {"method": "POST", "path": "/switch", "idempotent": false, "class": "interactive", "priceMicros": 5},
+                    ],
+                }),
+            ),
+            version("scene-v1", 100),
+            version("scene-v2", 400),
+            team("luzcena", LUZCENA_KEY, &["scene-v1", "scene-v2"]),
+            team("association", ASSOCIATION_KEY, &["scene-v1"]),
+        ];
+        Value::from(others.into_iter().chain(upstreams).collect::<Vec<_>>())
+    }
+}
+
+/// A resource as the API takes it.
+pub(crate) fn resource(kind: &str, name: &str, spec: Value) -> Value {
+    json!({"apiVersion": "carawayrun/v1", "kind": kind, "metadata": {"name": name}, "spec": spec})
+}
+
+fn version(name: &str, price: u64) -> Value {
+    resource(
+        "Version",
+        name,
+        json!({
+            "model": "scene",
+            "service": "scene",
+            "price": {"prompt": price, "cached": price / 10, "completion": 3 * price},
+            "quality": {"plan": 0.9, "tweak": 0.9},
+            "latencyMs": 50,
+        }),
+    )
+}
+
+fn team(name: &str, key: &str, versions: &[&str]) -> Value {
+    resource(
+        "Team",
+        name,
+        json!({
+            "keyDigests": [digest(key)],
+            "versions": versions,
+            "services": ["home"],
+            "limits": {"rate": 10000.0, "burst": 10000.0, "concurrency": 1000},
+        }),
+    )
+}
+
+fn put(processes: &mut Vec<Process>, number: usize, process: Process) {
+    if number < processes.len() {
+        processes[number] = process;
+    } else {
+        assert_eq!(number, processes.len(), "processes are started in order");
+        processes.push(process);
+    }
+}
+
+fn data_centre(host: usize) -> &'static str {
+    ["dc-a", "dc-b", "dc-c"][host % 3]
+}
+
+fn agent_name(slot: &Slot) -> String {
+    format!("agent-{}", slot.upstream)
+}
+
+fn digest(key: &str) -> String {
+    Sha256::digest(key)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
+
+fn product() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_carawayrun"))
+}
+
+fn lab() -> PathBuf {
+    product().with_file_name("carawayrun-lab")
+}
