--- /dev/null
+++ b/src/bin/carawayrun/settings.rs
@@ -0,0 +1,137 @@
+//! Flags and environment variables that all daemons share.
+
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use carawayrun::control::Role;
+use carawayrun::node::{NodeSettings, PlatformSettings};
+use carawayrun::peer::{KeyError, Keys};
+use compact_str::CompactString;
+
+/// Longest name of a node, in bytes.
+const MAX_NAME_BYTES: usize = 63;
+
+/// Flags of a node; each may also be given by the environment.
+#[derive(Clone, Bpaf)]
+#[bpaf(generate(node_flags))]
+pub(crate) struct NodeFlags {
+    /// Name of this node, unique among all
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_NAME"),
+        argument::<String>("NAME"),
+        guard(is_name, NAME_RULE),
+        map(CompactString::from)
+    )]
+    name: CompactString,
+    /// Data centre this node is in
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_DATA_CENTRE"),
+        argument::<String>("NAME"),
+        guard(is_name, NAME_RULE),
+        map(CompactString::from)
+    )]
+    data_centre: CompactString,
+    /// Address to listen on for the other nodes
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_PEER_LISTEN"),
+        argument("IP:PORT"),
+        fallback(SocketAddr::from(([127, 0, 0, 1], 0))),
+        display_fallback
+    )]
+    peer_listen: SocketAddr,
+    /// Address under which the other nodes reach it; as bound where absent
+    #[bpaf(long, env("CARAWAYRUN_PEER_ADDR"), argument("IP:PORT"), optional)]
+    peer_addr: Option<SocketAddr>,
+    /// Key shared by all nodes, at least 16 bytes
+    #[bpaf(long, env("CARAWAYRUN_CLUSTER_KEY"), argument("KEY"))]
+    cluster_key: String,
+    /// Key that is being replaced, still accepted
+    #[bpaf(long, env("CARAWAYRUN_PREVIOUS_KEY"), argument("KEY"), optional)]
+    previous_key: Option<String>,
+    /// Address of the table service
+    #[bpaf(long, env("CARAWAYRUN_TABLE_ADDR"), argument("IP:PORT"))]
+    table_addr: SocketAddr,
+    /// Address of the object store; no snapshots where absent
+    #[bpaf(long, env("CARAWAYRUN_OBJECTS_ADDR"), argument("IP:PORT"), optional)]
+    objects_addr: Option<SocketAddr>,
+    /// Address of the host list
+    #[bpaf(long, env("CARAWAYRUN_HOSTS_ADDR"), argument("IP:PORT"))]
+    hosts_addr: SocketAddr,
+    /// Address that counters are sent to as statsd over UDP; none where absent
+    #[bpaf(long, env("CARAWAYRUN_STATSD_ADDR"), argument("IP:PORT"), optional)]
+    statsd_addr: Option<SocketAddr>,
+}
+
+const NAME_RULE: &str = "names are 1 to 63 of a-z, 0-9 and `-`";
+
+impl NodeFlags {
+    /// Settings of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// [`KeyError`] where a cluster key is too short.
+    pub(crate) fn gateway(&self) -> Result<NodeSettings, KeyError> {
+        self.settings(Role::Gateway)
+    }
+
+    /// Settings of the agent that stands before `upstream` and takes runs on
+    /// `http_addr`.
+    ///
+    /// # Errors
+    ///
+    /// [`KeyError`] where a cluster key is too short.
+    pub(crate) fn agent(
+        &self,
+        upstream: &str,
+        http_addr: SocketAddr,
+    ) -> Result<NodeSettings, KeyError> {
+        let mut settings = self.settings(Role::Agent)?;
+        settings.upstream = upstream.into();
+        settings.http_addr = CompactString::from(http_addr.to_string());
+        Ok(settings)
+    }
+
+    fn settings(&self, role: Role) -> Result<NodeSettings, KeyError> {
+        let previous = self.previous_key.as_deref().map(str::as_bytes);
+        Ok(NodeSettings {
+            name: self.name.clone(),
+            role,
+            data_centre: self.data_centre.clone(),
+            peer_listen: self.peer_listen,
+            peer_addr: self.peer_addr,
+            http_addr: CompactString::default(),
+            upstream: CompactString::default(),
+            keys: Keys::new(self.cluster_key.as_bytes(), previous)?,
+            platform: PlatformSettings {
+                table_addr: self.table_addr,
+                objects_addr: self.objects_addr,
+                hosts_addr: self.hosts_addr,
+            },
+            statsd_addr: self.statsd_addr,
+        })
+    }
+}
+
+impl std::fmt::Debug for NodeFlags {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("NodeFlags")
+            .field("name", &self.name)
+            .field("data_centre", &self.data_centre)
+            .field("peer_listen", &self.peer_listen)
+            .field("peer_addr", &self.peer_addr)
+            .field("cluster_key", &"(redacted)")
+            .field("table_addr", &self.table_addr)
+            .field("objects_addr", &self.objects_addr)
+            .field("hosts_addr", &self.hosts_addr)
+            .field("statsd_addr", &self.statsd_addr)
+            .finish_non_exhaustive()
+    }
+}
+
+fn is_name(name: &String) -> bool {
+    let known = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(known)
+}
--- a/src/carawayrun/control/event.rs
+++ b/src/carawayrun/control/event.rs
@@ -30,6 +30,8 @@
     Used(Box<message::Usage>),
     /// The load of this agent's upstream changed.
     Loaded(Box<message::Load>),
+    /// A request showed that a generation exists which this node may not have.
+    Behind(u64),
     /// The process was told to stop; it drains.
     Stop,
 }
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -14,7 +14,9 @@
 pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
 pub use self::state::{Context, Identity, Role, State};
 pub use self::time::Millis;
-pub use self::view::{Admission, AgentView, RolloutPhase, RolloutView, ShareView, View};
+pub use self::view::{
+    Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
+};
 
 /// Time between two [`Event::Tick`]s, in milliseconds.
 pub const TICK: Millis = Millis(100);
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::effect::{Effect, Effects};
 use super::event::Event;
@@ -50,6 +52,8 @@
     pub out: Effects,
     /// Set by a concern whose part of the view changed.
     pub changed: bool,
+    /// Source of all random choices.
+    pub rng: SmallRng,
 }
 
 /// The control state: one field per concern.
@@ -60,13 +64,16 @@
 
 impl State {
     /// The state at the start of a process, before its first event.
-    pub fn new(identity: Identity) -> Self {
+    ///
+    /// `seed` feeds all random choices.
+    pub fn new(identity: Identity, seed: u64) -> Self {
         let context = Context {
             identity,
             now: Millis(0),
             config: Arc::new(Config::empty()),
             out: Effects::new(),
             changed: true,
+            rng: SmallRng::seed_from_u64(seed),
         };
         Self { context }
     }
@@ -96,6 +103,7 @@
             rollouts: Vec::new(),
             suspended: Vec::new(),
             admission: Admission::Open,
+            members: Vec::new(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -5,8 +5,10 @@
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
+use super::state::Role;
 use super::time::Millis;
-use crate::peer::{NodeId, message};
+use crate::peer::NodeId;
+use crate::peer::message::{self, MemberState};
 use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
 
 /// An immutable picture of the control state; replaced as a whole.
@@ -27,6 +29,45 @@
     pub suspended: Vec<VersionKey>,
     /// Whether new requests are taken.
     pub admission: Admission,
+    /// All members that this node knows, itself included.
+    pub members: Vec<MemberView>,
+}
+
+impl View {
+    /// The view of a process that has just started: no configuration, nobody
+    /// known, and no requests taken.
+    pub fn empty(node: NodeId) -> Self {
+        Self {
+            node,
+            config: Arc::new(Config::empty()),
+            agents: Vec::new(),
+            shares: FxHashMap::default(),
+            rollouts: Vec::new(),
+            suspended: Vec::new(),
+            admission: Admission::Closed {
+                code: "stale_configuration",
+                retry_after_ms: 1_000,
+            },
+            members: Vec::new(),
+        }
+    }
+}
+
+/// A member as this node knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberView {
+    /// The member's life.
+    pub node: NodeId,
+    /// What it does.
+    pub role: Role,
+    /// Data centre it is in.
+    pub data_centre: CompactString,
+    /// host:port of its nng listener.
+    pub peer_addr: CompactString,
+    /// Whether it lives.
+    pub state: MemberState,
+    /// Generation that it is known to have in force.
+    pub generation: u64,
 }
 
 /// An agent as this node knows it.
--- a/src/carawayrun/node/mod.rs
+++ b/src/carawayrun/node/mod.rs
@@ -1,1 +1,15 @@
 //! A running process: threads, sockets and the loop around the reducer.
+//!
+//! [`spawn`] starts the control thread and returns a [`Handle`], by which the
+//! traffic threads see the control state and post events to it.
+
+mod counters;
+mod handle;
+mod run;
+mod settings;
+mod spawn;
+
+pub use self::counters::Counters;
+pub use self::handle::Handle;
+pub use self::settings::{NodeSettings, PlatformSettings};
+pub use self::spawn::{SpawnError, spawn};
--- /dev/null
+++ b/src/carawayrun/node/run.rs
@@ -0,0 +1,157 @@
+//! The loop around the reducer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_rt::time::{Instant, interval, sleep};
+use arc_swap::ArcSwap;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tracing::warn;
+
+use super::counters::Counters;
+use super::handle::Input;
+use super::settings::PlatformSettings;
+use crate::control::{Effect, Event, Millis, State, TICK, Ticket, View};
+use crate::peer::{Link, message::Envelope};
+use crate::platform::table::TableCall;
+use crate::platform::{HostsClient, TableClient};
+
+/// Time between two reads of the host list.
+const HOSTS_PERIOD: Duration = Duration::from_secs(2);
+
+/// Most time added at random to it, in milliseconds.
+const HOSTS_JITTER_MS: u64 = 500;
+
+/// Time between two reports of the gauges.
+const REPORT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Time that nng is given to send the last messages of a stopping process.
+const LAST_SENDS: Duration = Duration::from_millis(200);
+
+/// Most events that are handled before the other tasks of the thread run.
+const EVENTS_AT_ONCE: usize = 64;
+
+/// All that the control thread owns.
+#[derive(Debug)]
+pub(super) struct Runtime {
+    pub(super) state: State,
+    pub(super) link: Link,
+    pub(super) view: Arc<ArcSwap<View>>,
+    pub(super) inputs: mpsc::UnboundedSender<Input>,
+    pub(super) counters: Counters,
+    pub(super) platform: PlatformSettings,
+}
+
+impl Runtime {
+    /// Handles events until the node is closed.
+    pub(super) async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<Input>,
+        mut received: mpsc::Receiver<Envelope>,
+    ) {
+        let started = Instant::now();
+        let table = TableClient::new(self.platform.table_addr);
+        actix_rt::spawn(read_hosts(self.platform.hosts_addr, self.inputs.clone()));
+        let mut ticks = interval(Duration::from_millis(TICK.0));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut reports = interval(REPORT_PERIOD);
+        let mut handled = 0;
+        loop {
+            let event = tokio::select! {
+                biased;
+                _ = ticks.tick() => Event::Tick,
+                _ = reports.tick() => {
+                    self.report();
+                    continue;
+                }
+                input = events.recv() => match input {
+                    Some(Input::Event(event)) => event,
+                    Some(Input::Close(done)) => {
+                        sleep(LAST_SENDS).await;
+                        drop(self);
+                        let _ = done.send(());
+                        return;
+                    }
+                    None => return,
+                },
+                Some(envelope) = received.recv() => Event::Received(Box::new(envelope)),
+            };
+            let now = Millis(started.elapsed().as_millis() as u64);
+            for effect in self.state.apply(event, now) {
+                self.carry_out(effect, &table);
+            }
+            handled += 1;
+            if handled % EVENTS_AT_ONCE == 0 {
+                actix_rt::task::yield_now().await;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect, table: &TableClient) {
+        match effect {
+            Effect::Send(addr, envelope) => self.link.send(&addr, &envelope),
+            Effect::Store(ticket, call) => self.store(ticket, call, table.clone()),
+            Effect::Publish(view) => self.view.store(view),
+        }
+    }
+
+    fn store(&self, ticket: Ticket, call: TableCall, table: TableClient) {
+        let inputs = self.inputs.clone();
+        let counters = self.counters.clone();
+        actix_rt::spawn(async move {
+            let result = table.call(call).await;
+            counters.count("table.calls", 1);
+            if result.is_err() {
+                counters.count("table.failures", 1);
+            }
+            let answered = Event::Stored(ticket, result);
+            let _ = inputs.send(Input::Event(answered));
+        });
+    }
+
+    fn report(&self) {
+        let traffic = self.link.traffic();
+        let view = self.view.load();
+        let gauges = [
+            ("peer.sent", &traffic.sent),
+            ("peer.sent_bytes", &traffic.sent_bytes),
+            ("peer.unsent", &traffic.unsent),
+            ("peer.received", &traffic.received),
+            ("peer.received_bytes", &traffic.received_bytes),
+            ("peer.refused", &traffic.refused),
+        ];
+        for (name, value) in gauges {
+            self.counters.gauge(name, value.load(Ordering::Relaxed));
+        }
+        self.counters
+            .gauge("config.generation", view.config.generation);
+        self.counters.gauge("members", view.members.len() as u64);
+    }
+}
+
+async fn read_hosts(addr: SocketAddr, inputs: mpsc::UnboundedSender<Input>) {
+    let client = HostsClient::new(addr);
+    let mut rng = SmallRng::from_os_rng();
+    let mut reachable = true;
+    while !inputs.is_closed() {
+        match client.list().await {
+            Ok(hosts) => {
+                reachable = true;
+                let event = Event::HostsListed(hosts);
+                let _ = inputs.send(Input::Event(event));
+            }
+            Err(error) if reachable => {
+                reachable = false;
+                warn!(name: "hosts.unreachable", %addr, %error);
+            }
+            Err(_) => {}
+        }
+        let jitter = Duration::from_millis(rng.random_range(0..HOSTS_JITTER_MS));
+        sleep(HOSTS_PERIOD + jitter).await;
+    }
+}
--- /dev/null
+++ b/src/carawayrun/node/spawn.rs
@@ -0,0 +1,98 @@
+//! Starting the control thread.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+
+use arc_swap::ArcSwap;
+use compact_str::ToCompactString;
+use jiff::Timestamp;
+use rand::rngs::SmallRng;
+use rand::{RngCore, SeedableRng};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::mpsc;
+
+use super::counters::Counters;
+use super::handle::{Handle, Input};
+use super::run::Runtime;
+use super::settings::NodeSettings;
+use crate::control::{Identity, State, View};
+use crate::peer::{BindError, Codec, Link, NodeId};
+
+/// Most messages of peers that wait for the reducer; more are dropped.
+const RECEIVE_QUEUE: usize = 4096;
+
+/// A node that could not be started.
+#[derive(Debug, Snafu)]
+pub enum SpawnError {
+    /// The listener for peers could not be opened.
+    #[snafu(display("{source}"))]
+    Bind {
+        /// Why.
+        source: BindError,
+    },
+    /// The socket for counters could not be opened.
+    #[snafu(display("can't open a socket for counters: {source}"))]
+    Counters {
+        /// Why.
+        source: io::Error,
+    },
+    /// The control thread could not be started.
+    #[snafu(display("can't start the control thread: {source}"))]
+    Thread {
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Opens the listener for peers and starts the control thread.
+///
+/// # Errors
+///
+/// [`SpawnError`] where the listener or the thread can't be had.
+pub fn spawn(settings: NodeSettings) -> Result<Handle, SpawnError> {
+    let (inputs, events) = mpsc::unbounded_channel::<Input>();
+    let (messages, received) = mpsc::channel(RECEIVE_QUEUE);
+    let receive = Box::new(move |envelope| messages.try_send(envelope).is_ok());
+    let codec = Codec::new(settings.keys.clone());
+    let link = Link::bind(settings.peer_listen, codec, receive).context(BindSnafu)?;
+    let counters = Counters::open(settings.statsd_addr, &settings.name).context(CountersSnafu)?;
+    let identity = identity(&settings, &link);
+    let view = Arc::new(ArcSwap::from_pointee(View::empty(identity.node.clone())));
+    let handle = Handle {
+        view: Arc::clone(&view),
+        inputs: inputs.clone(),
+        peer_addr: link.addr(),
+        counters: counters.clone(),
+    };
+    let seed = SmallRng::from_os_rng().next_u64();
+    let make = move || Runtime {
+        state: State::new(identity, seed),
+        link,
+        view,
+        inputs,
+        counters,
+        platform: settings.platform,
+    };
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || actix_rt::System::new().block_on(make().run(events, received)))
+        .context(ThreadSnafu)?;
+    Ok(handle)
+}
+
+fn identity(settings: &NodeSettings, link: &Link) -> Identity {
+    let peer_addr = settings.peer_addr.unwrap_or(link.addr());
+    let started = Timestamp::now().as_microsecond();
+    Identity {
+        node: NodeId {
+            name: settings.name.clone(),
+            incarnation: u64::try_from(started).unwrap_or_default(),
+        },
+        role: settings.role,
+        data_centre: settings.data_centre.clone(),
+        peer_addr: peer_addr.to_compact_string(),
+        http_addr: settings.http_addr.clone(),
+        upstream: settings.upstream.clone(),
+    }
+}
--- a/src/carawayrun/peer/mod.rs
+++ b/src/carawayrun/peer/mod.rs
@@ -9,6 +9,12 @@
 #[rustfmt::skip]
 pub mod message;
 
+mod auth;
+mod codec;
 mod id;
+mod link;
 
+pub use self::auth::{KeyError, Keys, MIN_KEY_BYTES, OpenError};
+pub use self::codec::{Codec, DecodeError, EncodeError, MAX_MESSAGE_BYTES};
 pub use self::id::{NodeId, ParseIdError, RequestId};
+pub use self::link::{BindError, Link, Receive, Traffic};
--- /dev/null
+++ b/src/carawayrun/platform/call.rs
@@ -0,0 +1,135 @@
+//! One HTTP call to a service of the platform.
+
+use std::time::Duration;
+
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::{Method, StatusCode};
+use awc::{Client, Connector};
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use snafu::Snafu;
+
+/// Time until a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time until the head of an answer must be there.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time until the body of an answer must be there.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Connections to one service from one thread.
+const MAX_CONNECTIONS: usize = 16;
+
+/// Idle time after which a connection is not used again; shorter than what
+/// servers allow, as a call on a connection that the server just closed is lost.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// A call that got no usable answer.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum CallError {
+    /// The service was not reached or said that it did not act.
+    #[snafu(display("not applied: {message}"))]
+    Unavailable {
+        /// What it said.
+        message: CompactString,
+    },
+    /// No whole answer came: the call may have taken effect.
+    #[snafu(display("answer lost: {message}"))]
+    Lost {
+        /// What the connection said.
+        message: CompactString,
+    },
+    /// The service refused the call as malformed, or its answer can't be read.
+    #[snafu(display("not understood: {message}"))]
+    Invalid {
+        /// What it said.
+        message: CompactString,
+    },
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) body: Bytes,
+}
+
+pub(super) fn client() -> Client {
+    let connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .limit(MAX_CONNECTIONS)
+        .conn_keep_alive(KEEP_ALIVE);
+    Client::builder()
+        .connector(connector)
+        .timeout(ANSWER_TIMEOUT)
+        .disable_redirects()
+        .finish()
+}
+
+/// Sends one request and reads at most `limit` bytes of the answer.
+pub(super) async fn send(
+    client: &Client,
+    method: Method,
+    url: &str,
+    body: Bytes,
+    limit: usize,
+) -> Result<Answer, CallError> {
+    let mut response = client
+        .request(method, url)
+        .content_type("application/json")
+        .send_body(body)
+        .await
+        .map_err(|error| send_error(&error))?;
+    let status = response.status();
+    let reading = response.body().limit(limit);
+    let body = actix_rt::time::timeout(BODY_TIMEOUT, reading)
+        .await
+        .map_err(|_| lost("the body of the answer took too long"))?
+        .map_err(|error| lost(&error.to_string()))?;
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+        return Err(CallError::Unavailable {
+            message: said(status, &body),
+        });
+    }
+    if status.is_server_error() {
+        return Err(lost(&said(status, &body)));
+    }
+    Ok(Answer { status, body })
+}
+
+pub(super) fn invalid(status: StatusCode, body: &[u8]) -> CallError {
+    CallError::Invalid {
+        message: said(status, body),
+    }
+}
+
+pub(super) fn unreadable(error: &serde_json::Error) -> CallError {
+    CallError::Invalid {
+        message: error.to_compact_string(),
+    }
+}
+
+// Without a connection nothing was sent, so nothing took effect. All else may
+// have reached the service.
+fn send_error(error: &SendRequestError) -> CallError {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => lost(&error.to_string()),
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::Unavailable {
+            message: error.to_compact_string(),
+        },
+        _ => lost(&error.to_string()),
+    }
+}
+
+fn lost(message: &str) -> CallError {
+    CallError::Lost {
+        message: message.into(),
+    }
+}
+
+fn said(status: StatusCode, body: &[u8]) -> CompactString {
+    const MAX_BYTES: usize = 200;
+    let start = &body[..body.len().min(MAX_BYTES)];
+    CompactString::from(format!("{status}: {}", String::from_utf8_lossy(start)))
+}
--- /dev/null
+++ b/src/carawayrun/platform/table_client.rs
@@ -0,0 +1,152 @@
+//! Client of the table service.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use awc::Client;
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use serde::{Deserialize, Serialize};
+
+use super::call::{self, CallError};
+use super::table::{ListCall, Row, TableAnswer, TableCall, TableError, Transaction};
+
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// Client of the table service; belongs to one thread.
+#[derive(Clone)]
+pub struct TableClient {
+    client: Client,
+    base: CompactString,
+}
+
+#[derive(Serialize)]
+struct ReadBody<'a> {
+    keys: &'a [CompactString],
+}
+
+#[derive(Deserialize)]
+struct RowsBody {
+    rows: Vec<Row>,
+}
+
+impl TableClient {
+    /// A client of the service at `addr`; connects on the first call.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            client: call::client(),
+            base: CompactString::from(format!("http://{addr}")),
+        }
+    }
+
+    /// Makes one call and waits for its answer, a few seconds at most.
+    ///
+    /// # Errors
+    ///
+    /// [`TableError`], which tells a call that took no effect from one that
+    /// may have.
+    pub async fn call(&self, call: TableCall) -> Result<TableAnswer, TableError> {
+        match call {
+            TableCall::Read(keys) => self.read(&keys).await,
+            TableCall::List(list) => self.list(&list).await,
+            TableCall::Commit(transaction) => self.commit(&transaction).await,
+        }
+    }
+
+    async fn read(&self, keys: &[CompactString]) -> Result<TableAnswer, TableError> {
+        let url = format!("{}/v1/read", self.base);
+        let body = json(&ReadBody { keys });
+        self.rows(Method::POST, &url, body).await
+    }
+
+    async fn list(&self, list: &ListCall) -> Result<TableAnswer, TableError> {
+        let url = format!(
+            "{}/v1/rows?prefix={}&after={}&limit={}",
+            self.base,
+            escaped(&list.prefix),
+            escaped(&list.after),
+            list.limit
+        );
+        self.rows(Method::GET, &url, Bytes::new()).await
+    }
+
+    async fn rows(
+        &self,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Result<TableAnswer, TableError> {
+        let answer = self.send(method, url, body).await?;
+        match answer.status {
+            StatusCode::OK => Ok(TableAnswer::Rows(parsed(&answer.body)?)),
+            status => Err(call::invalid(status, &answer.body).into()),
+        }
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<TableAnswer, TableError> {
+        let url = format!("{}/v1/commit", self.base);
+        let answer = self.send(Method::POST, &url, json(transaction)).await?;
+        match answer.status {
+            StatusCode::OK => Ok(TableAnswer::Committed),
+            StatusCode::CONFLICT => Err(TableError::Conflict {
+                rows: parsed(&answer.body)?,
+            }),
+            status => Err(call::invalid(status, &answer.body).into()),
+        }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        url: &str,
+        body: Bytes,
+    ) -> Result<call::Answer, CallError> {
+        call::send(&self.client, method, url, body, MAX_ANSWER_BYTES).await
+    }
+}
+
+impl std::fmt::Debug for TableClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("TableClient")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
+}
+
+impl From<CallError> for TableError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::Unavailable { message } => Self::Unavailable { message },
+            CallError::Lost { message } => Self::Lost { message },
+            CallError::Invalid { message } => Self::Invalid { message },
+        }
+    }
+}
+
+fn json(value: &impl Serialize) -> Bytes {
+    let text = serde_json::to_vec(value).expect("calls can be written as JSON");
+    Bytes::from(text)
+}
+
+fn parsed(body: &[u8]) -> Result<Vec<Row>, TableError> {
+    let read: Result<RowsBody, _> = serde_json::from_slice(body);
+    read.map(|body| body.rows)
+        .map_err(|error| TableError::Lost {
+            message: error.to_compact_string(),
+        })
+}
+
+// Everything but letters, digits and `-._~/` is written as `%XX`.
+fn escaped(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            write!(out, "%{byte:02X}").expect("writing to a string");
+        }
+    }
+    out
+}
