--- a/src/carawayrun/node/spawn.rs
+++ b/src/carawayrun/node/spawn.rs
@@ -1,6 +1,7 @@
 //! Starting the control thread.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 
@@ -54,10 +55,11 @@
     let (inputs, events) = mpsc::unbounded_channel::<Input>();
     let (messages, received) = mpsc::channel(RECEIVE_QUEUE);
     let receive = Box::new(move |envelope| messages.try_send(envelope).is_ok());
+    let counters = Counters::open(settings.statsd_addr, &settings.name).context(CountersSnafu)?;
     let codec = Codec::new(settings.keys.clone());
     let link = Link::bind(settings.peer_listen, codec, receive).context(BindSnafu)?;
-    let counters = Counters::open(settings.statsd_addr, &settings.name).context(CountersSnafu)?;
-    let identity = identity(&settings, &link);
+    let platform = settings.platform;
+    let identity = identity(settings, link.addr());
     let view = Arc::new(ArcSwap::from_pointee(View::empty(identity.node.clone())));
     let handle = Handle {
         view: Arc::clone(&view),
@@ -72,7 +74,7 @@
         view,
         inputs,
         counters,
-        platform: settings.platform,
+        platform,
     };
     thread::Builder::new()
         .name("control".into())
@@ -81,18 +83,18 @@
     Ok(handle)
 }
 
-fn identity(settings: &NodeSettings, link: &Link) -> Identity {
-    let peer_addr = settings.peer_addr.unwrap_or(link.addr());
+fn identity(settings: NodeSettings, bound: SocketAddr) -> Identity {
+    let peer_addr = settings.peer_addr.unwrap_or(bound);
     let started = Timestamp::now().as_microsecond();
     Identity {
         node: NodeId {
-            name: settings.name.clone(),
+            name: settings.name,
             incarnation: u64::try_from(started).unwrap_or_default(),
         },
         role: settings.role,
-        data_centre: settings.data_centre.clone(),
+        data_centre: settings.data_centre,
         peer_addr: peer_addr.to_compact_string(),
-        http_addr: settings.http_addr.clone(),
-        upstream: settings.upstream.clone(),
+        http_addr: settings.http_addr,
+        upstream: settings.upstream,
     }
 }
--- a/src/carawayrun/peer/codec.rs
+++ b/src/carawayrun/peer/codec.rs
@@ -80,9 +80,7 @@
         }
         let mut payload = BytesMut::with_capacity(1 + length);
         payload.put_u8(FORMAT);
-        envelope
-            .encode(&mut payload)
-            .expect("the buffer grows as needed");
+        payload.put_slice(&envelope.encode_to_vec());
         Ok(self.keys.seal(&payload))
     }
 
