--- /dev/null
+++ b/src/bin/carawayrun/commands/completions.rs
@@ -0,0 +1,75 @@
+//! `carawayrun completions`.
+
+use std::str::FromStr;
+
+use bpaf::{Args, Bpaf, ParseFailure};
+
+use crate::cli;
+use crate::failure::Failure;
+use crate::output::Output;
+
+/// A shell that can complete the command line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Shell {
+    Bash,
+    Zsh,
+    Fish,
+    Elvish,
+}
+
+impl Shell {
+    /// The arguments that ask the parser for the script.
+    fn arguments(self) -> &'static [&'static str] {
+        match self {
+            Self::Bash => &["--bpaf-complete-style-bash"],
+            Self::Zsh => &["--bpaf-complete-style-zsh"],
+            Self::Fish => &["--bpaf-complete-style-fish"],
+            Self::Elvish => &["--bpaf-complete-style-elvish"],
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Bash => "bash",
+            Self::Zsh => "zsh",
+            Self::Fish => "fish",
+            Self::Elvish => "elvish",
+        }
+    }
+}
+
+impl FromStr for Shell {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        [Self::Bash, Self::Zsh, Self::Fish, Self::Elvish]
+            .into_iter()
+            .find(|shell| shell.as_str() == text)
+            .ok_or_else(|| {
+                format!("unknown shell `{text}`; accepted are bash, zsh, fish and elvish")
+            })
+    }
+}
+
+/// Prints the completion script of a shell
+///
+/// Example: carawayrun completions bash > /etc/bash_completion.d/carawayrun
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("completions"), generate(cli))]
+pub(crate) struct Options {
+    /// bash, zsh, fish or elvish
+    #[bpaf(positional("SHELL"))]
+    shell: Shell,
+}
+
+pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), Failure> {
+    let arguments = Args::from(options.shell.arguments()).set_name("carawayrun");
+    let stopped = cli::cli().run_inner(arguments);
+    match stopped {
+        Err(ParseFailure::Completion(script)) => {
+            output.print(&script);
+            Ok(())
+        }
+        _ => Err(Failure::failed("the completion script could not be made")),
+    }
+}
--- /dev/null
+++ b/src/bin/carawayrun/commands/digest.rs
@@ -0,0 +1,32 @@
+//! `carawayrun digest`.
+
+use std::io::Read;
+
+use bpaf::Bpaf;
+use carawayrun::resource::key_digest;
+
+use crate::failure::Failure;
+use crate::output::Output;
+
+/// Prints the SHA-256 digest of a key read from standard input
+///
+/// Manifests and settings hold digests only, never keys. A line break at the end is not part of the
+/// key. Example: printf %s "$TEAM_KEY" | carawayrun digest
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("digest"), generate(cli))]
+pub(crate) struct Options {}
+
+pub(crate) fn exec(_options: &Options, output: &mut Output) -> Result<(), Failure> {
+    let mut key = String::new();
+    std::io::stdin()
+        .read_to_string(&mut key)
+        .map_err(Failure::failed)?;
+    let key = key.trim_end_matches(['\r', '\n']);
+    if key.is_empty() {
+        return Err(Failure::usage(
+            "standard input holds no key; pipe one in, such as printf %s \"$TEAM_KEY\" | carawayrun digest",
+        ));
+    }
+    output.line(&key_digest(key));
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/carawayrun/failure.rs
@@ -0,0 +1,51 @@
+//! Why a command stopped, and with which exit code.
+
+use std::error::Error;
+use std::fmt;
+
+/// The end of a command that did not do its work.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The work failed.
+    Failed(Box<dyn Error>),
+    /// The command line, a setting or a manifest is wrong.
+    Usage(Box<dyn Error>),
+}
+
+impl Failure {
+    /// Exit code of [`Failure::Usage`].
+    pub(crate) const USAGE: u8 = 2;
+
+    const FAILED: u8 = 1;
+
+    pub(crate) fn failed(error: impl Into<Box<dyn Error>>) -> Self {
+        Self::Failed(error.into())
+    }
+
+    pub(crate) fn usage(error: impl Into<Box<dyn Error>>) -> Self {
+        Self::Usage(error.into())
+    }
+
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Self::Failed(_) => Self::FAILED,
+            Self::Usage(_) => Self::USAGE,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(error) | Self::Usage(error) => error.fmt(f),
+        }
+    }
+}
+
+impl Error for Failure {
+    fn source(&self) -> Option<&(dyn Error + 'static)> {
+        match self {
+            Self::Failed(error) | Self::Usage(error) => error.source(),
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/carawayrun/logging.rs
@@ -0,0 +1,74 @@
+//! Log lines on standard error, for people or for programs.
+
+use std::io;
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+use tracing_subscriber::EnvFilter;
+
+use crate::failure::Failure;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LogFormat {
+    /// One line of text an event.
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!("`{text}` is not accepted; give text or json")),
+        }
+    }
+}
+
+/// Log settings, the same for all commands.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Logging {
+    /// Filter of log lines, such as info or carawayrun=debug
+    #[bpaf(
+        long("log"),
+        env("CARAWAYRUN_LOG"),
+        argument("FILTER"),
+        fallback(String::from("info")),
+        display_fallback
+    )]
+    filter: String,
+    /// Form of log lines: text or json
+    #[bpaf(
+        long("log-format"),
+        env("CARAWAYRUN_LOG_FORMAT"),
+        argument("FORMAT"),
+        fallback(LogFormat::Text)
+    )]
+    format: LogFormat,
+}
+
+/// Starts logging for the rest of the process.
+///
+/// # Errors
+///
+/// [`Failure::Usage`] where the filter can't be read.
+pub(crate) fn start(settings: &Logging) -> Result<(), Failure> {
+    let filter = EnvFilter::try_new(&settings.filter).map_err(|error| {
+        let filter = &settings.filter;
+        Failure::usage(format!(
+            "--log `{filter}`: {error}; give a level or TARGET=LEVEL, several divided by commas"
+        ))
+    })?;
+    let lines = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(io::stderr);
+    match settings.format {
+        LogFormat::Text => lines.init(),
+        LogFormat::Json => lines.json().flatten_event(true).init(),
+    }
+    Ok(())
+}
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -1,2 +1,52 @@
-//! placeholder
-fn main() {}
+//! The program: parses the command line, sets up logging and runs one command.
+//!
+//! Exit codes: 0 done, 1 failed, 2 wrong usage, settings or manifests.
+
+mod cli;
+mod commands;
+mod failure;
+mod logging;
+mod output;
+
+use std::process::ExitCode;
+
+use bpaf::{Args, ParseFailure};
+
+use crate::failure::Failure;
+use crate::output::Output;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Columns of help texts.
+const HELP_WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    let cli = match cli::cli().run_inner(Args::current_args()) {
+        Ok(cli) => cli,
+        Err(failure) => return stopped(&failure),
+    };
+    let mut output = Output::open();
+    if let Err(failure) = logging::start(&cli.logging) {
+        return failed(&mut output, &failure);
+    }
+    match commands::exec(&cli.command, &mut output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => failed(&mut output, &failure),
+    }
+}
+
+/// Prints what the parser wants printed: help, completions or a usage error.
+fn stopped(failure: &ParseFailure) -> ExitCode {
+    let code = match failure {
+        ParseFailure::Stderr(_) => Failure::USAGE,
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => 0,
+    };
+    failure.print_message(HELP_WIDTH);
+    ExitCode::from(code)
+}
+
+fn failed(output: &mut Output, failure: &Failure) -> ExitCode {
+    output.error(failure);
+    ExitCode::from(failure.exit_code())
+}
--- /dev/null
+++ b/src/bin/carawayrun/output.rs
@@ -0,0 +1,85 @@
+//! What a command shows people.
+//!
+//! Results go to standard output, progress and errors to standard error.
+//! Colour is used on a terminal only, and not where `NO_COLOR` is set.
+
+use std::error::Error;
+use std::io::{self, IsTerminal, Write};
+
+/// Columns of the verb in a status line.
+const VERB_WIDTH: usize = 12;
+
+const GREEN: &str = "\x1b[1;32m";
+const RED: &str = "\x1b[1;31m";
+const RESET: &str = "\x1b[0m";
+
+/// The command's standard output and standard error.
+#[derive(Debug)]
+pub(crate) struct Output {
+    color_out: bool,
+    color_err: bool,
+}
+
+impl Output {
+    pub(crate) fn open() -> Self {
+        let allowed = std::env::var_os("NO_COLOR").is_none();
+        Self {
+            color_out: allowed && io::stdout().is_terminal(),
+            color_err: allowed && io::stderr().is_terminal(),
+        }
+    }
+
+    /// A status line on standard error: a right-aligned verb and its object.
+    pub(crate) fn status(&mut self, verb: &str, object: impl std::fmt::Display) {
+        let padded = format!("{verb:>VERB_WIDTH$}");
+        let verb = paint(self.color_err, GREEN, &padded);
+        ignore_closed(writeln!(io::stderr(), "{verb} {object}"));
+    }
+
+    /// An error and its causes, on standard error.
+    pub(crate) fn error(&mut self, error: &dyn Error) {
+        let label = paint(self.color_err, RED, "error:");
+        ignore_closed(writeln!(io::stderr(), "{label} {error}"));
+        let mut cause = error.source();
+        while let Some(source) = cause {
+            ignore_closed(writeln!(io::stderr(), "  caused by: {source}"));
+            cause = source.source();
+        }
+    }
+
+    /// A part of the result, on standard output, as it is.
+    pub(crate) fn print(&mut self, text: &str) {
+        ignore_closed(io::stdout().write_all(text.as_bytes()));
+        ignore_closed(io::stdout().flush());
+    }
+
+    /// One line of the result, on standard output.
+    pub(crate) fn line(&mut self, text: &str) {
+        self.print(text);
+        self.print("\n");
+    }
+
+    /// A line of a difference, coloured by its first character.
+    pub(crate) fn difference(&mut self, line: &str) {
+        let color = match line.chars().next() {
+            Some('+') => GREEN,
+            Some('-') => RED,
+            _ => "",
+        };
+        let painted = paint(self.color_out && !color.is_empty(), color, line);
+        self.line(&painted);
+    }
+}
+
+fn paint(on: bool, color: &str, text: &str) -> String {
+    if on {
+        format!("{color}{text}{RESET}")
+    } else {
+        text.to_owned()
+    }
+}
+
+/// A reader that went away (`| head`) is no failure of the command.
+fn ignore_closed(result: io::Result<()>) {
+    drop(result);
+}
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -1,1 +1,3 @@
 //! Operators' commands and the resource API.
+
+pub mod why;
--- /dev/null
+++ b/src/carawayrun/resource/rows.rs
@@ -0,0 +1,36 @@
+//! Keys of the configuration's rows in the table service.
+//!
+//! Every change writes `config/head` once and the first creates it, so the
+//! version of that row is the generation.
+
+use compact_str::{CompactString, format_compact};
+use serde::{Deserialize, Serialize};
+
+use super::spec::Kind;
+
+/// Key of the row that holds the generation.
+pub const HEAD_KEY: &str = "config/head";
+
+/// Prefix of the rows of changes, in the order of their generations.
+pub const CHANGE_PREFIX: &str = "config/change/";
+
+/// Prefix of the rows of resources.
+pub const RESOURCE_PREFIX: &str = "config/resource/";
+
+/// Value of the row of [`HEAD_KEY`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Head {
+    /// The newest generation.
+    pub generation: u64,
+}
+
+/// Key of the row of one change.
+pub fn change_key(generation: u64) -> CompactString {
+    format_compact!("{CHANGE_PREFIX}{generation:016x}")
+}
+
+/// Key of the row of one resource.
+pub fn resource_key(kind: Kind, name: &str) -> CompactString {
+    format_compact!("{RESOURCE_PREFIX}{kind}/{name}")
+}
--- /dev/null
+++ b/src/carawayrun/resource/write.rs
@@ -0,0 +1,265 @@
+//! Building one change of the configuration, and the transaction that makes
+//! it, from what somebody wants.
+
+use compact_str::CompactString;
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
+use snafu::Snafu;
+
+use super::change::{Change, ChangeAction, ChangeItem, WriteId};
+use super::check::Problem;
+use super::config::Config;
+use super::manifest::Resource;
+use super::rows::{HEAD_KEY, Head, change_key, resource_key};
+use super::spec::Kind;
+use crate::platform::table::{Condition, Put, Transaction};
+
+/// One thing somebody wants done to a resource.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Edit {
+    /// Creates or replaces it; its resource version, where not zero, must be
+    /// the current one.
+    Put(Box<Resource>),
+    /// Removes it.
+    Delete {
+        /// Kind of the resource.
+        kind: Kind,
+        /// Name of the resource.
+        name: CompactString,
+        /// Version it must have; zero for any.
+        resource_version: u64,
+    },
+}
+
+/// Who writes, and why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Origin {
+    /// Unique to the write, kept the same over its retries.
+    pub write_id: WriteId,
+    /// An operator's name, or the control work of a node.
+    pub author: CompactString,
+    /// Why, for people.
+    pub reason: CompactString,
+    /// When, RFC 3339; for people only.
+    pub time: CompactString,
+}
+
+/// A change and the transaction that makes it.
+///
+/// After a lost answer the same transaction may be sent again: the row of the
+/// change tells by its write id whether it took effect.
+#[derive(Debug, Clone)]
+pub struct Write {
+    /// The change, from `config.generation` to the next.
+    pub change: Change,
+    /// Takes effect only where `config.generation` is still the newest.
+    pub transaction: Transaction,
+}
+
+/// Edits that can't be made.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum WriteError {
+    /// Somebody else changed the resource.
+    #[snafu(display(
+        "{kind}/{name} is at resource version {current}, not {expected}; read it again and repeat \
+         the edit on that"
+    ))]
+    Conflict {
+        /// Kind of the resource.
+        kind: Kind,
+        /// Name of the resource.
+        name: CompactString,
+        /// Version the writer has seen.
+        expected: u64,
+        /// Version it has; zero where it does not exist.
+        current: u64,
+    },
+    /// There is nothing to delete.
+    #[snafu(display("there is no {kind} `{name}`"))]
+    Missing {
+        /// Kind of the resource.
+        kind: Kind,
+        /// Name of the resource.
+        name: CompactString,
+    },
+    /// The set of resources would not be a configuration.
+    #[snafu(display("{}", join(problems)))]
+    Invalid {
+        /// Everything wrong with it.
+        problems: Vec<Problem>,
+    },
+}
+
+fn join(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+impl Write {
+    /// Builds the write of `edits` on top of `config`; none where they change
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`WriteError`] where a precondition fails or the outcome is no
+    /// configuration.
+    pub fn build(
+        config: &Config,
+        edits: &[Edit],
+        origin: &Origin,
+    ) -> Result<Option<Self>, WriteError> {
+        let generation = config.generation + 1;
+        let mut items = Vec::new();
+        for edit in edits {
+            items.extend(item(config, edit, generation)?);
+        }
+        if items.is_empty() {
+            return Ok(None);
+        }
+        let change = Change {
+            generation,
+            write_id: origin.write_id.clone(),
+            author: origin.author.clone(),
+            reason: origin.reason.clone(),
+            time: origin.time.clone(),
+            items,
+        };
+        let problems = config.applied(&change).problems();
+        if !problems.is_empty() {
+            return InvalidSnafu { problems }.fail();
+        }
+        let transaction = transaction(config.generation, &change);
+        Ok(Some(Self {
+            change,
+            transaction,
+        }))
+    }
+}
+
+fn item(config: &Config, edit: &Edit, generation: u64) -> Result<Option<ChangeItem>, WriteError> {
+    match edit {
+        Edit::Put(resource) => put_item(config, resource, generation),
+        Edit::Delete {
+            kind,
+            name,
+            resource_version,
+        } => delete_item(config, *kind, name, *resource_version).map(Some),
+    }
+}
+
+fn put_item(
+    config: &Config,
+    resource: &Resource,
+    generation: u64,
+) -> Result<Option<ChangeItem>, WriteError> {
+    let kind = resource.kind;
+    let name = &resource.metadata.name;
+    let before = config.resource(kind, name).cloned();
+    check_version(
+        kind,
+        name,
+        resource.metadata.resource_version,
+        before.as_ref(),
+    )?;
+    if before
+        .as_ref()
+        .is_some_and(|before| before.spec == resource.spec)
+    {
+        return Ok(None);
+    }
+    let mut after = resource.clone();
+    after.metadata.resource_version = generation;
+    Ok(Some(ChangeItem {
+        action: ChangeAction::Put,
+        kind,
+        name: name.clone(),
+        before,
+        after: Some(after),
+    }))
+}
+
+fn delete_item(
+    config: &Config,
+    kind: Kind,
+    name: &CompactString,
+    version: u64,
+) -> Result<ChangeItem, WriteError> {
+    let before = config.resource(kind, name).cloned();
+    check_version(kind, name, version, before.as_ref())?;
+    if before.is_none() {
+        return MissingSnafu {
+            kind,
+            name: name.clone(),
+        }
+        .fail();
+    }
+    Ok(ChangeItem {
+        action: ChangeAction::Delete,
+        kind,
+        name: name.clone(),
+        before,
+        after: None,
+    })
+}
+
+fn check_version(
+    kind: Kind,
+    name: &CompactString,
+    expected: u64,
+    before: Option<&Resource>,
+) -> Result<(), WriteError> {
+    let current = before.map_or(0, |resource| resource.metadata.resource_version);
+    if expected == 0 || expected == current {
+        return Ok(());
+    }
+    ConflictSnafu {
+        kind,
+        name: name.clone(),
+        expected,
+        current,
+    }
+    .fail()
+}
+
+fn transaction(generation: u64, change: &Change) -> Transaction {
+    let mut transaction = Transaction {
+        conditions: vec![
+            Condition {
+                key: HEAD_KEY.into(),
+                version: generation,
+            },
+            Condition {
+                key: change_key(change.generation),
+                version: 0,
+            },
+        ],
+        ..Transaction::default()
+    };
+    let head = Head {
+        generation: change.generation,
+    };
+    transaction.puts.push(put(HEAD_KEY.into(), &head));
+    transaction
+        .puts
+        .push(put(change_key(change.generation), change));
+    for item in &change.items {
+        let key = resource_key(item.kind, &item.name);
+        match &item.after {
+            Some(resource) => transaction.puts.push(put(key, resource)),
+            None => transaction.deletes.push(key),
+        }
+    }
+    transaction
+}
+
+fn put(key: CompactString, value: &impl Serialize) -> Put {
+    Put {
+        key,
+        value: json(value),
+    }
+}
+
+fn json(value: &impl Serialize) -> Box<RawValue> {
+    to_raw_value(value).expect("resources can be written as JSON")
+}
