Add the model engine and plain service stand-ins

The agent's data path and the process tests need upstreams that batch by priority, resume, cancel, lag and misbehave on request.

The engine's text depends on request id, version and place, so a caller can check that an answer is whole and its own.

The shared serve module gains header_value.

--- /dev/null
+++ b/crates/lab/src/engine/slots.rs
@@ -0,0 +1,88 @@
+//! Slots of the batch, given by priority.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use tokio::sync::oneshot;
+
+/// Requests that run at once; others wait by priority, then by arrival.
+#[derive(Debug)]
+pub(crate) struct Slots {
+    free: Cell<usize>,
+    next: Cell<u64>,
+    waiting: RefCell<Vec<Waiter>>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    priority: u8,
+    order: u64,
+    wake: oneshot::Sender<Slot>,
+}
+
+/// A slot in use; free again when dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    slots: Rc<Slots>,
+}
+
+impl Slots {
+    pub(crate) fn new(count: usize) -> Rc<Self> {
+        Rc::new(Self {
+            free: Cell::new(count),
+            next: Cell::new(0),
+            waiting: RefCell::default(),
+        })
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn take(self: &Rc<Self>, priority: u8) -> Slot {
+        if self.free.get() > 0 {
+            self.free.set(self.free.get() - 1);
+            return self.slot();
+        }
+        let (wake, woken) = oneshot::channel();
+        let order = self.next.replace(self.next.get() + 1);
+        self.waiting.borrow_mut().push(Waiter {
+            priority,
+            order,
+            wake,
+        });
+        woken
+            .await
+            .expect("waiters are woken before they are dropped")
+    }
+
+    /// Number of requests that wait.
+    pub(crate) fn queued(&self) -> usize {
+        let waiting = self.waiting.borrow();
+        waiting
+            .iter()
+            .filter(|waiter| !waiter.wake.is_closed())
+            .count()
+    }
+
+    fn slot(self: &Rc<Self>) -> Slot {
+        Slot {
+            slots: Rc::clone(self),
+        }
+    }
+
+    fn pop(&self) -> Option<Waiter> {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|waiter| !waiter.wake.is_closed());
+        let first = (0..waiting.len())
+            .min_by_key(|&index| (waiting[index].priority, waiting[index].order))?;
+        Some(waiting.swap_remove(first))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let next = self.slots.pop();
+        match next {
+            Some(waiter) => drop(waiter.wake.send(self.slots.slot())),
+            None => self.slots.free.set(self.slots.free.get() + 1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/engine/text.rs
@@ -0,0 +1,62 @@
+//! The text of an answer, which a caller can check.
+//!
+//! `v=<version> id=<request id>` and then one word for each of `max_tokens`;
+//! each word depends on its place, the request id and the version. A bad
+//! version's words are all `bad`.
+
+use std::hash::{Hash, Hasher};
+
+use rustc_hash::FxHasher;
+use serde::Serialize;
+
+const WORDS: [&str; 16] = [
+    "amber", "beam", "cove", "dim", "east", "fade", "glow", "hall", "iris", "jade", "lamp", "mist",
+    "niche", "opal", "pale", "quartz",
+];
+
+/// The tokens of an answer, in order.
+pub(crate) fn tokens(version: &str, id: &str, words: usize, bad: bool) -> Vec<String> {
+    let head = [format!("v={version}"), format!(" id={id}")];
+    let body = (0..words).map(|place| {
+        let word = if bad { "bad" } else { word(version, id, place) };
+        format!(" {word}")
+    });
+    head.into_iter().chain(body).collect()
+}
+
+fn word(version: &str, id: &str, place: usize) -> &'static str {
+    WORDS[digest(&(version, id, place)) as usize % WORDS.len()]
+}
+
+/// A number that is the same for equal values in every process.
+pub(crate) fn digest(value: &impl Hash) -> u64 {
+    let mut hasher = FxHasher::default();
+    value.hash(&mut hasher);
+    hasher.finish() >> 8
+}
+
+/// Usage as the engines report it.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct Usage {
+    pub(crate) prompt_tokens: u64,
+    pub(crate) completion_tokens: u64,
+    pub(crate) total_tokens: u64,
+    pub(crate) prompt_tokens_details: PromptDetails,
+}
+
+/// Part of the prompt that was in the cache.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct PromptDetails {
+    pub(crate) cached_tokens: u64,
+}
+
+impl Usage {
+    pub(crate) fn new(prompt_tokens: u64, cached_tokens: u64, completion_tokens: u64) -> Self {
+        Self {
+            prompt_tokens,
+            completion_tokens,
+            total_tokens: prompt_tokens + completion_tokens,
+            prompt_tokens_details: PromptDetails { cached_tokens },
+        }
+    }
+}
--- a/crates/lab/src/plain.rs
+++ b/crates/lab/src/plain.rs
@@ -1,8 +1,23 @@
-//! Not written yet; see docs/PLATFORM.md.
+//! Plain service whose calls may not all be repeated.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use actix_rt::time::sleep;
 use bpaf::Bpaf;
+use carawayrun::http::{json, read_body, text};
+use serde::Serialize;
 
 use crate::command::Failure;
+use crate::faults::FaultSwitch;
+use crate::serve::{common, header_value, lost, query_value, run as serve};
+
+/// Longest body that is read, in bytes.
+const MAX_BODY: usize = 16 << 20;
 
 /// Flags.
 #[derive(Debug, Clone, Bpaf)]
@@ -11,8 +26,89 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Time that one call takes, in milliseconds
+    #[bpaf(argument("MS"), fallback(1))]
+    call_ms: u64,
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
-    Err(format!("not written yet: {}", options.listen).into())
+    let call_time = Duration::from_millis(options.call_ms);
+    serve(&options.listen, move || {
+        let service = Rc::new(Service {
+            call_time,
+            faults: FaultSwitch::default(),
+            effects: RefCell::default(),
+        });
+        move |request| Rc::clone(&service).handle(request)
+    })
+}
+
+#[derive(Debug)]
+struct Service {
+    call_time: Duration,
+    faults: FaultSwitch,
+    effects: RefCell<Effects>,
+}
+
+/// Runs of each request id and of each `x-effect` header or `effect` query value.
+#[derive(Debug, Default, Serialize)]
+struct Effects {
+    requests: BTreeMap<String, u32>,
+    effects: BTreeMap<String, u32>,
+}
+
+/// What a call is answered with.
+#[derive(Debug, Serialize)]
+struct Done<'a> {
+    id: &'a str,
+    method: &'a str,
+    path: &'a str,
+    run: u32,
+    body: String,
+}
+
+impl Service {
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if let Some(answer) = common(&mut request, &self.faults).await {
+            return answer;
+        }
+        match (request.method(), request.path()) {
+            (&Method::GET, "/effects") => json(StatusCode::OK, &*self.effects.borrow()),
+            _ => self.call(&mut request).await,
+        }
+    }
+
+    async fn call(&self, request: &mut Request) -> Response<BoxBody> {
+        let body = match read_body(request.take_payload(), MAX_BODY).await {
+            Ok(body) => body,
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        let id = header_value(request, "x-request-id").unwrap_or_default();
+        let effect = header_value(request, "x-effect").or_else(|| query_value(request, "effect"));
+        let run = self.count(&id, effect);
+        sleep(self.call_time).await;
+        if self.faults.take_lost_answer() {
+            return lost();
+        }
+        let crossed = self.faults.take_crossed_answer();
+        let done = Done {
+            id: if crossed { "another-request" } else { &id },
+            method: request.method().as_str(),
+            path: request.path(),
+            run,
+            body: String::from_utf8_lossy(&body).into_owned(),
+        };
+        json(StatusCode::OK, &done)
+    }
+
+    // The effect takes place at once, before the answer.
+    fn count(&self, id: &str, effect: Option<String>) -> u32 {
+        let mut effects = self.effects.borrow_mut();
+        if let Some(effect) = effect {
+            *effects.effects.entry(effect).or_default() += 1;
+        }
+        let runs = effects.requests.entry(id.to_owned()).or_default();
+        *runs += 1;
+        *runs
+    }
 }
--- a/crates/lab/src/serve.rs
+++ b/crates/lab/src/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use carawayrun::http::{ServerOptions, bind, json, read_body, text};
 use serde::de::DeserializeOwned;
 use tokio::signal::unix::{SignalKind, signal};
@@ -97,6 +97,12 @@
     carawayrun::http::stream(StatusCode::OK, "application/json", broken)
 }
 
+/// The value of a header, where it is text.
+pub(crate) fn header_value(request: &Request, name: &str) -> Option<String> {
+    let value = request.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
 /// The value of `name` in the query of a request.
 pub(crate) fn query_value(request: &Request, name: &str) -> Option<String> {
     let query = request.uri().query()?;
