Decide idempotency keys in the reducer and publish the agent's signatures

Adds Handle::claim, end_claim and attend, Event::{Claim, ClaimEnded, Ordered} and Effect::{Claimed, Upstream}; all additive to the shared control types.

Claims go to the table in groups, one transaction in flight. A released row stays instead of being deleted: a deleted and created row would have version one again, and a late write of an earlier owner could match it.

--- /dev/null
+++ b/src/carawayrun/control/claims/batch.rs
@@ -0,0 +1,76 @@
+//! All writes of claims that go into one transaction.
+
+use compact_str::CompactString;
+use serde_json::value::to_raw_value;
+
+use super::row::{ClaimRow, ClaimState};
+use crate::platform::table::{Condition, Put, Transaction};
+
+/// Most writes in one transaction.
+const MAX_WRITES: usize = 64;
+
+/// Bytes of stored answers after which a transaction takes no more writes.
+const MAX_BYTES: usize = 512 * 1024;
+
+/// The new state of one row, on the condition of its version.
+#[derive(Debug)]
+pub(super) struct Write {
+    pub(super) key: CompactString,
+    /// Version the row must have; zero where it must not exist.
+    pub(super) version: u64,
+    pub(super) row: ClaimRow,
+}
+
+/// Writes that are in flight together.
+#[derive(Debug)]
+pub(super) struct Batch {
+    pub(super) number: u64,
+    pub(super) writes: Vec<Write>,
+}
+
+impl Batch {
+    /// As many of `writes` as fit; `None` where there are none.
+    pub(super) fn collect(number: u64, writes: impl Iterator<Item = Write>) -> Option<Self> {
+        let mut bytes = 0;
+        let writes: Vec<Write> = writes
+            .take(MAX_WRITES)
+            .take_while(|write| {
+                let fits = bytes < MAX_BYTES;
+                bytes += stored_bytes(write);
+                fits
+            })
+            .collect();
+        (!writes.is_empty()).then_some(Self { number, writes })
+    }
+
+    pub(super) fn transaction(&self) -> Transaction {
+        Transaction {
+            conditions: self.writes.iter().map(condition).collect(),
+            puts: self.writes.iter().map(put).collect(),
+            deletes: Vec::new(),
+        }
+    }
+}
+
+fn stored_bytes(write: &Write) -> usize {
+    match &write.row.state {
+        ClaimState::Finished {
+            answer: Some(answer),
+        } => answer.len(),
+        _ => 0,
+    }
+}
+
+fn condition(write: &Write) -> Condition {
+    Condition {
+        key: write.key.clone(),
+        version: write.version,
+    }
+}
+
+fn put(write: &Write) -> Put {
+    Put {
+        key: write.key.clone(),
+        value: to_raw_value(&write.row).expect("a claim can be written as JSON"),
+    }
+}
--- /dev/null
+++ b/src/carawayrun/control/claims/mod.rs
@@ -0,0 +1,406 @@
+//! Idempotency keys: who may run a request, decided by the table service.
+//!
+//! A request with a key may run only once the row `claim/<team>/<digest>` is
+//! created or taken over from a released claim, on the condition of its
+//! version. All claims and ends that wait go into one transaction; one is in
+//! flight at a time. Where a condition fails, the rows as they are come back:
+//! they decide the claims they belong to, and the rest is sent again.
+//!
+//! After a lost answer the same transaction is sent again. If it had taken
+//! effect, the conflict shows this life and this request in the row. A claim
+//! that can't be settled before its request's deadline is answered as
+//! unavailable, and the row is released by compare-and-set once the service
+//! answers, whether or not the claim had taken effect. A claim is never taken
+//! from its owner, so an owner that was paused and wakes is still the only one.
+
+mod batch;
+mod row;
+
+#[cfg(test)]
+mod tests;
+
+use compact_str::{CompactString, ToCompactString};
+use rustc_hash::FxHashMap;
+
+use self::batch::{Batch, Write};
+pub use self::row::{
+    ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
+};
+use self::row::{ClaimRow, ClaimState, fingerprint_text, request_name, row_key};
+use super::effect::{Concern, Effect, Ticket};
+use super::event::Event;
+use super::state::Context;
+use super::time::Millis;
+use crate::peer::NodeId;
+use crate::platform::table::{Row, TableAnswer, TableCall, TableError};
+
+/// Most claims that this life keeps in memory.
+const MAX_CLAIMS: usize = 4096;
+
+/// Time between two tries while the service does not answer.
+const RETRY: Millis = Millis(200);
+
+/// Failed calls in a row after which new claims are refused without a call.
+const OUTAGE_FAILURES: u32 = 2;
+
+/// Time from the start of a process in which a life that it has not heard of
+/// may still be running.
+const MEMBERS_LEARNED: Millis = Millis(10_000);
+
+/// The concern.
+#[derive(Debug, Default)]
+pub(crate) struct Claims {
+    claims: FxHashMap<CompactString, Claim>,
+    keys: FxHashMap<ClaimTicket, CompactString>,
+    in_flight: Option<Batch>,
+    next_number: u64,
+    retry_time: Option<Millis>,
+    // Calls in a row that the service did not answer with success.
+    failures: u32,
+    lives: FxHashMap<CompactString, Life>,
+}
+
+// What this life knows of one key that it has claimed or wants to.
+#[derive(Debug)]
+struct Claim {
+    ticket: ClaimTicket,
+    request: CompactString,
+    fingerprint: CompactString,
+    deadline: Millis,
+    // Version that the row is known or believed to have; zero for none.
+    version: u64,
+    // True where a lost write may have put it into the row.
+    doubtful: bool,
+    step: Step,
+}
+
+#[derive(Debug)]
+enum Step {
+    // The claim has to be written, and its request waits.
+    Wanted,
+    // The claim is held, and its request may run.
+    Held,
+    // The request has ended, and the end has to be written.
+    Ended(ClaimState),
+}
+
+// The newest life of a node that was heard of.
+#[derive(Debug, Clone, Copy)]
+struct Life {
+    incarnation: u64,
+    dead: bool,
+}
+
+impl Claims {
+    pub(crate) fn handle(&mut self, event: &Event, context: &mut Context) {
+        match event {
+            Event::Claim(ticket, call) => self.claim(*ticket, call, context),
+            Event::ClaimEnded(ticket, end) => self.ended(*ticket, end),
+            Event::Stored(ticket, result) if ticket.concern == Concern::Claims => {
+                self.stored(ticket.number, result, context);
+            }
+            Event::Received(envelope) => self.learn(&envelope.members),
+            Event::Tick => self.expire(context),
+            _ => return,
+        }
+        self.send(context);
+    }
+
+    fn claim(&mut self, ticket: ClaimTicket, call: &ClaimCall, context: &mut Context) {
+        let key = row_key(call);
+        if let Some(claim) = self.claims.get(&key) {
+            let answer = claim.answer_again(&fingerprint_text(call));
+            return context.out.push(Effect::Claimed(ticket, answer));
+        }
+        if self.claims.len() >= MAX_CLAIMS || self.failures >= OUTAGE_FAILURES {
+            return context
+                .out
+                .push(Effect::Claimed(ticket, ClaimAnswer::Unavailable));
+        }
+        self.keys.insert(ticket, key.clone());
+        let claim = Claim {
+            ticket,
+            request: request_name(call),
+            fingerprint: fingerprint_text(call),
+            deadline: context.now + call.time_left,
+            version: 0,
+            doubtful: false,
+            step: Step::Wanted,
+        };
+        self.claims.insert(key, claim);
+    }
+
+    fn ended(&mut self, ticket: ClaimTicket, end: &ClaimEnd) {
+        let Some(key) = self.keys.remove(&ticket) else {
+            return;
+        };
+        let Some(claim) = self.claims.get_mut(&key) else {
+            return;
+        };
+        claim.step = Step::Ended(match end {
+            ClaimEnd::NotRun => ClaimState::Released,
+            ClaimEnd::Finished(answer) => ClaimState::Finished {
+                answer: answer
+                    .clone()
+                    .filter(|answer| answer.len() <= MAX_STORED_BYTES),
+            },
+            ClaimEnd::Unknown => ClaimState::Unknown,
+        });
+    }
+
+    // Gives up claims that can't be settled in time; they are released later.
+    fn expire(&mut self, context: &mut Context) {
+        for claim in self.claims.values_mut() {
+            if matches!(claim.step, Step::Wanted) && claim.deadline <= context.now {
+                self.keys.remove(&claim.ticket);
+                claim.give_up(context);
+            }
+        }
+    }
+
+    fn send(&mut self, context: &mut Context) {
+        if self.in_flight.is_some() || self.retry_time.is_some_and(|time| context.now < time) {
+            return;
+        }
+        let owner = context.identity.node.to_compact_string();
+        let mut due: Vec<_> = self
+            .claims
+            .iter()
+            .filter(|(_, claim)| claim.is_due())
+            .collect();
+        due.sort_unstable_by_key(|(_, claim)| claim.ticket);
+        let writes = due
+            .into_iter()
+            .filter_map(|(key, claim)| claim.write(key, &owner));
+        let batch = Batch::collect(self.next_number, writes);
+        let Some(batch) = batch else { return };
+        self.next_number += 1;
+        let ticket = Ticket {
+            concern: Concern::Claims,
+            number: batch.number,
+        };
+        let call = TableCall::Commit(batch.transaction());
+        context.out.push(Effect::Store(ticket, call));
+        self.in_flight = Some(batch);
+    }
+
+    fn stored(
+        &mut self,
+        number: u64,
+        result: &Result<TableAnswer, TableError>,
+        context: &mut Context,
+    ) {
+        let Some(batch) = self.in_flight.take_if(|batch| batch.number == number) else {
+            return;
+        };
+        match result {
+            Ok(_) => self.committed(batch, context),
+            Err(TableError::Conflict { rows }) => self.conflicted(&batch, rows, context),
+            Err(TableError::Lost { .. }) => {
+                self.wait(context);
+                self.doubt(&batch);
+            }
+            Err(TableError::Unavailable { .. } | TableError::Invalid { .. }) => {
+                self.wait(context);
+                self.refuse(&batch, context);
+            }
+        }
+    }
+
+    fn committed(&mut self, batch: Batch, context: &mut Context) {
+        self.answered();
+        for write in batch.writes {
+            self.written(&write, write.version + 1, context);
+        }
+    }
+
+    // The row has the version `version` and holds what was written.
+    fn written(&mut self, write: &Write, version: u64, context: &mut Context) {
+        let Some(claim) = self.claims.get_mut(&write.key) else {
+            return;
+        };
+        claim.version = version;
+        match (&claim.step, &write.row.state) {
+            (Step::Wanted, ClaimState::Running) => {
+                claim.step = Step::Held;
+                let ticket = claim.ticket;
+                context.out.push(Effect::Claimed(ticket, ClaimAnswer::Run));
+            }
+            (Step::Ended(state), written) if state == written => {
+                self.claims.remove(&write.key);
+            }
+            _ => {}
+        }
+    }
+
+    fn conflicted(&mut self, batch: &Batch, rows: &[Row], context: &mut Context) {
+        self.answered();
+        let found: FxHashMap<&str, &Row> = rows.iter().map(|row| (row.key.as_str(), row)).collect();
+        for write in &batch.writes {
+            if let Some(row) = found.get(write.key.as_str()) {
+                self.found(write, row, context);
+            }
+        }
+    }
+
+    // Judges a claim by its row, which is not as the write expected.
+    fn found(&mut self, write: &Write, row: &Row, context: &mut Context) {
+        let Ok(held) = serde_json::from_str::<ClaimRow>(row.value.get()) else {
+            tracing::error!(name: "claim.unreadable", key = %row.key);
+            return self.settle(&write.key, ClaimAnswer::UnknownOutcome, context);
+        };
+        if held == write.row {
+            return self.written(write, row.version, context);
+        }
+        let ours = held.owner == write.row.owner
+            && held.request == write.row.request
+            && held.state == ClaimState::Running;
+        if ours || held.state == ClaimState::Released {
+            // Our own claim before its end, or a free key: write over it.
+            if let Some(claim) = self.claims.get_mut(&write.key) {
+                claim.version = row.version;
+            }
+            return;
+        }
+        let answer = self.judge(&held, &write.row.fingerprint, context.now);
+        self.settle(&write.key, answer, context);
+    }
+
+    fn judge(&self, held: &ClaimRow, fingerprint: &str, now: Millis) -> ClaimAnswer {
+        if held.fingerprint != fingerprint {
+            return ClaimAnswer::Reused;
+        }
+        match &held.state {
+            ClaimState::Finished {
+                answer: Some(answer),
+            } => ClaimAnswer::Replay(answer.clone()),
+            ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
+            ClaimState::Running if self.may_live(&held.owner, now) => ClaimAnswer::InProgress,
+            ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
+                ClaimAnswer::UnknownOutcome
+            }
+        }
+    }
+
+    // Another's row decides the claim; nothing of ours is to be written.
+    fn settle(&mut self, key: &CompactString, answer: ClaimAnswer, context: &mut Context) {
+        let Some(claim) = self.claims.remove(key) else {
+            return;
+        };
+        self.keys.remove(&claim.ticket);
+        if matches!(claim.step, Step::Wanted) {
+            context.out.push(Effect::Claimed(claim.ticket, answer));
+        }
+    }
+
+    // The service did not act: claims that never were sent before are refused
+    // at once; what may have taken effect earlier is released later.
+    fn refuse(&mut self, batch: &Batch, context: &mut Context) {
+        for write in &batch.writes {
+            let Some(claim) = self.claims.get_mut(&write.key) else {
+                continue;
+            };
+            if !matches!(claim.step, Step::Wanted) {
+                continue;
+            }
+            self.keys.remove(&claim.ticket);
+            claim.give_up(context);
+            if !claim.doubtful {
+                self.claims.remove(&write.key);
+            }
+        }
+    }
+
+    // The writes may have taken effect.
+    fn doubt(&mut self, batch: &Batch) {
+        for write in &batch.writes {
+            if let Some(claim) = self.claims.get_mut(&write.key) {
+                claim.doubtful = true;
+            }
+        }
+    }
+
+    fn answered(&mut self) {
+        self.retry_time = None;
+        self.failures = 0;
+    }
+
+    fn wait(&mut self, context: &Context) {
+        self.retry_time = Some(context.now + RETRY);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    fn learn(&mut self, members: &[crate::peer::message::Member]) {
+        for member in members {
+            let Some(node) = &member.node else { continue };
+            let life = Life {
+                incarnation: node.incarnation,
+                dead: member.state() == crate::peer::message::MemberState::Dead,
+            };
+            let known = self.lives.entry(node.name.as_str().into()).or_insert(life);
+            if known.incarnation < life.incarnation {
+                *known = life;
+            } else if known.incarnation == life.incarnation {
+                known.dead = life.dead;
+            }
+        }
+    }
+
+    // False where the life is over, or was not heard of for long.
+    fn may_live(&self, owner: &str, now: Millis) -> bool {
+        let Ok(owner) = owner.parse::<NodeId>() else {
+            return false;
+        };
+        match self.lives.get(&owner.name) {
+            Some(life) => life.incarnation == owner.incarnation && !life.dead,
+            None => now < MEMBERS_LEARNED,
+        }
+    }
+}
+
+impl Claim {
+    // True where the row has to be written.
+    fn is_due(&self) -> bool {
+        !matches!(self.step, Step::Held)
+    }
+
+    fn write(&self, key: &CompactString, owner: &CompactString) -> Option<Write> {
+        let state = match &self.step {
+            Step::Wanted => ClaimState::Running,
+            Step::Held => return None,
+            Step::Ended(state) => state.clone(),
+        };
+        let row = ClaimRow {
+            owner: owner.clone(),
+            request: self.request.clone(),
+            fingerprint: self.fingerprint.clone(),
+            state,
+        };
+        Some(Write {
+            key: key.clone(),
+            version: self.version,
+            row,
+        })
+    }
+
+    // Answers a second request with the key from memory.
+    fn answer_again(&self, fingerprint: &str) -> ClaimAnswer {
+        if self.fingerprint != fingerprint {
+            return ClaimAnswer::Reused;
+        }
+        match &self.step {
+            Step::Ended(ClaimState::Finished { answer }) => answer
+                .clone()
+                .map_or(ClaimAnswer::Finished, ClaimAnswer::Replay),
+            Step::Ended(ClaimState::Unknown) => ClaimAnswer::UnknownOutcome,
+            Step::Ended(ClaimState::Released) => ClaimAnswer::Unavailable,
+            _ => ClaimAnswer::InProgress,
+        }
+    }
+
+    fn give_up(&mut self, context: &mut Context) {
+        self.step = Step::Ended(ClaimState::Released);
+        let answer = ClaimAnswer::Unavailable;
+        context.out.push(Effect::Claimed(self.ticket, answer));
+    }
+}
--- /dev/null
+++ b/src/carawayrun/control/claims/tests.rs
@@ -0,0 +1,1 @@
+//! Claims under lost answers, conflicts and outages.
--- a/src/carawayrun/control/effect.rs
+++ b/src/carawayrun/control/effect.rs
@@ -4,7 +4,9 @@
 
 use compact_str::CompactString;
 
+use super::claims::{ClaimAnswer, ClaimTicket};
 use super::view::View;
+use crate::peer::RequestId;
 use crate::peer::message;
 use crate::platform::table::TableCall;
 
@@ -41,6 +43,40 @@
     Store(Ticket, TableCall),
     /// Publishes a new view to the traffic threads.
     Publish(Arc<View>),
+    /// Answers a request that asked for its idempotency key.
+    Claimed(ClaimTicket, ClaimAnswer),
+    /// Gives the traffic threads of an agent something to do at its upstream.
+    Upstream(UpstreamAction),
+}
+
+/// What an agent does at its upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UpstreamAction {
+    /// Cancels a request; a gateway no longer wants it.
+    Cancel(RequestId),
+    /// Orders the engine.
+    Order(EngineOrder),
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Fencing number; engines that check it refuse a lower one than they saw.
+    pub fence: u64,
+    /// What to do.
+    pub action: OrderAction,
+    /// Name of the version.
+    pub version: CompactString,
+}
+
+/// What an order asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "camelCase")]
+pub enum OrderAction {
+    /// Load the version.
+    Load,
+    /// Unload the version.
+    Unload,
 }
 
 /// Effects in the order in which they are to be carried out.
--- a/src/carawayrun/control/event.rs
+++ b/src/carawayrun/control/event.rs
@@ -2,7 +2,8 @@
 
 use compact_str::CompactString;
 
-use super::effect::Ticket;
+use super::claims::{ClaimCall, ClaimEnd, ClaimTicket};
+use super::effect::{EngineOrder, Ticket};
 use crate::peer::{RequestId, message};
 use crate::platform::table::{TableAnswer, TableError};
 use crate::resource::Change;
@@ -32,10 +33,27 @@
     Loaded(Box<message::Load>),
     /// A request showed that a generation exists which this node may not have.
     Behind(u64),
+    /// A request wants to run under its idempotency key.
+    Claim(ClaimTicket, Box<ClaimCall>),
+    /// A request that holds its idempotency key ended, or will not run.
+    ClaimEnded(ClaimTicket, Box<ClaimEnd>),
+    /// The engine answered an order, or the order failed.
+    Ordered(Box<EngineOrder>, OrderResult),
     /// The process was told to stop; it drains.
     Stop,
 }
 
+/// What became of an order to the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The engine took it.
+    Accepted,
+    /// The engine has seen this higher fencing number.
+    Fenced(u64),
+    /// No answer, or another refusal.
+    Failed,
+}
+
 /// A host as the platform lists it; the list lags.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,14 +4,20 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod claims;
 mod effect;
 mod event;
 mod state;
 mod time;
 mod view;
 
-pub use self::effect::{Concern, Effect, Effects, Ticket};
-pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
+pub use self::claims::{
+    ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
+};
+pub use self::effect::{
+    Concern, Effect, Effects, EngineOrder, OrderAction, Ticket, UpstreamAction,
+};
+pub use self::event::{Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating};
 pub use self::state::{Context, Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::claims::Claims;
 use super::effect::{Effect, Effects};
 use super::event::Event;
 use super::time::Millis;
@@ -60,6 +61,7 @@
 #[derive(Debug)]
 pub struct State {
     context: Context,
+    claims: Claims,
 }
 
 impl State {
@@ -75,7 +77,10 @@
             changed: true,
             rng: SmallRng::seed_from_u64(seed),
         };
-        Self { context }
+        Self {
+            context,
+            claims: Claims::default(),
+        }
     }
 
     /// Handles one event and returns what is to be done.
@@ -88,6 +93,7 @@
 
     // Each concern looks at the event in turn and ignores what is not its own.
     fn dispatch(&mut self, event: Event) {
+        self.claims.handle(&event, &mut self.context);
         drop(event);
     }
 
--- a/src/carawayrun/node/handle.rs
+++ b/src/carawayrun/node/handle.rs
@@ -7,17 +7,30 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::counters::Counters;
-use crate::control::{Event, View};
+use crate::control::{ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, Event, UpstreamAction, View};
 
 /// What the control thread is sent.
 #[derive(Debug)]
 pub(super) enum Input {
     /// An event for the reducer.
     Event(Event),
+    /// A request wants its idempotency key; the sender is told what became of it.
+    Claim(Box<ClaimCall>, oneshot::Sender<Claimed>),
+    /// Where actions for the process's upstream go from now on.
+    Attend(mpsc::UnboundedSender<UpstreamAction>),
     /// Stop the thread; the sender is told when it is done.
     Close(oneshot::Sender<()>),
 }
 
+/// What became of a claim, and the ticket to end it with.
+#[derive(Debug)]
+pub struct Claimed {
+    /// Ends the claim where the answer is [`ClaimAnswer::Run`].
+    pub ticket: ClaimTicket,
+    /// What may be done.
+    pub answer: ClaimAnswer,
+}
+
 /// A running control thread.
 #[derive(Debug, Clone)]
 pub struct Handle {
@@ -38,6 +51,32 @@
         let _ = self.inputs.send(Input::Event(event));
     }
 
+    /// Claims a request's idempotency key; see [`ClaimAnswer`].
+    ///
+    /// Where the answer is [`ClaimAnswer::Run`], the caller must end the claim
+    /// by [`Handle::end_claim`], whatever becomes of the request. Where the
+    /// caller is dropped before the answer, the claim is ended as not run.
+    /// `None` where the control thread has ended.
+    pub async fn claim(&self, call: ClaimCall) -> Option<Claimed> {
+        let (answer, answered) = oneshot::channel();
+        self.inputs
+            .send(Input::Claim(Box::new(call), answer))
+            .ok()?;
+        answered.await.ok()
+    }
+
+    /// Tells how a claimed request ended.
+    pub fn end_claim(&self, ticket: ClaimTicket, end: ClaimEnd) {
+        self.post(Event::ClaimEnded(ticket, Box::new(end)));
+    }
+
+    /// Actions for this process's upstream, from now on.
+    pub fn attend(&self) -> mpsc::UnboundedReceiver<UpstreamAction> {
+        let (actions, received) = mpsc::unbounded_channel();
+        self.inputs.send(Input::Attend(actions)).ok();
+        received
+    }
+
     /// The address of the nng listener.
     pub fn peer_addr(&self) -> SocketAddr {
         self.peer_addr
--- a/src/carawayrun/node/mod.rs
+++ b/src/carawayrun/node/mod.rs
@@ -3,6 +3,7 @@
 //! [`spawn`] starts the control thread and returns a [`Handle`], by which the
 //! traffic threads see the control state and post events to it.
 
+mod claim_tickets;
 mod counters;
 mod handle;
 mod run;
@@ -10,6 +11,6 @@
 mod spawn;
 
 pub use self::counters::Counters;
-pub use self::handle::Handle;
+pub use self::handle::{Claimed, Handle};
 pub use self::settings::{NodeSettings, PlatformSettings};
 pub use self::spawn::{SpawnError, spawn};
--- a/src/carawayrun/node/run.rs
+++ b/src/carawayrun/node/run.rs
@@ -13,10 +13,11 @@
 use tokio::time::MissedTickBehavior;
 use tracing::warn;
 
+use super::claim_tickets::ClaimTickets;
 use super::counters::Counters;
 use super::handle::Input;
 use super::settings::PlatformSettings;
-use crate::control::{Effect, Event, Millis, State, TICK, Ticket, View};
+use crate::control::{Effect, Event, Millis, State, TICK, Ticket, UpstreamAction, View};
 use crate::peer::{Link, message::Envelope};
 use crate::platform::table::TableCall;
 use crate::platform::{HostsClient, TableClient};
@@ -45,6 +46,8 @@
     pub(super) inputs: mpsc::UnboundedSender<Input>,
     pub(super) counters: Counters,
     pub(super) platform: PlatformSettings,
+    pub(super) tickets: ClaimTickets,
+    pub(super) upstream: Option<mpsc::UnboundedSender<UpstreamAction>>,
 }
 
 impl Runtime {
@@ -71,6 +74,11 @@
                 }
                 input = events.recv() => match input {
                     Some(Input::Event(event)) => event,
+                    Some(Input::Claim(call, answer)) => self.tickets.issue(call, answer),
+                    Some(Input::Attend(actions)) => {
+                        self.upstream = Some(actions);
+                        continue;
+                    }
                     Some(Input::Close(done)) => {
                         sleep(LAST_SENDS).await;
                         drop(self);
@@ -97,6 +105,16 @@
             Effect::Send(addr, envelope) => self.link.send(&addr, &envelope),
             Effect::Store(ticket, call) => self.store(ticket, call, table.clone()),
             Effect::Publish(view) => self.view.store(view),
+            Effect::Claimed(ticket, answer) => {
+                if let Some(event) = self.tickets.answer(ticket, answer) {
+                    self.inputs.send(Input::Event(event)).ok();
+                }
+            }
+            Effect::Upstream(action) => {
+                if let Some(upstream) = &self.upstream {
+                    upstream.send(action).ok();
+                }
+            }
         }
     }
 
--- a/src/carawayrun/node/spawn.rs
+++ b/src/carawayrun/node/spawn.rs
@@ -13,6 +13,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc;
 
+use super::claim_tickets::ClaimTickets;
 use super::counters::Counters;
 use super::handle::{Handle, Input};
 use super::run::Runtime;
@@ -75,6 +76,8 @@
         inputs,
         counters,
         platform,
+        tickets: ClaimTickets::default(),
+        upstream: None,
     };
     thread::Builder::new()
         .name("control".into())
