Add the pure policy: plans, pools, limits and judgement

Other parts need its signatures. Shared types change by addition: View gains estimates, pools() and splits(). Bodies are real but not measured yet.

--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -9,6 +9,7 @@
 use super::time::Millis;
 use super::view::{Admission, View};
 use crate::peer::NodeId;
+use crate::policy::Estimates;
 use crate::resource::Config;
 
 /// What a process does.
@@ -95,6 +96,7 @@
             shares: rustc_hash::FxHashMap::default(),
             rollouts: Vec::new(),
             suspended: Vec::new(),
+            estimates: Arc::new(Estimates::default()),
             admission: Admission::Open,
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -7,7 +7,8 @@
 
 use super::time::Millis;
 use crate::peer::{NodeId, message};
-use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
+use crate::policy::{Candidate, Estimates, Pool, Pools, Split};
+use crate::resource::{Config, RolloutKey, TeamKey, Upstream, UpstreamKey, VersionKey};
 
 /// An immutable picture of the control state; replaced as a whole.
 #[derive(Debug, Clone)]
@@ -25,10 +26,86 @@
     /// Versions that were judged bad and whose withdrawal is not yet in the
     /// configuration; they take no new work either.
     pub suspended: Vec<VersionKey>,
+    /// What was learned of each version's answers.
+    pub estimates: Arc<Estimates>,
     /// Whether new requests are taken.
     pub admission: Admission,
 }
 
+impl View {
+    /// The upstreams that take new work; `Candidate::agent` is the position
+    /// in `agents`.
+    pub fn pools(&self) -> Pools {
+        let open = self
+            .agents
+            .iter()
+            .enumerate()
+            .filter(|(_, agent)| agent.open);
+        Pools::build(open.filter_map(|(index, agent)| self.candidate(index, agent)))
+    }
+
+    /// The roll-outs as the policy needs them.
+    pub fn splits(&self) -> Vec<Split> {
+        self.rollouts
+            .iter()
+            .filter_map(|rollout| self.split(rollout))
+            .collect()
+    }
+
+    fn candidate(&self, index: usize, agent: &AgentView) -> Option<Candidate> {
+        let upstream = &self.config.upstreams.get(agent.upstream)?.spec;
+        if upstream.drain {
+            return None;
+        }
+        let load = agent.load.as_ref();
+        Some(Candidate {
+            agent: index,
+            upstream: agent.upstream,
+            data_centre: agent.data_centre.clone(),
+            slots: upstream.slots,
+            reported: load.map_or(0, |load| load.running + load.queued),
+            wait_ms: load.map_or(0, |load| load.wait_ms),
+            report_ms: agent.load_time.0,
+            pools: self.memberships(upstream, load),
+        })
+    }
+
+    // An agent whose load is not known yet counts as warm for what its
+    // upstream should have; it refuses what it can't run.
+    fn memberships(&self, upstream: &Upstream, load: Option<&message::Load>) -> Vec<Pool> {
+        let service = self
+            .config
+            .services
+            .key(&upstream.service)
+            .map(Pool::Service);
+        let version = |name: &str| self.config.versions.key(name).map(Pool::Version);
+        let mut pools: Vec<Pool> = match load {
+            Some(load) => load.warm.iter().filter_map(|name| version(name)).collect(),
+            None => upstream
+                .versions
+                .iter()
+                .filter_map(|name| version(name))
+                .collect(),
+        };
+        pools.extend(service);
+        pools
+    }
+
+    fn split(&self, view: &RolloutView) -> Option<Split> {
+        let rollout = &self.config.rollouts.get(view.key)?.spec;
+        let compared = matches!(view.phase, RolloutPhase::Running | RolloutPhase::Paused);
+        if view.phase == RolloutPhase::Withdrawn {
+            return None;
+        }
+        Some(Split {
+            from: self.config.versions.key(&rollout.from)?,
+            to: self.config.versions.key(&rollout.to)?,
+            share: view.share,
+            compared,
+        })
+    }
+}
+
 /// An agent as this node knows it.
 #[derive(Debug, Clone)]
 pub struct AgentView {
--- /dev/null
+++ b/src/carawayrun/policy/explanation.rs
@@ -0,0 +1,74 @@
+//! Why a request went where it did.
+
+use std::fmt;
+
+use compact_str::CompactString;
+
+/// What decided a plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The session is on this version.
+    Pinned,
+    /// Least expected cost among the plans that meet the target.
+    Cheapest,
+    /// A cheaper version whose estimate is still uncertain and may meet the
+    /// target; bounded by a share of requests.
+    Explored,
+    /// Nothing meets the target; this is the best permitted.
+    BestEffort,
+}
+
+/// How a plan was chosen, in numbers an operator can check.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Explanation {
+    /// What decided.
+    pub reason: Reason,
+    /// Names of the versions, in the order of the steps.
+    pub versions: Vec<CompactString>,
+    /// The target that had to be met.
+    pub target: f64,
+    /// Expected quality.
+    pub quality: f64,
+    /// Standard error of the expected quality.
+    pub error: f64,
+    /// Expected cost, in millionths of the currency unit.
+    pub cost_micros: f64,
+    /// Expected time to the first byte, in milliseconds.
+    pub first_ms: f64,
+    /// Versions that were weighed.
+    pub weighed: usize,
+    /// Chance of a second step; zero for a single version.
+    pub escalation: f64,
+    /// True where a roll-out's split was drawn.
+    pub drawn: bool,
+    /// True where the session's version could not be kept.
+    pub unpinned: bool,
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.versions.join(" then "))?;
+        f.write_str(match self.reason {
+            Reason::Pinned => "the session is on this version",
+            Reason::Cheapest => "least expected cost that meets the target",
+            Reason::Explored => "cheaper and may meet the target; tried to find out",
+            Reason::BestEffort => "no permitted version meets the target; this is the best",
+        })?;
+        write!(
+            f,
+            "; quality {:.3} ± {:.3} of target {:.3}, cost {:.0} micros, first byte {:.0} ms, \
+             {} versions weighed",
+            self.quality, self.error, self.target, self.cost_micros, self.first_ms, self.weighed
+        )?;
+        if self.escalation > 0.0 {
+            write!(f, ", second step for {:.0}%", self.escalation * 100.0)?;
+        }
+        if self.drawn {
+            f.write_str(", drawn by a roll-out")?;
+        }
+        if self.unpinned {
+            f.write_str(", the session's version was withdrawn or is not permitted")?;
+        }
+        Ok(())
+    }
+}
--- a/src/carawayrun/policy/mod.rs
+++ b/src/carawayrun/policy/mod.rs
@@ -1,1 +1,40 @@
 //! Pure decisions: plans, quality, roll-outs and choice of upstream.
+//!
+//! Nothing here does I/O or reads a clock: times are milliseconds on the
+//! process's clock and random numbers come from a generator that is passed in,
+//! so the running gateway and the experiments of the lab share this code.
+//!
+//! | item | answers |
+//! |---|---|
+//! | [`plan`] | which version, or cascade of versions, answers a request |
+//! | [`Estimates`] | how good, slow and long a version's answers are |
+//! | [`Pools`] | which upstream runs it |
+//! | [`Ejection`] | which upstreams are left out for a while |
+//! | [`Bucket`] | whether a team is within its limits |
+//! | [`RetryBudget`] | whether a retry is affordable |
+//! | [`judge`] | whether a roll-out goes on, waits or is withdrawn |
+//! | [`DriftDetector`] | whether a version turned bad without a roll-out |
+
+mod binomial;
+mod bucket;
+mod drift;
+mod ejection;
+mod estimates;
+mod explanation;
+mod judge;
+mod normal;
+mod plan;
+mod pools;
+mod retry;
+mod tally;
+
+pub use self::bucket::{Bucket, OverLimit};
+pub use self::drift::{DriftDetector, DriftVerdict};
+pub use self::ejection::Ejection;
+pub use self::estimates::{Estimates, Quality};
+pub use self::explanation::{Explanation, Reason};
+pub use self::judge::{Arms, Evidence, Judgement, Progress, Verdict, judge};
+pub use self::plan::{Ask, Gate, NoPlan, Plan, Situation, Split, Step, plan};
+pub use self::pools::{Candidate, Choice, Flight, Pick, Pool, Pools};
+pub use self::retry::RetryBudget;
+pub use self::tally::Tally;
--- /dev/null
+++ b/src/carawayrun/policy/plan.rs
@@ -0,0 +1,554 @@
+//! Which version, or cascade of versions, answers a request.
+
+use rand::Rng;
+use snafu::Snafu;
+
+use super::estimates::{Estimates, Quality};
+use super::explanation::{Explanation, Reason};
+use super::normal;
+use super::pools::{Pool, Pools};
+use crate::resource::{
+    Config, Named, Phase, ServiceKey, Task, TaskClass, TeamKey, Version, VersionKey, Weights,
+};
+
+/// Share of the variance of ratings that is variance of the answers; the rest
+/// is noise of the rating service.
+const RELIABILITY: f64 = 0.6;
+/// Correlation of one version's rating with another's answer to the same
+/// request: what is hard for one is hard for the other.
+const SHARED_DIFFICULTY: f64 = 0.3;
+/// Gates that are weighed, in standard deviations from the mean rating.
+const GATES: [f64; 4] = [-1.0, -0.5, 0.0, 0.5];
+/// Share of requests that may try a version whose quality is uncertain.
+const EXPLORED_SHARE: f64 = 0.02;
+/// Standard errors above the mean that still may meet the target.
+const OPTIMISM: f64 = 2.0;
+/// What one whole latency budget counts for, in multiples of the least cost.
+const LATENCY_SCALE: f64 = 0.05;
+/// What certainty of missing the target counts for, in multiples of the least
+/// cost.
+const EXPOSURE_SCALE: f64 = 0.05;
+/// Tokens to a unit of price.
+const PRICE_TOKENS: f64 = 1_000.0;
+
+/// One request, as far as the plan depends on it.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Who asks.
+    pub team: TeamKey,
+    /// The engine service asked.
+    pub service: ServiceKey,
+    /// Name of the task; the service's first where empty.
+    pub task: &'a str,
+    /// A model or the exact name of a version; any version where empty.
+    pub model: &'a str,
+    /// Quality that replaces the task's target.
+    pub quality: Option<f64>,
+    /// Time left for the first byte, in milliseconds.
+    pub budget_ms: u64,
+    /// Version of the session.
+    pub pinned: Option<VersionKey>,
+    /// True where the answer is streamed to a person.
+    pub stream: bool,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Tokens of the prompt that are expected in the cache.
+    pub cached_tokens: u64,
+}
+
+/// What the plan is chosen from.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation<'a> {
+    /// The configuration in force.
+    pub config: &'a Config,
+    /// What was learned of the versions.
+    pub estimates: &'a Estimates,
+    /// The upstreams that take new work.
+    pub pools: &'a Pools,
+    /// Roll-outs under way or complete.
+    pub splits: &'a [Split],
+    /// Versions that were judged bad and may still be active in the
+    /// configuration.
+    pub suspended: &'a [VersionKey],
+    /// Cost of one rating that a gate waits for, in millionths of the currency
+    /// unit.
+    pub rating_micros: f64,
+    /// Time a gate waits for a rating, in milliseconds.
+    pub rating_ms: f64,
+    /// Share of ratings that come in that time, in 0..=1.
+    pub rated_share: f64,
+}
+
+/// How a roll-out divides new work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Split {
+    /// The old version.
+    pub from: VersionKey,
+    /// The new version.
+    pub to: VersionKey,
+    /// Share of the old version's new work that the new one gets, in 0..=1.
+    pub share: f64,
+    /// True while the two are compared.
+    pub compared: bool,
+}
+
+/// When an answer is passed on without a further step.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Gate {
+    /// Least rating that passes.
+    pub score: f64,
+    /// How long to wait for the rating, in milliseconds; without one the next
+    /// step follows.
+    pub wait_ms: u64,
+}
+
+/// One version to ask.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Step {
+    /// The version.
+    pub version: VersionKey,
+    /// Decides whether its answer is passed on; the last step has none.
+    pub gate: Option<Gate>,
+    /// True where a roll-out's random split drew the version, old or new.
+    pub compared: bool,
+}
+
+/// The versions to ask, in order, and why.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// One step, or two where a cascade is cheaper.
+    pub steps: Vec<Step>,
+    /// Why.
+    pub explanation: Explanation,
+}
+
+/// Why a request can't be planned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum NoPlan {
+    /// The team or the service no longer exists.
+    #[snafu(display("team or service is gone from the configuration"))]
+    Gone,
+    /// The service has no such task.
+    #[snafu(display("the service has no such task; see its Service resource"))]
+    UnknownTask,
+    /// Neither a model nor a version has that name.
+    #[snafu(display("no model or version of the service has that name"))]
+    UnknownModel,
+    /// The team may use no version that was asked for.
+    #[snafu(display("the team may not use it; add the version to the Team resource"))]
+    ForbiddenVersion,
+    /// Every version that was asked for is withdrawn.
+    #[snafu(display("every version asked for is withdrawn"))]
+    Withdrawn,
+    /// No upstream has a permitted version warm.
+    #[snafu(display("no upstream has a permitted version warm"))]
+    NoUpstream,
+}
+
+/// Plans one request.
+///
+/// Least weighted cost among the plans whose expected quality, less its
+/// standard error, meets the target within the latency budget; the best
+/// permitted version where none does. A session keeps its version.
+///
+/// # Errors
+///
+/// [`NoPlan`] says why no version may answer.
+pub fn plan(ask: &Ask<'_>, situation: &Situation<'_>, rng: &mut impl Rng) -> Result<Plan, NoPlan> {
+    let planner = Planner::new(ask, situation)?;
+    if let Some(pinned) = planner.pinned()? {
+        return Ok(planner.kept(&pinned));
+    }
+    let usable = planner.in_time(planner.usable()?);
+    let chosen = planner.cheapest(&usable, rng);
+    Ok(planner.drawn(&chosen, rng))
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Line<'a> {
+    key: VersionKey,
+    version: &'a Named<Version>,
+    quality: Quality,
+    cost: f64,
+}
+
+// A plan before it is explained.
+#[derive(Debug, Clone, Copy)]
+struct Draft {
+    first: usize,
+    second: Option<(usize, f64)>,
+    quality: f64,
+    error: f64,
+    cost: f64,
+    first_ms: f64,
+    escalation: f64,
+}
+
+struct Planner<'a> {
+    ask: &'a Ask<'a>,
+    situation: &'a Situation<'a>,
+    service: &'a str,
+    task: &'a Task,
+    permitted: &'a [compact_str::CompactString],
+    weights: Weights,
+    target: f64,
+}
+
+impl<'a> Planner<'a> {
+    fn new(ask: &'a Ask<'a>, situation: &'a Situation<'a>) -> Result<Self, NoPlan> {
+        let team = situation.config.teams.get(ask.team).ok_or(NoPlan::Gone)?;
+        let service = situation
+            .config
+            .services
+            .get(ask.service)
+            .ok_or(NoPlan::Gone)?;
+        let task = find_task(&service.spec.tasks, ask.task).ok_or(NoPlan::UnknownTask)?;
+        Ok(Self {
+            ask,
+            situation,
+            service: &service.name,
+            task,
+            permitted: &team.spec.versions,
+            weights: team.spec.weights,
+            target: ask.quality.unwrap_or(task.quality),
+        })
+    }
+
+    fn usable(&self) -> Result<Vec<Line<'a>>, NoPlan> {
+        let mut refusal = NoPlan::ForbiddenVersion;
+        let mut lines = Vec::with_capacity(self.permitted.len());
+        for name in self.permitted {
+            let Some(key) = self.situation.config.versions.key(name) else {
+                continue;
+            };
+            match self.line(key) {
+                Some(line) if !self.is_asked(line.version) => {}
+                Some(line) if self.is_withdrawn(&line) => refusal = NoPlan::Withdrawn,
+                Some(_) if self.is_cold(key) => refusal = NoPlan::NoUpstream,
+                Some(line) => lines.push(line),
+                None => {}
+            }
+        }
+        if lines.is_empty() {
+            return Err(self.refusal(refusal));
+        }
+        Ok(lines)
+    }
+
+    fn refusal(&self, refusal: NoPlan) -> NoPlan {
+        let versions = &self.situation.config.versions;
+        let known = versions.iter().any(|(_, version)| self.is_asked(version));
+        if known { refusal } else { NoPlan::UnknownModel }
+    }
+
+    fn line(&self, key: VersionKey) -> Option<Line<'a>> {
+        let version = self.situation.config.versions.get(key)?;
+        if version.spec.service != self.service {
+            return None;
+        }
+        let quality = self
+            .situation
+            .estimates
+            .quality(key, &version.spec, &self.task.name);
+        let cost = self.cost(&version.spec, &quality);
+        Some(Line {
+            key,
+            version,
+            quality,
+            cost,
+        })
+    }
+
+    fn cost(&self, version: &Version, quality: &Quality) -> f64 {
+        let cached = self.ask.cached_tokens.min(self.ask.prompt_tokens);
+        let fresh = self.ask.prompt_tokens - cached;
+        let micros = fresh as f64 * version.price.prompt as f64
+            + cached as f64 * version.price.cached as f64
+            + quality.tokens * version.price.completion as f64;
+        micros / PRICE_TOKENS
+    }
+
+    fn is_asked(&self, version: &Named<Version>) -> bool {
+        let asked = self.ask.model;
+        version.spec.service == self.service
+            && (asked.is_empty() || version.spec.model == asked || version.name == asked)
+    }
+
+    // A candidate takes work only from its roll-out's split.
+    fn is_withdrawn(&self, line: &Line<'_>) -> bool {
+        line.version.spec.phase != Phase::Active || self.situation.suspended.contains(&line.key)
+    }
+
+    fn is_cold(&self, key: VersionKey) -> bool {
+        self.situation.pools.is_empty(Pool::Version(key))
+    }
+
+    // The session's version, where it may be kept.
+    fn pinned(&self) -> Result<Option<Line<'a>>, NoPlan> {
+        let Some(key) = self.ask.pinned else {
+            return Ok(None);
+        };
+        if !self.may_take(key) {
+            return Ok(None);
+        }
+        if self.is_cold(key) {
+            return Err(NoPlan::NoUpstream);
+        }
+        Ok(self.line(key))
+    }
+
+    fn may_take(&self, key: VersionKey) -> bool {
+        let Some(line) = self.line(key) else {
+            return false;
+        };
+        let withdrawn = line.version.spec.phase == Phase::Withdrawn;
+        !withdrawn
+            && !self.situation.suspended.contains(&key)
+            && self.permitted.contains(&line.version.name)
+    }
+
+    // Late versions are left out, unless all are late.
+    fn in_time(&self, usable: Vec<Line<'a>>) -> Vec<Line<'a>> {
+        let budget_ms = self.ask.budget_ms as f64;
+        let is_late = |line: &Line<'_>| line.quality.first_ms > budget_ms;
+        if usable.iter().all(is_late) {
+            return usable;
+        }
+        usable.into_iter().filter(|line| !is_late(line)).collect()
+    }
+
+    fn cheapest(&self, lines: &[Line<'a>], rng: &mut impl Rng) -> Chosen<'a> {
+        let Some(best) = self.best_single(lines) else {
+            let draft = best_effort(lines);
+            return Chosen::new(Reason::BestEffort, draft, lines);
+        };
+        if let Some(draft) = self.explored(lines, &best, rng) {
+            return Chosen::new(Reason::Explored, draft, lines);
+        }
+        let draft = self.best_cascade(lines, &best).unwrap_or(best);
+        Chosen::new(Reason::Cheapest, draft, lines)
+    }
+
+    fn best_single(&self, lines: &[Line<'_>]) -> Option<Draft> {
+        let meeting = (0..lines.len()).filter(|&index| lines[index].quality.lower() >= self.target);
+        let drafts: Vec<Draft> = meeting.map(|index| single_draft(lines, index)).collect();
+        let least = drafts
+            .iter()
+            .map(|draft| draft.cost)
+            .fold(f64::MAX, f64::min);
+        least_by(drafts, |draft| self.weighted(draft, least))
+    }
+
+    // Cost as a multiple of the least, plus what latency and exposure count for.
+    fn weighted(&self, draft: &Draft, least: f64) -> f64 {
+        let budget_ms = self.ask.budget_ms.max(1) as f64;
+        let cost = draft.cost / least.max(f64::MIN_POSITIVE);
+        let latency = LATENCY_SCALE * draft.first_ms / budget_ms;
+        let miss = normal::below((self.target - draft.quality) / draft.error.max(1e-9));
+        self.weights.cost * cost
+            + self.weights.latency * latency
+            + self.weights.exposure * EXPOSURE_SCALE * miss
+    }
+
+    // A cheaper version that may meet the target is tried now and then; with
+    // more ratings its estimate decides, so this ends by itself.
+    fn explored(&self, lines: &[Line<'_>], best: &Draft, rng: &mut impl Rng) -> Option<Draft> {
+        let share = EXPLORED_SHARE / self.weights.exposure.max(1.0);
+        if !rng.random_bool(share) {
+            return None;
+        }
+        let may_pay = |line: &Line<'_>| {
+            let hope = OPTIMISM.mul_add(line.quality.error, line.quality.mean);
+            line.cost < best.cost && hope >= self.target
+        };
+        let index = (0..lines.len())
+            .filter(|&index| may_pay(&lines[index]))
+            .min_by(|&a, &b| lines[a].cost.total_cmp(&lines[b].cost))?;
+        Some(single_draft(lines, index))
+    }
+
+    // A cheaper version first, where the request can wait for its rating.
+    fn best_cascade(&self, lines: &[Line<'_>], best: &Draft) -> Option<Draft> {
+        let waits = self.ask.stream || self.task.class == TaskClass::Interactive;
+        if !self.task.cascade || waits {
+            return None;
+        }
+        let limit = self.weighted(best, best.cost);
+        let mut found: Option<Draft> = None;
+        let mut lowest = limit;
+        for first in 0..lines.len() {
+            if lines[first].cost + self.situation.rating_micros >= best.cost {
+                continue;
+            }
+            for second in (0..lines.len()).filter(|&second| second != first) {
+                let Some(draft) = self.gated(lines, first, second) else {
+                    continue;
+                };
+                let score = self.weighted(&draft, best.cost);
+                if score < lowest {
+                    lowest = score;
+                    found = Some(draft);
+                }
+            }
+        }
+        found
+    }
+
+    // The lowest gate of a pair that meets the target in time.
+    fn gated(&self, lines: &[Line<'_>], first: usize, second: usize) -> Option<Draft> {
+        let head = lines[first].quality;
+        let tail = lines[second].quality;
+        let first_ms = head.total_ms + self.situation.rating_ms;
+        if first_ms + tail.first_ms > self.ask.budget_ms as f64 {
+            return None;
+        }
+        if tail.mean.max(head.mean) + RELIABILITY * head.deviation < self.target {
+            return None;
+        }
+        GATES.iter().find_map(|&gate| {
+            let pass = (1.0 - normal::below(gate)) * self.situation.rated_share;
+            let gain = RELIABILITY * head.deviation - SHARED_DIFFICULTY * tail.deviation;
+            let rest = 1.0 - pass;
+            let selected = normal::density(gate) * self.situation.rated_share * gain;
+            let quality = pass.mul_add(head.mean, rest * tail.mean) + selected;
+            let error = (pass * head.error).hypot(rest * tail.error);
+            let draft = Draft {
+                first,
+                second: Some((second, gate.mul_add(head.deviation, head.mean))),
+                quality,
+                error,
+                cost: lines[first].cost + self.situation.rating_micros + rest * lines[second].cost,
+                first_ms: rest.mul_add(tail.first_ms, first_ms),
+                escalation: rest,
+            };
+            (quality - error >= self.target).then_some(draft)
+        })
+    }
+
+    // Lets the roll-outs' splits replace old versions by new ones.
+    fn drawn(&self, chosen: &Chosen<'a>, rng: &mut impl Rng) -> Plan {
+        let mut steps = Vec::with_capacity(2);
+        let wait_ms = self.situation.rating_ms as u64;
+        let gate = chosen
+            .draft
+            .second
+            .map(|(_, score)| Gate { score, wait_ms });
+        steps.push(self.step(chosen.head.key, gate, rng));
+        if let Some(tail) = chosen.tail {
+            steps.push(self.step(tail.key, None, rng));
+        }
+        self.explained(chosen.reason, steps, &chosen.draft, chosen.weighed)
+    }
+
+    fn step(&self, key: VersionKey, gate: Option<Gate>, rng: &mut impl Rng) -> Step {
+        let split = self.split(key);
+        let version = match split {
+            Some(split) if rng.random_bool(split.share.clamp(0.0, 1.0)) => split.to,
+            _ => key,
+        };
+        Step {
+            version,
+            gate,
+            compared: split.is_some_and(|split| split.compared),
+        }
+    }
+
+    // The roll-out that moves work off a version. An exact version that the
+    // caller asked for is not moved.
+    fn split(&self, key: VersionKey) -> Option<&Split> {
+        let name = &self.situation.config.versions.get(key)?.name;
+        if name == self.ask.model {
+            return None;
+        }
+        self.situation
+            .splits
+            .iter()
+            .find(|split| split.from == key && self.may_take(split.to) && !self.is_cold(split.to))
+    }
+
+    fn kept(&self, line: &Line<'a>) -> Plan {
+        let draft = single_draft(std::slice::from_ref(line), 0);
+        let step = Step {
+            version: line.key,
+            gate: None,
+            compared: false,
+        };
+        self.explained(Reason::Pinned, vec![step], &draft, 1)
+    }
+
+    fn explained(&self, reason: Reason, steps: Vec<Step>, draft: &Draft, weighed: usize) -> Plan {
+        let versions = &self.situation.config.versions;
+        let names = steps
+            .iter()
+            .filter_map(|step| versions.get(step.version))
+            .map(|version| version.name.clone())
+            .collect();
+        let explanation = Explanation {
+            reason,
+            versions: names,
+            target: self.target,
+            quality: draft.quality,
+            error: draft.error,
+            cost_micros: draft.cost,
+            first_ms: draft.first_ms,
+            weighed,
+            escalation: draft.escalation,
+            drawn: steps.iter().any(|step| step.compared),
+            unpinned: self.ask.pinned.is_some() && reason != Reason::Pinned,
+        };
+        Plan { steps, explanation }
+    }
+}
+
+struct Chosen<'a> {
+    reason: Reason,
+    draft: Draft,
+    head: Line<'a>,
+    tail: Option<Line<'a>>,
+    weighed: usize,
+}
+
+impl<'a> Chosen<'a> {
+    fn new(reason: Reason, draft: Draft, lines: &[Line<'a>]) -> Self {
+        Self {
+            reason,
+            draft,
+            head: lines[draft.first],
+            tail: draft.second.map(|(index, _)| lines[index]),
+            weighed: lines.len(),
+        }
+    }
+}
+
+fn find_task<'a>(tasks: &'a [Task], name: &str) -> Option<&'a Task> {
+    if name.is_empty() {
+        return tasks.first();
+    }
+    tasks.iter().find(|task| task.name == name)
+}
+
+fn single_draft(lines: &[Line<'_>], index: usize) -> Draft {
+    let line = &lines[index];
+    Draft {
+        first: index,
+        second: None,
+        quality: line.quality.mean,
+        error: line.quality.error,
+        cost: line.cost,
+        first_ms: line.quality.first_ms,
+        escalation: 0.0,
+    }
+}
+
+fn best_effort(lines: &[Line<'_>]) -> Draft {
+    let index = (0..lines.len())
+        .max_by(|&a, &b| lines[a].quality.mean.total_cmp(&lines[b].quality.mean))
+        .unwrap_or(0);
+    single_draft(lines, index)
+}
+
+fn least_by(drafts: Vec<Draft>, score: impl Fn(&Draft) -> f64) -> Option<Draft> {
+    drafts
+        .into_iter()
+        .min_by(|a, b| score(a).total_cmp(&score(b)))
+}
--- /dev/null
+++ b/src/carawayrun/policy/pools.rs
@@ -0,0 +1,428 @@
+//! Which upstream runs a request.
+//!
+//! An upstream of the gateway's own data centre comes first. Among those, two
+//! random ones and the one that is home to the prompt prefix are compared by
+//! load, so a choice costs the same whatever the number of upstreams, but for
+//! one binary search on the ring of prefix homes. Another data centre is tried
+//! once the own one would make the request wait.
+
+use compact_str::CompactString;
+use rand::Rng;
+use rustc_hash::FxHashMap;
+use slotmap::{Key, SecondaryMap};
+
+use super::ejection::Ejection;
+use crate::resource::{ServiceKey, UpstreamKey, VersionKey};
+
+/// Random upstreams compared in a choice.
+const CHOICES: usize = 2;
+/// Random draws before ejected upstreams are accepted.
+const MOST_DRAWS: usize = 8;
+/// Points of each upstream on the ring of prefix homes.
+const RING_POINTS: u64 = 8;
+/// Load that a warm prefix is worth, as a share of an upstream's slots.
+const PREFIX_BONUS: f64 = 0.3;
+/// Load from which an upstream makes a request wait, as a share of its slots.
+const FULL: f64 = 1.0;
+/// Load that another data centre has to be lower by, as a share of slots.
+const REMOTE_MARGIN: f64 = 0.25;
+/// Part of the time budget that may pass in a queue before another data
+/// centre is tried.
+const WAIT_SHARE: f64 = 0.25;
+/// Age at which reported load counts for 1/e, in milliseconds.
+const REPORT_AGE_MS: f64 = 2_000.0;
+/// Time over which a new upstream reaches its full share, in milliseconds.
+const SLOW_START_MS: f64 = 10_000.0;
+/// Least share of its slots a new upstream counts with.
+const SLOW_START_LEAST: f64 = 0.1;
+
+/// What upstreams are chosen from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Pool {
+    /// The upstreams that have a version warm.
+    Version(VersionKey),
+    /// The upstreams of a plain service.
+    Service(ServiceKey),
+}
+
+/// An upstream that may be chosen, as the gateway knows it.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Position of its agent in the caller's own list.
+    pub agent: usize,
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Data centre it stands in.
+    pub data_centre: CompactString,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Running and queued requests, as last reported.
+    pub reported: u32,
+    /// Expected wait of a new request in milliseconds, as last reported.
+    pub wait_ms: u32,
+    /// When the load was reported, in milliseconds.
+    pub report_ms: u64,
+    /// Pools it belongs to.
+    pub pools: Vec<Pool>,
+}
+
+/// One choice to be made.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice<'a> {
+    /// Where to choose.
+    pub pool: Pool,
+    /// The gateway's data centre.
+    pub data_centre: &'a str,
+    /// Identifies the prompt prefix; zero for none.
+    pub prefix: u64,
+    /// Time left for the first byte, in milliseconds.
+    pub budget_ms: u64,
+    /// The time, in milliseconds.
+    pub now_ms: u64,
+    /// Upstreams that were tried for this request.
+    pub tried: &'a [UpstreamKey],
+}
+
+/// A chosen upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pick {
+    /// Position of its agent in the caller's own list.
+    pub agent: usize,
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// True where it stands in another data centre.
+    pub spilled: bool,
+    /// Expected wait in its queue, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// The gateway's own requests in flight at each upstream, and since when it
+/// knows them; outlives the [`Pools`] of one view.
+#[derive(Debug, Clone, Default)]
+pub struct Flight {
+    entries: SecondaryMap<UpstreamKey, FlightEntry>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FlightEntry {
+    running: u32,
+    since_ms: u64,
+}
+
+impl Flight {
+    /// Takes note of the upstreams of new pools. Those seen from the start
+    /// need no slow start; later ones do.
+    pub fn observe(&mut self, pools: &Pools, now_ms: u64) {
+        let first = self.entries.is_empty();
+        let since_ms = if first { 0 } else { now_ms };
+        self.entries
+            .retain(|key, entry| entry.running > 0 || pools.members.contains_key(key));
+        for upstream in pools.members.keys() {
+            if let Some(entry) = self.entries.entry(upstream) {
+                entry.or_insert(FlightEntry {
+                    running: 0,
+                    since_ms,
+                });
+            }
+        }
+    }
+
+    /// Tells that a request was sent.
+    pub fn start(&mut self, upstream: UpstreamKey) {
+        if let Some(entry) = self.entries.entry(upstream) {
+            let entry = entry.or_insert(FlightEntry {
+                running: 0,
+                since_ms: 0,
+            });
+            entry.running += 1;
+        }
+    }
+
+    /// Tells that a sent request ended.
+    pub fn end(&mut self, upstream: UpstreamKey) {
+        if let Some(entry) = self.entries.get_mut(upstream) {
+            entry.running = entry.running.saturating_sub(1);
+        }
+    }
+
+    /// Requests in flight at an upstream.
+    pub fn running(&self, upstream: UpstreamKey) -> u32 {
+        self.entries.get(upstream).map_or(0, |entry| entry.running)
+    }
+
+    fn since_ms(&self, upstream: UpstreamKey) -> u64 {
+        self.entries.get(upstream).map_or(0, |entry| entry.since_ms)
+    }
+}
+
+/// The upstreams that take new work, by version or service and data centre.
+#[derive(Debug, Clone, Default)]
+pub struct Pools {
+    members: SecondaryMap<UpstreamKey, Member>,
+    pools: FxHashMap<Pool, Vec<Place>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Member {
+    agent: usize,
+    slots: f64,
+    reported: f64,
+    wait_ms: u32,
+    report_ms: u64,
+}
+
+// The members of a pool in one data centre.
+#[derive(Debug, Clone)]
+struct Place {
+    data_centre: CompactString,
+    upstreams: Vec<UpstreamKey>,
+    ring: Vec<RingPoint>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RingPoint {
+    point: u64,
+    upstream: UpstreamKey,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Scored {
+    upstream: UpstreamKey,
+    load: f64,
+    wait_ms: f64,
+    ejected: bool,
+}
+
+impl Pools {
+    /// Pools of the upstreams that take new work.
+    pub fn build(candidates: impl IntoIterator<Item = Candidate>) -> Self {
+        let mut pools = Self::default();
+        for candidate in candidates {
+            pools.add(&candidate);
+        }
+        for place in pools.pools.values_mut().flatten() {
+            place.ring.sort_unstable();
+        }
+        pools
+    }
+
+    /// Number of upstreams in a pool.
+    pub fn len(&self, pool: Pool) -> usize {
+        self.pools.get(&pool).map_or(0, |places| {
+            places.iter().map(|place| place.upstreams.len()).sum()
+        })
+    }
+
+    /// True where a pool has no upstream.
+    pub fn is_empty(&self, pool: Pool) -> bool {
+        !self.pools.contains_key(&pool)
+    }
+
+    /// The upstream for one request; none where every upstream of the pool was
+    /// tried or there is none.
+    pub fn choose(
+        &self,
+        choice: &Choice<'_>,
+        flight: &Flight,
+        ejection: &Ejection,
+        rng: &mut impl Rng,
+    ) -> Option<Pick> {
+        let places = self.pools.get(&choice.pool)?;
+        let round = Round {
+            pools: self,
+            choice,
+            flight,
+            ejection,
+        };
+        let near = places
+            .iter()
+            .find(|place| place.data_centre == choice.data_centre)
+            .and_then(|place| round.best(place, rng));
+        let best = match near {
+            Some(near) if !round.waits(&near) => near,
+            near => round.spill(places, near, rng)?,
+        };
+        self.pick(choice, places, &best)
+    }
+
+    fn add(&mut self, candidate: &Candidate) {
+        let member = Member {
+            agent: candidate.agent,
+            slots: f64::from(candidate.slots.max(1)),
+            reported: f64::from(candidate.reported),
+            wait_ms: candidate.wait_ms,
+            report_ms: candidate.report_ms,
+        };
+        self.members.insert(candidate.upstream, member);
+        for pool in &candidate.pools {
+            let places = self.pools.entry(*pool).or_default();
+            place_of(places, &candidate.data_centre).add(candidate.upstream);
+        }
+    }
+
+    fn pick(&self, choice: &Choice<'_>, places: &[Place], best: &Scored) -> Option<Pick> {
+        let member = self.members.get(best.upstream)?;
+        let near = places
+            .iter()
+            .find(|place| place.data_centre == choice.data_centre)
+            .is_some_and(|place| place.upstreams.binary_search(&best.upstream).is_ok());
+        Some(Pick {
+            agent: member.agent,
+            upstream: best.upstream,
+            spilled: !near,
+            wait_ms: best.wait_ms as u32,
+        })
+    }
+}
+
+fn place_of<'a>(places: &'a mut Vec<Place>, data_centre: &CompactString) -> &'a mut Place {
+    let known = places
+        .iter()
+        .position(|place| place.data_centre == *data_centre);
+    let index = known.unwrap_or_else(|| {
+        places.push(Place {
+            data_centre: data_centre.clone(),
+            upstreams: Vec::new(),
+            ring: Vec::new(),
+        });
+        places.len() - 1
+    });
+    &mut places[index]
+}
+
+impl Place {
+    fn add(&mut self, upstream: UpstreamKey) {
+        let Err(index) = self.upstreams.binary_search(&upstream) else {
+            return;
+        };
+        self.upstreams.insert(index, upstream);
+        let id = upstream.data().as_ffi();
+        self.ring.extend((0..RING_POINTS).map(|copy| RingPoint {
+            point: mix(id ^ copy.rotate_left(48)),
+            upstream,
+        }));
+    }
+
+    fn home(&self, prefix: u64) -> Option<UpstreamKey> {
+        if prefix == 0 {
+            return None;
+        }
+        let point = mix(prefix);
+        let index = self.ring.partition_point(|other| other.point < point);
+        let found = self.ring.get(index).or_else(|| self.ring.first());
+        found.map(|found| found.upstream)
+    }
+}
+
+// SplitMix64's finalizer (Steele, Lea and Flood, 2014).
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+// What stays the same while one choice is made.
+struct Round<'a> {
+    pools: &'a Pools,
+    choice: &'a Choice<'a>,
+    flight: &'a Flight,
+    ejection: &'a Ejection,
+}
+
+impl Round<'_> {
+    fn best(&self, place: &Place, rng: &mut impl Rng) -> Option<Scored> {
+        let mut best = place
+            .home(self.choice.prefix)
+            .and_then(|home| self.score(home))
+            .map(with_bonus);
+        let mut drawn = 0;
+        for _ in 0..MOST_DRAWS {
+            let index = rng.random_range(0..place.upstreams.len());
+            let Some(scored) = self.score(place.upstreams[index]) else {
+                continue;
+            };
+            drawn += usize::from(!scored.ejected);
+            best = Some(better(best, scored));
+            if drawn == CHOICES {
+                return best;
+            }
+        }
+        best.or_else(|| self.first_left(place))
+    }
+
+    fn spill(&self, places: &[Place], near: Option<Scored>, rng: &mut impl Rng) -> Option<Scored> {
+        let mut best = near.map(|near| Scored {
+            load: near.load - REMOTE_MARGIN,
+            ..near
+        });
+        for place in places {
+            if place.data_centre == self.choice.data_centre {
+                continue;
+            }
+            if let Some(scored) = self.best(place, rng) {
+                best = Some(better(best, scored));
+            }
+        }
+        best
+    }
+
+    fn waits(&self, scored: &Scored) -> bool {
+        let patience_ms = self.choice.budget_ms as f64 * WAIT_SHARE;
+        scored.ejected || scored.load >= FULL || scored.wait_ms > patience_ms
+    }
+
+    // Every draw hit an upstream that was tried; look at all of them.
+    fn first_left(&self, place: &Place) -> Option<Scored> {
+        place.upstreams.iter().find_map(|key| self.score(*key))
+    }
+
+    fn score(&self, upstream: UpstreamKey) -> Option<Scored> {
+        if self.choice.tried.contains(&upstream) {
+            return None;
+        }
+        let member = self.pools.members.get(upstream)?;
+        let age_ms = self.choice.now_ms.saturating_sub(member.report_ms) as f64;
+        let trust = (-age_ms / REPORT_AGE_MS).exp();
+        let own = f64::from(self.flight.running(upstream));
+        let others = (member.reported - own).max(0.0);
+        let expected = trust.mul_add(others, own);
+        let slots = member.slots * self.ramp(upstream);
+        Some(Scored {
+            upstream,
+            load: (expected + 1.0) / slots,
+            wait_ms: f64::from(member.wait_ms) * trust,
+            ejected: self.ejection.is_ejected(upstream, self.choice.now_ms),
+        })
+    }
+
+    // Share of its slots that a new or returned upstream counts with.
+    fn ramp(&self, upstream: UpstreamKey) -> f64 {
+        let known_ms = self.flight.since_ms(upstream);
+        let returned_ms = self.ejection.returned_ms(upstream).unwrap_or(0);
+        let since_ms = known_ms.max(returned_ms);
+        if since_ms == 0 {
+            return 1.0;
+        }
+        let age_ms = self.choice.now_ms.saturating_sub(since_ms) as f64;
+        (age_ms / SLOW_START_MS).clamp(SLOW_START_LEAST, 1.0)
+    }
+}
+
+// A warm prefix helps only while the request would not wait for it.
+fn with_bonus(scored: Scored) -> Scored {
+    if scored.load >= FULL {
+        return scored;
+    }
+    Scored {
+        load: scored.load - PREFIX_BONUS,
+        ..scored
+    }
+}
+
+fn better(best: Option<Scored>, other: Scored) -> Scored {
+    match best {
+        Some(best) if (best.ejected, best.load) <= (other.ejected, other.load) => best,
+        _ => other,
+    }
+}
--- /dev/null
+++ b/src/carawayrun/policy/tally.rs
@@ -0,0 +1,99 @@
+//! Sums of outcomes, which merge by addition.
+
+use std::ops::{AddAssign, Sub};
+
+/// Outcomes of one version on one task.
+///
+/// All fields are sums, so tallies of several gateways merge by addition and
+/// the outcomes of a period are a difference of two tallies. After forgetting
+/// the counts are weights and no longer whole.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Tally {
+    /// Requests that ended.
+    pub answered: f64,
+    /// Those that failed through our side or the upstream's.
+    pub failed: f64,
+    /// Those later than the latency that their task promises.
+    pub slow: f64,
+    /// Answers with a rating.
+    pub rated: f64,
+    /// Sum of the ratings, each in 0..=1.
+    pub rating_sum: f64,
+    /// Sum of the squares of the ratings.
+    pub rating_squares: f64,
+    /// Sum of the times to the first byte, in milliseconds.
+    pub first_ms: f64,
+    /// Sum of the times to the last byte, in milliseconds.
+    pub total_ms: f64,
+    /// Sum of the generated tokens.
+    pub tokens: f64,
+}
+
+impl Tally {
+    /// Adds one ended request.
+    pub fn answer(&mut self, failed: bool, slow: bool) {
+        self.answered += 1.0;
+        self.failed += f64::from(u8::from(failed));
+        self.slow += f64::from(u8::from(slow));
+    }
+
+    /// Adds times in milliseconds and the generated tokens of a whole answer.
+    pub fn measure(&mut self, first_ms: u64, total_ms: u64, tokens: u64) {
+        self.first_ms += first_ms as f64;
+        self.total_ms += total_ms as f64;
+        self.tokens += tokens as f64;
+    }
+
+    /// Adds one rating; values outside 0..=1 are clamped.
+    pub fn rate(&mut self, score: f64) {
+        let score = score.clamp(0.0, 1.0);
+        self.rated += 1.0;
+        self.rating_sum += score;
+        self.rating_squares += score * score;
+    }
+
+    /// Mean rating, if there are any.
+    pub fn mean_rating(&self) -> Option<f64> {
+        (self.rated > 0.0).then(|| self.rating_sum / self.rated)
+    }
+
+    /// Every sum times `factor`: forgets a part of the past.
+    #[must_use]
+    pub fn scaled(&self, factor: f64) -> Self {
+        Self {
+            answered: self.answered * factor,
+            failed: self.failed * factor,
+            slow: self.slow * factor,
+            rated: self.rated * factor,
+            rating_sum: self.rating_sum * factor,
+            rating_squares: self.rating_squares * factor,
+            first_ms: self.first_ms * factor,
+            total_ms: self.total_ms * factor,
+            tokens: self.tokens * factor,
+        }
+    }
+}
+
+impl AddAssign<&Self> for Tally {
+    fn add_assign(&mut self, rhs: &Self) {
+        self.answered += rhs.answered;
+        self.failed += rhs.failed;
+        self.slow += rhs.slow;
+        self.rated += rhs.rated;
+        self.rating_sum += rhs.rating_sum;
+        self.rating_squares += rhs.rating_squares;
+        self.first_ms += rhs.first_ms;
+        self.total_ms += rhs.total_ms;
+        self.tokens += rhs.tokens;
+    }
+}
+
+impl Sub for Tally {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        let mut difference = self;
+        difference += &rhs.scaled(-1.0);
+        difference
+    }
+}
