--- /dev/null
+++ b/benches/policy.rs
@@ -0,0 +1,171 @@
+//! Time to decide one request: plan and choice of upstream.
+
+use std::hint::black_box;
+
+use carawayrun::policy::{
+    Ask, Candidate, Choice, Ejection, Estimates, Flight, Pool, Pools, Situation, Tally, plan,
+};
+use carawayrun::resource::{Config, Resource, parse_manifests};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const VERSIONS: usize = 13;
+const DATA_CENTRES: [&str; 5] = ["recife", "natal", "olinda", "vacoas", "curepipe"];
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    for upstreams in [10, 100, 600] {
+        let world = World::new(upstreams);
+        for task in ["plan", "note"] {
+            let id = BenchmarkId::new(task, upstreams);
+            group.bench_function(id, |bencher| {
+                let mut rng = SmallRng::seed_from_u64(7);
+                bencher.iter(|| black_box(world.decide(black_box(task), &mut rng)));
+            });
+        }
+    }
+    group.finish();
+}
+
+struct World {
+    config: Config,
+    estimates: Estimates,
+    pools: Pools,
+    flight: Flight,
+    ejection: Ejection,
+}
+
+impl World {
+    fn new(upstreams: usize) -> Self {
+        let text = manifests(upstreams);
+        let resources: Vec<Resource> = parse_manifests(&text).expect("manifests are well-formed");
+        let config = Config::empty()
+            .replaced(1, &resources)
+            .expect("manifests refer to each other");
+        let pools = Pools::build(candidates(&config));
+        let estimates = learned(&config);
+        let mut flight = Flight::default();
+        flight.observe(&pools, 0);
+        Self {
+            config,
+            estimates,
+            pools,
+            flight,
+            ejection: Ejection::default(),
+        }
+    }
+
+    fn decide(&self, task: &str, rng: &mut SmallRng) -> usize {
+        let ask = Ask {
+            team: self.config.teams.key("estate").expect("team exists"),
+            service: self.config.services.key("advisor").expect("service exists"),
+            task,
+            model: "",
+            quality: None,
+            budget_ms: 20_000,
+            pinned: None,
+            stream: task == "plan",
+            prompt_tokens: 1_500,
+            cached_tokens: 800,
+        };
+        let situation = Situation {
+            config: &self.config,
+            estimates: &self.estimates,
+            pools: &self.pools,
+            splits: &[],
+            suspended: &[],
+            rating_micros: 5.0,
+            rating_ms: 500.0,
+            rated_share: 0.9,
+        };
+        let plan = plan(&ask, &situation, rng).expect("a version is usable");
+        let choice = Choice {
+            pool: Pool::Version(plan.steps[0].version),
+            data_centre: DATA_CENTRES[0],
+            prefix: 77,
+            budget_ms: 2_000,
+            now_ms: 60_000,
+            tried: &[],
+        };
+        let pick = self
+            .pools
+            .choose(&choice, &self.flight, &self.ejection, rng)
+            .expect("the pool has upstreams");
+        pick.agent
+    }
+}
+
+fn learned(config: &Config) -> Estimates {
+    let mut estimates = Estimates::default();
+    for (key, _) in config.versions.iter() {
+        for task in ["plan", "note"] {
+            let mut tally = Tally::default();
+            for number in 0..200 {
+                tally.answer(false, false);
+                tally.measure(300, 4_000, 350);
+                tally.rate(0.6 + 0.002 * f64::from(number % 100));
+            }
+            estimates.learn(key, task, &tally);
+        }
+    }
+    estimates
+}
+
+fn candidates(config: &Config) -> Vec<Candidate> {
+    let versions: Vec<Pool> = config
+        .versions
+        .iter()
+        .map(|(key, _)| Pool::Version(key))
+        .collect();
+    config
+        .upstreams
+        .iter()
+        .enumerate()
+        .map(|(agent, (key, upstream))| Candidate {
+            agent,
+            upstream: key,
+            data_centre: upstream.spec.data_centre.clone(),
+            slots: upstream.spec.slots,
+            reported: (agent % 7) as u32,
+            wait_ms: 0,
+            report_ms: 59_000,
+            pools: versions.clone(),
+        })
+        .collect()
+}
+
+fn manifests(upstreams: usize) -> String {
+    let names: Vec<String> = (0..VERSIONS).map(|number| format!("v{number}")).collect();
+    let list = names.join(", ");
+    let mut text = String::from(
+        "apiVersion: carawayrun/v1\nkind: Service\nmetadata: {name: advisor}\nspec:\n  \
+         backend: engine\n  tasks:\n  \
+         - {name: plan, class: interactive, quality: 0.8, latencyMs: 2000}\n  \
+         - {name: note, class: batch, quality: 0.8, latencyMs: 20000, cascade: true}\n",
+    );
+    for (number, name) in names.iter().enumerate() {
+        let price = 10 + 15 * number;
+        let quality = 0.5 + 0.035 * number as f64;
+        text.push_str(&format!(
+            "---\napiVersion: carawayrun/v1\nkind: Version\nmetadata: {{name: {name}}}\nspec: \
+             {{model: lathe, service: advisor, price: {{prompt: {price}, cached: 1, completion: \
+             {price}}}, quality: {{plan: {quality}, note: {quality}}}, latencyMs: 300}}\n"
+        ));
+    }
+    for number in 0..upstreams {
+        let place = DATA_CENTRES[number % DATA_CENTRES.len()];
+        text.push_str(&format!(
+            "---\napiVersion: carawayrun/v1\nkind: Upstream\nmetadata: {{name: u{number}}}\nspec: \
+             {{service: advisor, dataCentre: {place}, slots: 8, versions: [{list}]}}\n"
+        ));
+    }
+    text.push_str(&format!(
+        "---\napiVersion: carawayrun/v1\nkind: Team\nmetadata: {{name: estate}}\nspec: \
+         {{keyDigests: [], versions: [{list}]}}\n"
+    ));
+    text
+}
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,6 +4,7 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod candidates;
 mod effect;
 mod event;
 mod state;
@@ -14,7 +15,9 @@
 pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
 pub use self::state::{Context, Identity, Role, State};
 pub use self::time::Millis;
-pub use self::view::{Admission, AgentView, RolloutPhase, RolloutView, ShareView, View};
+pub use self::view::{
+    Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
+};
 
 /// Time between two [`Event::Tick`]s, in milliseconds.
 pub const TICK: Millis = Millis(100);
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use super::effect::{Effect, Effects};
 use super::event::Event;
@@ -51,6 +53,8 @@
     pub out: Effects,
     /// Set by a concern whose part of the view changed.
     pub changed: bool,
+    /// Source of all random choices.
+    pub rng: SmallRng,
 }
 
 /// The control state: one field per concern.
@@ -61,13 +65,16 @@
 
 impl State {
     /// The state at the start of a process, before its first event.
-    pub fn new(identity: Identity) -> Self {
+    ///
+    /// `seed` feeds all random choices.
+    pub fn new(identity: Identity, seed: u64) -> Self {
         let context = Context {
             identity,
             now: Millis(0),
             config: Arc::new(Config::empty()),
             out: Effects::new(),
             changed: true,
+            rng: SmallRng::seed_from_u64(seed),
         };
         Self { context }
     }
@@ -98,6 +105,7 @@
             suspended: Vec::new(),
             estimates: Arc::new(Estimates::default()),
             admission: Admission::Open,
+            members: Vec::new(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
