Serve the operators' resource API

Writes are a pure state machine over calls of the table service: catch up with the change rows, commit on the generation, settle a lost answer by the write id. Reads come from the view, so they work while the store is down. http::json_text and resource::parse_resource are added for it.

--- a/src/carawayrun/http/body.rs
+++ b/src/carawayrun/http/body.rs
@@ -55,6 +55,15 @@
     typed(status, "application/json", Bytes::from(body))
 }
 
+/// An answer with a text that is JSON already.
+pub fn json_text(status: StatusCode, body: &'static str) -> Response<BoxBody> {
+    typed(
+        status,
+        "application/json",
+        Bytes::from_static(body.as_bytes()),
+    )
+}
+
 /// An answer with a plain text.
 pub fn text(status: StatusCode, body: impl Into<String>) -> Response<BoxBody> {
     typed(
--- a/src/carawayrun/http/mod.rs
+++ b/src/carawayrun/http/mod.rs
@@ -7,5 +7,5 @@
 mod body;
 mod server;
 
-pub use self::body::{ReadBodyError, json, read_body, stream, text};
+pub use self::body::{ReadBodyError, json, json_text, read_body, stream, text};
 pub use self::server::{Listener, ServerOptions, bind};
--- /dev/null
+++ b/src/carawayrun/ops/attempt.rs
@@ -0,0 +1,259 @@
+//! One write of the configuration, from the first look to a known outcome.
+//!
+//! A pure state machine: [`WriteAttempt::next`] says what to call,
+//! [`WriteAttempt::answered`] takes the answer. It first reads the changes
+//! that this node has not seen, so preconditions are judged on the newest
+//! configuration. It commits on condition of that generation. Where another
+//! writer was first, it reads on and tries again, unless a resource of its own
+//! was changed. Where an answer is lost, the change row with its write id tells
+//! whether the write took effect; where there is none, the same transaction is
+//! sent again, which is safe because its condition can hold only once.
+
+use std::sync::Arc;
+
+use compact_str::{CompactString, ToCompactString};
+use snafu::Snafu;
+
+use crate::platform::table::{ListCall, Row, TableAnswer, TableCall, TableError};
+use crate::resource::{CHANGE_PREFIX, Change, Config, Edit, Origin, Write, WriteError, change_key};
+
+/// Most changes read at once.
+const CATCH_UP_LIMIT: u32 = 256;
+
+/// Most calls that may go without an answer before the attempt gives up.
+const MAX_FAILURES: u32 = 6;
+
+/// Most times that other writers may be first before the attempt gives up.
+const MAX_RACES: u32 = 64;
+
+/// What to do next.
+#[derive(Debug)]
+pub enum Next {
+    /// Make this call and give its answer to [`WriteAttempt::answered`];
+    /// after a failure, first wait a little.
+    Call {
+        /// The call.
+        call: TableCall,
+        /// Number of failures so far, for the length of the pause.
+        failures: u32,
+    },
+    /// The write took effect; with `dry_run`, it would.
+    Done(Box<Change>),
+    /// The edits change nothing.
+    Unchanged(u64),
+    /// The attempt ended without effect, or with an unknown one.
+    Failed(AttemptError),
+}
+
+/// An attempt that did not succeed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum AttemptError {
+    /// A precondition failed, or the outcome would be no configuration.
+    #[snafu(display("{error}"))]
+    Refused {
+        /// Why.
+        error: WriteError,
+    },
+    /// The table service is down and nothing was written.
+    #[snafu(display("the table service is unavailable and nothing was changed: {message}"))]
+    Unavailable {
+        /// What it said.
+        message: CompactString,
+    },
+    /// The table service went away while the write was under way.
+    #[snafu(display(
+        "the table service went away during the write, so it is unknown whether the change took \
+         effect: {message}; look for write id {write_id} in the audit trail"
+    ))]
+    Unknown {
+        /// What it said.
+        message: CompactString,
+        /// Id to look for.
+        write_id: CompactString,
+    },
+    /// Rows of the table service can't be read.
+    #[snafu(display("the table service holds a row that can't be used: {message}"))]
+    Corrupt {
+        /// What is wrong.
+        message: CompactString,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    CatchUp,
+    Commit,
+}
+
+/// One write under way.
+#[derive(Debug)]
+pub struct WriteAttempt {
+    config: Arc<Config>,
+    edits: Vec<Edit>,
+    origin: Origin,
+    dry_run: bool,
+    step: Step,
+    write: Option<Box<Write>>,
+    /// True while a commit without an answer may still take effect.
+    in_doubt: bool,
+    failures: u32,
+    races: u32,
+    end: Option<Ending>,
+}
+
+#[derive(Debug, Clone)]
+enum Ending {
+    Done(Box<Change>),
+    Unchanged,
+    Failed(AttemptError),
+}
+
+impl WriteAttempt {
+    /// An attempt that starts from the configuration this node has in force.
+    ///
+    /// With `dry_run` it ends before it would commit.
+    pub fn new(config: Arc<Config>, edits: Vec<Edit>, origin: Origin, dry_run: bool) -> Self {
+        Self {
+            config,
+            edits,
+            origin,
+            dry_run,
+            step: Step::CatchUp,
+            write: None,
+            in_doubt: false,
+            failures: 0,
+            races: 0,
+            end: None,
+        }
+    }
+
+    /// What to do next.
+    pub fn next(&self) -> Next {
+        match &self.end {
+            Some(Ending::Done(change)) => Next::Done(change.clone()),
+            Some(Ending::Unchanged) => Next::Unchanged(self.config.generation),
+            Some(Ending::Failed(error)) => Next::Failed(error.clone()),
+            None => Next::Call {
+                call: self.call(),
+                failures: self.failures,
+            },
+        }
+    }
+
+    /// Takes the answer to the last call.
+    pub fn answered(&mut self, answer: Result<TableAnswer, TableError>) {
+        match (self.step, answer) {
+            (Step::CatchUp, Ok(TableAnswer::Rows(rows))) => self.caught_up(&rows),
+            (Step::Commit, Ok(TableAnswer::Committed)) => self.committed(),
+            (Step::Commit, Err(TableError::Conflict { .. })) => self.raced(),
+            (Step::Commit, Err(TableError::Lost { message })) => {
+                self.in_doubt = true;
+                self.failed(&message);
+            }
+            (_, Err(TableError::Unavailable { message } | TableError::Lost { message })) => {
+                self.failed(&message);
+            }
+            (_, Err(error)) => self.corrupt(error.to_compact_string()),
+            (_, Ok(answer)) => self.corrupt(format!("unexpected answer {answer:?}").into()),
+        }
+    }
+
+    fn call(&self) -> TableCall {
+        match (self.step, &self.write) {
+            (Step::Commit, Some(write)) => TableCall::Commit(write.transaction.clone()),
+            _ => TableCall::List(ListCall {
+                prefix: CHANGE_PREFIX.into(),
+                after: change_key(self.config.generation),
+                limit: CATCH_UP_LIMIT,
+            }),
+        }
+    }
+
+    fn caught_up(&mut self, rows: &[Row]) {
+        for row in rows {
+            if self.end.is_some() {
+                return;
+            }
+            self.take_change(row);
+        }
+        if self.end.is_some() || rows.len() == CATCH_UP_LIMIT as usize {
+            return;
+        }
+        self.build();
+    }
+
+    fn take_change(&mut self, row: &Row) {
+        let change: Change = match serde_json::from_str(row.value.get()) {
+            Ok(change) => change,
+            Err(error) => return self.corrupt(format!("{}: {error}", row.key).into()),
+        };
+        let expected = self.config.generation + 1;
+        if change.generation != expected {
+            let found = change.generation;
+            return self.corrupt(format!("change {found} follows {}", expected - 1).into());
+        }
+        if change.write_id == self.origin.write_id {
+            self.end = Some(Ending::Done(Box::new(change)));
+            return;
+        }
+        // The head has moved on, so a commit on the old one can't succeed any more.
+        self.in_doubt = false;
+        self.write = None;
+        self.config = Arc::new(self.config.applied(&change));
+    }
+
+    fn build(&mut self) {
+        if self.write.is_none() {
+            match Write::build(&self.config, &self.edits, &self.origin) {
+                Ok(Some(write)) => self.write = Some(Box::new(write)),
+                Ok(None) => self.end = Some(Ending::Unchanged),
+                Err(error) => self.end = Some(Ending::Failed(AttemptError::Refused { error })),
+            }
+        }
+        match &self.write {
+            Some(write) if self.dry_run => {
+                self.end = Some(Ending::Done(Box::new(write.change.clone())));
+            }
+            _ => self.step = Step::Commit,
+        }
+    }
+
+    fn committed(&mut self) {
+        if let Some(write) = self.write.take() {
+            self.end = Some(Ending::Done(Box::new(write.change)));
+        }
+    }
+
+    fn raced(&mut self) {
+        self.races += 1;
+        self.step = Step::CatchUp;
+        if self.races > MAX_RACES {
+            self.give_up("other writers were always first".into());
+        }
+    }
+
+    fn failed(&mut self, message: &str) {
+        self.failures += 1;
+        self.step = Step::CatchUp;
+        let hopeless = !self.in_doubt && self.failures > 1;
+        if hopeless || self.failures > MAX_FAILURES {
+            self.give_up(message.into());
+        }
+    }
+
+    fn give_up(&mut self, message: CompactString) {
+        let error = if self.in_doubt {
+            AttemptError::Unknown {
+                message,
+                write_id: self.origin.write_id.0.clone(),
+            }
+        } else {
+            AttemptError::Unavailable { message }
+        };
+        self.end = Some(Ending::Failed(error));
+    }
+
+    fn corrupt(&mut self, message: CompactString) {
+        self.end = Some(Ending::Failed(AttemptError::Corrupt { message }));
+    }
+}
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -1,3 +1,22 @@
-//! Operators' commands and the resource API.
+//! The operators' resource API, served on a listener apart from callers'.
+//!
+//! Reads come from the node's view, so they work while the table service is
+//! down. Writes go to the table service by compare-and-set ([`WriteAttempt`])
+//! and are then given to the control thread of the node that took them.
 
+pub mod api;
+mod attempt;
+mod operators;
+mod refusal;
+mod routes;
+mod server;
+mod since;
+mod status;
+mod store;
+mod watch;
 pub mod why;
+
+pub use self::attempt::{AttemptError, Next, WriteAttempt};
+pub use self::operators::{OperatorKey, Operators, ParseOperatorKeyError};
+pub use self::routes::{ROUTES, Route, RouteInfo};
+pub use self::server::{OPENAPI, Options, bind};
--- /dev/null
+++ b/src/carawayrun/ops/routes.rs
@@ -0,0 +1,175 @@
+//! Which call of the resource API a request is.
+
+use actix_http::{Method, Uri};
+use compact_str::CompactString;
+
+use super::refusal::Refusal;
+use crate::peer::RequestId;
+use crate::resource::Kind;
+
+/// A call as the documents name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteInfo {
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path with its parameters in braces.
+    pub path: &'static str,
+}
+
+const fn route(method: &'static str, path: &'static str) -> RouteInfo {
+    RouteInfo { method, path }
+}
+
+/// All calls.
+pub const ROUTES: [RouteInfo; 12] = [
+    route("GET", "/apis/v1/{kind}"),
+    route("GET", "/apis/v1/{kind}/{name}"),
+    route("PUT", "/apis/v1/{kind}/{name}"),
+    route("DELETE", "/apis/v1/{kind}/{name}"),
+    route("POST", "/apis/v1/apply"),
+    route("GET", "/apis/v1/watch"),
+    route("GET", "/apis/v1/audit"),
+    route("GET", "/apis/v1/status"),
+    route("GET", "/apis/v1/why/{request}"),
+    route("GET", "/apis/v1/burn"),
+    route("GET", "/openapi.json"),
+    route("GET", "/health"),
+];
+
+/// One call with its parameters.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route {
+    /// All resources of a kind.
+    List(Kind),
+    /// One resource.
+    Get(Kind, CompactString),
+    /// Creates or replaces a resource.
+    Put(Kind, CompactString),
+    /// Removes a resource.
+    Delete {
+        /// Kind of the resource.
+        kind: Kind,
+        /// Name of the resource.
+        name: CompactString,
+        /// Version it must have; zero for any.
+        resource_version: u64,
+    },
+    /// Writes a set of resources in one change.
+    Apply {
+        /// True where nothing is to be written.
+        dry_run: bool,
+    },
+    /// Streams changes.
+    Watch {
+        /// Generation after which to begin; that of the gateway where absent.
+        from: Option<u64>,
+    },
+    /// Part of the audit trail.
+    Audit {
+        /// Generation after which to begin.
+        after: u64,
+        /// Most changes to return.
+        limit: u32,
+    },
+    /// What the gateway knows of the system.
+    Status,
+    /// One decision.
+    Why(RequestId),
+    /// Burn of all objectives.
+    Burn,
+    /// Description of this API.
+    OpenApi,
+    /// Whether the process lives.
+    Health,
+}
+
+/// Most changes of one part of the audit trail.
+const AUDIT_LIMIT: u32 = 1000;
+
+impl Route {
+    pub(super) fn of(method: &Method, uri: &Uri) -> Result<Self, Refusal> {
+        let query = Query(uri.query().unwrap_or_default());
+        let parts: Vec<&str> = uri.path().trim_matches('/').split('/').collect();
+        match (method.as_str(), parts.as_slice()) {
+            ("GET", ["health"]) => Ok(Self::Health),
+            ("GET", ["openapi.json"]) => Ok(Self::OpenApi),
+            ("POST", ["apis", "v1", "apply"]) => Ok(Self::Apply {
+                dry_run: query.flag("dryRun")?,
+            }),
+            ("GET", ["apis", "v1", "watch"]) => Ok(Self::Watch {
+                from: query.number("from")?,
+            }),
+            ("GET", ["apis", "v1", "audit"]) => Self::audit(query),
+            ("GET", ["apis", "v1", "status"]) => Ok(Self::Status),
+            ("GET", ["apis", "v1", "burn"]) => Ok(Self::Burn),
+            ("GET", ["apis", "v1", "why", request]) => why(request),
+            ("GET", ["apis", "v1", kind]) => Ok(Self::List(parse_kind(kind)?)),
+            ("GET", ["apis", "v1", kind, name]) => Ok(Self::Get(parse_kind(kind)?, (*name).into())),
+            ("PUT", ["apis", "v1", kind, name]) => Ok(Self::Put(parse_kind(kind)?, (*name).into())),
+            ("DELETE", ["apis", "v1", kind, name]) => Ok(Self::Delete {
+                kind: parse_kind(kind)?,
+                name: (*name).into(),
+                resource_version: query.number("resourceVersion")?.unwrap_or(0),
+            }),
+            _ => Err(unknown(method, uri)),
+        }
+    }
+
+    fn audit(query: Query<'_>) -> Result<Self, Refusal> {
+        let limit = query.number("limit")?.unwrap_or(u64::from(AUDIT_LIMIT));
+        let limit = u32::try_from(limit).unwrap_or(AUDIT_LIMIT);
+        Ok(Self::Audit {
+            after: query.number("after")?.unwrap_or(0),
+            limit: limit.min(AUDIT_LIMIT),
+        })
+    }
+}
+
+fn why(request: &str) -> Result<Route, Refusal> {
+    let parsed: Result<RequestId, _> = request.parse();
+    parsed
+        .map(Route::Why)
+        .map_err(|error| Refusal::malformed(error.to_string()))
+}
+
+fn parse_kind(text: &str) -> Result<Kind, Refusal> {
+    let parsed: Result<Kind, _> = text.parse();
+    parsed.map_err(|error| Refusal::not_found(error.to_string()))
+}
+
+fn unknown(method: &Method, uri: &Uri) -> Refusal {
+    let path = uri.path();
+    Refusal::not_found(format!(
+        "there is no call {method} {path}; GET /openapi.json describes all calls"
+    ))
+}
+
+#[derive(Clone, Copy)]
+struct Query<'a>(&'a str);
+
+impl<'a> Query<'a> {
+    fn value(self, name: &str) -> Option<&'a str> {
+        let mut pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    fn number(self, name: &str) -> Result<Option<u64>, Refusal> {
+        let Some(text) = self.value(name) else {
+            return Ok(None);
+        };
+        let parsed = text.parse();
+        parsed.map(Some).map_err(|_| {
+            Refusal::malformed(format!("{name} is `{text}`; accepted is a whole number"))
+        })
+    }
+
+    fn flag(self, name: &str) -> Result<bool, Refusal> {
+        match self.value(name) {
+            None | Some("false") => Ok(false),
+            Some("true") => Ok(true),
+            Some(text) => Err(Refusal::malformed(format!(
+                "{name} is `{text}`; accepted are true and false"
+            ))),
+        }
+    }
+}
--- /dev/null
+++ b/src/carawayrun/ops/store.rs
@@ -0,0 +1,102 @@
+//! The resource API's calls to the table service.
+
+use std::time::Duration;
+
+use compact_str::ToCompactString;
+use snafu::{ResultExt, Snafu};
+
+use super::attempt::{AttemptError, Next, WriteAttempt};
+use crate::platform::TableClient;
+use crate::platform::table::{ListCall, Row, TableAnswer, TableCall, TableError};
+use crate::resource::{CHANGE_PREFIX, Change, change_key};
+
+/// First pause after a call that failed; it doubles with each failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Most doublings of the pause.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// How a write ended well.
+#[derive(Debug)]
+pub(super) enum Written {
+    /// It took effect, or would.
+    Done(Box<Change>),
+    /// There was nothing to change at this generation.
+    Unchanged(u64),
+}
+
+/// Changes that could not be read.
+#[derive(Debug, Snafu)]
+pub(super) enum ReadChangesError {
+    /// The call failed.
+    #[snafu(display("{source}"))]
+    Table {
+        /// Why.
+        source: TableError,
+    },
+    /// A row is not a change.
+    #[snafu(display("row {key}: {source}"))]
+    Row {
+        /// Key of the row.
+        key: compact_str::CompactString,
+        /// What is wrong with it.
+        source: serde_json::Error,
+    },
+}
+
+/// Makes the calls of one write until its outcome is known.
+///
+/// # Errors
+///
+/// [`AttemptError`] as the attempt ended.
+pub(super) async fn write(
+    table: &TableClient,
+    mut attempt: WriteAttempt,
+) -> Result<Written, AttemptError> {
+    loop {
+        match attempt.next() {
+            Next::Call { call, failures } => {
+                pause(failures).await;
+                attempt.answered(table.call(call).await);
+            }
+            Next::Done(change) => return Ok(Written::Done(change)),
+            Next::Unchanged(generation) => return Ok(Written::Unchanged(generation)),
+            Next::Failed(error) => return Err(error),
+        }
+    }
+}
+
+/// Reads up to `limit` changes after generation `after`, oldest first.
+///
+/// # Errors
+///
+/// [`ReadChangesError`] where the call fails or a row can't be read.
+pub(super) async fn changes_after(
+    table: &TableClient,
+    after: u64,
+    limit: u32,
+) -> Result<Vec<Change>, ReadChangesError> {
+    let call = TableCall::List(ListCall {
+        prefix: CHANGE_PREFIX.into(),
+        after: change_key(after),
+        limit,
+    });
+    match table.call(call).await.context(TableSnafu)? {
+        TableAnswer::Rows(rows) => rows.iter().map(change).collect(),
+        TableAnswer::Committed => Ok(Vec::new()),
+    }
+}
+
+fn change(row: &Row) -> Result<Change, ReadChangesError> {
+    serde_json::from_str(row.value.get()).context(RowSnafu {
+        key: row.key.to_compact_string(),
+    })
+}
+
+async fn pause(failures: u32) {
+    if failures == 0 {
+        return;
+    }
+    let doublings = (failures - 1).min(MAX_DOUBLINGS);
+    actix_rt::time::sleep(FIRST_PAUSE * 2_u32.pow(doublings)).await;
+}
--- /dev/null
+++ b/src/carawayrun/ops/watch.rs
@@ -0,0 +1,144 @@
+//! The stream of changes.
+//!
+//! Changes are read from the table service in the order of their generations,
+//! so none is lost or doubled whichever gateway serves the watch.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use bytes::Bytes;
+use futures_core::Stream;
+use futures_util::stream;
+use serde::Serialize;
+
+use super::api::WatchLine;
+use super::store::changes_after;
+use crate::node::Handle;
+use crate::platform::TableClient;
+use crate::resource::Change;
+
+/// Time between two looks at the generation in force.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Time between two looks at the table service while the generation in force
+/// has not moved, in case this gateway is behind.
+const STORE_LOOK: Duration = Duration::from_secs(2);
+
+/// Longest time without a line.
+const HEARTBEAT: Duration = Duration::from_secs(5);
+
+/// Most changes read at once.
+const BATCH: u32 = 64;
+
+/// All lines after generation `from`, without an end.
+pub(super) fn lines(
+    handle: Handle,
+    table: TableClient,
+    from: u64,
+) -> impl Stream<Item = Result<Bytes, Infallible>> {
+    let watch = Watch {
+        handle,
+        table,
+        sent: from,
+        spoke: None,
+        looked: None,
+        store_available: true,
+        ended: false,
+    };
+    stream::unfold(watch, |mut watch| async move {
+        let lines = watch.next().await?;
+        Some((Ok(lines), watch))
+    })
+}
+
+struct Watch {
+    handle: Handle,
+    table: TableClient,
+    /// Generation up to which all changes were sent.
+    sent: u64,
+    spoke: Option<Instant>,
+    looked: Option<Instant>,
+    store_available: bool,
+    ended: bool,
+}
+
+impl Watch {
+    async fn next(&mut self) -> Option<Bytes> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            if self.is_store_due() {
+                let lines = self.read().await;
+                if !lines.is_empty() {
+                    return Some(self.speak(lines));
+                }
+            }
+            if is_due(self.spoke, HEARTBEAT) {
+                let line = self.heartbeat();
+                return Some(self.speak(line));
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+    }
+
+    fn is_store_due(&self) -> bool {
+        let behind = self.handle.view().config.generation > self.sent;
+        (behind && self.store_available) || is_due(self.looked, STORE_LOOK)
+    }
+
+    async fn read(&mut self) -> Vec<u8> {
+        self.looked = Some(Instant::now());
+        let Ok(changes) = changes_after(&self.table, self.sent, BATCH).await else {
+            self.store_available = false;
+            return Vec::new();
+        };
+        self.store_available = true;
+        let mut lines = Vec::new();
+        for change in changes {
+            self.take(change, &mut lines);
+        }
+        lines
+    }
+
+    fn take(&mut self, change: Change, lines: &mut Vec<u8>) {
+        if self.ended {
+            return;
+        }
+        if change.generation > self.sent + 1 {
+            self.ended = true;
+            let oldest = change.generation - 1;
+            write_line(lines, &WatchLine::Gone { oldest });
+            return;
+        }
+        self.sent = change.generation;
+        let change = Box::new(change);
+        write_line(lines, &WatchLine::Change { change });
+    }
+
+    fn heartbeat(&self) -> Vec<u8> {
+        let mut line = Vec::new();
+        let heartbeat = WatchLine::Heartbeat {
+            generation: self.sent,
+            in_force: self.handle.view().config.generation,
+            store_available: self.store_available,
+        };
+        write_line(&mut line, &heartbeat);
+        line
+    }
+
+    fn speak(&mut self, lines: Vec<u8>) -> Bytes {
+        self.spoke = Some(Instant::now());
+        Bytes::from(lines)
+    }
+}
+
+fn is_due(last: Option<Instant>, interval: Duration) -> bool {
+    last.is_none_or(|last| last.elapsed() >= interval)
+}
+
+fn write_line(lines: &mut Vec<u8>, line: &impl Serialize) {
+    serde_json::to_writer(&mut *lines, line).expect("lines of a watch can be written as JSON");
+    lines.push(b'\n');
+}
--- a/src/carawayrun/resource/manifest.rs
+++ b/src/carawayrun/resource/manifest.rs
@@ -112,12 +112,17 @@
         if value.is_null() {
             continue;
         }
-        resources.push(from_value(value, document_number)?);
+        resources.push(parse_resource(value, document_number)?);
     }
     Ok(resources)
 }
 
-fn from_value(value: Value, document: usize) -> Result<Resource, ParseManifestError> {
+/// Reads one resource that is JSON already; `document` is its number in errors.
+///
+/// # Errors
+///
+/// [`ParseManifestError`] where it is no resource.
+pub fn parse_resource(value: Value, document: usize) -> Result<Resource, ParseManifestError> {
     let raw: RawResource = serde_yaml_ng::from_value(
         serde_yaml_ng::to_value(value).context(SyntaxSnafu { document })?,
     )
@@ -160,6 +165,6 @@
 impl<'de> Deserialize<'de> for Resource {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let value = Value::deserialize(deserializer)?;
-        from_value(value, 1).map_err(serde::de::Error::custom)
+        parse_resource(value, 1).map_err(serde::de::Error::custom)
     }
 }
--- a/src/carawayrun/resource/mod.rs
+++ b/src/carawayrun/resource/mod.rs
@@ -20,7 +20,9 @@
     Config, Named, ObjectiveKey, RolloutKey, ServiceKey, Table, TeamKey, UpstreamKey, VersionKey,
 };
 pub use self::digest::{DIGEST_DIGITS, key_digest};
-pub use self::manifest::{API_VERSION, Metadata, ParseManifestError, Resource, parse_manifests};
+pub use self::manifest::{
+    API_VERSION, Metadata, ParseManifestError, Resource, parse_manifests, parse_resource,
+};
 pub use self::rows::{CHANGE_PREFIX, HEAD_KEY, Head, RESOURCE_PREFIX, change_key, resource_key};
 pub use self::spec::{
     Backend, Indicator, Kind, Limits, Objective, Phase, Price, Rollout, Route, Service, Spec, Task,
