--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -6,11 +6,13 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::claims::Claims;
 use super::effect::{Effect, Effects};
 use super::event::Event;
 use super::time::Millis;
 use super::view::{Admission, View};
 use crate::peer::NodeId;
+use crate::policy::Estimates;
 use crate::resource::Config;
 
 /// What a process does.
@@ -60,6 +62,7 @@
 #[derive(Debug)]
 pub struct State {
     context: Context,
+    claims: Claims,
 }
 
 impl State {
@@ -75,7 +78,10 @@
             changed: true,
             rng: SmallRng::seed_from_u64(seed),
         };
-        Self { context }
+        Self {
+            context,
+            claims: Claims::default(),
+        }
     }
 
     /// Handles one event and returns what is to be done.
@@ -88,6 +94,7 @@
 
     // Each concern looks at the event in turn and ignores what is not its own.
     fn dispatch(&mut self, event: Event) {
+        self.claims.handle(&event, &mut self.context);
         drop(event);
     }
 
@@ -102,6 +109,7 @@
             shares: rustc_hash::FxHashMap::default(),
             rollouts: Vec::new(),
             suspended: Vec::new(),
+            estimates: Arc::new(Estimates::default()),
             admission: Admission::Open,
             members: Vec::new(),
         };
