--- a/src/bin/carawayrun/commands/completions.rs
+++ b/src/bin/carawayrun/commands/completions.rs
@@ -53,7 +53,7 @@
 
 /// Prints the completion script of a shell
 ///
-/// Example: carawayrun completions bash > /etc/bash_completion.d/carawayrun
+/// Example: carawayrun completions bash > ~/.local/share/bash-completion/completions/carawayrun
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("completions"), generate(cli))]
 pub(crate) struct Options {
--- /dev/null
+++ b/src/bin/carawayrun/commands/delete.rs
@@ -0,0 +1,54 @@
+//! `carawayrun delete`.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use bpaf::Bpaf;
+use carawayrun::ops::api::DeleteBody;
+use carawayrun::resource::Kind;
+use serde_json::Value;
+
+use crate::failure::Failure;
+use crate::output::Output;
+use crate::progress;
+use crate::remote::{Remote, block_on, call_failure, remote};
+
+/// Removes one resource
+///
+/// Refused while another resource names it. Example: carawayrun delete rollout scene-3 --wait
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("delete"), generate(cli))]
+pub(crate) struct Options {
+    #[bpaf(external)]
+    remote: Remote,
+    /// Waits until the change is in force at all live nodes
+    wait: bool,
+    /// Longest time to wait, in seconds
+    #[bpaf(argument("SECONDS"), fallback(60), display_fallback)]
+    timeout_s: u64,
+    /// Why, for the audit trail
+    #[bpaf(argument("TEXT"), fallback(String::new()))]
+    reason: String,
+    /// Kind of the resource
+    #[bpaf(positional("KIND"))]
+    kind: Kind,
+    /// Name of the resource
+    #[bpaf(positional("NAME"))]
+    name: String,
+}
+
+pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), Failure> {
+    let client = options.remote.client()?.with_reason(&options.reason);
+    let Options { kind, name, .. } = options;
+    block_on(async {
+        let path = format!("/apis/v1/{kind}/{name}");
+        let deleted: Result<DeleteBody, _> = client.send(Method::DELETE, &path, &Value::Null).await;
+        let generation = deleted.map_err(call_failure)?.generation;
+        output.status("Deleted", format!("{kind}/{name}, generation {generation}"));
+        if options.wait {
+            let timeout = Duration::from_secs(options.timeout_s);
+            progress::wait(&client, generation, timeout, output).await?;
+        }
+        Ok(())
+    })
+}
--- a/src/bin/carawayrun/commands/digest.rs
+++ b/src/bin/carawayrun/commands/digest.rs
@@ -11,7 +11,7 @@
 /// Prints the SHA-256 digest of a key read from standard input
 ///
 /// Manifests and settings hold digests only, never keys. A line break at the end is not part of the
-/// key. Example: printf %s "$TEAM_KEY" | carawayrun digest
+/// key. Example: printf %s "$KEY" | carawayrun digest
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("digest"), generate(cli))]
 pub(crate) struct Options {}
--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -1,20 +1,38 @@
 //! The commands, a file each: a parser `cli()` and `exec()`.
 
 mod agent;
+mod apply;
+mod check;
 mod completions;
+mod delete;
+mod describe;
 mod digest;
 mod gateway;
+mod get;
+mod rollout;
+mod status;
+mod watch;
+mod why;
 
 use bpaf::Bpaf;
 
 use crate::failure::Failure;
 use crate::output::Output;
 
-/// What to do.
+/// Commands:
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum Command {
     Gateway(#[bpaf(external(gateway::cli))] gateway::Options),
     Agent(#[bpaf(external(agent::cli))] agent::Options),
+    Apply(#[bpaf(external(apply::cli))] apply::Options),
+    Get(#[bpaf(external(get::cli))] get::Options),
+    Describe(#[bpaf(external(describe::cli))] describe::Options),
+    Watch(#[bpaf(external(watch::cli))] watch::Options),
+    Delete(#[bpaf(external(delete::cli))] delete::Options),
+    Rollout(#[bpaf(external(rollout::cli))] rollout::Options),
+    Status(#[bpaf(external(status::cli))] status::Options),
+    Why(#[bpaf(external(why::cli))] why::Options),
+    Check(#[bpaf(external(check::cli))] check::Options),
     Digest(#[bpaf(external(digest::cli))] digest::Options),
     Completions(#[bpaf(external(completions::cli))] completions::Options),
 }
@@ -24,6 +42,15 @@
     match command {
         Command::Gateway(options) => gateway::exec(options),
         Command::Agent(options) => agent::exec(options),
+        Command::Apply(options) => apply::exec(options, output),
+        Command::Get(options) => get::exec(options, output),
+        Command::Describe(options) => describe::exec(options, output),
+        Command::Watch(options) => watch::exec(options, output),
+        Command::Delete(options) => delete::exec(options, output),
+        Command::Rollout(options) => rollout::exec(options, output),
+        Command::Status(options) => status::exec(options, output),
+        Command::Why(options) => why::exec(options, output),
+        Command::Check(options) => check::exec(options, output),
         Command::Digest(options) => digest::exec(options, output),
         Command::Completions(options) => completions::exec(options, output),
     }
--- /dev/null
+++ b/src/bin/carawayrun/commands/rollout.rs
@@ -0,0 +1,141 @@
+//! `carawayrun rollout`.
+
+use awc::http::Method;
+use bpaf::Bpaf;
+use carawayrun::ops::Client;
+use carawayrun::ops::api::{ApplyBody, ResourceView};
+use carawayrun::resource::{Phase, Resource, Rollout, Spec};
+
+use super::get::json_word;
+use crate::failure::Failure;
+use crate::output::Output;
+use crate::remote::{Remote, block_on, call_failure, remote};
+
+/// Shows or steers a roll-out
+///
+/// Examples:
+///
+///  carawayrun rollout status scene-3
+///
+///  carawayrun rollout undo scene-3
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("rollout"), generate(cli))]
+pub(crate) struct Options {
+    #[bpaf(external)]
+    remote: Remote,
+    /// Why, for the audit trail
+    #[bpaf(argument("TEXT"), fallback(String::new()))]
+    reason: String,
+    #[bpaf(external)]
+    steering: Steering,
+}
+
+/// What to do with which roll-out.
+#[derive(Debug, Clone, PartialEq, Eq, Bpaf)]
+enum Steering {
+    /// Shows where a roll-out is
+    #[bpaf(command("status"))]
+    Status {
+        /// Name of the roll-out
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Holds its share
+    #[bpaf(command("pause"))]
+    Pause {
+        /// Name of the roll-out
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Lets it go on
+    #[bpaf(command("resume"))]
+    Resume {
+        /// Name of the roll-out
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Withdraws the new version, so that all traffic is on the old one
+    #[bpaf(command("undo"))]
+    Undo {
+        /// Name of the roll-out
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+}
+
+pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), Failure> {
+    let client = options.remote.client()?.with_reason(&options.reason);
+    block_on(async {
+        match &options.steering {
+            Steering::Status { name } => status(&client, name, output).await,
+            Steering::Pause { name } => set_paused(&client, name, true, output).await,
+            Steering::Resume { name } => set_paused(&client, name, false, output).await,
+            Steering::Undo { name } => undo(&client, name, output).await,
+        }
+    })
+}
+
+async fn status(client: &Client, name: &str, output: &mut Output) -> Result<(), Failure> {
+    let (found, rollout) = read(client, name).await?;
+    output.line(&format!(
+        "{name}: {} from {} to {}, steps {:?}",
+        rollout.model, rollout.from, rollout.to, rollout.steps
+    ));
+    match &found.status.rollout {
+        Some(state) => output.line(&format!(
+            "{} at {:.1}% of traffic on {}",
+            json_word(&state.phase),
+            state.share * 100.0,
+            rollout.to
+        )),
+        None => output.line("not started yet"),
+    }
+    Ok(())
+}
+
+async fn set_paused(
+    client: &Client,
+    name: &str,
+    paused: bool,
+    output: &mut Output,
+) -> Result<(), Failure> {
+    let (found, rollout) = read(client, name).await?;
+    let mut resource = found.resource;
+    resource.spec = Spec::Rollout(Rollout { paused, ..rollout });
+    let path = format!("/apis/v1/Rollout/{name}");
+    let put: Result<ResourceView, _> = client.send(Method::PUT, &path, &resource).await;
+    put.map_err(call_failure)?;
+    let verb = if paused { "Paused" } else { "Resumed" };
+    output.status(verb, format!("Rollout/{name}"));
+    Ok(())
+}
+
+/// Withdraws the new version; the resource versions that were read are the
+/// precondition, so a racing operator's change is not overwritten.
+async fn undo(client: &Client, name: &str, output: &mut Output) -> Result<(), Failure> {
+    let (_, rollout) = read(client, name).await?;
+    let path = format!("/apis/v1/Version/{}", rollout.to);
+    let found: ResourceView = client.get(&path).await.map_err(call_failure)?;
+    let mut version: Resource = found.resource;
+    if let Spec::Version(spec) = &mut version.spec {
+        spec.phase = Phase::Withdrawn;
+    }
+    let applied: Result<ApplyBody, _> = client
+        .send(Method::POST, "/apis/v1/apply", &[version])
+        .await;
+    let generation = applied.map_err(call_failure)?.generation;
+    output.status(
+        "Withdrew",
+        format!("Version/{}, generation {generation}", rollout.to),
+    );
+    Ok(())
+}
+
+async fn read(client: &Client, name: &str) -> Result<(ResourceView, Rollout), Failure> {
+    let path = format!("/apis/v1/Rollout/{name}");
+    let found: ResourceView = client.get(&path).await.map_err(call_failure)?;
+    match found.resource.spec.clone() {
+        Spec::Rollout(rollout) => Ok((found, rollout)),
+        _ => Err(Failure::failed(format!("Rollout/{name} is not a roll-out"))),
+    }
+}
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -5,8 +5,13 @@
 mod cli;
 mod commands;
 mod failure;
+mod format;
 mod logging;
+mod manifests;
 mod output;
+mod progress;
+mod remote;
+mod table;
 
 use std::process::ExitCode;
 
--- a/src/bin/carawayrun/output.rs
+++ b/src/bin/carawayrun/output.rs
@@ -16,6 +16,8 @@
 /// The command's standard output and standard error.
 #[derive(Debug)]
 pub(crate) struct Output {
+    out: io::Stdout,
+    err: io::Stderr,
     color_out: bool,
     color_err: bool,
 }
@@ -24,6 +26,8 @@
     pub(crate) fn open() -> Self {
         let allowed = std::env::var_os("NO_COLOR").is_none();
         Self {
+            out: io::stdout(),
+            err: io::stderr(),
             color_out: allowed && io::stdout().is_terminal(),
             color_err: allowed && io::stderr().is_terminal(),
         }
@@ -33,24 +37,24 @@
     pub(crate) fn status(&mut self, verb: &str, object: impl std::fmt::Display) {
         let padded = format!("{verb:>VERB_WIDTH$}");
         let verb = paint(self.color_err, GREEN, &padded);
-        ignore_closed(writeln!(io::stderr(), "{verb} {object}"));
+        ignore_closed(writeln!(self.err, "{verb} {object}"));
     }
 
     /// An error and its causes, on standard error.
     pub(crate) fn error(&mut self, error: &dyn Error) {
         let label = paint(self.color_err, RED, "error:");
-        ignore_closed(writeln!(io::stderr(), "{label} {error}"));
+        ignore_closed(writeln!(self.err, "{label} {error}"));
         let mut cause = error.source();
         while let Some(source) = cause {
-            ignore_closed(writeln!(io::stderr(), "  caused by: {source}"));
+            ignore_closed(writeln!(self.err, "  caused by: {source}"));
             cause = source.source();
         }
     }
 
     /// A part of the result, on standard output, as it is.
     pub(crate) fn print(&mut self, text: &str) {
-        ignore_closed(io::stdout().write_all(text.as_bytes()));
-        ignore_closed(io::stdout().flush());
+        ignore_closed(self.out.write_all(text.as_bytes()));
+        ignore_closed(self.out.flush());
     }
 
     /// One line of the result, on standard output.
--- /dev/null
+++ b/src/carawayrun/ops/difference.rs
@@ -0,0 +1,64 @@
+//! Differences between resources, for people.
+
+use serde::Serialize;
+use similar::TextDiff;
+
+use crate::resource::{Change, ChangeItem, Resource};
+
+/// Lines around a difference that are shown.
+const CONTEXT_LINES: usize = 3;
+
+/// The difference an item makes, as a unified diff of YAML.
+pub fn item_difference(item: &ChangeItem) -> String {
+    let before = item.before.as_ref().map_or_else(String::new, desired);
+    let after = item.after.as_ref().map_or_else(String::new, desired);
+    let name = format!("{}/{}", item.kind, item.name);
+    TextDiff::from_lines(&before, &after)
+        .unified_diff()
+        .context_radius(CONTEXT_LINES)
+        .header(&format!("a/{name}"), &format!("b/{name}"))
+        .to_string()
+}
+
+/// One line that says what a change did.
+pub fn change_summary(change: &Change) -> String {
+    let items: Vec<String> = change.items.iter().map(item_summary).collect();
+    let mut line = format!(
+        "{} {} by {}: {}",
+        change.generation,
+        change.time,
+        change.author,
+        items.join(", ")
+    );
+    if !change.reason.is_empty() {
+        line.push_str(" (");
+        line.push_str(&change.reason);
+        line.push(')');
+    }
+    line
+}
+
+/// What an item does to its resource: `created`, `configured` or `deleted`.
+pub fn item_verb(item: &ChangeItem) -> &'static str {
+    match (&item.before, &item.after) {
+        (None, Some(_)) => "created",
+        (_, None) => "deleted",
+        _ => "configured",
+    }
+}
+
+fn item_summary(item: &ChangeItem) -> String {
+    format!("{} {}/{}", item_verb(item), item.kind, item.name)
+}
+
+#[derive(Serialize)]
+struct Desired<'a> {
+    spec: &'a crate::resource::Spec,
+}
+
+fn desired(resource: &Resource) -> String {
+    let desired = Desired {
+        spec: &resource.spec,
+    };
+    serde_yaml_ng::to_string(&desired).expect("specs can be written as YAML")
+}
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -6,6 +6,8 @@
 
 pub mod api;
 mod attempt;
+mod client;
+mod difference;
 mod operators;
 mod refusal;
 mod routes;
@@ -17,6 +19,8 @@
 pub mod why;
 
 pub use self::attempt::{AttemptError, Next, WriteAttempt};
+pub use self::client::{Client, ClientError};
+pub use self::difference::{change_summary, item_difference, item_verb};
 pub use self::operators::{OperatorKey, Operators, ParseOperatorKeyError};
 pub use self::routes::{ROUTES, Route, RouteInfo};
 pub use self::server::{OPENAPI, Options, bind};
