--- a/src/bin/carawayrun/commands/apply.rs
+++ b/src/bin/carawayrun/commands/apply.rs
@@ -17,12 +17,13 @@
 
 /// Writes the resources of manifests, all in one change
 ///
-/// Shows the difference first with --dry-run. Resources that are not in the manifests stay as they
-/// are. Examples:
 ///
-///  carawayrun apply -f examples/luzcena.yaml --dry-run
+/// Resources that are not in the manifests stay as they are. With --dry-run the difference is shown and nothing is written.
 ///
-///  carawayrun apply -f manifests/ --wait --reason "festival peak"
+///
+///     Examples:
+///       carawayrun apply -f examples/luzcena.yaml --dry-run
+///       carawayrun apply -f manifests/ --wait --reason "festival peak"
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("apply"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/check.rs
+++ b/src/bin/carawayrun/commands/check.rs
@@ -11,9 +11,12 @@
 
 /// Checks manifests and changes nothing
 ///
-/// The manifests must make a whole configuration together. Example:
 ///
-///  carawayrun check -f examples/luzcena.yaml
+/// The manifests must make a whole configuration together.
+///
+///
+///     Example:
+///       carawayrun check -f examples/luzcena.yaml
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("check"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/completions.rs
+++ b/src/bin/carawayrun/commands/completions.rs
@@ -53,7 +53,9 @@
 
 /// Prints the completion script of a shell
 ///
-/// Example: carawayrun completions bash > ~/.local/share/bash-completion/completions/carawayrun
+///
+///     Example:
+///       carawayrun completions bash > carawayrun.bash
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("completions"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/delete.rs
+++ b/src/bin/carawayrun/commands/delete.rs
@@ -15,7 +15,12 @@
 
 /// Removes one resource
 ///
-/// Refused while another resource names it. Example: carawayrun delete rollout scene-3 --wait
+///
+/// Refused while another resource names it.
+///
+///
+///     Example:
+///       carawayrun delete rollout scene-large-3 --wait
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("delete"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/digest.rs
+++ b/src/bin/carawayrun/commands/digest.rs
@@ -10,8 +10,12 @@
 
 /// Prints the SHA-256 digest of a key read from standard input
 ///
-/// Manifests and settings hold digests only, never keys. A line break at the end is not part of the
-/// key. Example: printf %s "$KEY" | carawayrun digest
+///
+/// Manifests and settings hold digests only, never keys. Line ends after the key are not part of it.
+///
+///
+///     Example:
+///       printf %s "$KEY" | carawayrun digest
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("digest"), generate(cli))]
 pub(crate) struct Options {}
--- a/src/bin/carawayrun/commands/get.rs
+++ b/src/bin/carawayrun/commands/get.rs
@@ -13,11 +13,13 @@
 
 /// Lists resources, or shows one
 ///
-/// Kinds: team, service, version, upstream, rollout, objective. Examples:
 ///
-///  carawayrun get versions
+/// Kinds: team, service, version, upstream, rollout, objective.
 ///
-///  carawayrun get team shops-north --output yaml
+///
+///     Examples:
+///       carawayrun get versions
+///       carawayrun get team shops-north --output yaml
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("get"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/status.rs
+++ b/src/bin/carawayrun/commands/status.rs
@@ -11,6 +11,10 @@
 use crate::table::Table;
 
 /// Shows what a gateway knows: generation, members, agents and roll-outs
+///
+///
+///     Example:
+///       carawayrun status --output json
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("status"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/watch.rs
+++ b/src/bin/carawayrun/commands/watch.rs
@@ -10,11 +10,13 @@
 
 /// Shows each change of the configuration as it comes
 ///
-/// Goes on at another server where a connection ends, and loses no change. Examples:
 ///
-///  carawayrun watch
+/// Goes on at another server where a connection ends, and loses no change.
 ///
-///  carawayrun watch --from 0 --json
+///
+///     Examples:
+///       carawayrun watch
+///       carawayrun watch --from 0 --json
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("watch"), generate(cli))]
 pub(crate) struct Options {
