--- a/src/bin/carawayrun/commands/apply.rs
+++ b/src/bin/carawayrun/commands/apply.rs
@@ -21,9 +21,9 @@
 /// Resources that are not in the manifests stay as they are. With --dry-run the difference is shown and nothing is written.
 ///
 ///
-///     Examples:
-///       carawayrun apply -f examples/luzcena.yaml --dry-run
-///       carawayrun apply -f manifests/ --wait --reason "festival peak"
+/// Examples:
+///    carawayrun apply -f examples/luzcena.yaml --dry-run
+///    carawayrun apply -f manifests/ --wait --reason "festival peak"
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("apply"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/check.rs
+++ b/src/bin/carawayrun/commands/check.rs
@@ -15,8 +15,8 @@
 /// The manifests must make a whole configuration together.
 ///
 ///
-///     Example:
-///       carawayrun check -f examples/luzcena.yaml
+/// Example:
+///    carawayrun check -f examples/luzcena.yaml
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("check"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/completions.rs
+++ b/src/bin/carawayrun/commands/completions.rs
@@ -54,8 +54,8 @@
 /// Prints the completion script of a shell
 ///
 ///
-///     Example:
-///       carawayrun completions bash > carawayrun.bash
+/// Example:
+///    carawayrun completions bash > carawayrun.bash
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("completions"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/delete.rs
+++ b/src/bin/carawayrun/commands/delete.rs
@@ -19,8 +19,8 @@
 /// Refused while another resource names it.
 ///
 ///
-///     Example:
-///       carawayrun delete rollout scene-large-3 --wait
+/// Example:
+///    carawayrun delete rollout scene-large-3 --wait
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("delete"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/describe.rs
+++ b/src/bin/carawayrun/commands/describe.rs
@@ -17,8 +17,8 @@
 /// Shows one resource: desired state, conditions and its last changes
 ///
 ///
-///     Example:
-///       carawayrun describe version scene-large-3
+/// Example:
+///    carawayrun describe version scene-large-3
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("describe"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/digest.rs
+++ b/src/bin/carawayrun/commands/digest.rs
@@ -14,8 +14,8 @@
 /// Manifests and settings hold digests only, never keys. Line ends after the key are not part of it.
 ///
 ///
-///     Example:
-///       printf %s "$KEY" | carawayrun digest
+/// Example:
+///    printf %s "$KEY" | carawayrun digest
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("digest"), generate(cli))]
 pub(crate) struct Options {}
--- a/src/bin/carawayrun/commands/get.rs
+++ b/src/bin/carawayrun/commands/get.rs
@@ -17,9 +17,9 @@
 /// Kinds: team, service, version, upstream, rollout, objective.
 ///
 ///
-///     Examples:
-///       carawayrun get versions
-///       carawayrun get team shops-north --output yaml
+/// Examples:
+///    carawayrun get versions
+///    carawayrun get team shops-north --output yaml
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("get"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/rollout.rs
+++ b/src/bin/carawayrun/commands/rollout.rs
@@ -14,9 +14,9 @@
 /// Shows or steers a roll-out
 ///
 ///
-///     Examples:
-///       carawayrun rollout status scene-large-3
-///       carawayrun rollout --reason "odd colours" undo scene-large-3
+/// Examples:
+///    carawayrun rollout status scene-large-3
+///    carawayrun rollout --reason "odd colours" undo scene-large-3
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("rollout"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/status.rs
+++ b/src/bin/carawayrun/commands/status.rs
@@ -13,8 +13,8 @@
 /// Shows what a gateway knows: generation, members, agents and roll-outs
 ///
 ///
-///     Example:
-///       carawayrun status --output json
+/// Example:
+///    carawayrun status --output json
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("status"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/watch.rs
+++ b/src/bin/carawayrun/commands/watch.rs
@@ -14,9 +14,9 @@
 /// Goes on at another server where a connection ends, and loses no change.
 ///
 ///
-///     Examples:
-///       carawayrun watch
-///       carawayrun watch --from 0 --json
+/// Examples:
+///    carawayrun watch
+///    carawayrun watch --from 0 --json
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("watch"), generate(cli))]
 pub(crate) struct Options {
--- a/src/bin/carawayrun/commands/why.rs
+++ b/src/bin/carawayrun/commands/why.rs
@@ -16,8 +16,8 @@
 /// Asks each server in turn, as the gateway that took the request keeps its decisions.
 ///
 ///
-///     Example:
-///       carawayrun why gw-1.651f0a3b2c1d4.42
+/// Example:
+///    carawayrun why gw-1.651f0a3b2c1d4.42
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("why"), generate(cli))]
 pub(crate) struct Options {
