--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,2 +1,3 @@
-//! placeholder
-fn main() {}
+//! One binary with all integration tests.
+
+mod policy;
--- /dev/null
+++ b/tests/testsuite/policy/world.rs
@@ -0,0 +1,170 @@
+//! A small deployment for the tests of the policy.
+
+use std::fmt::Write;
+
+use carawayrun::policy::{Ask, Candidate, Estimates, Pool, Pools, Situation, Split, Tally};
+use carawayrun::resource::{Config, Phase, UpstreamKey, VersionKey, parse_manifests};
+
+pub(crate) const DATA_CENTRES: [&str; 3] = ["recife", "natal", "olinda"];
+
+/// A version of the world.
+#[derive(Debug, Clone)]
+pub(crate) struct Model {
+    pub(crate) name: &'static str,
+    pub(crate) price: u64,
+    pub(crate) quality: f64,
+    pub(crate) phase: Phase,
+}
+
+pub(crate) fn model(name: &'static str, price: u64, quality: f64) -> Model {
+    Model {
+        name,
+        price,
+        quality,
+        phase: Phase::Active,
+    }
+}
+
+/// One service with a task `stream` that a person waits for and a task `note`
+/// that may be cascaded; one team.
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) config: Config,
+    pub(crate) estimates: Estimates,
+    pub(crate) pools: Pools,
+    pub(crate) splits: Vec<Split>,
+    pub(crate) suspended: Vec<VersionKey>,
+}
+
+impl World {
+    pub(crate) fn new(models: &[Model], permitted: &[&str], upstreams: usize) -> Self {
+        let text = manifests(models, permitted, upstreams);
+        let resources = parse_manifests(&text).unwrap();
+        let config = Config::empty().replaced(1, &resources).unwrap();
+        let pools = Pools::build(candidates(&config, 0));
+        let mut world = Self {
+            config,
+            estimates: Estimates::default(),
+            pools,
+            splits: Vec::new(),
+            suspended: Vec::new(),
+        };
+        for model in models {
+            world.learn(model.name, model.quality, 2_000);
+        }
+        world
+    }
+
+    pub(crate) fn learn(&mut self, name: &str, quality: f64, ratings: u32) {
+        let key = self.version(name);
+        for task in ["stream", "note"] {
+            let mut tally = Tally::default();
+            for number in 0..ratings {
+                tally.answer(false, false);
+                tally.measure(200, 2_000, 300);
+                tally.rate(quality + if number % 2 == 0 { 0.1 } else { -0.1 });
+            }
+            self.estimates.learn(key, task, &tally);
+        }
+    }
+
+    pub(crate) fn version(&self, name: &str) -> VersionKey {
+        self.config.versions.key(name).unwrap()
+    }
+
+    pub(crate) fn name(&self, key: VersionKey) -> &str {
+        &self.config.versions.get(key).unwrap().name
+    }
+
+    pub(crate) fn ask<'a>(&self, task: &'a str) -> Ask<'a> {
+        Ask {
+            team: self.config.teams.key("estate").unwrap(),
+            service: self.config.services.key("advisor").unwrap(),
+            task,
+            model: "",
+            quality: None,
+            budget_ms: 30_000,
+            pinned: None,
+            stream: task == "stream",
+            prompt_tokens: 1_000,
+            cached_tokens: 0,
+        }
+    }
+
+    pub(crate) fn situation(&self) -> Situation<'_> {
+        Situation {
+            config: &self.config,
+            estimates: &self.estimates,
+            pools: &self.pools,
+            splits: &self.splits,
+            suspended: &self.suspended,
+            rating_micros: 1.0,
+            rating_ms: 500.0,
+            rated_share: 0.9,
+        }
+    }
+
+    pub(crate) fn upstreams(&self) -> Vec<UpstreamKey> {
+        self.config.upstreams.iter().map(|(key, _)| key).collect()
+    }
+}
+
+/// Every upstream with every version, and the same reported load.
+pub(crate) fn candidates(config: &Config, reported: u32) -> Vec<Candidate> {
+    let versions = config.versions.iter();
+    let pools: Vec<Pool> = versions.map(|(key, _)| Pool::Version(key)).collect();
+    let upstreams = config.upstreams.iter().enumerate();
+    upstreams
+        .map(|(agent, (upstream, entry))| Candidate {
+            agent,
+            upstream,
+            data_centre: entry.spec.data_centre.clone(),
+            slots: entry.spec.slots,
+            reported,
+            wait_ms: 0,
+            report_ms: 0,
+            pools: pools.clone(),
+        })
+        .collect()
+}
+
+fn manifests(models: &[Model], permitted: &[&str], upstreams: usize) -> String {
+    let mut text = String::from(
+        "apiVersion: carawayrun/v1
+kind: Service
+metadata: {name: advisor}
+spec:
+  backend: engine
+  tasks:
+  - {name: stream, class: interactive, quality: 0.8, latencyMs: 2000}
+  - {name: note, class: batch, quality: 0.8, latencyMs: 20000, cascade: true}
+",
+    );
+    for model in models {
+        let phase = serde_json::to_string(&model.phase).unwrap();
+        let spec = format!(
+            "{{model: lathe, service: advisor, phase: {phase}, price: {{prompt: {price}, \
+             completion: {price}}}, quality: {{stream: {quality}, note: {quality}}}, \
+             latencyMs: 200}}",
+            price = model.price,
+            quality = model.quality,
+        );
+        push(&mut text, "Version", model.name, &spec);
+    }
+    for number in 0..upstreams {
+        let place = DATA_CENTRES[number % DATA_CENTRES.len()];
+        let spec = format!("{{service: advisor, dataCentre: {place}, slots: 4}}");
+        push(&mut text, "Upstream", &format!("u{number}"), &spec);
+    }
+    let spec = format!("{{keyDigests: [], versions: [{}]}}", permitted.join(", "));
+    push(&mut text, "Team", "estate", &spec);
+    text
+}
+
+fn push(text: &mut String, kind: &str, name: &str, spec: &str) {
+    writeln!(
+        text,
+        "---\napiVersion: carawayrun/v1\nkind: {kind}\nmetadata: {{name: {name}}}\nspec: {spec}"
+    )
+    .unwrap();
+}
