--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,5 +11,6 @@
 mod configuration;
 mod once;
 mod path;
+mod policy;
 mod sessions;
 mod stopping;
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -257,7 +257,7 @@
         ]);
         args.extend(["--rater-addr".to_owned(), self.addr(RATER, HTTP_PORT)]);
         args.extend([
-            "--operator-key-digest".to_owned(),
+            "--operators".to_owned(),
             format!("tester={}", digest(OPERATOR_KEY)),
         ]);
         let process = Process::spawn(&self.dir, &name, &product(), &args);
@@ -268,11 +268,11 @@
     pub(crate) fn start_agent(&mut self, number: usize) {
         let slot = self.slots[number].clone();
         let name = agent_name(&slot);
-        let upstream_addr = self.addr(FIRST_UPSTREAM + slot.host, HTTP_PORT);
+        let upstream_url = format!("http://{}", self.addr(FIRST_UPSTREAM + slot.host, HTTP_PORT));
         let mut args = vec!["agent".to_owned()];
         args.extend(self.common_args(&name, FIRST_AGENT + slot.host));
         args.extend(["--upstream".to_owned(), slot.upstream]);
-        args.extend(["--upstream-addr".to_owned(), upstream_addr]);
+        args.extend(["--upstream-url".to_owned(), upstream_url]);
         let process = Process::spawn(&self.dir, &name, &product(), &args);
         put(&mut self.agents, number, process);
     }
