--- a/src/carawayrun/control/effect.rs
+++ b/src/carawayrun/control/effect.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 
+use super::time::Millis;
 use super::view::View;
 use crate::peer::message;
 use crate::platform::table::TableCall;
@@ -41,6 +43,14 @@
     Store(Ticket, TableCall),
     /// Publishes a new view to the traffic threads.
     Publish(Arc<View>),
+    /// Tells the traffic threads until when the configuration is known to be
+    /// the newest.
+    Fresh(Millis),
+    /// Reads the newest snapshot of the configuration from the object store; an
+    /// [`super::Event::SnapshotRead`] follows where there is one.
+    ReadSnapshot,
+    /// Writes a snapshot of the configuration to the object store.
+    WriteSnapshot(Bytes),
 }
 
 /// Effects in the order in which they are to be carried out.
--- a/src/carawayrun/control/event.rs
+++ b/src/carawayrun/control/event.rs
@@ -1,5 +1,6 @@
 //! What happens to the reducer.
 
+use bytes::Bytes;
 use compact_str::CompactString;
 
 use super::effect::Ticket;
@@ -18,6 +19,8 @@
     Stored(Ticket, Result<TableAnswer, TableError>),
     /// The platform's host list was read.
     HostsListed(Vec<HostEntry>),
+    /// A snapshot of the configuration was read from the object store.
+    SnapshotRead(Bytes),
     /// An operator's change was accepted through this node.
     Accepted(Box<Change>),
     /// A request ended at this gateway.
--- /dev/null
+++ b/src/carawayrun/control/follow/history.rs
@@ -0,0 +1,135 @@
+//! The latest changes, kept for peers that are behind, and whole snapshots.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+use crate::peer::message;
+use crate::resource::{Change, Config, Resource};
+
+/// Most changes that are kept.
+const MAX_CHANGES: usize = 256;
+
+/// Most bytes of the changes that are kept.
+const MAX_BYTES: usize = 1024 * 1024;
+
+/// Most bytes of the changes in one message.
+const MAX_MESSAGE_BYTES: usize = 128 * 1024;
+
+/// Length of a SHA-256 digest, in bytes.
+const DIGEST_BYTES: usize = 32;
+
+/// The whole configuration at one generation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct Snapshot {
+    pub(super) generation: u64,
+    pub(super) resources: Vec<Resource>,
+}
+
+/// Bytes that are no snapshot.
+#[derive(Debug, Snafu)]
+pub(super) enum SnapshotError {
+    /// Too short to hold a checksum.
+    #[snafu(display("the snapshot has no checksum"))]
+    Short,
+    /// The content is not what was written.
+    #[snafu(display("the checksum of the snapshot is wrong"))]
+    Damaged,
+    /// The checksum is right, but this release can't read the content.
+    #[snafu(display("not a snapshot: {source}"))]
+    Malformed { source: serde_json::Error },
+}
+
+/// The latest changes, without gaps, up to the generation in force.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    changes: VecDeque<message::Change>,
+    bytes: usize,
+    snapshot: Option<(u64, Bytes)>,
+}
+
+impl History {
+    pub(super) fn push(&mut self, change: &Change) {
+        let record = serde_json::to_vec(change).expect("a change can be written as JSON");
+        self.bytes += record.len();
+        self.changes.push_back(message::Change {
+            generation: change.generation,
+            record: Bytes::from(record),
+        });
+        while self.changes.len() > MAX_CHANGES || self.bytes > MAX_BYTES {
+            let oldest = self.changes.pop_front();
+            self.bytes -= oldest.map_or(0, |change| change.record.len());
+        }
+    }
+
+    pub(super) fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// The changes after `generation`, as many as one message takes; none where
+    /// they are no longer kept.
+    pub(super) fn after(&self, generation: u64) -> Option<message::ConfigChanges> {
+        let first = self.changes.front()?.generation;
+        if first > generation + 1 {
+            return None;
+        }
+        let mut room = MAX_MESSAGE_BYTES;
+        let wanted = self
+            .changes
+            .iter()
+            .filter(|change| change.generation > generation);
+        let fitting = wanted.take_while(|change| {
+            let fits = change.record.len() <= room;
+            room = room.saturating_sub(change.record.len());
+            fits
+        });
+        let changes: Vec<_> = fitting.cloned().collect();
+        (!changes.is_empty()).then(|| message::ConfigChanges {
+            changes,
+            snapshot: Bytes::new(),
+        })
+    }
+
+    /// The snapshot of `config`, with its checksum; made once a generation.
+    pub(super) fn snapshot(&mut self, config: &Config) -> Bytes {
+        if let Some((generation, bytes)) = &self.snapshot
+            && *generation == config.generation
+        {
+            return bytes.clone();
+        }
+        let bytes = write_snapshot(&Snapshot {
+            generation: config.generation,
+            resources: config.resources().cloned().collect(),
+        });
+        self.snapshot = Some((config.generation, bytes.clone()));
+        bytes
+    }
+}
+
+/// The checksum, then the JSON text of a snapshot.
+pub(super) fn write_snapshot(snapshot: &Snapshot) -> Bytes {
+    let text = serde_json::to_vec(snapshot).expect("a snapshot can be written as JSON");
+    let mut bytes = Sha256::digest(&text).to_vec();
+    bytes.extend_from_slice(&text);
+    Bytes::from(bytes)
+}
+
+/// The snapshot in `bytes`.
+///
+/// # Errors
+///
+/// [`SnapshotError`] where they are damaged or no snapshot.
+pub(super) fn read_snapshot(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
+    let (digest, text) = bytes.split_at_checked(DIGEST_BYTES).context(ShortSnafu)?;
+    ensure!(Sha256::digest(text).as_slice() == digest, DamagedSnafu);
+    serde_json::from_slice(text).context(MalformedSnafu)
+}
+
+/// The change in a message of a peer.
+pub(super) fn read_change(change: &message::Change) -> Result<Change, serde_json::Error> {
+    serde_json::from_slice(&change.record)
+}
--- /dev/null
+++ b/src/carawayrun/control/follow/mod.rs
@@ -0,0 +1,178 @@
+//! Following the configuration.
+//!
+//! A node takes a newer generation from the table service or from any peer,
+//! and never an older one. Every envelope carries its sender's generation, so
+//! whoever is behind learns it with the next message and asks that peer for
+//! the changes; whoever accepts a change passes it on at once. The table
+//! service is polled, so that nothing depends on the peers alone; the polls of
+//! all nodes together stay within a fixed rate.
+//!
+//! A node that can reach neither the table service nor a peer that knows can't
+//! tell whether its configuration is the newest. It then takes no requests.
+
+mod history;
+mod peers;
+mod store;
+
+use std::sync::Arc;
+
+use tracing::{info, warn};
+
+use self::history::History;
+use self::peers::Wanted;
+use self::store::Poll;
+use super::context::Context;
+use super::effect::{Concern, Effect};
+use super::event::Event;
+use super::time::Millis;
+use super::view::Admission;
+use crate::peer::message::envelope::Body;
+use crate::resource::{Change, Config, Resource};
+
+/// Time after the last contact at which a node stops taking requests.
+///
+/// A change is known to all who are in contact within a few seconds, so within
+/// 15 s it is in force everywhere that takes requests.
+pub const STALE_AFTER: Millis = Millis(10_000);
+
+/// When a caller that is refused for a stale configuration should come back.
+const STALE_RETRY: Millis = Millis(1_000);
+
+/// Generations between two snapshots in the object store.
+const SNAPSHOT_EVERY: u64 = 32;
+
+/// The concern of the configuration.
+#[derive(Debug, Default)]
+pub(super) struct Follow {
+    history: History,
+    poll: Poll,
+    wanted: Wanted,
+    fresh_until: Option<Millis>,
+    stale: bool,
+    asked_snapshot: bool,
+}
+
+impl Follow {
+    pub(super) fn handle(&mut self, event: &Event, context: &mut Context) {
+        match event {
+            Event::Tick => self.tick(context),
+            Event::Received(envelope) => self.receive(envelope, context),
+            Event::Stored(ticket, result) if ticket.concern == Concern::Config => {
+                self.take_answer(ticket.number, result, context);
+            }
+            Event::Accepted(change) => self.accept(change, context),
+            Event::Behind(generation) => self.wish(*generation, context),
+            Event::SnapshotRead(body) => self.take_snapshot(body, context),
+            _ => {}
+        }
+        self.keep_fresh(context);
+    }
+
+    /// Whether requests are taken, as far as the configuration goes.
+    pub(super) fn admission(&self) -> Admission {
+        if self.stale || self.fresh_until.is_none() {
+            Admission::Closed {
+                code: "stale_configuration",
+                retry_after_ms: STALE_RETRY.0,
+            }
+        } else {
+            Admission::Open
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context) {
+        if !self.asked_snapshot {
+            self.asked_snapshot = true;
+            context.out.push(Effect::ReadSnapshot);
+        }
+        self.tick_poll(context);
+        self.tick_wanted(context);
+    }
+
+    fn accept(&mut self, change: &Change, context: &mut Context) {
+        if !self.apply(change, context) {
+            self.wish(change.generation, context);
+            return;
+        }
+        self.push_latest(context);
+        if change.generation.is_multiple_of(SNAPSHOT_EVERY) {
+            let snapshot = self.history.snapshot(&context.config);
+            context.out.push(Effect::WriteSnapshot(snapshot));
+        }
+    }
+
+    // Applies the next change; any other is of no use here.
+    fn apply(&mut self, change: &Change, context: &mut Context) -> bool {
+        if change.generation != context.config.generation + 1 {
+            return false;
+        }
+        let next = context.config.applied(change);
+        self.history.push(change);
+        put_in_force(next, context);
+        true
+    }
+
+    // Takes over a whole configuration that is newer.
+    fn replace(&mut self, generation: u64, resources: &[Resource], context: &mut Context) -> bool {
+        if generation <= context.config.generation {
+            return false;
+        }
+        match context.config.replaced(generation, resources) {
+            Ok(next) => {
+                self.history.clear();
+                put_in_force(next, context);
+                true
+            }
+            Err(problems) => {
+                let first = problems.first().map(ToString::to_string);
+                warn!(name: "config.unusable", generation, problem = first);
+                false
+            }
+        }
+    }
+
+    fn keep_fresh(&mut self, context: &mut Context) {
+        let fresh_until = context.contact.map(|contact| contact + STALE_AFTER);
+        if fresh_until != self.fresh_until {
+            context.changed |= self.fresh_until.is_none();
+            self.fresh_until = fresh_until;
+            context.out.extend(fresh_until.map(Effect::Fresh));
+        }
+        let stale = fresh_until.is_some_and(|until| context.now > until);
+        if stale != self.stale {
+            self.stale = stale;
+            context.changed = true;
+            context.urgent = true;
+            let generation = context.config.generation;
+            warn!(name: "config.stale", stale, generation);
+        }
+    }
+
+    fn take_snapshot(&mut self, body: &[u8], context: &mut Context) {
+        match history::read_snapshot(body) {
+            Ok(snapshot) => {
+                self.replace(snapshot.generation, &snapshot.resources, context);
+            }
+            Err(error) => warn!(name: "config.snapshot_unusable", %error),
+        }
+    }
+
+    // Passes the latest change on to a few members, who do the same.
+    fn push_latest(&mut self, context: &mut Context) {
+        let changes = self
+            .history
+            .after(context.config.generation.saturating_sub(1));
+        let body = Body::ConfigChanges(changes.unwrap_or_default());
+        for key in peers::push_targets(context) {
+            peers::send(key, body.clone(), context);
+        }
+    }
+}
+
+fn put_in_force(next: Config, context: &mut Context) {
+    info!(name: "config.in_force", generation = next.generation);
+    context.config = Arc::new(next);
+    context.members.set_generation(context.config.generation);
+    context.changed = true;
+    context.urgent = true;
+}
--- /dev/null
+++ b/src/carawayrun/control/member/digest.rs
@@ -0,0 +1,87 @@
+//! Comparison of what two nodes know.
+//!
+//! Gossip reaches nearly everybody. What it misses is found by an exchange of
+//! digests with a random member: one number for each bucket of names.
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use sha2::{Digest, Sha256};
+
+use super::directory::{Directory, Member, MemberKey};
+use crate::peer::message;
+
+/// Number of buckets.
+const BUCKETS: usize = 32;
+
+/// Most records in one answer to a digest.
+const MAX_RECORDS: usize = 96;
+
+/// One number for each bucket of the members that are present.
+pub(super) fn buckets(directory: &Directory) -> Vec<u64> {
+    let mut buckets = vec![0; BUCKETS];
+    for (_, member) in directory.iter().filter(|(_, member)| member.is_present()) {
+        buckets[bucket(member)] ^= record_digest(member);
+    }
+    buckets
+}
+
+/// Records of members in buckets that differ from `theirs`; where there are too
+/// many for one message, from a random place on.
+pub(super) fn missing(
+    directory: &Directory,
+    theirs: &[u64],
+    rng: &mut SmallRng,
+) -> Vec<message::Member> {
+    let ours = buckets(directory);
+    let differs = |member: &Member| {
+        let index = bucket(member);
+        theirs.get(index) != ours.get(index)
+    };
+    let mut fit: Vec<MemberKey> = directory
+        .iter()
+        .filter(|(_, member)| differs(member))
+        .map(|(key, _)| key)
+        .collect();
+    if fit.len() > MAX_RECORDS {
+        let start = rng.random_range(0..fit.len());
+        fit.rotate_left(start);
+        fit.truncate(MAX_RECORDS);
+    }
+    fit.into_iter()
+        .filter_map(|key| directory.get(key))
+        .map(Member::record)
+        .collect()
+}
+
+/// A number that is the same for all who know the same present lives.
+pub(super) fn set_digest<'a>(sorted: impl Iterator<Item = &'a Member>) -> u64 {
+    let mut hasher = Sha256::new();
+    for member in sorted {
+        hasher.update(member.node.name.as_bytes());
+        hasher.update([0]);
+        hasher.update(member.node.incarnation.to_be_bytes());
+    }
+    first_bytes(hasher)
+}
+
+fn bucket(member: &Member) -> usize {
+    let mut hasher = Sha256::new();
+    hasher.update(member.node.name.as_bytes());
+    (first_bytes(hasher) % BUCKETS as u64) as usize
+}
+
+fn record_digest(member: &Member) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(member.node.name.as_bytes());
+    hasher.update([0]);
+    hasher.update(member.node.incarnation.to_be_bytes());
+    hasher.update(member.version.to_be_bytes());
+    hasher.update(i32::from(member.state).to_be_bytes());
+    first_bytes(hasher)
+}
+
+fn first_bytes(hasher: Sha256) -> u64 {
+    let digest = hasher.finalize();
+    let (first, _) = digest.split_at(size_of::<u64>());
+    u64::from_be_bytes(first.try_into().expect("a SHA-256 digest has 32 bytes"))
+}
--- /dev/null
+++ b/src/carawayrun/control/member/directory.rs
@@ -0,0 +1,337 @@
+//! The members that a node knows.
+
+use compact_str::CompactString;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rustc_hash::FxHashMap;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::control::state::{Identity, Role};
+use crate::control::time::Millis;
+use crate::peer::NodeId;
+use crate::peer::message::{self, MemberState};
+
+new_key_type! {
+    /// Key of a member; the same for all lives of a name.
+    pub struct MemberKey;
+}
+
+/// A member as this node knows it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its latest life.
+    pub node: NodeId,
+    /// What it does.
+    pub role: Role,
+    /// Data centre it is in.
+    pub data_centre: CompactString,
+    /// host:port of its nng listener.
+    pub peer_addr: CompactString,
+    /// host:port of its HTTP listener for runs; empty for gateways.
+    pub http_addr: CompactString,
+    /// Upstream it stands before; empty for gateways.
+    pub upstream: CompactString,
+    /// Whether it lives.
+    pub state: MemberState,
+    /// Number of its record within this life.
+    pub version: u64,
+    /// Highest generation that it is known to have in force.
+    pub generation: u64,
+    /// Its last known load and when it was learned; agents only.
+    pub load: Option<message::Load>,
+    /// When `load` was learned.
+    pub load_time: Millis,
+    /// When `state` was learned.
+    pub since: Millis,
+    /// True where the platform lists its host as leaving.
+    pub listed_leaving: bool,
+}
+
+impl Member {
+    /// True where it takes part: not known to be dead.
+    pub fn is_present(&self) -> bool {
+        self.state != MemberState::Dead
+    }
+
+    /// True where it may be given new work.
+    pub fn is_open(&self) -> bool {
+        self.state == MemberState::Alive && !self.listed_leaving
+    }
+
+    pub(super) fn record(&self) -> message::Member {
+        message::Member {
+            node: Some((&self.node).into()),
+            role: wire_role(self.role).into(),
+            data_centre: self.data_centre.to_string(),
+            peer_addr: self.peer_addr.to_string(),
+            http_addr: self.http_addr.to_string(),
+            upstream: self.upstream.to_string(),
+            state: self.state.into(),
+            version: self.version,
+            generation: self.generation,
+            load: self.load.clone(),
+        }
+    }
+
+    // Of two records of one name the one of the later life holds, then the one
+    // with the higher version, then the worse state.
+    fn rank(&self) -> (u64, u64, u8) {
+        (self.node.incarnation, self.version, severity(self.state))
+    }
+}
+
+/// What became of a record that was received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Learned {
+    /// Nothing new.
+    Nothing,
+    /// It replaced what was known.
+    Changed(MemberKey),
+    /// It is about this process and says something other than the truth.
+    Myself,
+    /// A later life of this process's name exists.
+    Superseded,
+}
+
+/// All known members, this process included.
+#[derive(Debug)]
+pub struct Directory {
+    entries: SlotMap<MemberKey, Member>,
+    names: FxHashMap<CompactString, MemberKey>,
+    me: MemberKey,
+    revision: u64,
+}
+
+impl Directory {
+    /// A directory that knows this process only.
+    pub fn new(identity: &Identity) -> Self {
+        let mut entries = SlotMap::with_key();
+        let me = entries.insert(Member {
+            node: identity.node.clone(),
+            role: identity.role,
+            data_centre: identity.data_centre.clone(),
+            peer_addr: identity.peer_addr.clone(),
+            http_addr: identity.http_addr.clone(),
+            upstream: identity.upstream.clone(),
+            state: MemberState::Alive,
+            version: 1,
+            generation: 0,
+            load: None,
+            load_time: Millis(0),
+            since: Millis(0),
+            listed_leaving: false,
+        });
+        let names = [(identity.node.name.clone(), me)].into_iter().collect();
+        Self {
+            entries,
+            names,
+            me,
+            revision: 1,
+        }
+    }
+
+    /// The member of a key.
+    pub fn get(&self, key: MemberKey) -> Option<&Member> {
+        self.entries.get(key)
+    }
+
+    /// The key of a name.
+    pub fn key(&self, name: &str) -> Option<MemberKey> {
+        self.names.get(name).copied()
+    }
+
+    /// This process.
+    pub fn me(&self) -> &Member {
+        &self.entries[self.me]
+    }
+
+    /// All members, dead ones and this process included.
+    pub fn iter(&self) -> impl Iterator<Item = (MemberKey, &Member)> {
+        self.entries.iter()
+    }
+
+    /// All other members that are not known to be dead.
+    pub fn peers(&self) -> impl Iterator<Item = (MemberKey, &Member)> {
+        let others =
+            move |(key, member): &(MemberKey, &Member)| *key != self.me && member.is_present();
+        self.entries.iter().filter(others)
+    }
+
+    /// Number of members that are not known to be dead, this process included.
+    pub fn present(&self) -> usize {
+        self.entries
+            .values()
+            .filter(|member| member.is_present())
+            .count()
+    }
+
+    /// At most `amount` different peers, drawn at random from those that pass.
+    pub fn sample(
+        &self,
+        rng: &mut SmallRng,
+        amount: usize,
+        passes: impl Fn(&Member) -> bool,
+    ) -> Vec<MemberKey> {
+        let fit: Vec<MemberKey> = self
+            .peers()
+            .filter(|(_, member)| passes(member))
+            .map(|(key, _)| key)
+            .collect();
+        fit.choose_multiple(rng, amount).copied().collect()
+    }
+
+    /// Changes whenever the set of present lives does.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Tells the others which generation this process has in force.
+    pub(in crate::control) fn set_generation(&mut self, generation: u64) {
+        self.entries[self.me].generation = generation;
+    }
+
+    pub(super) fn my_key(&self) -> MemberKey {
+        self.me
+    }
+
+    pub(super) fn get_mut(&mut self, key: MemberKey) -> Option<&mut Member> {
+        self.entries.get_mut(key)
+    }
+
+    pub(super) fn me_mut(&mut self) -> &mut Member {
+        &mut self.entries[self.me]
+    }
+
+    /// Takes a record in, where it is newer than what is known.
+    pub(super) fn learn(&mut self, record: &message::Member, now: Millis) -> Learned {
+        let Some(fresh) = from_record(record, now) else {
+            return Learned::Nothing;
+        };
+        let Some(key) = self.key(&fresh.node.name) else {
+            return self.add(fresh);
+        };
+        if key == self.me {
+            return self.learn_myself(&fresh);
+        }
+        let known = &mut self.entries[key];
+        if fresh.node.incarnation == known.node.incarnation {
+            known.generation = known.generation.max(fresh.generation);
+        }
+        if fresh.rank() <= known.rank() {
+            return Learned::Nothing;
+        }
+        replace(known, fresh);
+        self.revision += 1;
+        Learned::Changed(key)
+    }
+
+    /// Gives a member another state within its life and record version.
+    pub(super) fn set_state(&mut self, key: MemberKey, state: MemberState, now: Millis) {
+        if let Some(member) = self.entries.get_mut(key) {
+            member.state = state;
+            member.since = now;
+            self.revision += 1;
+        }
+    }
+
+    /// Drops members that died before `before`.
+    pub(super) fn forget(&mut self, before: Millis) {
+        let kept = |member: &Member| member.is_present() || member.since >= before;
+        self.entries.retain(|_, member| kept(member));
+        let entries = &self.entries;
+        self.names.retain(|_, key| entries.contains_key(*key));
+    }
+
+    fn add(&mut self, fresh: Member) -> Learned {
+        if !fresh.is_present() {
+            return Learned::Nothing;
+        }
+        let name = fresh.node.name.clone();
+        let key = self.entries.insert(fresh);
+        self.names.insert(name, key);
+        self.revision += 1;
+        Learned::Changed(key)
+    }
+
+    fn learn_myself(&mut self, fresh: &Member) -> Learned {
+        let me = self.me();
+        if fresh.node.incarnation > me.node.incarnation {
+            return if fresh.is_present() {
+                Learned::Superseded
+            } else {
+                Learned::Nothing
+            };
+        }
+        if fresh.rank() > me.rank() {
+            Learned::Myself
+        } else {
+            Learned::Nothing
+        }
+    }
+}
+
+// A new life starts without what was known of the old one.
+fn replace(known: &mut Member, fresh: Member) {
+    let same_life = known.node.incarnation == fresh.node.incarnation;
+    let generation = if same_life {
+        known.generation.max(fresh.generation)
+    } else {
+        fresh.generation
+    };
+    let listed_leaving = same_life && known.listed_leaving;
+    *known = Member {
+        generation,
+        listed_leaving,
+        ..fresh
+    };
+}
+
+fn from_record(record: &message::Member, now: Millis) -> Option<Member> {
+    let node = record.node.as_ref()?;
+    let role = match record.role() {
+        message::Role::Gateway => Role::Gateway,
+        message::Role::Agent => Role::Agent,
+        message::Role::Unspecified => return None,
+    };
+    if record.state() == MemberState::Unspecified || node.name.is_empty() {
+        return None;
+    }
+    Some(Member {
+        node: node.into(),
+        role,
+        data_centre: record.data_centre.as_str().into(),
+        peer_addr: record.peer_addr.as_str().into(),
+        http_addr: record.http_addr.as_str().into(),
+        upstream: record.upstream.as_str().into(),
+        state: record.state(),
+        version: record.version,
+        generation: record.generation,
+        load: record.load.clone(),
+        load_time: now,
+        since: now,
+        listed_leaving: false,
+    })
+}
+
+fn wire_role(role: Role) -> message::Role {
+    match role {
+        Role::Gateway => message::Role::Gateway,
+        Role::Agent => message::Role::Agent,
+    }
+}
+
+fn severity(state: MemberState) -> u8 {
+    match state {
+        MemberState::Unspecified | MemberState::Alive => 0,
+        MemberState::Suspect => 1,
+        MemberState::Leaving => 2,
+        MemberState::Dead => 3,
+    }
+}
+
+/// A number that ties an ack to its ping.
+pub(super) fn random_nonce(rng: &mut SmallRng) -> u64 {
+    // Zero is the nonce of pings that nobody waits for.
+    rng.random_range(1..=u64::MAX)
+}
--- /dev/null
+++ b/src/carawayrun/control/member/mod.rs
@@ -0,0 +1,397 @@
+//! Who takes part: membership by gossip, after the SWIM protocol.
+//!
+//! Every node pings one other a second. Where no ack comes, two others are
+//! asked to ping it too; where still none comes it is suspected, gets no new
+//! work, and is declared dead unless it refutes in time by raising the version
+//! of its record. A node that leaves says so. The platform's host list lags and
+//! is only a hint of whom to greet and who is leaving.
+//!
+//! The number of messages of a node does not depend on the number of members,
+//! but for the spreading of changes, which grows with its logarithm.
+
+mod digest;
+mod directory;
+mod gossip;
+mod in_force;
+mod probe;
+mod receive;
+mod views;
+
+pub use self::directory::{Directory, Member, MemberKey};
+pub(super) use self::views::{agent_views, member_views};
+
+use compact_str::CompactString;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use tracing::info;
+
+use self::directory::random_nonce;
+use self::gossip::Updates;
+use self::in_force::Progress;
+use self::probe::{Probe, Relay, Rounds};
+use super::context::Context;
+use super::event::{Event, HostEntry};
+use super::time::Millis;
+use crate::peer::message::envelope::Body;
+use crate::peer::message::{self, Envelope, MemberDigest, MemberState, Ping, PingRequest};
+
+/// Time between two pings of a node.
+const PROBE_PERIOD: Millis = Millis(1_000);
+
+/// Time after which others are asked to ping the target too.
+const ACK_TIMEOUT: Millis = Millis(300);
+
+/// Number of others that are asked.
+const RELAYS: usize = 2;
+
+/// Time between two messages with records only, while there are any to spread.
+const GOSSIP_PERIOD: Millis = Millis(200);
+
+/// Number of members that get each of these messages.
+const GOSSIP_FANOUT: usize = 2;
+
+/// Number of members that are told at once that this node is leaving.
+const LEAVE_FANOUT: usize = 8;
+
+/// Time from suspicion to death among ten members or fewer; grows with the
+/// logarithm of their number.
+const SUSPICION: Millis = Millis(1_500);
+
+/// Time between two exchanges of digests.
+const SYNC_PERIOD: Millis = Millis(10_000);
+
+/// Time between two exchanges while the last one showed a difference.
+const SYNC_RETRY: Millis = Millis(1_000);
+
+/// Time between two greetings of listed hosts that are not members.
+const JOIN_PERIOD: Millis = Millis(1_000);
+
+/// Number of hosts that are greeted at a time.
+const JOIN_FANOUT: usize = 3;
+
+/// Time between two looks for suspicions that ran out and old dead.
+const SWEEP_PERIOD: Millis = Millis(500);
+
+/// Time a dead member's record is kept, so that late messages don't revive it.
+const FORGET_AFTER: Millis = Millis(120_000);
+
+/// Gap between two events after which this process was stopped or starved, so
+/// that missing acks say nothing about the others.
+const STALL: Millis = Millis(700);
+
+/// Nonce of pings whose acks nobody waits for.
+const NO_NONCE: u64 = 0;
+
+/// The concern of membership.
+#[derive(Debug, Default)]
+pub(super) struct Membership {
+    updates: Updates,
+    progress: Progress,
+    rounds: Rounds,
+    probe: Option<Probe>,
+    relays: Vec<Relay>,
+    listed: Vec<HostEntry>,
+    differs: bool,
+    last_event: Millis,
+    next_probe: Millis,
+    next_gossip: Millis,
+    next_sync: Millis,
+    next_join: Millis,
+    next_sweep: Millis,
+}
+
+impl Membership {
+    pub(super) fn handle(&mut self, event: &Event, context: &mut Context) {
+        self.forgive_after_stall(context);
+        match event {
+            Event::Tick => self.tick(context),
+            Event::Received(envelope) => self.receive(envelope, context),
+            Event::HostsListed(hosts) => self.take_list(hosts, context),
+            Event::Loaded(load) => self.take_load(load, context),
+            Event::Stop => self.leave(context),
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context) {
+        self.watch_probe(context);
+        if due(&mut self.next_probe, PROBE_PERIOD, context) {
+            self.start_probe(context);
+        }
+        if due(&mut self.next_gossip, GOSSIP_PERIOD, context) {
+            self.gossip(context);
+        }
+        if due(&mut self.next_join, JOIN_PERIOD, context) {
+            self.greet_listed(context);
+        }
+        let sync_period = if self.differs {
+            SYNC_RETRY
+        } else {
+            SYNC_PERIOD
+        };
+        if due(&mut self.next_sync, sync_period, context) {
+            self.send_digest(context);
+        }
+        if due(&mut self.next_sweep, SWEEP_PERIOD, context) {
+            self.sweep(context);
+        }
+    }
+
+    // What was not heard while this process stood still says nothing.
+    fn forgive_after_stall(&mut self, context: &mut Context) {
+        let gap = context.now.since(self.last_event);
+        self.last_event = context.now;
+        if gap <= STALL {
+            return;
+        }
+        self.probe = None;
+        let suspects: Vec<MemberKey> = context
+            .members
+            .peers()
+            .filter(|(_, member)| member.state == MemberState::Suspect)
+            .map(|(key, _)| key)
+            .collect();
+        for key in suspects {
+            context
+                .members
+                .set_state(key, MemberState::Suspect, context.now);
+        }
+    }
+
+    // The last probe ends here: without an ack its target is suspected.
+    fn start_probe(&mut self, context: &mut Context) {
+        if let Some(probe) = self.probe.take() {
+            self.suspect(probe, context);
+        }
+        let Some(target) = self.rounds.next(&context.members, &mut context.rng) else {
+            return;
+        };
+        let Some(member) = context.members.get(target) else {
+            return;
+        };
+        let (addr, incarnation) = (member.peer_addr.clone(), member.node.incarnation);
+        let nonce = random_nonce(&mut context.rng);
+        self.probe = Some(Probe {
+            target,
+            incarnation,
+            nonce,
+            sent: context.now,
+            relayed: false,
+        });
+        self.send(&addr, Some(Body::Ping(Ping { nonce })), true, context);
+    }
+
+    fn watch_probe(&mut self, context: &mut Context) {
+        let now = context.now;
+        self.relays
+            .retain(|relay| now.since(relay.sent) < PROBE_PERIOD);
+        let Some(probe) = self.probe.as_mut() else {
+            return;
+        };
+        if probe.relayed || now.since(probe.sent) < ACK_TIMEOUT {
+            return;
+        }
+        probe.relayed = true;
+        let probe = *probe;
+        self.ask_relays(probe, context);
+    }
+
+    fn ask_relays(&mut self, probe: Probe, context: &mut Context) {
+        let Some(target) = context.members.get(probe.target).cloned() else {
+            return;
+        };
+        let fit =
+            |member: &Member| member.state == MemberState::Alive && member.node != target.node;
+        for key in context.members.sample(&mut context.rng, RELAYS, fit) {
+            let request = PingRequest {
+                nonce: probe.nonce,
+                target: target.node.name.to_string(),
+                target_addr: target.peer_addr.to_string(),
+            };
+            self.send_to(key, Some(Body::PingRequest(request)), context);
+        }
+    }
+
+    // A leaving member gets no new work already, so its silence ends it.
+    fn suspect(&mut self, probe: Probe, context: &mut Context) {
+        let Some(member) = context.members.get(probe.target) else {
+            return;
+        };
+        let state = match member.state {
+            _ if member.node.incarnation != probe.incarnation => return,
+            MemberState::Alive => MemberState::Suspect,
+            MemberState::Leaving => MemberState::Dead,
+            _ => return,
+        };
+        self.declare(probe.target, state, context);
+    }
+
+    fn sweep(&mut self, context: &mut Context) {
+        let now = context.now;
+        let patience = suspicion_time(context.members.present());
+        let expired: Vec<MemberKey> = context
+            .members
+            .peers()
+            .filter(|(_, member)| member.state == MemberState::Suspect)
+            .filter(|(_, member)| now.since(member.since) >= patience)
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.declare(key, MemberState::Dead, context);
+        }
+        context.members.forget(now - FORGET_AFTER);
+    }
+
+    fn declare(&mut self, key: MemberKey, state: MemberState, context: &mut Context) {
+        context.members.set_state(key, state, context.now);
+        context.changed = true;
+        self.updates.push(key, context.members.present());
+        if let Some(member) = context.members.get(key) {
+            info!(name: "member.state", member = %member.node, state = state.as_str_name());
+        }
+    }
+
+    // A difference in what two nodes know is looked into before the next turn.
+    fn sync_soon(&mut self, context: &Context) {
+        self.differs = true;
+        self.next_sync = self.next_sync.min(context.now + SYNC_RETRY);
+    }
+
+    fn gossip(&mut self, context: &mut Context) {
+        if self.updates.is_empty() {
+            return;
+        }
+        for key in context
+            .members
+            .sample(&mut context.rng, GOSSIP_FANOUT, Member::is_present)
+        {
+            self.send_to(key, None, context);
+        }
+    }
+
+    fn send_digest(&mut self, context: &mut Context) {
+        let chosen = context
+            .members
+            .sample(&mut context.rng, 1, Member::is_present);
+        let body = Body::MemberDigest(MemberDigest {
+            buckets: digest::buckets(&context.members),
+            reply: false,
+        });
+        for key in chosen {
+            self.send_to(key, Some(body.clone()), context);
+        }
+    }
+
+    // Listed hosts that are no members are new, or were cut off; a ping tells
+    // them about this node, and their ack about themselves.
+    fn greet_listed(&mut self, context: &mut Context) {
+        let known = |host: &&HostEntry| {
+            let key = context.members.key(&host.name);
+            key.and_then(|key| context.members.get(key))
+                .is_some_and(Member::is_present)
+        };
+        let strangers: Vec<&HostEntry> = self.listed.iter().filter(|host| !known(host)).collect();
+        let chosen: Vec<CompactString> = strangers
+            .choose_multiple(&mut context.rng, JOIN_FANOUT)
+            .map(|host| host.peer_addr.clone())
+            .collect();
+        for addr in chosen {
+            let body = Body::Ping(Ping { nonce: NO_NONCE });
+            self.send(&addr, Some(body), true, context);
+        }
+    }
+
+    fn take_list(&mut self, hosts: &[HostEntry], context: &mut Context) {
+        self.listed = hosts.to_vec();
+        for host in hosts {
+            let Some(key) = context.members.key(&host.name) else {
+                continue;
+            };
+            if let Some(member) = context.members.get_mut(key)
+                && member.listed_leaving != host.leaving
+            {
+                member.listed_leaving = host.leaving;
+                context.changed = true;
+            }
+        }
+    }
+
+    // The counts change with every request and travel with acks and answers;
+    // only what is loaded is worth a new record.
+    fn take_load(&mut self, load: &message::Load, context: &mut Context) {
+        let now = context.now;
+        let me = context.members.me_mut();
+        let known = me.load.replace(load.clone());
+        me.load_time = now;
+        context.changed = true;
+        let same = known.is_some_and(|known| known.warm == load.warm && known.slots == load.slots);
+        if !same {
+            self.raise_version(context);
+        }
+    }
+
+    fn leave(&mut self, context: &mut Context) {
+        let me = context.members.my_key();
+        context
+            .members
+            .set_state(me, MemberState::Leaving, context.now);
+        self.raise_version(context);
+        for key in context
+            .members
+            .sample(&mut context.rng, LEAVE_FANOUT, Member::is_present)
+        {
+            self.send_to(key, None, context);
+        }
+    }
+
+    fn raise_version(&mut self, context: &mut Context) {
+        context.members.me_mut().version += 1;
+        context.changed = true;
+        let me = context.members.my_key();
+        self.updates.push(me, context.members.present());
+    }
+
+    fn send_to(&mut self, key: MemberKey, body: Option<Body>, context: &mut Context) {
+        let addr = context
+            .members
+            .get(key)
+            .map(|member| member.peer_addr.clone());
+        if let Some(addr) = addr {
+            self.send(&addr, body, false, context);
+        }
+    }
+
+    fn send(
+        &mut self,
+        addr: &CompactString,
+        body: Option<Body>,
+        introduce: bool,
+        context: &mut Context,
+    ) {
+        let mut members = self.updates.take(&context.members);
+        if introduce {
+            members.push(context.members.me().record());
+        }
+        let envelope = Envelope {
+            members,
+            in_force: Some(self.progress.bits(&context.members)),
+            ..context.envelope(body)
+        };
+        context.post(addr, envelope);
+    }
+}
+
+fn due(next: &mut Millis, period: Millis, context: &mut Context) -> bool {
+    if context.now < *next {
+        return false;
+    }
+    // Up to a tenth earlier or later, so that nodes don't fall into step.
+    let jitter = context.rng.random_range(0..=period.0 / 5);
+    *next = context.now + period + Millis(jitter) - Millis(period.0 / 10);
+    true
+}
+
+fn suspicion_time(members: usize) -> Millis {
+    let tenfold = (members.max(10) as f64).log10();
+    Millis((SUSPICION.0 as f64 * tenfold) as u64)
+}
--- /dev/null
+++ b/src/carawayrun/control/member/receive.rs
@@ -0,0 +1,185 @@
+//! What membership does with a message.
+
+use super::directory::{Learned, Member, random_nonce};
+use super::in_force::raise;
+use super::probe::Relay;
+use super::{Membership, NO_NONCE, digest};
+use crate::control::context::{Context, Life};
+use crate::peer::message::envelope::Body;
+use crate::peer::message::{self, Ack, Envelope, MemberDigest, MemberState, Ping, PingRequest};
+use tracing::warn;
+
+/// Most pings made for others at a time.
+const MAX_RELAYS: usize = 32;
+
+impl Membership {
+    pub(super) fn receive(&mut self, envelope: &Envelope, context: &mut Context) {
+        for record in &envelope.members {
+            self.learn(record, context);
+        }
+        self.learn_progress(envelope, context);
+        match &envelope.body {
+            Some(Body::Ping(ping)) => self.answer_ping(ping.nonce, envelope, context),
+            Some(Body::Ack(ack)) => self.take_ack(ack, envelope, context),
+            Some(Body::PingRequest(request)) => self.relay(request, envelope, context),
+            Some(Body::MemberDigest(theirs)) => self.compare(theirs, envelope, context),
+            _ => {}
+        }
+    }
+
+    fn learn(&mut self, record: &message::Member, context: &mut Context) {
+        match context.members.learn(record, context.now) {
+            Learned::Nothing => {}
+            Learned::Changed(key) => {
+                context.changed = true;
+                self.updates.push(key, context.members.present());
+            }
+            Learned::Myself => self.refute(record, context),
+            Learned::Superseded => supersede(context),
+        }
+    }
+
+    // Only this process raises its version, so its word is the last.
+    fn refute(&mut self, record: &message::Member, context: &mut Context) {
+        let me = context.members.me_mut();
+        me.version = me.version.max(record.version);
+        self.raise_version(context);
+    }
+
+    fn learn_progress(&mut self, envelope: &Envelope, context: &mut Context) {
+        if let Some(in_force) = &envelope.in_force {
+            context.changed |= self.progress.merge(&mut context.members, in_force);
+        }
+        let Some(sender) = &envelope.sender else {
+            return;
+        };
+        let key = context.members.key(&sender.name);
+        let Some(member) = key.and_then(|key| context.members.get_mut(key)) else {
+            return;
+        };
+        if member.node.incarnation == sender.incarnation {
+            context.changed |= raise(member, envelope.generation);
+        }
+    }
+
+    // An ack carries the record of its sender where the ping came from a
+    // stranger that greeted a listed host.
+    fn answer_ping(&mut self, nonce: u64, envelope: &Envelope, context: &mut Context) {
+        let ack = Ack {
+            nonce,
+            load: context.members.me().load.clone(),
+        };
+        let introduce = nonce == NO_NONCE;
+        self.tell_of_itself(envelope, context);
+        self.send(
+            &envelope.reply_addr.as_str().into(),
+            Some(Body::Ack(ack)),
+            introduce,
+            context,
+        );
+    }
+
+    // A node that others hold for dead is not pinged, so it learns of it here.
+    fn tell_of_itself(&mut self, envelope: &Envelope, context: &mut Context) {
+        let name = envelope.sender.as_ref().map(|sender| sender.name.as_str());
+        let Some(key) = name.and_then(|name| context.members.key(name)) else {
+            return;
+        };
+        let doubted =
+            |member: &Member| matches!(member.state, MemberState::Suspect | MemberState::Dead);
+        if context.members.get(key).is_some_and(doubted) {
+            self.updates.push(key, context.members.present());
+        }
+    }
+
+    fn take_ack(&mut self, ack: &Ack, envelope: &Envelope, context: &mut Context) {
+        if ack.nonce == NO_NONCE {
+            self.sync_soon(context);
+            return;
+        }
+        if let Some(probe) = self.probe.filter(|probe| probe.nonce == ack.nonce) {
+            self.probe = None;
+            if envelope.confirmed && envelope.generation <= context.config.generation {
+                context.contact = context.contact.max(Some(probe.sent));
+            }
+            take_load(probe.target, ack, context);
+            return;
+        }
+        let position = self
+            .relays
+            .iter()
+            .position(|relay| relay.nonce == ack.nonce);
+        let Some(relay) = position.map(|index| self.relays.swap_remove(index)) else {
+            return;
+        };
+        let passed_on = Ack {
+            nonce: relay.asked,
+            load: ack.load.clone(),
+        };
+        self.send(
+            &relay.reply_addr,
+            Some(Body::Ack(passed_on)),
+            false,
+            context,
+        );
+    }
+
+    fn relay(&mut self, request: &PingRequest, envelope: &Envelope, context: &mut Context) {
+        if self.relays.len() >= MAX_RELAYS {
+            return;
+        }
+        let nonce = random_nonce(&mut context.rng);
+        self.relays.push(Relay {
+            nonce,
+            asked: request.nonce,
+            reply_addr: envelope.reply_addr.as_str().into(),
+            sent: context.now,
+        });
+        let addr = request.target_addr.as_str().into();
+        self.send(&addr, Some(Body::Ping(Ping { nonce })), false, context);
+    }
+
+    fn compare(&mut self, theirs: &MemberDigest, envelope: &Envelope, context: &mut Context) {
+        let members = digest::missing(&context.members, &theirs.buckets, &mut context.rng);
+        if theirs.reply {
+            self.differs = !members.is_empty();
+            if self.differs {
+                self.sync_soon(context);
+            }
+        }
+        if theirs.reply && members.is_empty() {
+            return;
+        }
+        let body = (!theirs.reply).then(|| {
+            Body::MemberDigest(MemberDigest {
+                buckets: digest::buckets(&context.members),
+                reply: true,
+            })
+        });
+        let answer = Envelope {
+            members,
+            ..context.envelope(body)
+        };
+        context.post(&envelope.reply_addr.as_str().into(), answer);
+    }
+}
+
+fn supersede(context: &mut Context) {
+    if context.life != Life::Superseded {
+        context.life = Life::Superseded;
+        context.urgent = true;
+        warn!(name: "member.superseded", node = %context.identity.node);
+    }
+}
+
+fn take_load(target: super::MemberKey, ack: &Ack, context: &mut Context) {
+    let now = context.now;
+    let Some(member) = context.members.get_mut(target) else {
+        return;
+    };
+    if ack.load.is_some() && member.state != MemberState::Dead {
+        member.load.clone_from(&ack.load);
+        member.load_time = now;
+        context.changed = true;
+    }
+}
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,15 +4,21 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod context;
 mod effect;
 mod event;
+mod follow;
+mod member;
 mod state;
 mod time;
 mod view;
 
+pub use self::context::{Context, Life};
 pub use self::effect::{Concern, Effect, Effects, Ticket};
 pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
-pub use self::state::{Context, Identity, Role, State};
+pub use self::follow::STALE_AFTER;
+pub use self::member::{Directory, Member, MemberKey};
+pub use self::state::{Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
     Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -3,15 +3,16 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
+use super::TICK;
+use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
 use super::event::Event;
+use super::follow::Follow;
+use super::member::{Membership, agent_views, member_views};
 use super::time::Millis;
 use super::view::{Admission, View};
 use crate::peer::NodeId;
-use crate::resource::Config;
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,27 +40,13 @@
     pub upstream: CompactString,
 }
 
-/// What all concerns share while one event is handled.
-#[derive(Debug)]
-pub struct Context {
-    /// This process.
-    pub identity: Identity,
-    /// The time of the event.
-    pub now: Millis,
-    /// The configuration in force.
-    pub config: Arc<Config>,
-    /// Effects of the event so far.
-    pub out: Effects,
-    /// Set by a concern whose part of the view changed.
-    pub changed: bool,
-    /// Source of all random choices.
-    pub rng: SmallRng,
-}
-
 /// The control state: one field per concern.
 #[derive(Debug)]
 pub struct State {
     context: Context,
+    membership: Membership,
+    follow: Follow,
+    published: Option<Millis>,
 }
 
 impl State {
@@ -67,44 +54,70 @@
     ///
     /// `seed` feeds all random choices.
     pub fn new(identity: Identity, seed: u64) -> Self {
-        let context = Context {
-            identity,
-            now: Millis(0),
-            config: Arc::new(Config::empty()),
-            out: Effects::new(),
-            changed: true,
-            rng: SmallRng::seed_from_u64(seed),
-        };
-        Self { context }
+        Self {
+            context: Context::new(identity, seed),
+            membership: Membership::default(),
+            follow: Follow::default(),
+            published: None,
+        }
     }
 
     /// Handles one event and returns what is to be done.
-    pub fn apply(&mut self, event: Event, now: Millis) -> Effects {
+    pub fn apply(&mut self, event: &Event, now: Millis) -> Effects {
         self.context.now = now;
         self.dispatch(event);
-        self.publish();
+        if self.is_publishing_due() {
+            self.publish();
+        }
         std::mem::take(&mut self.context.out)
     }
 
+    /// What the concerns share, for tests and measurements.
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
     // Each concern looks at the event in turn and ignores what is not its own.
-    fn dispatch(&mut self, event: Event) {
-        drop(event);
+    fn dispatch(&mut self, event: &Event) {
+        if matches!(event, Event::Stop) {
+            self.context.life = Life::Stopping;
+            self.context.urgent = true;
+        }
+        self.membership.handle(event, &mut self.context);
+        self.follow.handle(event, &mut self.context);
+    }
+
+    // Many small changes a moment apart make one view.
+    fn is_publishing_due(&self) -> bool {
+        let rested = |last| self.context.now.since(last) >= TICK;
+        let changed = self.context.changed && self.published.is_none_or(rested);
+        changed || self.context.urgent
     }
 
     fn publish(&mut self) {
-        if !std::mem::take(&mut self.context.changed) {
-            return;
-        }
+        self.context.changed = false;
+        self.context.urgent = false;
+        self.published = Some(self.context.now);
         let view = View {
             node: self.context.identity.node.clone(),
             config: Arc::clone(&self.context.config),
-            agents: Vec::new(),
+            agents: agent_views(&self.context),
             shares: rustc_hash::FxHashMap::default(),
             rollouts: Vec::new(),
             suspended: Vec::new(),
-            admission: Admission::Open,
-            members: Vec::new(),
+            admission: self.admission(),
+            members: member_views(&self.context),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
+
+    fn admission(&self) -> Admission {
+        if self.context.life != Life::Running {
+            return Admission::Closed {
+                code: "draining",
+                retry_after_ms: 0,
+            };
+        }
+        self.follow.admission()
+    }
 }
--- a/src/carawayrun/node/handle.rs
+++ b/src/carawayrun/node/handle.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use actix_rt::time::Instant;
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 
 use super::counters::Counters;
-use crate::control::{Event, View};
+use crate::control::{Admission, Event, Millis, View};
 
 /// What the control thread is sent.
 #[derive(Debug)]
@@ -25,6 +27,8 @@
     pub(super) inputs: mpsc::UnboundedSender<Input>,
     pub(super) peer_addr: SocketAddr,
     pub(super) counters: Counters,
+    pub(super) started: Instant,
+    pub(super) fresh_until: Arc<AtomicU64>,
 }
 
 impl Handle {
@@ -33,6 +37,27 @@
         self.view.load_full()
     }
 
+    /// The time on the reducer's clock.
+    pub fn now(&self) -> Millis {
+        Millis(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Whether new requests are taken at this moment.
+    ///
+    /// Unlike the view's own field it holds in a process that was stopped and
+    /// goes on: what the view says may by then be out of date.
+    pub fn admission(&self) -> Admission {
+        let view = self.view.load();
+        let fresh_until = Millis(self.fresh_until.load(Ordering::Relaxed));
+        if view.admission == Admission::Open && self.now() > fresh_until {
+            return Admission::Closed {
+                code: "stale_configuration",
+                retry_after_ms: 1_000,
+            };
+        }
+        view.admission.clone()
+    }
+
     /// Gives the reducer an event; does nothing once the thread has ended.
     pub fn post(&self, event: Event) {
         let _ = self.inputs.send(Input::Event(event));
--- a/src/carawayrun/node/run.rs
+++ b/src/carawayrun/node/run.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use actix_rt::time::{Instant, interval, sleep};
 use arc_swap::ArcSwap;
+use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
@@ -19,7 +20,7 @@
 use crate::control::{Effect, Event, Millis, State, TICK, Ticket, View};
 use crate::peer::{Link, message::Envelope};
 use crate::platform::table::TableCall;
-use crate::platform::{HostsClient, TableClient};
+use crate::platform::{HostsClient, ObjectClient, TableClient};
 
 /// Time between two reads of the host list.
 const HOSTS_PERIOD: Duration = Duration::from_secs(2);
@@ -30,6 +31,9 @@
 /// Time between two reports of the gauges.
 const REPORT_PERIOD: Duration = Duration::from_secs(10);
 
+/// Name of the newest snapshot of the configuration in the object store.
+const SNAPSHOT_NAME: &str = "config/snapshot";
+
 /// Time that nng is given to send the last messages of a stopping process.
 const LAST_SENDS: Duration = Duration::from_millis(200);
 
@@ -45,6 +49,8 @@
     pub(super) inputs: mpsc::UnboundedSender<Input>,
     pub(super) counters: Counters,
     pub(super) platform: PlatformSettings,
+    pub(super) started: Instant,
+    pub(super) fresh_until: Arc<AtomicU64>,
 }
 
 impl Runtime {
@@ -54,7 +60,6 @@
         mut events: mpsc::UnboundedReceiver<Input>,
         mut received: mpsc::Receiver<Envelope>,
     ) {
-        let started = Instant::now();
         let table = TableClient::new(self.platform.table_addr);
         actix_rt::spawn(read_hosts(self.platform.hosts_addr, self.inputs.clone()));
         let mut ticks = interval(Duration::from_millis(TICK.0));
@@ -81,8 +86,8 @@
                 },
                 Some(envelope) = received.recv() => Event::Received(Box::new(envelope)),
             };
-            let now = Millis(started.elapsed().as_millis() as u64);
-            for effect in self.state.apply(event, now) {
+            let now = Millis(self.started.elapsed().as_millis() as u64);
+            for effect in self.state.apply(&event, now) {
                 self.carry_out(effect, &table);
             }
             handled += 1;
@@ -97,6 +102,9 @@
             Effect::Send(addr, envelope) => self.link.send(&addr, &envelope),
             Effect::Store(ticket, call) => self.store(ticket, call, table.clone()),
             Effect::Publish(view) => self.view.store(view),
+            Effect::Fresh(until) => self.fresh_until.store(until.0, Ordering::Relaxed),
+            Effect::ReadSnapshot => self.read_snapshot(),
+            Effect::WriteSnapshot(bytes) => self.write_snapshot(bytes),
         }
     }
 
@@ -114,6 +122,34 @@
         });
     }
 
+    fn read_snapshot(&self) {
+        let Some(addr) = self.platform.objects_addr else {
+            return;
+        };
+        let inputs = self.inputs.clone();
+        actix_rt::spawn(async move {
+            match ObjectClient::new(addr).get(SNAPSHOT_NAME).await {
+                Ok(Some(bytes)) => {
+                    let _ = inputs.send(Input::Event(Event::SnapshotRead(bytes)));
+                }
+                Ok(None) => {}
+                Err(error) => warn!(name: "snapshot.unread", %error),
+            }
+        });
+    }
+
+    fn write_snapshot(&self, bytes: Bytes) {
+        let Some(addr) = self.platform.objects_addr else {
+            return;
+        };
+        actix_rt::spawn(async move {
+            let client = ObjectClient::new(addr);
+            if let Err(error) = client.put(SNAPSHOT_NAME, bytes).await {
+                warn!(name: "snapshot.unwritten", %error);
+            }
+        });
+    }
+
     fn report(&self) {
         let traffic = self.link.traffic();
         let view = self.view.load();
--- a/src/carawayrun/node/spawn.rs
+++ b/src/carawayrun/node/spawn.rs
@@ -3,8 +3,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::thread;
 
+use actix_rt::time::Instant;
 use arc_swap::ArcSwap;
 use compact_str::ToCompactString;
 use jiff::Timestamp;
@@ -61,11 +63,15 @@
     let platform = settings.platform;
     let identity = identity(settings, link.addr());
     let view = Arc::new(ArcSwap::from_pointee(View::empty(identity.node.clone())));
+    let started = Instant::now();
+    let fresh_until = Arc::new(AtomicU64::new(0));
     let handle = Handle {
         view: Arc::clone(&view),
         inputs: inputs.clone(),
         peer_addr: link.addr(),
         counters: counters.clone(),
+        started,
+        fresh_until: Arc::clone(&fresh_until),
     };
     let seed = SmallRng::from_os_rng().next_u64();
     let make = move || Runtime {
@@ -75,6 +81,8 @@
         inputs,
         counters,
         platform,
+        started,
+        fresh_until,
     };
     thread::Builder::new()
         .name("control".into())
--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -33,6 +33,9 @@
     /// Configuration generation the member has in force.
     #[prost(uint64, tag = "9")]
     pub generation: u64,
+    /// What an agent had loaded when it raised `version`; the counts are of then.
+    #[prost(message, optional, tag = "10")]
+    pub load: ::core::option::Option<Load>,
 }
 /// Load of one upstream, as its agent sees it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -63,9 +66,15 @@
     pub generation: u64,
     #[prost(message, repeated, tag = "4")]
     pub members: ::prost::alloc::vec::Vec<Member>,
+    /// True where the sender knows its generation from the table service, or from
+    /// a peer of which this is true; false where it has only a stored snapshot.
+    #[prost(bool, tag = "5")]
+    pub confirmed: bool,
+    #[prost(message, optional, tag = "6")]
+    pub in_force: ::core::option::Option<InForce>,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -97,8 +106,33 @@
         BillsHeld(super::BillsHeld),
         #[prost(message, tag = "21")]
         Cancel(super::Cancel),
+        #[prost(message, tag = "22")]
+        MemberDigest(super::MemberDigest),
     }
 }
+/// Which members have a generation in force.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct InForce {
+    /// Digest of the names and incarnations of the members counted; where the
+    /// receiver's differs, the bits mean nothing to it.
+    #[prost(fixed64, tag = "1")]
+    pub set: u64,
+    #[prost(uint64, tag = "2")]
+    pub generation: u64,
+    /// One bit a member, in the order of the names.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub bits: ::prost::bytes::Bytes,
+}
+/// Digests of what the sender knows of the members, by bucket of their names.
+/// The receiver sends what it knows of those in the buckets that differ.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MemberDigest {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub buckets: ::prost::alloc::vec::Vec<u64>,
+    /// True where it answers a digest, so none is sent back.
+    #[prost(bool, tag = "2")]
+    pub reply: bool,
+}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ping {
     #[prost(uint64, tag = "1")]
