Hold control work by compare-and-set, and test the reducer's concerns

Every write of control work is one transaction with its row, on condition that the row is as the holder last saw it, so a holder that wakes late has no effect and a lost write is settled by the next one.

--- a/src/carawayrun/control/follow/history.rs
+++ b/src/carawayrun/control/follow/history.rs
@@ -25,14 +25,14 @@
 /// The whole configuration at one generation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub(super) struct Snapshot {
-    pub(super) generation: u64,
-    pub(super) resources: Vec<Resource>,
+pub(in crate::control) struct Snapshot {
+    pub(in crate::control) generation: u64,
+    pub(in crate::control) resources: Vec<Resource>,
 }
 
 /// Bytes that are no snapshot.
 #[derive(Debug, Snafu)]
-pub(super) enum SnapshotError {
+pub(in crate::control) enum SnapshotError {
     /// Too short to hold a checksum.
     #[snafu(display("the snapshot has no checksum"))]
     Short,
@@ -111,7 +111,7 @@
 }
 
 /// The checksum, then the JSON text of a snapshot.
-pub(super) fn write_snapshot(snapshot: &Snapshot) -> Bytes {
+pub(in crate::control) fn write_snapshot(snapshot: &Snapshot) -> Bytes {
     let text = serde_json::to_vec(snapshot).expect("a snapshot can be written as JSON");
     let mut bytes = Sha256::digest(&text).to_vec();
     bytes.extend_from_slice(&text);
@@ -123,7 +123,7 @@
 /// # Errors
 ///
 /// [`SnapshotError`] where they are damaged or no snapshot.
-pub(super) fn read_snapshot(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
+pub(in crate::control) fn read_snapshot(bytes: &[u8]) -> Result<Snapshot, SnapshotError> {
     let (digest, text) = bytes.split_at_checked(DIGEST_BYTES).context(ShortSnafu)?;
     ensure!(Sha256::digest(text).as_slice() == digest, DamagedSnafu);
     serde_json::from_slice(text).context(MalformedSnafu)
--- a/src/carawayrun/control/follow/mod.rs
+++ b/src/carawayrun/control/follow/mod.rs
@@ -14,6 +14,9 @@
 mod peers;
 mod store;
 
+#[cfg(test)]
+pub(in crate::control) use self::history::{Snapshot, read_snapshot, write_snapshot};
+
 use std::sync::Arc;
 
 use tracing::{info, warn};
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -12,6 +12,10 @@
 mod state;
 mod time;
 mod view;
+mod work;
+
+#[cfg(test)]
+mod tests;
 
 pub use self::context::{Context, Life};
 pub use self::effect::{Concern, Effect, Effects, Ticket};
@@ -24,5 +28,7 @@
     Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
 };
 
+pub use self::work::{WorkOutcome, WorkResult, Works};
+
 /// Time between two [`Event::Tick`]s, in milliseconds.
 pub const TICK: Millis = Millis(100);
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -12,6 +12,7 @@
 use super::member::{Membership, agent_views, member_views};
 use super::time::Millis;
 use super::view::{Admission, View};
+use super::work::Works;
 use crate::peer::NodeId;
 
 /// What a process does.
@@ -46,6 +47,7 @@
     context: Context,
     membership: Membership,
     follow: Follow,
+    works: Works,
     published: Option<Millis>,
 }
 
@@ -58,6 +60,7 @@
             context: Context::new(identity, seed),
             membership: Membership::default(),
             follow: Follow::default(),
+            works: Works::default(),
             published: None,
         }
     }
@@ -85,6 +88,7 @@
         }
         self.membership.handle(event, &mut self.context);
         self.follow.handle(event, &mut self.context);
+        self.works.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -111,7 +115,7 @@
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
 
-    fn admission(&self) -> Admission {
+    pub(super) fn admission(&self) -> Admission {
         if self.context.life != Life::Running {
             return Admission::Closed {
                 code: "draining",
--- /dev/null
+++ b/src/carawayrun/control/tests/mod.rs
@@ -0,0 +1,6 @@
+//! The reducer, driven event by event.
+
+mod follow;
+mod member;
+mod work;
+mod world;
--- /dev/null
+++ b/src/carawayrun/control/tests/work.rs
@@ -0,0 +1,182 @@
+//! Control work: one holder at a time, and none that woke late has an effect.
+
+use serde_json::value::{RawValue, to_raw_value};
+
+use super::world::{Table, identity};
+use crate::control::context::Context;
+use crate::control::{Effect, Event, Millis, TICK, WorkOutcome, WorkResult, Works};
+use crate::platform::table::{Put, TableError, Transaction};
+
+const WORK: &str = "rollout/scene";
+
+/// One node's part in the work, before a table that all share.
+struct Worker {
+    works: Works,
+    context: Context,
+}
+
+impl Worker {
+    fn new(index: usize) -> Self {
+        let mut works = Works::default();
+        works.want(WORK);
+        Self {
+            works,
+            context: Context::new(identity(index, 1), index as u64),
+        }
+    }
+
+    fn tick(&mut self, table: &mut Table, now: Millis) {
+        self.context.now = now;
+        self.works.handle(&Event::Tick, &mut self.context);
+        self.answer(table);
+    }
+
+    fn answer(&mut self, table: &mut Table) {
+        while let Some(effect) = self.context.out.pop() {
+            if let Effect::Store(ticket, call) = effect {
+                let event = Event::Stored(ticket, table.call(call));
+                self.works.handle(&event, &mut self.context);
+            }
+        }
+    }
+
+    fn holds(&self) -> bool {
+        self.works.held(WORK, self.context.now).is_some()
+    }
+
+    /// Writes a row that stands for an effect of the work.
+    fn act(&mut self, text: &str) -> Option<u64> {
+        let put = Put {
+            key: "effect".into(),
+            value: to_raw_value(text).unwrap(),
+        };
+        let transaction = Transaction {
+            puts: vec![put],
+            ..Transaction::default()
+        };
+        let state = RawValue::NULL.to_owned();
+        self.works
+            .commit(WORK, state, transaction, &mut self.context)
+    }
+
+    fn outcome(&mut self) -> Option<WorkOutcome> {
+        self.works.take_outcome(WORK)
+    }
+}
+
+fn run(workers: &mut [&mut Worker], table: &mut Table, from: Millis, span: Millis) -> Millis {
+    let mut now = from;
+    while now < from + span {
+        now = now + TICK;
+        for worker in workers.iter_mut() {
+            worker.tick(table, now);
+        }
+        let holders = workers.iter().filter(|worker| worker.holds()).count();
+        assert!(holders <= 1, "{holders} holders at {now:?}");
+    }
+    now
+}
+
+fn effect(table: &Table) -> Option<&str> {
+    table.rows.get("effect").map(|row| row.value.get())
+}
+
+#[test]
+fn one_of_several_holds_it_and_another_follows_when_it_is_gone() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (Worker::new(0), Worker::new(1));
+    let now = run(&mut [&mut a, &mut b], &mut table, Millis(0), Millis(60_000));
+    assert!(a.holds());
+    run(&mut [&mut b], &mut table, now, Millis(30_000));
+    assert!(b.holds());
+    assert_eq!(b.works.held(WORK, b.context.now), Some(2));
+}
+
+#[test]
+fn a_holder_that_stops_gives_it_up_at_once() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (Worker::new(0), Worker::new(1));
+    let now = run(&mut [&mut a, &mut b], &mut table, Millis(0), Millis(20_000));
+    a.works.handle(&Event::Stop, &mut a.context);
+    a.answer(&mut table);
+    run(&mut [&mut b], &mut table, now, Millis(5_000));
+    assert!(b.holds());
+}
+
+#[test]
+fn a_holder_that_wakes_after_its_lease_has_no_effect() {
+    let mut table = Table::default();
+    let (mut a, mut b) = (Worker::new(0), Worker::new(1));
+    let now = run(&mut [&mut a, &mut b], &mut table, Millis(0), Millis(20_000));
+    assert!(a.holds());
+    let later = run(&mut [&mut b], &mut table, now, Millis(40_000));
+    assert!(b.holds());
+    // It still believes that it is `now`, as if it paused after its last check.
+    a.act("stale").expect("it believes that it holds the work");
+    a.answer(&mut table);
+    assert_eq!(effect(&table), None);
+    assert_eq!(
+        a.outcome().map(|outcome| outcome.result),
+        Some(WorkResult::Refused)
+    );
+    a.tick(&mut table, later);
+    assert!(!a.holds());
+    assert!(a.act("stale").is_none());
+}
+
+#[test]
+fn a_holder_that_wakes_before_anybody_followed_reads_before_it_acts() {
+    let mut table = Table::default();
+    let mut a = Worker::new(0);
+    let now = run(&mut [&mut a], &mut table, Millis(0), Millis(20_000));
+    let later = now + Millis(30_000);
+    a.context.now = later;
+    assert!(a.act("early").is_none(), "its lease has lapsed");
+    run(&mut [&mut a], &mut table, later, Millis(1_000));
+    assert!(a.holds());
+    assert_eq!(
+        a.works.held(WORK, a.context.now),
+        Some(1),
+        "nobody else had it"
+    );
+}
+
+#[test]
+fn a_write_whose_answer_was_lost_is_found_to_have_taken_effect() {
+    let mut table = Table::default();
+    let mut a = Worker::new(0);
+    let now = run(&mut [&mut a], &mut table, Millis(0), Millis(5_000));
+    table.lose_answers = 1;
+    let write = a.act("once").unwrap();
+    a.answer(&mut table);
+    assert_eq!(a.outcome(), None, "it can't be told yet");
+    assert!(
+        a.act("twice").is_none(),
+        "nothing more before it is settled"
+    );
+    run(&mut [&mut a], &mut table, now, Millis(5_000));
+    let result = WorkResult::Applied;
+    assert_eq!(a.outcome(), Some(WorkOutcome { write, result }));
+    assert_eq!(effect(&table), Some("\"once\""));
+}
+
+#[test]
+fn a_write_that_was_lost_on_its_way_can_take_no_effect_once_settled() {
+    let mut table = Table::default();
+    let mut a = Worker::new(0);
+    let now = run(&mut [&mut a], &mut table, Millis(0), Millis(5_000));
+    let write = a.act("late").unwrap();
+    let Some(Effect::Store(ticket, late)) = a.context.out.pop() else {
+        panic!("no call");
+    };
+    let lost = TableError::Lost {
+        message: "timeout".into(),
+    };
+    a.works
+        .handle(&Event::Stored(ticket, Err(lost)), &mut a.context);
+    run(&mut [&mut a], &mut table, now, Millis(5_000));
+    let result = WorkResult::Refused;
+    assert_eq!(a.outcome(), Some(WorkOutcome { write, result }));
+    assert!(table.call(late).is_err(), "it arrives after all");
+    assert_eq!(effect(&table), None);
+}
--- /dev/null
+++ b/src/carawayrun/control/tests/world.rs
@@ -0,0 +1,370 @@
+//! A handful of reducers in one loop, with a table service of a few lines.
+//!
+//! Messages are delayed, dropped and repeated by a seeded generator, so every
+//! run of a test is the same.
+
+use std::collections::BTreeMap;
+
+use compact_str::{CompactString, format_compact};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::value::to_raw_value;
+
+use crate::control::{
+    Directory, Effect, Event, HostEntry, Identity, Millis, Role, State, TICK, Ticket,
+};
+use crate::peer::NodeId;
+use crate::peer::message::{Envelope, MemberState};
+use crate::platform::table::{Put, Row, TableAnswer, TableCall, TableError, Transaction};
+use crate::resource::{
+    Change, Config, HEAD_KEY, Head, Kind, Resource, WriteId, change_key, parse_manifests,
+    resource_key,
+};
+
+/// Longest delay of a message.
+const MAX_DELAY: Millis = Millis(50);
+
+pub(super) struct World {
+    pub(super) nodes: Vec<Node>,
+    pub(super) now: Millis,
+    pub(super) table: Table,
+    /// Share of messages that are lost.
+    pub(super) loss: f64,
+    /// Share of messages that come twice.
+    pub(super) repeats: f64,
+    rng: SmallRng,
+    mail: Vec<Mail>,
+}
+
+pub(super) struct Node {
+    pub(super) state: State,
+    /// A frozen node handles nothing; its mail waits.
+    pub(super) frozen: bool,
+    /// A cut node's messages and calls are lost.
+    pub(super) cut: bool,
+    /// Highest generation it ever had.
+    pub(super) highest: u64,
+}
+
+#[derive(Default)]
+pub(super) struct Table {
+    pub(super) rows: BTreeMap<CompactString, Row>,
+    pub(super) down: bool,
+    /// Number of coming commits that take effect and whose answers are lost.
+    pub(super) lose_answers: u32,
+}
+
+struct Mail {
+    due: Millis,
+    to: usize,
+    event: Event,
+}
+
+impl World {
+    pub(super) fn new(nodes: usize, seed: u64) -> Self {
+        let mut world = Self {
+            nodes: Vec::new(),
+            now: Millis(0),
+            table: Table::default(),
+            loss: 0.0,
+            repeats: 0.0,
+            rng: SmallRng::seed_from_u64(seed),
+            mail: Vec::new(),
+        };
+        for index in 0..nodes {
+            world.nodes.push(node(index, 1, seed));
+        }
+        let hosts: Vec<HostEntry> = (0..nodes).map(host).collect();
+        for to in 0..nodes {
+            world.deliver(to, Event::HostsListed(hosts.clone()));
+        }
+        world
+    }
+
+    /// Starts a new life of a node.
+    pub(super) fn restart(&mut self, index: usize, incarnation: u64) {
+        self.nodes[index] = node(index, incarnation, incarnation);
+        let hosts = (0..self.nodes.len()).map(host).collect();
+        self.deliver(index, Event::HostsListed(hosts));
+    }
+
+    pub(super) fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.deliver_due();
+            for index in 0..self.nodes.len() {
+                self.post(index, Event::Tick);
+            }
+        }
+    }
+
+    /// Runs until `holds`, or panics after a minute of the reducer's time.
+    pub(super) fn run_until(&mut self, what: &str, holds: impl Fn(&Self) -> bool) -> Millis {
+        let start = self.now;
+        while !holds(self) {
+            assert!(
+                self.now.since(start) < Millis(60_000),
+                "not within a minute: {what}"
+            );
+            self.run(TICK);
+        }
+        self.now.since(start)
+    }
+
+    /// Writes a change to the table and tells `index` that it was accepted.
+    pub(super) fn accept(&mut self, index: usize) {
+        let change = self.table.write_change();
+        self.post(index, Event::Accepted(Box::new(change)));
+    }
+
+    pub(super) fn post(&mut self, index: usize, event: Event) {
+        if self.nodes[index].frozen {
+            if !matches!(event, Event::Tick) {
+                self.deliver(index, event);
+            }
+            return;
+        }
+        let effects = self.nodes[index].state.apply(&event, self.now);
+        for effect in effects {
+            self.carry_out(index, effect);
+        }
+        let generation = self.generation(index);
+        let node = &mut self.nodes[index];
+        assert!(
+            generation >= node.highest,
+            "the configuration of n{index} went back"
+        );
+        node.highest = generation;
+    }
+
+    pub(super) fn generation(&self, index: usize) -> u64 {
+        self.nodes[index].state.context().config.generation
+    }
+
+    pub(super) fn members(&self, index: usize) -> &Directory {
+        &self.nodes[index].state.context().members
+    }
+
+    /// What `of` knows of `about`; dead where it knows nothing.
+    pub(super) fn knows(&self, of: usize, about: usize) -> MemberState {
+        let members = self.members(of);
+        let key = members.key(&name(about));
+        let member = key.and_then(|key| members.get(key));
+        member.map_or(MemberState::Dead, |member| member.state)
+    }
+
+    /// True where all running nodes see all running nodes in `state`.
+    pub(super) fn all_see(&self, about: usize, state: MemberState) -> bool {
+        let mut others = (0..self.nodes.len()).filter(|of| *of != about && !self.nodes[*of].frozen);
+        others.all(|of| self.knows(of, about) == state)
+    }
+
+    fn carry_out(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Send(addr, envelope) => self.send(index, &addr, &envelope),
+            Effect::Store(ticket, call) => self.store(index, ticket, call),
+            Effect::Publish(_) | Effect::Fresh(_) => {}
+            Effect::ReadSnapshot | Effect::WriteSnapshot(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to_addr: &str, envelope: &Envelope) {
+        let to = (0..self.nodes.len()).find(|to| addr(*to) == to_addr);
+        let Some(to) = to.filter(|to| !self.nodes[from].cut && !self.nodes[*to].cut) else {
+            return;
+        };
+        let copies = if self.rng.random_bool(self.repeats) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if !self.rng.random_bool(self.loss) {
+                self.deliver(to, Event::Received(Box::new(envelope.clone())));
+            }
+        }
+    }
+
+    fn store(&mut self, index: usize, ticket: Ticket, call: TableCall) {
+        let result = if self.nodes[index].cut {
+            Err(TableError::Lost {
+                message: "cut".into(),
+            })
+        } else {
+            self.table.call(call)
+        };
+        self.deliver(index, Event::Stored(ticket, result));
+    }
+
+    fn deliver(&mut self, to: usize, event: Event) {
+        let delay = self.rng.random_range(0..=MAX_DELAY.0);
+        let due = self.now + Millis(delay);
+        self.mail.push(Mail { due, to, event });
+    }
+
+    fn deliver_due(&mut self) {
+        let now = self.now;
+        let mut due: Vec<Mail> = self.mail.extract_if(.., |mail| mail.due <= now).collect();
+        due.sort_by_key(|mail| mail.due);
+        for mail in due {
+            self.post(mail.to, mail.event);
+        }
+    }
+}
+
+impl Table {
+    pub(super) fn call(&mut self, call: TableCall) -> Result<TableAnswer, TableError> {
+        if self.down {
+            return Err(TableError::Unavailable {
+                message: "down".into(),
+            });
+        }
+        match call {
+            TableCall::Read(keys) => {
+                let rows = keys.iter().filter_map(|key| self.rows.get(key)).cloned();
+                Ok(TableAnswer::Rows(rows.collect()))
+            }
+            TableCall::List(list) => {
+                let fits =
+                    |key: &CompactString| key.starts_with(&*list.prefix) && *key > list.after;
+                let rows = self.rows.iter().filter(|(key, _)| fits(key));
+                let page = rows.take(list.limit as usize).map(|(_, row)| row.clone());
+                Ok(TableAnswer::Rows(page.collect()))
+            }
+            TableCall::Commit(transaction) => self.commit(transaction),
+        }
+    }
+
+    fn commit(&mut self, transaction: Transaction) -> Result<TableAnswer, TableError> {
+        let version = |key: &CompactString| self.rows.get(key).map_or(0, |row| row.version);
+        let failed = transaction
+            .conditions
+            .iter()
+            .filter(|condition| version(&condition.key) != condition.version)
+            .filter_map(|condition| self.rows.get(&condition.key).cloned());
+        let rows: Vec<Row> = failed.collect();
+        if !rows.is_empty() {
+            return Err(TableError::Conflict { rows });
+        }
+        transaction.puts.into_iter().for_each(|put| self.put(put));
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            return Err(TableError::Lost {
+                message: "lost".into(),
+            });
+        }
+        Ok(TableAnswer::Committed)
+    }
+
+    fn put(&mut self, put: Put) {
+        let version = self.rows.get(&put.key).map_or(0, |row| row.version) + 1;
+        let row = Row {
+            key: put.key.clone(),
+            version,
+            value: put.value,
+        };
+        self.rows.insert(put.key, row);
+    }
+
+    pub(super) fn generation(&self) -> u64 {
+        let head = self.rows.get(HEAD_KEY);
+        head.map_or(0, |row| {
+            let head: Head = serde_json::from_str(row.value.get()).unwrap();
+            head.generation
+        })
+    }
+
+    /// Accepts a change that puts one service, with the rows it writes.
+    pub(super) fn write_change(&mut self) -> Change {
+        let generation = self.generation() + 1;
+        let resource = service(generation);
+        let change = change(generation, resource.clone());
+        let rows = [
+            put(HEAD_KEY.into(), &Head { generation }),
+            put(change_key(generation), &change),
+            put(
+                resource_key(Kind::Service, &resource.metadata.name),
+                &resource,
+            ),
+        ];
+        rows.into_iter().for_each(|row| self.put(row));
+        change
+    }
+}
+
+pub(super) fn name(index: usize) -> CompactString {
+    format_compact!("n{index}")
+}
+
+pub(super) fn identity(index: usize, incarnation: u64) -> Identity {
+    Identity {
+        node: NodeId {
+            name: name(index),
+            incarnation,
+        },
+        role: Role::Gateway,
+        data_centre: format_compact!("dc{}", index % 3),
+        peer_addr: addr(index),
+        http_addr: CompactString::default(),
+        upstream: CompactString::default(),
+    }
+}
+
+pub(super) fn change(generation: u64, resource: Resource) -> Change {
+    Change {
+        generation,
+        write_id: WriteId(format_compact!("write-{generation}")),
+        author: "test".into(),
+        reason: "test".into(),
+        time: "2026-01-01T00:00:00Z".into(),
+        items: vec![crate::resource::ChangeItem {
+            action: crate::resource::ChangeAction::Put,
+            kind: Kind::Service,
+            name: resource.metadata.name.clone(),
+            before: None,
+            after: Some(resource),
+        }],
+    }
+}
+
+pub(super) fn service(generation: u64) -> Resource {
+    let text = format!(
+        "apiVersion: carawayrun/v1\nkind: Service\nmetadata: {{name: s{}, resourceVersion: {generation}}}\n\
+         spec: {{backend: plain}}\n",
+        generation % 8
+    );
+    parse_manifests(&text).unwrap().remove(0)
+}
+
+pub(super) fn resources(config: &Config) -> Vec<Resource> {
+    config.resources().cloned().collect()
+}
+
+fn node(index: usize, incarnation: u64, seed: u64) -> Node {
+    let seed = seed * 1_000 + index as u64;
+    Node {
+        state: State::new(identity(index, incarnation), seed),
+        frozen: false,
+        cut: false,
+        highest: 0,
+    }
+}
+
+fn host(index: usize) -> HostEntry {
+    HostEntry {
+        name: name(index),
+        data_centre: format_compact!("dc{}", index % 3),
+        peer_addr: addr(index),
+        leaving: false,
+    }
+}
+
+fn addr(index: usize) -> CompactString {
+    format_compact!("10.0.0.{index}:1")
+}
+
+fn put(key: CompactString, value: &impl serde::Serialize) -> Put {
+    let value = to_raw_value(value).unwrap();
+    Put { key, value }
+}
--- /dev/null
+++ b/src/carawayrun/control/work/mod.rs
@@ -0,0 +1,286 @@
+//! Control work that one node at a time holds, by a row of the table service.
+//!
+//! A row `work/<name>` names the holder and a fencing number. It is taken,
+//! renewed and given up by compare-and-set. No clocks are compared: a node
+//! takes the work over only after it has itself seen the row's version
+//! unchanged for [`LEASE`], and a holder gives up by itself [`HOLD`] after it
+//! *sent* its last renewal, which is sooner.
+//!
+//! That alone would not stop a holder that pauses between the check and the
+//! write. So every write that the work causes is committed in one transaction
+//! with the row, on condition that the row is as the holder last saw it: a
+//! holder that was taken over from has no effect, however late it wakes. It
+//! finds out by reading the row before anything else.
+//!
+//! A write whose answer was lost may still take effect later, as long as the
+//! row is unchanged. It is settled by the next write to the row, which makes
+//! the late one fail.
+
+mod item;
+mod row;
+
+use std::collections::BTreeMap;
+
+use compact_str::{CompactString, ToCompactString};
+use rand::RngCore;
+use serde_json::value::RawValue;
+
+use self::item::{Call, Item, Step, Write};
+use self::row::WorkRow;
+use super::context::{Context, Life};
+use super::effect::{Concern, Effect, Ticket};
+use super::event::Event;
+use super::time::Millis;
+use crate::platform::table::{TableAnswer, TableCall, TableError, Transaction};
+
+/// Time that others must have seen a row unchanged before they take it over.
+const LEASE: Millis = Millis(10_000);
+
+/// Time after sending its last renewal that a holder still acts.
+const HOLD: Millis = Millis(8_000);
+
+/// Time between two renewals.
+const RENEW_PERIOD: Millis = Millis(2_500);
+
+/// Shortest time between two reads of a row that another node holds.
+const READ_PERIOD: Millis = Millis(2_000);
+
+/// Time between two reads is so long that all nodes together make this many a
+/// second for each row.
+const READS_PER_SECOND: u64 = 50;
+
+/// What became of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkResult {
+    /// It took effect.
+    Applied,
+    /// It did not, and never will.
+    Refused,
+    /// It can't be told any more, as others have written since; look for its
+    /// traces elsewhere.
+    Unknown,
+}
+
+/// What became of which write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkOutcome {
+    /// The number that [`Works::commit`] returned.
+    pub write: u64,
+    /// What became of it.
+    pub result: WorkResult,
+}
+
+/// All control work that this node takes part in.
+#[derive(Debug, Default)]
+pub struct Works {
+    items: BTreeMap<CompactString, Item>,
+    number: u64,
+}
+
+impl Works {
+    /// Has this node take part in `name`: hold it, or watch its holder.
+    pub fn want(&mut self, name: &str) {
+        self.items.entry(name.into()).or_default();
+    }
+
+    /// Ends its part in `name`.
+    pub fn forget(&mut self, name: &str) {
+        self.items.remove(name);
+    }
+
+    /// The fencing number, where this node holds `name` at `now` and no write
+    /// is under way or unsettled.
+    pub fn held(&self, name: &str, now: Millis) -> Option<u64> {
+        let item = self.items.get(name)?;
+        let lease = item.lease.filter(|lease| now < lease.until)?;
+        (item.call.is_none() && item.unsettled.is_none()).then_some(lease.fence)
+    }
+
+    /// What the holder of `name` keeps, as last seen.
+    pub fn state(&self, name: &str) -> Option<&RawValue> {
+        let seen = self.items.get(name)?.seen.as_ref()?;
+        seen.row.as_ref().map(|row| &*row.state)
+    }
+
+    /// Writes `state` together with `transaction`, where this node holds
+    /// `name`; both take effect or neither.
+    ///
+    /// Returns the number of the write, whose outcome comes by
+    /// [`Self::take_outcome`], or none where the work is not held.
+    pub fn commit(
+        &mut self,
+        name: &str,
+        state: Box<RawValue>,
+        transaction: Transaction,
+        context: &mut Context,
+    ) -> Option<u64> {
+        let fence = self.held(name, context.now)?;
+        let row = WorkRow {
+            holder: context.identity.node.to_compact_string(),
+            fence,
+            write: context.rng.next_u64(),
+            state,
+        };
+        let write = row.write;
+        self.write(name, row, transaction, true, context);
+        Some(write)
+    }
+
+    /// The outcome of the last write of `name`, once.
+    pub fn take_outcome(&mut self, name: &str) -> Option<WorkOutcome> {
+        self.items.get_mut(name)?.outcome.take()
+    }
+
+    pub(super) fn handle(&mut self, event: &Event, context: &mut Context) {
+        match event {
+            Event::Tick => self.tick(context),
+            Event::Stop => self.give_up(context),
+            Event::Stored(ticket, result) if ticket.concern == Concern::Work => {
+                self.take_answer(ticket.number, result, context);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context) {
+        if context.life != Life::Running {
+            return;
+        }
+        let due: Vec<CompactString> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.call.is_none() && context.now >= item.next)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            if self.held(&name, context.now).is_some() {
+                self.renew(&name, context);
+            } else {
+                self.read(&name, context);
+            }
+        }
+    }
+
+    fn read(&mut self, name: &str, context: &mut Context) {
+        let call = TableCall::Read(vec![row::key(name)]);
+        self.call(name, None, call, context);
+    }
+
+    // Also takes the work over, where `lease` is new.
+    fn renew(&mut self, name: &str, context: &mut Context) {
+        let seen = self.items.get(name).and_then(|item| item.seen.as_ref());
+        let Some(old) = seen.and_then(|seen| seen.row.clone()) else {
+            return;
+        };
+        let row = WorkRow {
+            write: context.rng.next_u64(),
+            ..old
+        };
+        self.write(name, row, Transaction::default(), false, context);
+    }
+
+    fn claim(&mut self, name: &str, context: &mut Context) {
+        let seen = self.items.get(name).and_then(|item| item.seen.as_ref());
+        let old = seen.and_then(|seen| seen.row.clone());
+        let row = WorkRow {
+            holder: context.identity.node.to_compact_string(),
+            fence: old.as_ref().map_or(1, |row| row.fence + 1),
+            write: context.rng.next_u64(),
+            state: old.map_or_else(|| RawValue::NULL.to_owned(), |row| row.state),
+        };
+        self.write(name, row, Transaction::default(), false, context);
+    }
+
+    // A row without a holder is taken over at once.
+    fn give_up(&mut self, context: &mut Context) {
+        let names: Vec<CompactString> = self.items.keys().cloned().collect();
+        for name in names {
+            if self.held(&name, context.now).is_none() {
+                continue;
+            }
+            let seen = self.items.get(&name).and_then(|item| item.seen.as_ref());
+            if let Some(old) = seen.and_then(|seen| seen.row.clone()) {
+                let row = WorkRow {
+                    holder: CompactString::default(),
+                    write: context.rng.next_u64(),
+                    ..old
+                };
+                self.write(&name, row, Transaction::default(), false, context);
+            }
+        }
+    }
+
+    fn write(
+        &mut self,
+        name: &str,
+        row: WorkRow,
+        transaction: Transaction,
+        asked: bool,
+        context: &mut Context,
+    ) {
+        let seen = self.items.get(name).and_then(|item| item.seen.as_ref());
+        let version = seen.map_or(0, |seen| seen.version);
+        let transaction = row.write(name, version, transaction);
+        let write = Write {
+            version,
+            row,
+            asked,
+        };
+        self.call(name, Some(write), TableCall::Commit(transaction), context);
+    }
+
+    fn call(&mut self, name: &str, write: Option<Write>, call: TableCall, context: &mut Context) {
+        self.number += 1;
+        let number = self.number;
+        if let Some(item) = self.items.get_mut(name) {
+            item.call = Some(Call {
+                number,
+                sent: context.now,
+                write,
+            });
+            let ticket = Ticket {
+                concern: Concern::Work,
+                number,
+            };
+            context.out.push(Effect::Store(ticket, call));
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        number: u64,
+        result: &Result<TableAnswer, TableError>,
+        context: &mut Context,
+    ) {
+        let is_its = |item: &Item| item.call.as_ref().is_some_and(|call| call.number == number);
+        let found = self.items.iter_mut().find(|(_, item)| is_its(item));
+        let Some((name, item)) = found else {
+            return;
+        };
+        let name = name.clone();
+        let Some(call) = item.call.take() else {
+            return;
+        };
+        match (call.write, result) {
+            (Some(write), result) => {
+                item.take_written(&name, write, call.sent, result, context);
+            }
+            (None, Ok(TableAnswer::Rows(rows))) => {
+                let step = item.take_read(rows.first(), call.sent, context);
+                self.follow_up(&name, step, context);
+            }
+            (None, _) => item.rest(READ_PERIOD, context),
+        }
+    }
+
+    fn follow_up(&mut self, name: &str, step: Step, context: &mut Context) {
+        if context.life != Life::Running {
+            return;
+        }
+        match step {
+            Step::Watch => {}
+            Step::Renew => self.renew(name, context),
+            Step::Claim => self.claim(name, context),
+        }
+    }
+}
