--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,6 +4,8 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod candidates;
+mod claims;
 mod context;
 mod effect;
 mod event;
@@ -17,9 +19,14 @@
 #[cfg(test)]
 mod tests;
 
+pub use self::claims::{
+    ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
+};
 pub use self::context::{Context, Life};
-pub use self::effect::{Concern, Effect, Effects, Ticket};
-pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
+pub use self::effect::{
+    Concern, Effect, Effects, EngineOrder, OrderAction, Ticket, UpstreamAction,
+};
+pub use self::event::{Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating};
 pub use self::follow::STALE_AFTER;
 pub use self::member::{Directory, Member, MemberKey};
 pub use self::state::{Identity, Role, State};
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use super::TICK;
+use super::claims::Claims;
 use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
 use super::event::Event;
@@ -14,6 +15,7 @@
 use super::view::{Admission, View};
 use super::work::Works;
 use crate::peer::NodeId;
+use crate::policy::Estimates;
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +51,7 @@
     follow: Follow,
     works: Works,
     published: Option<Millis>,
+    claims: Claims,
 }
 
 impl State {
@@ -62,6 +65,7 @@
             follow: Follow::default(),
             works: Works::default(),
             published: None,
+            claims: Claims::default(),
         }
     }
 
@@ -89,6 +93,7 @@
         self.membership.handle(event, &mut self.context);
         self.follow.handle(event, &mut self.context);
         self.works.handle(event, &mut self.context);
+        self.claims.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -111,6 +116,7 @@
             suspended: Vec::new(),
             admission: self.admission(),
             members: member_views(&self.context),
+            estimates: Arc::new(Estimates::default()),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
--- a/src/carawayrun/control/tests/follow.rs
+++ b/src/carawayrun/control/tests/follow.rs
@@ -147,10 +147,10 @@
         generation: 5,
         resources: vec![service(5)],
     });
-    assert!(read_snapshot(&whole).is_ok());
+    read_snapshot(&whole).unwrap();
     let mut damaged = whole.to_vec();
     damaged[position] ^= 1;
-    assert!(read_snapshot(&damaged).is_err());
+    read_snapshot(&damaged).unwrap_err();
 }
 
 #[test]
--- a/src/carawayrun/control/tests/world.rs
+++ b/src/carawayrun/control/tests/world.rs
@@ -164,8 +164,7 @@
         match effect {
             Effect::Send(addr, envelope) => self.send(index, &addr, &envelope),
             Effect::Store(ticket, call) => self.store(index, ticket, call),
-            Effect::Publish(_) | Effect::Fresh(_) => {}
-            Effect::ReadSnapshot | Effect::WriteSnapshot(_) => {}
+            _ => {}
         }
     }
 
@@ -247,7 +246,9 @@
         if !rows.is_empty() {
             return Err(TableError::Conflict { rows });
         }
-        transaction.puts.into_iter().for_each(|put| self.put(put));
+        for put in transaction.puts {
+            self.put(put);
+        }
         if self.lose_answers > 0 {
             self.lose_answers -= 1;
             return Err(TableError::Lost {
@@ -288,7 +289,9 @@
                 &resource,
             ),
         ];
-        rows.into_iter().for_each(|row| self.put(row));
+        for row in rows {
+            self.put(row);
+        }
         change
     }
 }
--- a/src/carawayrun/node/run.rs
+++ b/src/carawayrun/node/run.rs
@@ -14,10 +14,11 @@
 use tokio::time::MissedTickBehavior;
 use tracing::warn;
 
+use super::claim_tickets::ClaimTickets;
 use super::counters::Counters;
 use super::handle::Input;
 use super::settings::PlatformSettings;
-use crate::control::{Effect, Event, Millis, State, TICK, Ticket, View};
+use crate::control::{Effect, Event, Millis, State, TICK, Ticket, UpstreamAction, View};
 use crate::peer::{Link, message::Envelope};
 use crate::platform::table::TableCall;
 use crate::platform::{HostsClient, ObjectClient, TableClient};
@@ -51,6 +52,8 @@
     pub(super) platform: PlatformSettings,
     pub(super) started: Instant,
     pub(super) fresh_until: Arc<AtomicU64>,
+    pub(super) tickets: ClaimTickets,
+    pub(super) upstream: Option<mpsc::UnboundedSender<UpstreamAction>>,
 }
 
 impl Runtime {
@@ -76,6 +79,11 @@
                 }
                 input = events.recv() => match input {
                     Some(Input::Event(event)) => event,
+                    Some(Input::Claim(call, answer)) => self.tickets.issue(call, answer),
+                    Some(Input::Attend(actions)) => {
+                        self.upstream = Some(actions);
+                        continue;
+                    }
                     Some(Input::Close(done)) => {
                         sleep(LAST_SENDS).await;
                         drop(self);
@@ -105,6 +113,16 @@
             Effect::Fresh(until) => self.fresh_until.store(until.0, Ordering::Relaxed),
             Effect::ReadSnapshot => self.read_snapshot(),
             Effect::WriteSnapshot(bytes) => self.write_snapshot(bytes),
+            Effect::Claimed(ticket, answer) => {
+                if let Some(event) = self.tickets.answer(ticket, answer) {
+                    let _ = self.inputs.send(Input::Event(event));
+                }
+            }
+            Effect::Upstream(action) => {
+                if let Some(upstream) = &self.upstream {
+                    let _ = upstream.send(action);
+                }
+            }
         }
     }
 
--- a/src/carawayrun/node/spawn.rs
+++ b/src/carawayrun/node/spawn.rs
@@ -15,6 +15,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc;
 
+use super::claim_tickets::ClaimTickets;
 use super::counters::Counters;
 use super::handle::{Handle, Input};
 use super::run::Runtime;
@@ -83,6 +84,8 @@
         platform,
         started,
         fresh_until,
+        tickets: ClaimTickets::default(),
+        upstream: None,
     };
     thread::Builder::new()
         .name("control".into())
