--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -6,24 +6,36 @@
 
 mod candidates;
 mod claims;
+mod context;
 mod effect;
 mod event;
+mod follow;
+mod member;
 mod state;
 mod time;
 mod view;
+mod work;
+
+#[cfg(test)]
+mod tests;
 
 pub use self::claims::{
     ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
 };
+pub use self::context::{Context, Life};
 pub use self::effect::{
     Concern, Effect, Effects, EngineOrder, OrderAction, Ticket, UpstreamAction,
 };
 pub use self::event::{Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating};
-pub use self::state::{Context, Identity, Role, State};
+pub use self::follow::STALE_AFTER;
+pub use self::member::{Directory, Member, MemberKey};
+pub use self::state::{Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
     Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
 };
 
+pub use self::work::{WorkOutcome, WorkResult, Works};
+
 /// Time between two [`Event::Tick`]s, in milliseconds.
 pub const TICK: Millis = Millis(100);
