--- a/src/bin/carawayrun/commands/agent.rs
+++ b/src/bin/carawayrun/commands/agent.rs
@@ -1,15 +1,125 @@
 //! `carawayrun agent`.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use bpaf::Bpaf;
+use carawayrun::traffic::agent::{Agent, AgentSettings, spawn};
+use compact_str::CompactString;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::failure::Failure;
+use crate::settings::{NodeFlags, node_flags};
 
 /// Runs the process beside one upstream
+///
+/// SIGTERM or SIGINT drains it: it takes nothing new and ends when the runs in
+/// flight have ended, or after --drain-s. A second signal ends it at once.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("agent"), generate(cli))]
-pub(crate) struct Options {}
+pub(crate) struct Options {
+    #[bpaf(external(node_flags))]
+    node: NodeFlags,
+    /// Address to listen on for runs
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_LISTEN"),
+        argument("IP:PORT"),
+        fallback(SocketAddr::from(([127, 0, 0, 1], 0))),
+        display_fallback
+    )]
+    listen: SocketAddr,
+    /// Address under which gateways reach it; as bound where absent
+    #[bpaf(long, env("CARAWAYRUN_HTTP_ADDR"), argument("IP:PORT"), optional)]
+    http_addr: Option<SocketAddr>,
+    /// Name of the Upstream resource it stands before
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_UPSTREAM"),
+        argument::<String>("NAME"),
+        guard(|name| !name.is_empty(), "give the name of an Upstream resource"),
+        map(CompactString::from)
+    )]
+    upstream: CompactString,
+    /// Where the upstream listens, such as http://127.0.0.1:8000
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_UPSTREAM_URL"),
+        argument::<String>("URL"),
+        parse(upstream_addr)
+    )]
+    upstream_url: SocketAddr,
+    /// Runs that may wait for a slot
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_QUEUE"),
+        argument("N"),
+        guard(|queue| (1..=100_000).contains(queue), "accepted are 1 to 100000"),
+        fallback(256),
+        display_fallback
+    )]
+    queue: usize,
+    /// Longest time that a stop waits for runs in flight, in seconds
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_DRAIN_S"),
+        argument("SECONDS"),
+        guard(|seconds| (1..=3600).contains(seconds), "accepted are 1 to 3600"),
+        fallback(120),
+        display_fallback
+    )]
+    drain_s: u64,
+}
+
+pub(crate) fn exec(options: &Options) -> Result<(), Failure> {
+    let node = options
+        .node
+        .agent(&options.upstream, options.listen)
+        .map_err(Failure::usage)?;
+    let settings = AgentSettings {
+        node,
+        listen: options.listen,
+        http_addr: options.http_addr,
+        upstream_addr: options.upstream_url,
+        queue_limit: options.queue,
+    };
+    let limit = Duration::from_secs(options.drain_s);
+    actix_rt::System::new().block_on(serve(settings, limit))
+}
+
+async fn serve(settings: AgentSettings, limit: Duration) -> Result<(), Failure> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Failure::failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(Failure::failed)?;
+    let agent = spawn(settings).map_err(Failure::failed)?;
+    println!("listening on {}", agent.addr());
+    told(&mut terminate, &mut interrupt).await;
+    let cut = tokio::select! {
+        cut = agent.drain(limit) => cut,
+        () = told(&mut terminate, &mut interrupt) => agent.stop().await,
+    };
+    ended(&agent, cut)
+}
+
+fn ended(agent: &Agent, cut: usize) -> Result<(), Failure> {
+    if cut == 0 {
+        return Ok(());
+    }
+    let addr = agent.addr();
+    Err(Failure::failed(format!(
+        "{cut} runs in flight on {addr} were cut; give --drain-s more time"
+    )))
+}
+
+async fn told(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
 
-/// Not built yet: the agent helper replaces this file.
-pub(crate) fn exec(_options: &Options) -> Result<(), Failure> {
-    Err(Failure::failed("agent: not built yet"))
+fn upstream_addr(text: String) -> Result<SocketAddr, String> {
+    let addr = text.strip_prefix("http://").unwrap_or(&text);
+    addr.trim_end_matches('/')
+        .parse()
+        .map_err(|_| format!("`{text}` is not http://IP:PORT"))
 }
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -7,6 +7,7 @@
 mod failure;
 mod logging;
 mod output;
+mod settings;
 
 use std::process::ExitCode;
 
--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -50,7 +50,8 @@
 /// The concern.
 #[derive(Debug, Default)]
 pub(crate) struct Claims {
-    claims: FxHashMap<CompactString, Claim>,
+    // By the key of the row.
+    rows: FxHashMap<CompactString, Claim>,
     keys: FxHashMap<ClaimTicket, CompactString>,
     in_flight: Option<Batch>,
     next_number: u64,
@@ -108,11 +109,11 @@
 
     fn claim(&mut self, ticket: ClaimTicket, call: &ClaimCall, context: &mut Context) {
         let key = row_key(call);
-        if let Some(claim) = self.claims.get(&key) {
+        if let Some(claim) = self.rows.get(&key) {
             let answer = claim.answer_again(&fingerprint_text(call));
             return context.out.push(Effect::Claimed(ticket, answer));
         }
-        if self.claims.len() >= MAX_CLAIMS || self.failures >= OUTAGE_FAILURES {
+        if self.rows.len() >= MAX_CLAIMS || self.failures >= OUTAGE_FAILURES {
             return context
                 .out
                 .push(Effect::Claimed(ticket, ClaimAnswer::Unavailable));
@@ -127,14 +128,14 @@
             doubtful: false,
             step: Step::Wanted,
         };
-        self.claims.insert(key, claim);
+        self.rows.insert(key, claim);
     }
 
     fn ended(&mut self, ticket: ClaimTicket, end: &ClaimEnd) {
         let Some(key) = self.keys.remove(&ticket) else {
             return;
         };
-        let Some(claim) = self.claims.get_mut(&key) else {
+        let Some(claim) = self.rows.get_mut(&key) else {
             return;
         };
         claim.step = Step::Ended(match end {
@@ -150,7 +151,7 @@
 
     // Gives up claims that can't be settled in time; they are released later.
     fn expire(&mut self, context: &mut Context) {
-        for claim in self.claims.values_mut() {
+        for claim in self.rows.values_mut() {
             if matches!(claim.step, Step::Wanted) && claim.deadline <= context.now {
                 self.keys.remove(&claim.ticket);
                 claim.give_up(context);
@@ -164,7 +165,7 @@
         }
         let owner = context.identity.node.to_compact_string();
         let mut due: Vec<_> = self
-            .claims
+            .rows
             .iter()
             .filter(|(_, claim)| claim.is_due())
             .collect();
@@ -216,7 +217,7 @@
 
     // The row has the version `version` and holds what was written.
     fn written(&mut self, write: &Write, version: u64, context: &mut Context) {
-        let Some(claim) = self.claims.get_mut(&write.key) else {
+        let Some(claim) = self.rows.get_mut(&write.key) else {
             return;
         };
         claim.version = version;
@@ -227,7 +228,7 @@
                 context.out.push(Effect::Claimed(ticket, ClaimAnswer::Run));
             }
             (Step::Ended(state), written) if state == written => {
-                self.claims.remove(&write.key);
+                self.rows.remove(&write.key);
             }
             _ => {}
         }
@@ -257,7 +258,7 @@
             && held.state == ClaimState::Running;
         if ours || held.state == ClaimState::Released {
             // Our own claim before its end, or a free key: write over it.
-            if let Some(claim) = self.claims.get_mut(&write.key) {
+            if let Some(claim) = self.rows.get_mut(&write.key) {
                 claim.version = row.version;
             }
             return;
@@ -284,7 +285,7 @@
 
     // Another's row decides the claim; nothing of ours is to be written.
     fn settle(&mut self, key: &CompactString, answer: ClaimAnswer, context: &mut Context) {
-        let Some(claim) = self.claims.remove(key) else {
+        let Some(claim) = self.rows.remove(key) else {
             return;
         };
         self.keys.remove(&claim.ticket);
@@ -297,7 +298,7 @@
     // at once; what may have taken effect earlier is released later.
     fn refuse(&mut self, batch: &Batch, context: &mut Context) {
         for write in &batch.writes {
-            let Some(claim) = self.claims.get_mut(&write.key) else {
+            let Some(claim) = self.rows.get_mut(&write.key) else {
                 continue;
             };
             if !matches!(claim.step, Step::Wanted) {
@@ -306,7 +307,7 @@
             self.keys.remove(&claim.ticket);
             claim.give_up(context);
             if !claim.doubtful {
-                self.claims.remove(&write.key);
+                self.rows.remove(&write.key);
             }
         }
     }
@@ -314,7 +315,7 @@
     // The writes may have taken effect.
     fn doubt(&mut self, batch: &Batch) {
         for write in &batch.writes {
-            if let Some(claim) = self.claims.get_mut(&write.key) {
+            if let Some(claim) = self.rows.get_mut(&write.key) {
                 claim.doubtful = true;
             }
         }
--- a/src/carawayrun/http/mod.rs
+++ b/src/carawayrun/http/mod.rs
@@ -8,4 +8,4 @@
 mod server;
 
 pub use self::body::{ReadBodyError, json, read_body, stream, text};
-pub use self::server::{Listener, ServerOptions, bind};
+pub use self::server::{Listener, ServerOptions, bind, serve};
--- a/src/carawayrun/http/server.rs
+++ b/src/carawayrun/http/server.rs
@@ -64,7 +64,20 @@
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
-    let socket = TcpListener::bind(options.addr)?;
+    serve(TcpListener::bind(options.addr)?, options, make)
+}
+
+/// Starts serving on a socket that listens already; see [`bind`].
+///
+/// # Errors
+///
+/// An [`io::Error`] where the socket can't be used.
+pub fn serve<M, H, F>(socket: TcpListener, options: &ServerOptions, make: M) -> io::Result<Listener>
+where
+    M: Fn() -> H + Send + Clone + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
     let addr = socket.local_addr()?;
     let server = Server::build()
         .workers(options.workers)
@@ -75,6 +88,8 @@
             HttpService::build()
                 .client_request_timeout(HEAD_TIMEOUT)
                 .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+                // A client that closes its side wants no answer any more.
+                .h1_allow_half_closed(false)
                 .h1(fn_service(move |request| {
                     let answer = handler(request);
                     async move { Ok::<_, Infallible>(answer.await) }
--- a/src/carawayrun/node/handle.rs
+++ b/src/carawayrun/node/handle.rs
@@ -73,7 +73,7 @@
     /// Actions for this process's upstream, from now on.
     pub fn attend(&self) -> mpsc::UnboundedReceiver<UpstreamAction> {
         let (actions, received) = mpsc::unbounded_channel();
-        self.inputs.send(Input::Attend(actions)).ok();
+        drop(self.inputs.send(Input::Attend(actions)));
         received
     }
 
--- a/src/carawayrun/node/run.rs
+++ b/src/carawayrun/node/run.rs
@@ -107,12 +107,12 @@
             Effect::Publish(view) => self.view.store(view),
             Effect::Claimed(ticket, answer) => {
                 if let Some(event) = self.tickets.answer(ticket, answer) {
-                    self.inputs.send(Input::Event(event)).ok();
+                    drop(self.inputs.send(Input::Event(event)));
                 }
             }
             Effect::Upstream(action) => {
                 if let Some(upstream) = &self.upstream {
-                    upstream.send(action).ok();
+                    drop(upstream.send(action));
                 }
             }
         }
--- /dev/null
+++ b/src/carawayrun/traffic/agent/admission.rs
@@ -0,0 +1,226 @@
+//! Admission to the upstream: slots, a bounded queue and refusal early.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use super::queue::{Queue, Rank};
+use super::refusal::Refusal;
+use crate::control::Millis;
+use crate::peer::message::Priority;
+use crate::traffic::Code;
+
+/// Weight of the newest service time in the mean.
+const MEAN_WEIGHT: f64 = 0.1;
+
+/// Shortest advice to come back, in milliseconds.
+const MIN_RETRY_MS: u32 = 50;
+
+/// Slots and the queue before them.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    started: Instant,
+    queue_limit: usize,
+    inner: RefCell<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    slots: u32,
+    running: u32,
+    queue: Queue<oneshot::Sender<Result<Permit, Refusal>>>,
+    // Mean time that a run holds its slot, in milliseconds.
+    service_ms: f64,
+}
+
+/// A slot in use; free again when dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    admission: Rc<Admission>,
+    taken: Instant,
+}
+
+/// Counts for the load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Counts {
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+    pub(crate) slots: u32,
+    /// Expected wait of a new normal run, in milliseconds.
+    pub(crate) wait_ms: u32,
+}
+
+impl Admission {
+    /// Admission with no slots yet and room for `queue_limit` waiting runs.
+    pub(crate) fn new(queue_limit: usize) -> Rc<Self> {
+        Rc::new(Self {
+            started: Instant::now(),
+            queue_limit,
+            inner: RefCell::new(Inner {
+                slots: 0,
+                running: 0,
+                queue: Queue::default(),
+                service_ms: 0.0,
+            }),
+        })
+    }
+
+    /// Follows the number of slots in the configuration.
+    pub(crate) fn set_slots(self: &Rc<Self>, slots: u32) {
+        let changed = {
+            let mut inner = self.inner.borrow_mut();
+            std::mem::replace(&mut inner.slots, slots) != slots
+        };
+        if changed {
+            self.serve();
+        }
+    }
+
+    /// Waits for a slot.
+    ///
+    /// Refuses at once where the queue is full of runs that go first, or the
+    /// expected wait is longer than the time to the deadline.
+    pub(crate) async fn enter(
+        self: &Rc<Self>,
+        priority: Priority,
+        deadline: Instant,
+    ) -> Result<Permit, Refusal> {
+        let (rank, granted) = match self.join(priority, deadline)? {
+            Joined::Granted(permit) => return Ok(permit),
+            Joined::Waiting(rank, granted) => (rank, granted),
+        };
+        let _place = Place {
+            admission: self,
+            rank,
+        };
+        match timeout_at(deadline, granted).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => Err(Refusal::new(Code::Draining, "the queue was closed")),
+            Err(_) => {
+                let message = "the deadline passed in the queue";
+                Err(Refusal::new(Code::DeadlineExpired, message))
+            }
+        }
+    }
+
+    pub(crate) fn counts(&self) -> Counts {
+        let mut inner = self.inner.borrow_mut();
+        let rank = inner.queue.rank(Priority::Normal, self.now());
+        Counts {
+            running: inner.running,
+            queued: inner.queue.len() as u32,
+            slots: inner.slots,
+            wait_ms: inner.expected_wait(rank),
+        }
+    }
+
+    fn join(self: &Rc<Self>, priority: Priority, deadline: Instant) -> Result<Joined, Refusal> {
+        let mut inner = self.inner.borrow_mut();
+        if inner.running < inner.slots && inner.queue.len() == 0 {
+            inner.running += 1;
+            return Ok(Joined::Granted(self.permit()));
+        }
+        let rank = inner.queue.rank(priority, self.now());
+        let wait_ms = inner.expected_wait(rank);
+        let left = deadline.saturating_duration_since(Instant::now());
+        if Duration::from_millis(wait_ms.into()) > left {
+            return Err(overloaded(wait_ms));
+        }
+        let evicted = if inner.queue.len() >= self.queue_limit {
+            Some(
+                inner
+                    .queue
+                    .pop_behind(rank)
+                    .ok_or_else(|| overloaded(wait_ms))?,
+            )
+        } else {
+            None
+        };
+        let (grant, granted) = oneshot::channel();
+        inner.queue.push(rank, grant);
+        drop(inner);
+        if let Some(evicted) = evicted {
+            drop(evicted.send(Err(overloaded(wait_ms))));
+        }
+        Ok(Joined::Waiting(rank, granted))
+    }
+
+    // Gives free slots to those who wait.
+    fn serve(self: &Rc<Self>) {
+        while let Some(grant) = self.next_grant() {
+            // Where nobody waits any more, the permit comes back and is freed.
+            drop(grant.send(Ok(self.permit())));
+        }
+    }
+
+    fn next_grant(&self) -> Option<oneshot::Sender<Result<Permit, Refusal>>> {
+        let mut inner = self.inner.borrow_mut();
+        if inner.running >= inner.slots {
+            return None;
+        }
+        let grant = inner.queue.pop()?;
+        inner.running += 1;
+        Some(grant)
+    }
+
+    fn permit(self: &Rc<Self>) -> Permit {
+        Permit {
+            admission: Rc::clone(self),
+            taken: Instant::now(),
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis(self.started.elapsed().as_millis() as u64)
+    }
+}
+
+impl Inner {
+    fn free(&mut self, held_ms: f64) {
+        self.running -= 1;
+        self.service_ms += (held_ms - self.service_ms) * MEAN_WEIGHT;
+    }
+
+    // In milliseconds: all that go before must have had a slot.
+    fn expected_wait(&self, rank: Rank) -> u32 {
+        if self.running < self.slots {
+            return 0;
+        }
+        let turns = (self.queue.ahead(rank) + 1) as f64 / f64::from(self.slots.max(1));
+        (turns * self.service_ms) as u32
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let held_ms = self.taken.elapsed().as_secs_f64() * 1000.0;
+        self.admission.inner.borrow_mut().free(held_ms);
+        self.admission.serve();
+    }
+}
+
+enum Joined {
+    Granted(Permit),
+    Waiting(Rank, oneshot::Receiver<Result<Permit, Refusal>>),
+}
+
+// A place in the queue; given up when dropped.
+struct Place<'a> {
+    admission: &'a Admission,
+    rank: Rank,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        drop(self.admission.inner.borrow_mut().queue.remove(self.rank));
+    }
+}
+
+fn overloaded(wait_ms: u32) -> Refusal {
+    let message = format!("the expected wait is {wait_ms} ms");
+    Refusal::new(Code::Overloaded, message).after(wait_ms.max(MIN_RETRY_MS))
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/cancel.rs
@@ -0,0 +1,66 @@
+//! Cancels of requests that are queued or running.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+use tokio::sync::Notify;
+
+use crate::peer::RequestId;
+
+/// Who is told when a request is cancelled.
+#[derive(Debug, Default)]
+pub(crate) struct Cancels {
+    listeners: RefCell<FxHashMap<RequestId, Vec<Rc<Notify>>>>,
+}
+
+/// One run that can be cancelled; forgotten when dropped.
+#[derive(Debug)]
+pub(crate) struct Cancellable {
+    cancels: Rc<Cancels>,
+    request: RequestId,
+    notify: Rc<Notify>,
+}
+
+impl Cancels {
+    /// Listens for cancels of `request`.
+    pub(crate) fn listen(self: &Rc<Self>, request: RequestId) -> Cancellable {
+        let notify = Rc::new(Notify::new());
+        let mut listeners = self.listeners.borrow_mut();
+        let listening = listeners.entry(request.clone()).or_default();
+        listening.push(Rc::clone(&notify));
+        Cancellable {
+            cancels: Rc::clone(self),
+            request,
+            notify,
+        }
+    }
+
+    /// Cancels all runs of `request`.
+    pub(crate) fn cancel(&self, request: &RequestId) {
+        let listeners = self.listeners.borrow();
+        for notify in listeners.get(request).into_iter().flatten() {
+            notify.notify_one();
+        }
+    }
+}
+
+impl Cancellable {
+    /// Waits until the run is cancelled.
+    pub(crate) async fn cancelled(&self) {
+        self.notify.notified().await;
+    }
+}
+
+impl Drop for Cancellable {
+    fn drop(&mut self) {
+        let mut listeners = self.cancels.listeners.borrow_mut();
+        let Some(listening) = listeners.get_mut(&self.request) else {
+            return;
+        };
+        listening.retain(|notify| !Rc::ptr_eq(notify, &self.notify));
+        if listening.is_empty() {
+            listeners.remove(&self.request);
+        }
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/claim.rs
@@ -0,0 +1,140 @@
+//! The idempotency key of a run.
+
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use tokio::time::timeout_at;
+
+use super::frames::Failure;
+use super::ledger::RunKey;
+use super::refusal::Refusal;
+use crate::control::{ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, Millis, StoredAnswer};
+use crate::node::Handle;
+use crate::peer::message::{Ran, Run};
+use crate::traffic::Code;
+
+/// When a caller should come back while its key is in use, in milliseconds.
+const IN_PROGRESS_RETRY_MS: u32 = 1_000;
+
+/// When a caller should come back while the table service is out, in
+/// milliseconds.
+const OUTAGE_RETRY_MS: u32 = 2_000;
+
+/// Time before the deadline at which an unsettled claim is given up.
+const GIVE_UP: Duration = Duration::from_millis(20);
+
+/// Why a run with a key does not run now.
+#[derive(Debug)]
+pub(crate) enum NotClaimed {
+    /// It was not run and will not be.
+    Refused(Refusal),
+    /// The operation of the key ran or may have run before.
+    Failed(Failure),
+    /// The operation of the key ran before; this was its answer.
+    Replay(StoredAnswer),
+}
+
+/// A claim that is held. Dropped before the run began, it frees the key;
+/// dropped after, it says that the outcome is not known.
+#[derive(Debug)]
+pub(crate) struct HeldClaim {
+    handle: Handle,
+    ticket: ClaimTicket,
+    end: Option<ClaimEnd>,
+}
+
+impl HeldClaim {
+    /// The run is about to be sent.
+    pub(crate) fn begin(&mut self) {
+        self.end = Some(ClaimEnd::Unknown);
+    }
+
+    /// The run has ended, or has not begun after all.
+    pub(crate) fn finish(mut self, end: ClaimEnd) {
+        self.end = Some(end);
+    }
+}
+
+impl Drop for HeldClaim {
+    fn drop(&mut self) {
+        if let Some(end) = self.end.take() {
+            self.handle.end_claim(self.ticket, end);
+        }
+    }
+}
+
+/// Claims the key of a run; `None` where it has no key.
+pub(crate) async fn claim(
+    handle: &Handle,
+    run: &Run,
+    key: &RunKey,
+    deadline: Instant,
+) -> Result<Option<HeldClaim>, NotClaimed> {
+    if run.idempotency_key.is_empty() {
+        return Ok(None);
+    }
+    let call = claim_call(run, key, deadline);
+    let claimed = match timeout_at(deadline, handle.claim(call)).await {
+        Ok(Some(claimed)) => claimed,
+        Ok(None) => return Err(refused(Code::Draining, "the process is stopping")),
+        Err(_) => {
+            return Err(refused(
+                Code::StoreUnavailable,
+                "the key was not claimed in time",
+            ));
+        }
+    };
+    match claimed.answer {
+        ClaimAnswer::Run => Ok(Some(HeldClaim {
+            handle: handle.clone(),
+            ticket: claimed.ticket,
+            end: Some(ClaimEnd::NotRun),
+        })),
+        answer => Err(not_claimed(answer)),
+    }
+}
+
+fn claim_call(run: &Run, key: &RunKey, deadline: Instant) -> ClaimCall {
+    let left = deadline.saturating_duration_since(Instant::now());
+    ClaimCall {
+        request: key.request.clone(),
+        step: key.step,
+        team: run.team.as_str().into(),
+        service: run.service.as_str().into(),
+        key: run.idempotency_key.as_str().into(),
+        fingerprint: run.fingerprint.clone(),
+        time_left: Millis(left.saturating_sub(GIVE_UP).as_millis() as u64),
+    }
+}
+
+fn not_claimed(answer: ClaimAnswer) -> NotClaimed {
+    let failed = |code, ran, message: &str| Failure::new(code, ran, message);
+    match answer {
+        ClaimAnswer::Replay(stored) => NotClaimed::Replay(stored),
+        ClaimAnswer::Finished => NotClaimed::Failed(failed(
+            Code::KeyFinished,
+            Ran::Yes,
+            "the request with this key has run; its answer was too long to be stored",
+        )),
+        ClaimAnswer::InProgress => {
+            let message = "a request with this key is being run";
+            let failure = failed(Code::KeyInProgress, Ran::Unknown, message);
+            NotClaimed::Failed(failure.after(IN_PROGRESS_RETRY_MS))
+        }
+        ClaimAnswer::UnknownOutcome => NotClaimed::Failed(failed(
+            Code::KeyUnknownOutcome,
+            Ran::Unknown,
+            "a request with this key may have run; look at its effect before sending another key",
+        )),
+        ClaimAnswer::Reused => refused(Code::KeyReused, "the key was used for another request"),
+        ClaimAnswer::Unavailable | ClaimAnswer::Run => {
+            let message = "the table service is out, so the key can't be claimed";
+            let refusal = Refusal::new(Code::StoreUnavailable, message);
+            NotClaimed::Refused(refusal.after(OUTAGE_RETRY_MS))
+        }
+    }
+}
+
+fn refused(code: Code, message: &str) -> NotClaimed {
+    NotClaimed::Refused(Refusal::new(code, message))
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/frames.rs
@@ -0,0 +1,164 @@
+//! The answer to a gateway, frame by frame.
+
+use bytes::Bytes;
+use prost::Message;
+use tokio::sync::mpsc;
+
+use super::refusal::Refusal;
+use crate::control::{MAX_STORED_BYTES, StoredAnswer, StoredChunk};
+use crate::peer::message::frame::Part;
+use crate::peer::message::{
+    End, Failed, Frame, Load, Ran, Refused, RequestId, Run, Started, Usage,
+};
+use crate::traffic::Code;
+
+/// Frames that wait for a slow gateway.
+const BUFFER: usize = 64;
+
+/// A run that ended after it began, or may have begun.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Failure {
+    pub(crate) code: Code,
+    pub(crate) message: String,
+    pub(crate) ran: Ran,
+    /// When the caller should come back, in milliseconds; zero for no advice.
+    pub(crate) retry_after_ms: u32,
+}
+
+impl Failure {
+    pub(crate) fn new(code: Code, ran: Ran, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            ran,
+            retry_after_ms: 0,
+        }
+    }
+
+    pub(crate) fn after(mut self, retry_after_ms: u32) -> Self {
+        self.retry_after_ms = retry_after_ms;
+        self
+    }
+}
+
+/// The receiving end, for the body of the HTTP answer.
+pub(crate) type FrameReceiver = mpsc::Receiver<Bytes>;
+
+/// Writes frames with rising sequence numbers; the last one consumes it.
+#[derive(Debug)]
+pub(crate) struct FrameWriter {
+    request: Option<RequestId>,
+    step: u32,
+    sequence: u64,
+    chunks: u64,
+    sender: mpsc::Sender<Bytes>,
+    // Kept only for a run with an idempotency key.
+    stored: Option<StoredAnswer>,
+    stored_bytes: usize,
+    keyed: bool,
+}
+
+impl FrameWriter {
+    /// A writer for the answer to one run.
+    pub(crate) fn open(run: &Run) -> (Self, FrameReceiver) {
+        let (sender, receiver) = mpsc::channel(BUFFER);
+        let writer = Self {
+            request: run.request.clone(),
+            step: run.step,
+            sequence: 0,
+            chunks: 0,
+            sender,
+            stored: None,
+            stored_bytes: 0,
+            keyed: !run.idempotency_key.is_empty(),
+        };
+        (writer, receiver)
+    }
+
+    /// Waits until the gateway has dropped the connection.
+    pub(crate) fn closed(&self) -> impl Future<Output = ()> + use<> {
+        let sender = self.sender.clone();
+        async move { sender.closed().await }
+    }
+
+    pub(crate) async fn started(&mut self, status: u16, content_type: &str, replayed: bool) {
+        self.stored = self.keyed.then(|| StoredAnswer {
+            status,
+            content_type: content_type.into(),
+            chunks: Vec::new(),
+        });
+        self.send(Part::Started(Started {
+            status: status.into(),
+            content_type: content_type.to_owned(),
+            replayed,
+        }))
+        .await;
+    }
+
+    pub(crate) async fn chunk(&mut self, bytes: Bytes) {
+        self.chunks += 1;
+        self.store(&bytes);
+        self.send(Part::Chunk(bytes)).await;
+    }
+
+    /// Everything written so far; `None` where it is too long to be kept.
+    pub(crate) fn take_stored(&mut self) -> Option<StoredAnswer> {
+        self.stored.take()
+    }
+
+    pub(crate) async fn end(mut self, usage: Usage, load: Load) {
+        let end = End {
+            chunks: self.chunks,
+            usage: Some(usage),
+            load: Some(load),
+        };
+        self.send(Part::End(end)).await;
+    }
+
+    pub(crate) async fn refused(mut self, refusal: Refusal, generation: u64, load: Load) {
+        let refused = Refused {
+            code: refusal.code.as_str().to_owned(),
+            message: refusal.message,
+            generation,
+            retry_after_ms: refusal.retry_after_ms,
+            load: Some(load),
+        };
+        self.send(Part::Refused(refused)).await;
+    }
+
+    pub(crate) async fn failed(mut self, failure: Failure, usage: Option<Usage>, load: Load) {
+        let failed = Failed {
+            code: failure.code.as_str().to_owned(),
+            message: failure.message,
+            ran: failure.ran.into(),
+            usage,
+            load: Some(load),
+            retry_after_ms: failure.retry_after_ms,
+        };
+        self.send(Part::Failed(failed)).await;
+    }
+
+    fn store(&mut self, bytes: &Bytes) {
+        if let Some(stored) = &mut self.stored {
+            stored.chunks.push(StoredChunk(bytes.clone()));
+            self.stored_bytes += bytes.len();
+            if self.stored_bytes > MAX_STORED_BYTES {
+                self.stored = None;
+            }
+        }
+    }
+
+    // A gateway that has gone away gets nothing more; the run goes on or is
+    // cancelled by whoever waits on `closed`.
+    async fn send(&mut self, part: Part) {
+        let frame = Frame {
+            request: self.request.clone(),
+            step: self.step,
+            sequence: self.sequence,
+            part: Some(part),
+        };
+        self.sequence += 1;
+        let bytes = Bytes::from(frame.encode_length_delimited_to_vec());
+        drop(self.sender.send(bytes).await);
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/judge.rs
@@ -0,0 +1,113 @@
+//! Whether a run is permitted, by the agent's own configuration.
+//!
+//! The gateway checked the same by its own; this is the second end, which
+//! stops a withdrawn version also where the gateway does not know yet.
+
+use crate::control::{Admission, View};
+use crate::peer::message::Run;
+use crate::resource::{Backend, Config, Phase, Team, Upstream};
+use crate::traffic::Code;
+
+use super::refusal::Refusal;
+
+/// Time after which a sender should come back where the two configurations
+/// differ, in milliseconds.
+const FOLLOW_MS: u32 = 500;
+
+/// Checks a run, directly before it is queued and again before it is sent.
+pub(crate) fn judge(view: &View, upstream: &str, run: &Run) -> Result<Backend, Refusal> {
+    if let Admission::Closed {
+        code,
+        retry_after_ms,
+    } = &view.admission
+    {
+        let code = code.parse().unwrap_or(Code::Draining);
+        let message = "the agent takes no new work";
+        return Err(Refusal::new(code, message).after(*retry_after_ms as u32));
+    }
+    permitted(view, upstream, run).map_err(|refusal| dated(refusal, &view.config, run))
+}
+
+// Where the two configurations differ, the sender should look again at its own
+// before it believes the refusal.
+fn dated(refusal: Refusal, config: &Config, run: &Run) -> Refusal {
+    if refusal.code == Code::Draining || run.generation == config.generation {
+        return refusal;
+    }
+    let message = format!(
+        "{} at generation {}, the request is of generation {}",
+        refusal.message, config.generation, run.generation
+    );
+    Refusal::new(Code::StaleConfiguration, message).after(FOLLOW_MS)
+}
+
+fn permitted(view: &View, upstream: &str, run: &Run) -> Result<Backend, Refusal> {
+    let config = &view.config;
+    let own = config.upstreams.by_name(upstream).ok_or_else(|| {
+        Refusal::new(
+            Code::NoUpstream,
+            format!("there is no upstream `{upstream}`"),
+        )
+    })?;
+    if own.spec.drain {
+        let message = format!("the upstream `{upstream}` is draining");
+        return Err(Refusal::new(Code::Draining, message));
+    }
+    if own.spec.service != run.service.as_str() {
+        let message = format!("the upstream `{upstream}` serves `{}`", own.spec.service);
+        return Err(Refusal::new(Code::NoUpstream, message));
+    }
+    let team = config.teams.by_name(&run.team).ok_or_else(|| {
+        Refusal::new(Code::UnknownKey, format!("there is no team `{}`", run.team))
+    })?;
+    let service = config.services.by_name(&run.service).ok_or_else(|| {
+        Refusal::new(
+            Code::NoUpstream,
+            format!("there is no service `{}`", run.service),
+        )
+    })?;
+    match service.spec.backend {
+        Backend::Engine => version_permitted(view, &team.spec, &own.spec, run)?,
+        Backend::Plain => service_permitted(&team.spec, run)?,
+    }
+    Ok(service.spec.backend)
+}
+
+fn version_permitted(
+    view: &View,
+    team: &Team,
+    upstream: &Upstream,
+    run: &Run,
+) -> Result<(), Refusal> {
+    let name = &run.version;
+    let versions = &view.config.versions;
+    let (key, version) = versions
+        .key(name)
+        .and_then(|key| Some((key, versions.get(key)?)))
+        .ok_or_else(|| Refusal::new(Code::UnknownModel, format!("there is no version `{name}`")))?;
+    if version.spec.phase == Phase::Withdrawn || view.suspended.contains(&key) {
+        let message = format!("the version `{name}` is withdrawn");
+        return Err(Refusal::new(Code::Withdrawn, message));
+    }
+    if !team.versions.iter().any(|permitted| permitted == name) {
+        let message = format!("the team `{}` may not use `{name}`", run.team);
+        return Err(Refusal::new(Code::ForbiddenVersion, message));
+    }
+    if !upstream.versions.iter().any(|wanted| wanted == name) {
+        let message = format!("the upstream does not run `{name}`");
+        return Err(Refusal::new(Code::NoUpstream, message));
+    }
+    Ok(())
+}
+
+fn service_permitted(team: &Team, run: &Run) -> Result<(), Refusal> {
+    if team
+        .services
+        .iter()
+        .any(|permitted| permitted == run.service.as_str())
+    {
+        return Ok(());
+    }
+    let message = format!("the team `{}` may not call `{}`", run.team, run.service);
+    Err(Refusal::new(Code::ForbiddenService, message))
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/queue.rs
@@ -0,0 +1,83 @@
+//! The order in which waiting runs are served.
+//!
+//! A run's rank is its arrival plus a delay of its class, so a person who
+//! waits goes first, and a batch run that has waited longer than the delay
+//! goes before a person who comes now: no class waits forever.
+
+use std::collections::BTreeMap;
+
+use crate::control::Millis;
+use crate::peer::message::Priority;
+
+/// Delay of normal runs behind interactive ones.
+const NORMAL_DELAY: Millis = Millis(2_000);
+
+/// Delay of batch runs behind interactive ones.
+const BATCH_DELAY: Millis = Millis(20_000);
+
+/// Place of a run in the queue; the lowest is served first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Rank {
+    time: Millis,
+    order: u64,
+}
+
+/// Waiting runs in the order in which they are served.
+#[derive(Debug)]
+pub(crate) struct Queue<T> {
+    waiting: BTreeMap<Rank, T>,
+    next_order: u64,
+}
+
+impl<T> Default for Queue<T> {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            next_order: 0,
+        }
+    }
+}
+
+impl<T> Queue<T> {
+    /// The rank of a run that arrives now.
+    pub(crate) fn rank(&mut self, priority: Priority, now: Millis) -> Rank {
+        let delay = match priority {
+            Priority::Interactive => Millis(0),
+            Priority::Normal | Priority::Unspecified => NORMAL_DELAY,
+            Priority::Batch => BATCH_DELAY,
+        };
+        self.next_order += 1;
+        Rank {
+            time: now + delay,
+            order: self.next_order,
+        }
+    }
+
+    pub(crate) fn push(&mut self, rank: Rank, item: T) {
+        self.waiting.insert(rank, item);
+    }
+
+    /// Takes the run to serve next.
+    pub(crate) fn pop(&mut self) -> Option<T> {
+        self.waiting.pop_first().map(|(_, item)| item)
+    }
+
+    /// Takes the run that would be served last, if it is behind `rank`.
+    pub(crate) fn pop_behind(&mut self, rank: Rank) -> Option<T> {
+        let last = self.waiting.last_entry()?;
+        (*last.key() > rank).then(|| last.remove())
+    }
+
+    pub(crate) fn remove(&mut self, rank: Rank) -> Option<T> {
+        self.waiting.remove(&rank)
+    }
+
+    /// Number of runs that are served before `rank`.
+    pub(crate) fn ahead(&self, rank: Rank) -> usize {
+        self.waiting.range(..rank).count()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/refusal.rs
@@ -0,0 +1,27 @@
+//! Refusals: what was not run and never will be.
+
+use crate::traffic::Code;
+
+/// Why a run is refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) code: Code,
+    pub(crate) message: String,
+    /// When the caller should come back, in milliseconds; zero for no advice.
+    pub(crate) retry_after_ms: u32,
+}
+
+impl Refusal {
+    pub(crate) fn new(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            retry_after_ms: 0,
+        }
+    }
+
+    pub(crate) fn after(mut self, retry_after_ms: u32) -> Self {
+        self.retry_after_ms = retry_after_ms;
+        self
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/server.rs
@@ -0,0 +1,233 @@
+//! The agent's listener, its start and its end.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{Method, Request, Response, StatusCode};
+use actix_rt::time::{Instant, sleep};
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::StreamExt;
+use futures_util::stream::poll_fn;
+use prost::Message;
+use snafu::{ResultExt, Snafu};
+use tracing::{info, warn};
+
+use super::frames::FrameWriter;
+use super::run::execute;
+use super::settle::settle;
+use super::upstream::UpstreamClient;
+use super::worker::{Status, Worker, WorkerParts};
+use crate::control::Event;
+use crate::http::{Listener, ServerOptions, read_body, serve, stream, text};
+use crate::node::{self, Handle, NodeSettings, SpawnError};
+use crate::peer::Keys;
+use crate::peer::message::{Run, Settle};
+
+/// Longest body of a run, in bytes.
+const MAX_RUN_BYTES: usize = 20 << 20;
+
+/// Time between two looks at the runs in flight while draining.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// Time that connections get to end after the last run.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+const FRAMES: &str = "application/octet-stream";
+
+/// Settings of an agent.
+#[derive(Debug, Clone)]
+pub struct AgentSettings {
+    /// Settings of the node; the HTTP address is set once it is bound.
+    pub node: NodeSettings,
+    /// Address to listen on for runs; port zero takes a free one.
+    pub listen: SocketAddr,
+    /// Address under which gateways reach it; as bound where absent.
+    pub http_addr: Option<SocketAddr>,
+    /// Address of the upstream.
+    pub upstream_addr: SocketAddr,
+    /// Runs that may wait for a slot.
+    pub queue_limit: usize,
+}
+
+/// An agent that could not be started.
+#[derive(Debug, Snafu)]
+pub enum SpawnAgentError {
+    /// The listener could not be opened.
+    #[snafu(display("can't listen on {addr}: {source}"))]
+    Listen {
+        /// Where.
+        addr: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The node could not be started.
+    #[snafu(display("{source}"))]
+    Node {
+        /// Why.
+        source: SpawnError,
+    },
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    handle: Handle,
+    listener: Listener,
+    status: Arc<Status>,
+}
+
+/// Binds the listener, starts the node and serves runs.
+///
+/// # Errors
+///
+/// [`SpawnAgentError`] where a listener or a thread can't be had.
+pub fn spawn(settings: AgentSettings) -> Result<Agent, SpawnAgentError> {
+    let addr = settings.listen;
+    let socket = TcpListener::bind(addr).context(ListenSnafu { addr })?;
+    let bound = socket.local_addr().context(ListenSnafu { addr })?;
+    let mut node = settings.node;
+    node.http_addr = CompactString::from(settings.http_addr.unwrap_or(bound).to_string());
+    let upstream = node.upstream.clone();
+    let keys = node.keys.clone();
+    let handle = node::spawn(node).context(NodeSnafu)?;
+    let status = Arc::new(Status::default());
+    let parts = Parts {
+        handle: handle.clone(),
+        keys,
+        upstream,
+        upstream_addr: settings.upstream_addr,
+        queue_limit: settings.queue_limit,
+        status: Arc::clone(&status),
+    };
+    let options = ServerOptions {
+        name: "agent",
+        addr: bound,
+        workers: 1,
+        drain: CLOSE_TIME,
+    };
+    let listener = serve(socket, &options, move || {
+        let worker = Worker::start(parts.worker());
+        move |request| answer(Rc::clone(&worker), request)
+    })
+    .context(ListenSnafu { addr })?;
+    Ok(Agent {
+        handle,
+        listener,
+        status,
+    })
+}
+
+impl Agent {
+    /// The address it takes runs on.
+    pub fn addr(&self) -> SocketAddr {
+        self.listener.addr()
+    }
+
+    /// The control state.
+    pub fn handle(&self) -> &Handle {
+        &self.handle
+    }
+
+    /// Stops gracefully: takes nothing new, and waits up to `limit` for the
+    /// runs in flight. Returns the number of runs that were cut.
+    pub async fn drain(&self, limit: Duration) -> usize {
+        info!(name: "agent.draining", in_flight = self.in_flight());
+        self.status.draining.store(true, Ordering::Relaxed);
+        self.handle.post(Event::Stop);
+        let end = Instant::now() + limit;
+        while self.in_flight() > 0 && Instant::now() < end {
+            sleep(DRAIN_STEP).await;
+        }
+        self.stop().await
+    }
+
+    /// Stops at once. Returns the number of runs that were cut.
+    pub async fn stop(&self) -> usize {
+        let cut = self.in_flight();
+        if cut > 0 {
+            warn!(name: "agent.cut", runs = cut);
+        }
+        self.listener.stop(cut == 0).await;
+        self.handle.close().await;
+        cut
+    }
+
+    fn in_flight(&self) -> usize {
+        self.status.in_flight.load(Ordering::Relaxed)
+    }
+}
+
+// What each start of the agent's thread needs.
+#[derive(Clone)]
+struct Parts {
+    handle: Handle,
+    keys: Keys,
+    upstream: CompactString,
+    upstream_addr: SocketAddr,
+    queue_limit: usize,
+    status: Arc<Status>,
+}
+
+impl Parts {
+    fn worker(&self) -> WorkerParts {
+        WorkerParts {
+            handle: self.handle.clone(),
+            keys: self.keys.clone(),
+            upstream: self.upstream.clone(),
+            client: UpstreamClient::new(self.upstream_addr),
+            queue_limit: self.queue_limit,
+            status: Arc::clone(&self.status),
+        }
+    }
+}
+
+async fn answer(worker: Rc<Worker>, mut request: Request) -> Response<BoxBody> {
+    match (request.method(), request.path()) {
+        (&Method::POST, "/v1/run") => match opened::<Run>(&worker, &mut request).await {
+            Ok(run) => start(worker, run),
+            Err(refusal) => refusal,
+        },
+        (&Method::POST, "/v1/settle") => match opened::<Settle>(&worker, &mut request).await {
+            Ok(wanted) => {
+                let settled = settle(&worker, &wanted);
+                let body = Bytes::from(settled.encode_to_vec());
+                Response::with_body(StatusCode::OK, body.boxed())
+            }
+            Err(refusal) => refusal,
+        },
+        (&Method::GET, "/health") => text(StatusCode::OK, "ok\n"),
+        _ => text(StatusCode::NOT_FOUND, "no such call\n"),
+    }
+}
+
+// Reads a sealed message of a gateway.
+async fn opened<M: Message + Default>(
+    worker: &Worker,
+    request: &mut Request,
+) -> Result<M, Response<BoxBody>> {
+    let refuse = |status, message: String| text(status, message + "\n");
+    let sealed = read_body(request.take_payload(), MAX_RUN_BYTES)
+        .await
+        .map_err(|error| refuse(StatusCode::BAD_REQUEST, error.to_string()))?;
+    let payload = worker
+        .keys
+        .open(sealed)
+        .map_err(|error| refuse(StatusCode::FORBIDDEN, error.to_string()))?;
+    M::decode(payload).map_err(|error| refuse(StatusCode::BAD_REQUEST, error.to_string()))
+}
+
+// The run goes on in a task of its own, so that it ends in an orderly way also
+// where the gateway drops the connection.
+fn start(worker: Rc<Worker>, run: Run) -> Response<BoxBody> {
+    let (writer, mut receiver) = FrameWriter::open(&run);
+    actix_rt::spawn(execute(worker, run, writer));
+    let frames = poll_fn(move |context| receiver.poll_recv(context));
+    stream(StatusCode::OK, FRAMES, frames.map(Ok::<_, Infallible>))
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/sse.rs
@@ -0,0 +1,92 @@
+//! Reading server-sent events.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct SseEvent {
+    /// Number of the event, where it has one.
+    pub(crate) number: Option<u64>,
+    /// The data, lines joined by line feeds.
+    pub(crate) data: Bytes,
+}
+
+/// Longest event that is accepted, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// An event that is longer than accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("an event is longer than {MAX_EVENT_BYTES} bytes"))]
+pub(crate) struct EventTooLong;
+
+/// Splits a byte stream into events.
+#[derive(Debug, Default)]
+pub(crate) struct SseReader {
+    rest: BytesMut,
+    number: Option<u64>,
+    data: Option<BytesMut>,
+}
+
+impl SseReader {
+    /// Takes the next bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        let data = self.data.as_ref().map_or(0, BytesMut::len);
+        if self.rest.len() + data + bytes.len() > 2 * MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        self.rest.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    /// The next whole event, if there is one.
+    pub(crate) fn next(&mut self) -> Option<SseEvent> {
+        while let Some(end) = self.rest.iter().position(|&byte| byte == b'\n') {
+            let mut line = self.rest.split_to(end);
+            self.rest.advance(1);
+            if line.last() == Some(&b'\r') {
+                line.truncate(end - 1);
+            }
+            if line.is_empty() {
+                if let Some(event) = self.finish() {
+                    return Some(event);
+                }
+            } else {
+                self.field(&line);
+            }
+        }
+        None
+    }
+
+    fn finish(&mut self) -> Option<SseEvent> {
+        let number = self.number.take();
+        let data = self.data.take()?;
+        Some(SseEvent {
+            number,
+            data: data.freeze(),
+        })
+    }
+
+    fn field(&mut self, line: &[u8]) {
+        let colon = line.iter().position(|&byte| byte == b':');
+        let (name, value) = match colon {
+            Some(colon) => (&line[..colon], &line[colon + 1..]),
+            None => (line, &line[line.len()..]),
+        };
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        match name {
+            b"id" => {
+                self.number = std::str::from_utf8(value)
+                    .ok()
+                    .and_then(|text| text.parse().ok());
+            }
+            b"data" => match &mut self.data {
+                Some(data) => {
+                    data.extend_from_slice(b"\n");
+                    data.extend_from_slice(value);
+                }
+                None => self.data = Some(value.into()),
+            },
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/tests.rs
@@ -0,0 +1,1 @@
+//! Ledger, queue and stream checks.
--- /dev/null
+++ b/src/carawayrun/traffic/agent/upstream.rs
@@ -0,0 +1,184 @@
+//! Calls to the upstream.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::{Payload, StatusCode};
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::Method;
+use awc::{Client, ClientRequest, ClientResponse, Connector};
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::control::{EngineOrder, OrderAction, OrderResult};
+use crate::peer::message::{Priority, Run};
+
+/// Time until a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time until short calls such as orders and cancels must be answered.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Connections to the upstream.
+const MAX_CONNECTIONS: usize = 1024;
+
+/// Idle time after which a connection is not used again; shorter than what
+/// servers allow, as a call on a connection that the server just closed is lost.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// An answer whose body is still to be read.
+pub(crate) type Answer = ClientResponse<actix_http::encoding::Decoder<Payload>>;
+
+/// A call without an answer.
+#[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
+pub(crate) enum CallFailure {
+    /// Nothing was sent.
+    #[snafu(display("the upstream was not reached: {message}"))]
+    NotSent { message: String },
+    /// It may have been sent.
+    #[snafu(display("the upstream did not answer: {message}"))]
+    Lost { message: String },
+}
+
+/// Load as the engine reports it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(crate) struct EngineLoad {
+    pub(crate) versions: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct FenceBody {
+    fence: u64,
+}
+
+/// Client of one upstream; belongs to one thread.
+#[derive(Clone)]
+pub(crate) struct UpstreamClient {
+    client: Client,
+    base: CompactString,
+}
+
+impl UpstreamClient {
+    /// A client of the upstream at `addr`; connects on the first call.
+    pub(crate) fn new(addr: SocketAddr) -> Self {
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .limit(MAX_CONNECTIONS)
+            .conn_keep_alive(KEEP_ALIVE);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Self {
+            client,
+            base: CompactString::from(format!("http://{addr}")),
+        }
+    }
+
+    /// Starts a run. The caller watches the deadline.
+    pub(crate) async fn run(&self, run: &Run, id: &str) -> Result<Answer, CallFailure> {
+        let method = Method::from_bytes(run.method.as_bytes()).unwrap_or(Method::POST);
+        let mut request = self
+            .request(method, &run.path)
+            .insert_header(("x-request-id", id))
+            .insert_header(("x-priority", priority_text(run.priority())));
+        if !run.content_type.is_empty() {
+            request = request.insert_header(("content-type", run.content_type.as_str()));
+        }
+        if run.prefix != 0 {
+            request = request.insert_header(("x-prefix", run.prefix.to_string()));
+        }
+        if !run.idempotency_key.is_empty() {
+            request = request.insert_header(("idempotency-key", run.idempotency_key.as_str()));
+        }
+        let sent = request.send_body(run.body.clone()).await;
+        sent.map_err(|error| call_failure(&error))
+    }
+
+    /// Goes on with a cut stream behind event `after`.
+    pub(crate) async fn resume(&self, id: &str, after: Option<u64>) -> Result<Answer, CallFailure> {
+        let path = match after {
+            Some(after) => format!("/v1/streams/{id}?after={after}"),
+            None => format!("/v1/streams/{id}"),
+        };
+        let sent = self.request(Method::GET, &path).send().await;
+        sent.map_err(|error| call_failure(&error))
+    }
+
+    /// Cancels a request; where the engine does not answer, it runs to its end.
+    pub(crate) async fn cancel(&self, id: &str) {
+        let path = format!("/v1/streams/{id}");
+        let request = self.request(Method::DELETE, &path).timeout(CALL_TIMEOUT);
+        if let Err(error) = request.send().await {
+            tracing::debug!(name: "engine.cancel_failed", id, %error);
+        }
+    }
+
+    /// What the engine has loaded.
+    pub(crate) async fn load(&self) -> Option<EngineLoad> {
+        let request = self.request(Method::GET, "/v1/load").timeout(CALL_TIMEOUT);
+        let mut answer = request.send().await.ok()?;
+        answer.json().await.ok()
+    }
+
+    /// Sends an order.
+    pub(crate) async fn order(&self, order: &EngineOrder) -> OrderResult {
+        let action = match order.action {
+            OrderAction::Load => "load",
+            OrderAction::Unload => "unload",
+        };
+        let body = serde_json::json!({
+            "fence": order.fence,
+            "action": action,
+            "version": order.version,
+        });
+        let request = self
+            .request(Method::POST, "/v1/orders")
+            .timeout(CALL_TIMEOUT);
+        let Ok(mut answer) = request.send_json(&body).await else {
+            return OrderResult::Failed;
+        };
+        match answer.status() {
+            status if status.is_success() => OrderResult::Accepted,
+            StatusCode::CONFLICT => match answer.json::<FenceBody>().await {
+                Ok(seen) => OrderResult::Fenced(seen.fence),
+                Err(_) => OrderResult::Failed,
+            },
+            _ => OrderResult::Failed,
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> ClientRequest {
+        self.client
+            .request(method, format!("{}{path}", self.base))
+            .no_decompress()
+    }
+}
+
+impl std::fmt::Debug for UpstreamClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("UpstreamClient")
+            .field("base", &self.base)
+            .finish_non_exhaustive()
+    }
+}
+
+// Without a connection nothing was sent, so nothing took effect. All else may
+// have reached the upstream.
+fn call_failure(error: &SendRequestError) -> CallFailure {
+    let message = error.to_string();
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => CallFailure::Lost { message },
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallFailure::NotSent { message },
+        _ => CallFailure::Lost { message },
+    }
+}
+
+fn priority_text(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Interactive => "0",
+        Priority::Normal | Priority::Unspecified => "1",
+        Priority::Batch => "2",
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/agent/usage.rs
@@ -0,0 +1,100 @@
+//! Tokens and their cost.
+
+use serde::Deserialize;
+
+use crate::peer::message::{Run, Usage};
+use crate::resource::{Config, Price};
+
+/// Tokens that a price is given for.
+const PRICED_TOKENS: u64 = 1000;
+
+/// Usage as engines write it.
+#[derive(Debug, Deserialize)]
+pub(crate) struct EngineUsage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+/// Tokens of one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Tokens {
+    pub(crate) prompt: u64,
+    /// Part of the prompt that was in the cache.
+    pub(crate) cached: u64,
+    pub(crate) completion: u64,
+}
+
+impl From<EngineUsage> for Tokens {
+    fn from(usage: EngineUsage) -> Self {
+        Self {
+            prompt: usage.prompt_tokens,
+            cached: usage.prompt_tokens_details.cached_tokens,
+            completion: usage.completion_tokens,
+        }
+    }
+}
+
+impl Tokens {
+    /// Cost in millionths of the currency unit, rounded up.
+    pub(crate) fn cost_micros(self, price: Price) -> u64 {
+        let fresh = self.prompt.saturating_sub(self.cached);
+        let sum =
+            fresh * price.prompt + self.cached * price.cached + self.completion * price.completion;
+        sum.div_ceil(PRICED_TOKENS)
+    }
+}
+
+/// The usage of a run that is under way.
+pub(crate) fn running(run: &Run, upstream: &str) -> Usage {
+    Usage {
+        request: run.request.clone(),
+        step: run.step,
+        team: run.team.clone(),
+        service: run.service.clone(),
+        version: run.version.clone(),
+        upstream: upstream.to_owned(),
+        ..Usage::default()
+    }
+}
+
+/// The usage of a run at an engine that has ended.
+pub(crate) fn of_tokens(run: &Run, upstream: &str, tokens: Tokens, config: &Config) -> Usage {
+    let price = config
+        .versions
+        .by_name(&run.version)
+        .map(|version| version.spec.price)
+        .unwrap_or_default();
+    Usage {
+        prompt_tokens: tokens.prompt,
+        cached_tokens: tokens.cached,
+        completion_tokens: tokens.completion,
+        cost_micros: tokens.cost_micros(price),
+        finished: true,
+        ..running(run, upstream)
+    }
+}
+
+/// The usage of a plain call that has ended.
+pub(crate) fn of_call(run: &Run, upstream: &str, config: &Config) -> Usage {
+    let price = config.services.by_name(&run.service).and_then(|service| {
+        let path = run.path.split('?').next().unwrap_or_default();
+        let routes = service.spec.routes.iter();
+        let matching = routes.filter(|route| {
+            route.method.eq_ignore_ascii_case(&run.method) && path.starts_with(route.path.as_str())
+        });
+        matching.max_by_key(|route| route.path.len())
+    });
+    Usage {
+        cost_micros: price.map_or(0, |route| route.price_micros),
+        finished: true,
+        ..running(run, upstream)
+    }
+}
--- a/src/carawayrun/traffic/code.rs
+++ b/src/carawayrun/traffic/code.rs
@@ -73,6 +73,8 @@
     StaleConfiguration = "stale_configuration", SERVICE_UNAVAILABLE;
     /// A request with this idempotency key is being run.
     KeyInProgress = "key_in_progress", CONFLICT;
+    /// The request with this idempotency key has run; its answer is not stored.
+    KeyFinished = "key_finished", CONFLICT;
     /// The idempotency key was used for another request.
     KeyReused = "key_reused", UNPROCESSABLE_ENTITY;
     /// A request with this idempotency key may or may not have run.
