--- a/src/bin/carawayrun/commands/agent.rs
+++ b/src/bin/carawayrun/commands/agent.rs
@@ -41,12 +41,12 @@
         map(CompactString::from)
     )]
     upstream: CompactString,
-    /// Where the upstream listens, such as http://127.0.0.1:8000
+    /// Where the upstream listens, as `http://IP:PORT`
     #[bpaf(
         long,
         env("CARAWAYRUN_UPSTREAM_URL"),
         argument::<String>("URL"),
-        parse(upstream_addr)
+        parse(|text: String| upstream_addr(&text))
     )]
     upstream_url: SocketAddr,
     /// Runs that may wait for a slot
@@ -117,8 +117,8 @@
     }
 }
 
-fn upstream_addr(text: String) -> Result<SocketAddr, String> {
-    let addr = text.strip_prefix("http://").unwrap_or(&text);
+fn upstream_addr(text: &str) -> Result<SocketAddr, String> {
+    let addr = text.strip_prefix("http://").unwrap_or(text);
     addr.trim_end_matches('/')
         .parse()
         .map_err(|_| format!("`{text}` is not http://IP:PORT"))
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -5,9 +5,14 @@
 mod cli;
 mod commands;
 mod failure;
+mod format;
 mod logging;
+mod manifests;
 mod output;
+mod progress;
+mod remote;
 mod settings;
+mod table;
 
 use std::process::ExitCode;
 
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -9,6 +9,7 @@
 use super::time::Millis;
 use crate::peer::NodeId;
 use crate::peer::message::{self, MemberState};
+use crate::policy::Estimates;
 use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
 
 /// An immutable picture of the control state; replaced as a whole.
@@ -27,6 +28,8 @@
     /// Versions that were judged bad and whose withdrawal is not yet in the
     /// configuration; they take no new work either.
     pub suspended: Vec<VersionKey>,
+    /// What was learned of each version's answers.
+    pub estimates: Arc<Estimates>,
     /// Whether new requests are taken.
     pub admission: Admission,
     /// All members that this node knows, itself included.
@@ -44,6 +47,7 @@
             shares: FxHashMap::default(),
             rollouts: Vec::new(),
             suspended: Vec::new(),
+            estimates: Arc::new(Estimates::default()),
             admission: Admission::Closed {
                 code: "stale_configuration",
                 retry_after_ms: 1_000,
