--- /dev/null
+++ b/src/carawayrun/traffic/gateway/account.rs
@@ -0,0 +1,131 @@
+//! What one request used, told to the control state when it ends.
+
+use std::sync::Arc;
+
+use compact_str::{CompactString, ToCompactString};
+
+use super::clock::Clock;
+use super::limits::Place;
+use super::shared::Shared;
+use crate::control::{AwaitedStep, Bill, BillStep, Event, Outcome};
+use crate::peer::RequestId;
+use crate::peer::message::Usage;
+
+/// The account of one request.
+///
+/// Dropping it posts the bill and the outcome, so a request whose caller went
+/// away at any point is billed for what it used, and once.
+#[derive(Debug)]
+pub(super) struct Account {
+    pub(super) id: RequestId,
+    /// The id as callers see it.
+    pub(super) text: CompactString,
+    pub(super) clock: Clock,
+    pub(super) team: CompactString,
+    pub(super) service: CompactString,
+    pub(super) task: CompactString,
+    pub(super) version: CompactString,
+    pub(super) compared: bool,
+    pub(super) failed: bool,
+    pub(super) refused: bool,
+    shared: Arc<Shared>,
+    first_ms: Option<u64>,
+    steps: Vec<BillStep>,
+    awaited: Vec<AwaitedStep>,
+    _place: Place,
+}
+
+impl Account {
+    /// Opens the account of a request that was taken in.
+    pub(super) fn open(
+        shared: &Arc<Shared>,
+        place: Place,
+        team: CompactString,
+        clock: Clock,
+    ) -> Self {
+        shared.enter();
+        let id = shared.mint();
+        Self {
+            text: id.to_compact_string(),
+            id,
+            clock,
+            team,
+            service: CompactString::default(),
+            task: CompactString::default(),
+            version: CompactString::default(),
+            compared: false,
+            failed: false,
+            refused: false,
+            shared: Arc::clone(shared),
+            first_ms: None,
+            steps: Vec::new(),
+            awaited: Vec::new(),
+            _place: place,
+        }
+    }
+
+    /// Notes that an attempt was sent, whose usage is not known yet.
+    pub(super) fn sent(&mut self, step: u32, upstream: &CompactString) {
+        self.awaited.push(AwaitedStep {
+            step,
+            upstream: upstream.clone(),
+        });
+    }
+
+    /// Notes that an attempt did not run.
+    pub(super) fn unsent(&mut self, step: u32, upstream: &CompactString) {
+        self.awaited
+            .retain(|awaited| awaited.step != step || awaited.upstream != *upstream);
+    }
+
+    /// Notes what an attempt used.
+    pub(super) fn used(&mut self, step: u32, upstream: &CompactString, usage: &Usage) {
+        self.unsent(step, upstream);
+        self.steps.push(BillStep::from(usage));
+    }
+
+    /// Notes that the first byte of the answer is on its way.
+    pub(super) fn first_byte(&mut self) {
+        let elapsed_ms = self.clock.elapsed_ms();
+        self.first_ms.get_or_insert(elapsed_ms);
+    }
+
+    fn bill(&mut self) -> Bill {
+        Bill {
+            sequence: self.id.sequence,
+            team: self.team.clone(),
+            service: self.service.clone(),
+            cost_micros: self.steps.iter().map(|step| step.cost_micros).sum(),
+            steps: std::mem::take(&mut self.steps),
+            awaited: std::mem::take(&mut self.awaited),
+        }
+    }
+
+    fn outcome(&self, completion_tokens: u64) -> Outcome {
+        let total_ms = self.clock.elapsed_ms();
+        Outcome {
+            id: self.id.clone(),
+            team: self.team.clone(),
+            service: self.service.clone(),
+            task: self.task.clone(),
+            version: self.version.clone(),
+            compared: self.compared,
+            failed: self.failed,
+            refused: self.refused,
+            first_ms: self.first_ms.unwrap_or(total_ms),
+            total_ms,
+            completion_tokens,
+        }
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let bill = self.bill();
+        let completion_tokens = bill.steps.last().map_or(0, |step| step.completion_tokens);
+        let outcome = self.outcome(completion_tokens);
+        self.shared.handle.post(Event::Billed(Box::new(bill)));
+        self.shared.handle.post(Event::Answered(Box::new(outcome)));
+        self.shared.leave();
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/attempt.rs
@@ -0,0 +1,177 @@
+//! One run sent to one agent.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_rt::time::timeout;
+use awc::error::SendRequestError;
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString, format_compact};
+use futures_util::StreamExt;
+use prost::Message;
+
+use super::frames::{FrameError, FrameReader};
+use crate::peer::Keys;
+use crate::peer::message::frame::Part;
+use crate::peer::message::{End, Failed, Ran, Refused, Run, Settle, Settled, Started};
+
+/// Longest time to wait for an agent's word on a lost run.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest answer to a settle call, in bytes.
+const MAX_SETTLED_BYTES: usize = 1024;
+
+type Body = awc::ClientResponse<
+    actix_http::encoding::Decoder<actix_http::Payload>,
+>;
+
+/// How an attempt ended without an answer.
+#[derive(Debug)]
+pub(super) enum AttemptError {
+    /// Nothing reached the agent.
+    NotSent(CompactString),
+    /// The agent did not run it and never will.
+    Refused(Refused),
+    /// The agent tells of a failure.
+    Failed(Failed),
+    /// The agent's word was lost or can't be trusted; it may have run.
+    Lost(CompactString),
+    /// The deadline passed; it may have run.
+    Expired,
+}
+
+/// A run whose answer has begun.
+pub(super) struct Answer {
+    pub(super) started: Started,
+    frames: Frames,
+}
+
+/// Where in the cluster a run goes.
+#[derive(Clone, Copy)]
+pub(super) struct Wire<'a> {
+    pub(super) client: &'a awc::Client,
+    pub(super) keys: &'a Keys,
+    pub(super) addr: &'a str,
+}
+
+impl Wire<'_> {
+    /// Sends a run and waits until its answer begins.
+    pub(super) async fn send(self, run: &Run, left: Duration) -> Result<Answer, AttemptError> {
+        timeout(left, self.open(run))
+            .await
+            .unwrap_or(Err(AttemptError::Expired))
+    }
+
+    /// Asks the agent what became of a run whose answer was lost.
+    ///
+    /// An agent that does not answer leaves it unknown.
+    pub(super) async fn settle(self, run: &Run) -> Ran {
+        let question = Settle {
+            request: run.request.clone(),
+            step: run.step,
+            target: run.target.clone(),
+        };
+        timeout(SETTLE_TIMEOUT, self.ask(&question))
+            .await
+            .ok()
+            .flatten()
+            .unwrap_or(Ran::Unknown)
+    }
+
+    async fn open(self, run: &Run) -> Result<Answer, AttemptError> {
+        let body = self.post("/v1/run", &run.encode_to_vec()).await?;
+        if body.status() != StatusCode::OK {
+            let status = body.status();
+            return Err(AttemptError::Lost(format_compact!(
+                "the agent answered with status {status}"
+            )));
+        }
+        let mut frames = Frames {
+            reader: FrameReader::new(run),
+            body,
+        };
+        match frames.next().await? {
+            Part::Started(started) => Ok(Answer { started, frames }),
+            Part::Refused(refused) => Err(AttemptError::Refused(refused)),
+            Part::Failed(failed) => Err(AttemptError::Failed(failed)),
+            Part::Chunk(_) | Part::End(_) => unreachable!("the reader refuses these first"),
+        }
+    }
+
+    async fn ask(self, question: &Settle) -> Option<Ran> {
+        let mut body = self
+            .post("/v1/settle", &question.encode_to_vec())
+            .await
+            .ok()?;
+        if body.status() != StatusCode::OK {
+            return None;
+        }
+        let bytes = body.body().limit(MAX_SETTLED_BYTES).await.ok()?;
+        let settled = Settled::decode(bytes).ok()?;
+        Some(super::refusal::known(settled.ran()))
+    }
+
+    async fn post(self, path: &str, payload: &[u8]) -> Result<Body, AttemptError> {
+        let url = format!("http://{}{path}", self.addr);
+        self.client
+            .post(url)
+            .content_type("application/octet-stream")
+            .send_body(self.keys.seal(payload))
+            .await
+            .map_err(send_error)
+    }
+}
+
+impl Answer {
+    /// The next chunk, or the end.
+    pub(super) async fn next(&mut self, left: Duration) -> Result<Piece, AttemptError> {
+        match timeout(left, self.frames.next()).await {
+            Ok(Ok(Part::Chunk(chunk))) => Ok(Piece::Chunk(chunk)),
+            Ok(Ok(Part::End(end))) => Ok(Piece::End(end)),
+            Ok(Ok(Part::Failed(failed))) => Err(AttemptError::Failed(failed)),
+            Ok(Ok(_)) => unreachable!("the reader refuses these first"),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Err(AttemptError::Expired),
+        }
+    }
+}
+
+/// What comes after the start of an answer.
+#[derive(Debug)]
+pub(super) enum Piece {
+    /// A part of the upstream's body.
+    Chunk(Bytes),
+    /// The answer is whole.
+    End(End),
+}
+
+struct Frames {
+    reader: FrameReader,
+    body: Body,
+}
+
+impl Frames {
+    async fn next(&mut self) -> Result<Part, AttemptError> {
+        loop {
+            if let Some(part) = self.reader.next().map_err(untrusted)? {
+                return Ok(part);
+            }
+            match self.body.next().await {
+                Some(Ok(bytes)) => self.reader.push(&bytes),
+                Some(Err(error)) => return Err(AttemptError::Lost(error.to_compact_string())),
+                None => return Err(untrusted(FrameError::Unfinished)),
+            }
+        }
+    }
+}
+
+fn untrusted(error: FrameError) -> AttemptError {
+    AttemptError::Lost(error.to_compact_string())
+}
+
+fn send_error(error: SendRequestError) -> AttemptError {
+    match error {
+        SendRequestError::Connect(error) => AttemptError::NotSent(error.to_compact_string()),
+        error => AttemptError::Lost(error.to_compact_string()),
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/chat.rs
@@ -0,0 +1,104 @@
+//! The body of a chat completion.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use rustc_hash::FxHasher;
+use serde::Deserialize;
+use serde_json::value::{RawValue, to_raw_value};
+
+use super::refusal::Refusal;
+use crate::traffic::Code;
+
+/// A chat completion as the caller asks for it; fields that the gateway does
+/// not need pass through as they are.
+#[derive(Debug)]
+pub(super) struct Chat {
+    /// Name of a model or of a version.
+    pub(super) model: CompactString,
+    /// True where the answer is to come in parts.
+    pub(super) stream: bool,
+    /// True where the caller wants a last part with the usage.
+    pub(super) usage: bool,
+    /// Hash of the first message, which requests with a common start share.
+    pub(super) prefix: u64,
+    /// Number of bytes of all messages.
+    pub(super) prompt_bytes: usize,
+    fields: BTreeMap<CompactString, Box<RawValue>>,
+}
+
+#[derive(Deserialize)]
+struct Known<'a> {
+    model: CompactString,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+impl Chat {
+    /// Reads the body.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] that says what is wrong.
+    pub(super) fn read(body: &[u8]) -> Result<Self, Refusal> {
+        let known: Known<'_> = serde_json::from_slice(body).map_err(|error| malformed(&error))?;
+        let Some(first) = known.messages.first() else {
+            return Err(Refusal::new(
+                Code::MalformedBody,
+                "`messages` is empty; give at least one message",
+            ));
+        };
+        let mut hasher = FxHasher::default();
+        hasher.write(first.get().as_bytes());
+        Ok(Self {
+            model: known.model,
+            stream: known.stream.unwrap_or_default(),
+            usage: known
+                .stream_options
+                .is_some_and(|options| options.include_usage),
+            prefix: hasher.finish(),
+            prompt_bytes: known.messages.iter().map(|text| text.get().len()).sum(),
+            fields: serde_json::from_slice(body).map_err(|error| malformed(&error))?,
+        })
+    }
+
+    /// The body with `version` as its model.
+    pub(super) fn body(&mut self, version: &str) -> Bytes {
+        let name = to_raw_value(version).expect("a text can be written as JSON");
+        self.fields.insert("model".into(), name);
+        let body = serde_json::to_vec(&self.fields).expect("raw values can be written as JSON");
+        Bytes::from(body)
+    }
+}
+
+fn malformed(error: &serde_json::Error) -> Refusal {
+    let message = format_compact!("the body is not a chat completion: {error}");
+    Refusal::new(Code::MalformedBody, message)
+}
+
+/// True for the part of a stream that carries the usage and no text.
+pub(super) fn is_usage_only(chunk: &[u8]) -> bool {
+    #[derive(Deserialize)]
+    struct Part<'a> {
+        #[serde(borrow)]
+        choices: Vec<&'a RawValue>,
+        #[serde(borrow, default)]
+        usage: Option<&'a RawValue>,
+    }
+    const MARK: &[u8] = b"\"usage\":";
+    chunk.windows(MARK.len()).any(|window| window == MARK)
+        && serde_json::from_slice(chunk)
+            .is_ok_and(|part: Part<'_>| part.choices.is_empty() && part.usage.is_some())
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/frames.rs
@@ -0,0 +1,152 @@
+//! Reading and checking the frames of one run's answer.
+//!
+//! An answer is whole only where each frame carries the run's request and
+//! step, the sequence has no gap, and the end names the number of chunks that
+//! came. Everything else is an error, so a caller never gets a short answer or
+//! another request's without being told.
+
+use bytes::{Buf, Bytes, BytesMut};
+use prost::Message;
+use snafu::{ResultExt, Snafu};
+
+use crate::peer::message::frame::Part;
+use crate::peer::message::{Frame, RequestId, Run};
+
+/// Longest frame that is read, in bytes.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest length prefix, in bytes.
+const MAX_PREFIX_BYTES: usize = 10;
+
+/// An answer that can't be trusted.
+#[derive(Debug, Snafu)]
+pub(super) enum FrameError {
+    #[snafu(display("a frame can't be decoded: {source}"))]
+    Malformed { source: prost::DecodeError },
+    #[snafu(display("a frame has {length} bytes; {MAX_FRAME_BYTES} are accepted"))]
+    TooLong { length: usize },
+    #[snafu(display("a frame belongs to another request or step"))]
+    Foreign,
+    #[snafu(display("frame {found} came where {expected} was due"))]
+    Gap { expected: u64, found: u64 },
+    #[snafu(display("a frame of the wrong sort came {place}"))]
+    Misplaced { place: &'static str },
+    #[snafu(display("the end tells of {told} chunks, and {counted} came"))]
+    Count { told: u64, counted: u64 },
+    #[snafu(display("the answer ended before its end frame"))]
+    Unfinished,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    Started,
+    Ended,
+}
+
+/// Turns the bytes of an answer into checked parts.
+#[derive(Debug)]
+pub(super) struct FrameReader {
+    request: Option<RequestId>,
+    step: u32,
+    buffer: BytesMut,
+    sequence: u64,
+    chunks: u64,
+    stage: Stage,
+}
+
+impl FrameReader {
+    /// A reader of the answer to `run`.
+    pub(super) fn new(run: &Run) -> Self {
+        Self {
+            request: run.request.clone(),
+            step: run.step,
+            buffer: BytesMut::new(),
+            sequence: 0,
+            chunks: 0,
+            stage: Stage::Waiting,
+        }
+    }
+
+    /// Takes bytes that arrived.
+    pub(super) fn push(&mut self, bytes: &Bytes) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next part, if all of it has arrived.
+    pub(super) fn next(&mut self) -> Result<Option<Part>, FrameError> {
+        match self.decode()? {
+            Some(frame) => self.check(frame).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    /// True where the last part has come.
+    pub(super) fn ended(&self) -> bool {
+        self.stage == Stage::Ended
+    }
+
+    fn decode(&mut self) -> Result<Option<Frame>, FrameError> {
+        let mut prefix = &self.buffer[..];
+        let length = match prost::decode_length_delimiter(&mut prefix) {
+            Ok(length) => length,
+            Err(_) if self.buffer.len() < MAX_PREFIX_BYTES => return Ok(None),
+            Err(source) => return Err(FrameError::Malformed { source }),
+        };
+        if length > MAX_FRAME_BYTES {
+            return TooLongSnafu { length }.fail();
+        }
+        let head = self.buffer.len() - prefix.len();
+        if prefix.len() < length {
+            self.buffer.reserve(length - prefix.len());
+            return Ok(None);
+        }
+        self.buffer.advance(head);
+        let frame = self.buffer.split_to(length).freeze();
+        Frame::decode(frame).context(MalformedSnafu).map(Some)
+    }
+
+    fn check(&mut self, frame: Frame) -> Result<Part, FrameError> {
+        if frame.request != self.request || frame.step != self.step {
+            return ForeignSnafu.fail();
+        }
+        if frame.sequence != self.sequence {
+            return GapSnafu {
+                expected: self.sequence,
+                found: frame.sequence,
+            }
+            .fail();
+        }
+        self.sequence += 1;
+        let part = frame.part.ok_or(FrameError::Misplaced {
+            place: "without a part",
+        })?;
+        self.place(&part)?;
+        Ok(part)
+    }
+
+    // Started, chunks, end; or a refusal first; or a failure at any time.
+    fn place(&mut self, part: &Part) -> Result<(), FrameError> {
+        let misplaced = |place| MisplacedSnafu { place }.fail();
+        self.stage = match (self.stage, part) {
+            (Stage::Ended, _) => return misplaced("after the end"),
+            (Stage::Waiting, Part::Started(_)) => Stage::Started,
+            (Stage::Waiting, Part::Refused(_)) | (_, Part::Failed(_)) => Stage::Ended,
+            (Stage::Waiting, _) => return misplaced("before the start"),
+            (Stage::Started, Part::Chunk(_)) => {
+                self.chunks += 1;
+                Stage::Started
+            }
+            (Stage::Started, Part::End(end)) if end.chunks == self.chunks => Stage::Ended,
+            (Stage::Started, Part::End(end)) => {
+                return CountSnafu {
+                    told: end.chunks,
+                    counted: self.chunks,
+                }
+                .fail();
+            }
+            (Stage::Started, _) => return misplaced("after the start"),
+        };
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/head.rs
@@ -0,0 +1,124 @@
+//! The headers that a caller may send, checked.
+
+use actix_http::header::{self, HeaderMap};
+use compact_str::{CompactString, format_compact};
+
+use super::refusal::Refusal;
+use crate::traffic::Code;
+
+/// Time an answer may take where the caller names none, in milliseconds.
+pub(super) const DEFAULT_DEADLINE_MS: u64 = 120_000;
+
+/// Longest time a caller may give, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Longest session id or token, in bytes.
+const MAX_SESSION_BYTES: usize = 1024;
+
+/// Longest name of a task, in bytes.
+const MAX_TASK_BYTES: usize = 63;
+
+/// What the headers of a request say.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Head {
+    /// The caller's key; empty where there is none.
+    pub(super) bearer: CompactString,
+    pub(super) task: Option<CompactString>,
+    pub(super) session: Option<CompactString>,
+    pub(super) deadline_ms: u64,
+    pub(super) quality: Option<f64>,
+    pub(super) idempotency_key: Option<CompactString>,
+    pub(super) content_type: CompactString,
+}
+
+impl Head {
+    /// Reads and checks the headers.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] that names the header.
+    pub(super) fn read(headers: &HeaderMap) -> Result<Self, Refusal> {
+        Ok(Self {
+            bearer: bearer(headers)?,
+            task: limited(headers, "x-carawayrun-task", MAX_TASK_BYTES)?,
+            session: limited(headers, "x-carawayrun-session", MAX_SESSION_BYTES)?,
+            deadline_ms: deadline_ms(headers)?,
+            quality: quality(headers)?,
+            idempotency_key: limited(headers, "idempotency-key", MAX_KEY_BYTES)?,
+            content_type: single(headers, header::CONTENT_TYPE.as_str())?.unwrap_or_default(),
+        })
+    }
+}
+
+fn bearer(headers: &HeaderMap) -> Result<CompactString, Refusal> {
+    let Some(value) = single(headers, header::AUTHORIZATION.as_str())? else {
+        return Ok(CompactString::default());
+    };
+    match value.split_once(' ') {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => Ok(key.trim().into()),
+        _ => Err(malformed("authorization", "give `Bearer KEY`")),
+    }
+}
+
+fn deadline_ms(headers: &HeaderMap) -> Result<u64, Refusal> {
+    const NAME: &str = "x-carawayrun-deadline-ms";
+    let Some(value) = single(headers, NAME)? else {
+        return Ok(DEFAULT_DEADLINE_MS);
+    };
+    match value.parse() {
+        Ok(0) => Err(Refusal::new(
+            Code::DeadlineExpired,
+            "the deadline had passed when the request came",
+        )),
+        Ok(left_ms) if left_ms <= MAX_DEADLINE_MS => Ok(left_ms),
+        _ => Err(malformed(NAME, "give milliseconds from 1 to 3600000")),
+    }
+}
+
+fn quality(headers: &HeaderMap) -> Result<Option<f64>, Refusal> {
+    const NAME: &str = "x-carawayrun-quality";
+    let Some(value) = single(headers, NAME)? else {
+        return Ok(None);
+    };
+    match value.parse() {
+        Ok(target) if (0.0..=1.0).contains(&target) => Ok(Some(target)),
+        _ => Err(malformed(NAME, "give a number from 0 to 1")),
+    }
+}
+
+fn limited(
+    headers: &HeaderMap,
+    name: &'static str,
+    limit: usize,
+) -> Result<Option<CompactString>, Refusal> {
+    match single(headers, name)? {
+        Some(value) if value.is_empty() || value.len() > limit => Err(malformed(
+            name,
+            &format_compact!("give from 1 to {limit} bytes"),
+        )),
+        value => Ok(value),
+    }
+}
+
+fn single(headers: &HeaderMap, name: &str) -> Result<Option<CompactString>, Refusal> {
+    let mut values = headers.get_all(name);
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        let message = format_compact!("header `{name}` stands more than once; give it once");
+        return Err(Refusal::new(Code::DuplicateHeader, message));
+    }
+    match value.to_str() {
+        Ok(text) => Ok(Some(text.into())),
+        Err(_) => Err(malformed(name, "give visible ASCII only")),
+    }
+}
+
+fn malformed(name: &str, fix: &str) -> Refusal {
+    let message = format_compact!("header `{name}` can't be read; {fix}");
+    Refusal::new(Code::MalformedHeader, message)
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/limits.rs
@@ -0,0 +1,96 @@
+//! This gateway's part of the team limits.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use compact_str::format_compact;
+use rustc_hash::FxHashMap;
+
+use super::refusal::Refusal;
+use crate::control::{ShareView, View};
+use crate::policy::{Bucket, OverLimit};
+use crate::resource::{Limits, TeamKey};
+use crate::traffic::Code;
+
+/// Wait that is advised where too many requests are in flight, in milliseconds.
+const CONCURRENCY_RETRY_MS: u64 = 1_000;
+
+/// A bucket for each team that has sent a request.
+#[derive(Debug, Default)]
+pub(super) struct TeamLimits {
+    buckets: Mutex<FxHashMap<TeamKey, Bucket>>,
+}
+
+/// One request's place among its team's requests in flight.
+#[derive(Debug)]
+pub(super) struct Place {
+    limits: Arc<TeamLimits>,
+    team: TeamKey,
+}
+
+impl TeamLimits {
+    /// Takes one request in.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] where the team is over a limit.
+    pub(super) fn take(
+        self: &Arc<Self>,
+        view: &View,
+        team: TeamKey,
+        now_ms: u64,
+    ) -> Result<Place, Refusal> {
+        let share = share(view, team);
+        let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        let bucket = buckets
+            .entry(team)
+            .or_insert_with(|| Bucket::new(share.rate, share.burst, share.concurrency, now_ms));
+        bucket.resize(share.rate, share.burst, share.concurrency, now_ms);
+        bucket.take(now_ms).map_err(|over| refusal(over, share))?;
+        Ok(Place {
+            limits: Arc::clone(self),
+            team,
+        })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut buckets = self
+            .limits
+            .buckets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(bucket) = buckets.get_mut(&self.team) {
+            bucket.release();
+        }
+    }
+}
+
+// Without a share yet, the whole limit holds at this gateway.
+fn share(view: &View, team: TeamKey) -> ShareView {
+    view.shares.get(&team).copied().unwrap_or_else(|| {
+        let limits = view
+            .config
+            .teams
+            .get(team)
+            .map_or_else(Limits::default, |team| team.spec.limits);
+        ShareView {
+            rate: limits.rate,
+            burst: limits.burst,
+            concurrency: f64::from(limits.concurrency),
+        }
+    })
+}
+
+fn refusal(over: OverLimit, share: ShareView) -> Refusal {
+    match over {
+        OverLimit::Rate { retry_after_ms } => {
+            let message = format_compact!("over the rate of {} requests a second", share.rate);
+            Refusal::new(Code::OverRate, message).retry_after(retry_after_ms)
+        }
+        OverLimit::Concurrency => {
+            let message = format_compact!("over {} requests in flight", share.concurrency);
+            Refusal::new(Code::OverConcurrency, message).retry_after(CONCURRENCY_RETRY_MS)
+        }
+    }
+}
--- a/src/carawayrun/traffic/gateway/mod.rs
+++ b/src/carawayrun/traffic/gateway/mod.rs
@@ -1,1 +1,31 @@
 //! The callers' side: takes requests and is responsible for their outcome.
+//!
+//! | file | job |
+//! |---|---|
+//! | `server` | the listener, and stopping it without cutting a request |
+//! | `handler` | one caller's request from its head to its answer |
+//! | `head`, `chat`, `plain` | reading what the caller sent |
+//! | `choose` | permitted versions of a request, in the order to try them |
+//! | `session` | signed tokens that keep a session on its version |
+//! | `run`, `attempt`, `frames` | sending runs to agents and checking what comes back |
+//! | `account` | what one request used: limits, its bill and its outcome |
+//! | `answer`, `refusal` | writing the answer |
+
+mod account;
+mod answer;
+mod attempt;
+mod chat;
+mod choose;
+mod clock;
+mod frames;
+mod handler;
+mod head;
+mod limits;
+mod plain;
+mod refusal;
+mod run;
+mod server;
+mod session;
+mod shared;
+
+pub use self::server::{Gateway, GatewaySettings, bind};
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/plain.rs
@@ -0,0 +1,77 @@
+//! Calls of plain services.
+
+use crate::resource::{Named, Route, Service};
+use crate::traffic::Code;
+
+use super::refusal::Refusal;
+
+/// Path prefix of plain calls.
+pub(super) const PREFIX: &str = "/services/";
+
+/// Service and path of a plain call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Target<'a> {
+    /// Name of the service.
+    pub(super) service: &'a str,
+    /// Path below the service, with its slash.
+    pub(super) path: &'a str,
+}
+
+impl<'a> Target<'a> {
+    /// Splits `/services/NAME/PATH`.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] where the path does not have this form or could be read
+    /// in two ways, so that a route's prefix would not hold.
+    pub(super) fn read(path: &'a str) -> Result<Self, Refusal> {
+        let unknown = || Refusal::new(Code::UnknownRoute, "give /services/SERVICE/PATH");
+        let rest = path.strip_prefix(PREFIX).ok_or_else(unknown)?;
+        let slash = rest.find('/').ok_or_else(unknown)?;
+        let (service, path) = rest.split_at(slash);
+        if service.is_empty() || is_ambiguous(path) {
+            return Err(unknown());
+        }
+        Ok(Self { service, path })
+    }
+}
+
+/// The route of a call: the longest prefix of whole segments wins.
+pub(super) fn route<'a>(
+    service: &'a Named<Service>,
+    method: &str,
+    path: &str,
+) -> Result<&'a Route, Refusal> {
+    service
+        .spec
+        .routes
+        .iter()
+        .filter(|route| route.method.eq_ignore_ascii_case(method))
+        .filter(|route| covers(&route.path, path))
+        .max_by_key(|route| route.path.len())
+        .ok_or_else(|| {
+            let name = &service.name;
+            Refusal::new(
+                Code::UnknownRoute,
+                format!("service `{name}` has no route for {method} {path}"),
+            )
+        })
+}
+
+fn covers(prefix: &str, path: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+// Dots, slashes and percent signs must stand as they are, not as `%XX`.
+fn is_ambiguous(path: &str) -> bool {
+    let lower = path.to_ascii_lowercase();
+    let escaped = ["%2e", "%2f", "%5c", "%25"]
+        .iter()
+        .any(|code| lower.contains(code));
+    let odd = escaped || path.contains("//") || path.contains('\\');
+    odd || path
+        .split('/')
+        .any(|segment| segment == "." || segment == "..")
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/refusal.rs
@@ -0,0 +1,150 @@
+//! Requests that are not answered, and how the caller is told.
+
+use actix_http::body::BoxBody;
+use actix_http::header::{self, HeaderValue};
+use actix_http::{Response, StatusCode};
+use compact_str::{CompactString, ToCompactString};
+use serde::Serialize;
+
+use crate::http::json;
+use crate::peer::message::{Failed, Ran, Refused};
+use crate::traffic::Code;
+
+/// Why a request got no answer, and whether it ran.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Refusal {
+    pub(super) code: Code,
+    pub(super) message: CompactString,
+    pub(super) ran: Ran,
+    pub(super) retry_after_ms: Option<u64>,
+}
+
+/// The error object of the chat completions protocol, with our fields added.
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorObject<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorObject<'a> {
+    message: &'a str,
+    r#type: &'static str,
+    code: &'static str,
+    ran: &'static str,
+    request_id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run and never will.
+    pub(super) fn new(code: Code, message: impl Into<CompactString>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            ran: Ran::No,
+            retry_after_ms: None,
+        }
+    }
+
+    /// Tells the caller when to come back.
+    pub(super) fn retry_after(mut self, wait_ms: u64) -> Self {
+        self.retry_after_ms = Some(wait_ms);
+        self
+    }
+
+    /// A failure of a request that ran, or may have.
+    pub(super) fn failure(code: Code, message: impl Into<CompactString>, ran: Ran) -> Self {
+        Self {
+            ran,
+            ..Self::new(code, message)
+        }
+    }
+
+    /// An agent's refusal; an unknown code of a newer agent is an overload.
+    pub(super) fn refused(refused: &Refused) -> Self {
+        Self {
+            code: refused.code.parse().unwrap_or(Code::Overloaded),
+            message: refused.message.to_compact_string(),
+            ran: Ran::No,
+            retry_after_ms: wait_ms(refused.retry_after_ms),
+        }
+    }
+
+    /// An agent's failure; an unknown code of a newer agent is the upstream's.
+    pub(super) fn failed(failed: &Failed) -> Self {
+        Self {
+            code: failed.code.parse().unwrap_or(Code::UpstreamFailed),
+            message: failed.message.to_compact_string(),
+            ran: known(failed.ran()),
+            retry_after_ms: wait_ms(failed.retry_after_ms),
+        }
+    }
+
+    /// The answer to the caller.
+    pub(super) fn response(&self, request_id: &str) -> Response<BoxBody> {
+        let mut response = json(self.code.status(), &self.body(request_id));
+        if let Some(wait_ms) = self.retry_after_ms {
+            let seconds = HeaderValue::from(wait_ms.div_ceil(1_000));
+            response
+                .headers_mut()
+                .insert(header::RETRY_AFTER, seconds);
+        }
+        if response.status() == StatusCode::UNAUTHORIZED {
+            let scheme = HeaderValue::from_static("Bearer");
+            response
+                .headers_mut()
+                .insert(header::WWW_AUTHENTICATE, scheme);
+        }
+        response
+    }
+
+    /// The error object as JSON text, for a stream that has begun.
+    pub(super) fn event(&self, request_id: &str) -> String {
+        serde_json::to_string(&self.body(request_id)).expect("an error can be written as JSON")
+    }
+
+    fn body<'a>(&'a self, request_id: &'a str) -> ErrorBody<'a> {
+        ErrorBody {
+            error: ErrorObject {
+                message: &self.message,
+                r#type: kind(self.code.status()),
+                code: self.code.as_str(),
+                ran: ran_text(self.ran),
+                request_id,
+                retry_after_ms: self.retry_after_ms,
+            },
+        }
+    }
+}
+
+/// What a peer says about a run; anything unclear is unknown.
+pub(super) fn known(ran: Ran) -> Ran {
+    match ran {
+        Ran::Unspecified => Ran::Unknown,
+        ran => ran,
+    }
+}
+
+fn wait_ms(wait_ms: u32) -> Option<u64> {
+    (wait_ms > 0).then_some(u64::from(wait_ms))
+}
+
+fn ran_text(ran: Ran) -> &'static str {
+    match ran {
+        Ran::No => "no",
+        Ran::Yes => "yes",
+        Ran::Unknown | Ran::Unspecified => "unknown",
+    }
+}
+
+// The types that clients of the protocol know.
+fn kind(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "authentication_error",
+        StatusCode::FORBIDDEN => "permission_error",
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        status if status.is_client_error() => "invalid_request_error",
+        _ => "server_error",
+    }
+}
