--- /dev/null
+++ b/src/carawayrun/traffic/gateway/admission.rs
@@ -0,0 +1,35 @@
+//! Whether this gateway takes a new request at all.
+
+use super::refusal::Refusal;
+use super::shared::Shared;
+use crate::control::{Admission, View};
+use crate::traffic::Code;
+
+/// Most requests in flight at one gateway. The ledger keeps room for the bills
+/// of so many when it stops admission.
+pub(super) const MAX_IN_FLIGHT: u64 = crate::control::MAX_IN_FLIGHT as u64;
+
+/// Wait that is advised where a gateway is full, in milliseconds.
+const FULL_RETRY_MS: u64 = 1_000;
+
+/// Refuses where the gateway drains, is closed or full.
+pub(super) fn check(shared: &Shared, view: &View) -> Result<(), Refusal> {
+    if shared.is_draining() {
+        let refusal = Refusal::new(Code::Draining, "this gateway is stopping; use another");
+        return Err(refusal.retry_after(0));
+    }
+    if let Admission::Closed {
+        code,
+        retry_after_ms,
+    } = &view.admission
+    {
+        let code = code.parse().unwrap_or(Code::Overloaded);
+        let refusal = Refusal::new(code, "this gateway takes no requests at the moment");
+        return Err(refusal.retry_after(*retry_after_ms));
+    }
+    if shared.in_flight() >= MAX_IN_FLIGHT {
+        let refusal = Refusal::new(Code::Overloaded, "this gateway is full");
+        return Err(refusal.retry_after(FULL_RETRY_MS));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/auth.rs
@@ -0,0 +1,69 @@
+//! Which team a key belongs to.
+
+use std::fmt::Write;
+
+use compact_str::CompactString;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::refusal::Refusal;
+use crate::resource::{Config, TeamKey};
+use crate::traffic::Code;
+
+/// The team that sent a request.
+#[derive(Debug)]
+pub(super) struct Caller {
+    pub(super) key: TeamKey,
+    pub(super) name: CompactString,
+}
+
+/// Finds the team of a key by the key's digest.
+///
+/// The digest is looked up in a hash table and then compared again in constant
+/// time; a caller can't choose digests, so the lookup tells nothing of others.
+///
+/// # Errors
+///
+/// A [`Refusal`] where there is no configuration yet or no team has the key.
+pub(super) fn authenticate(config: &Config, bearer: &str) -> Result<Caller, Refusal> {
+    if config.generation == 0 {
+        return Err(Refusal::new(
+            Code::StaleConfiguration,
+            "this gateway has no configuration yet; come back soon",
+        )
+        .retry_after(1_000));
+    }
+    let digest = hex_digest(bearer);
+    config
+        .team_by_digest(&digest)
+        .and_then(|key| Some((key, config.teams.get(key)?)))
+        .filter(|(_, team)| {
+            team.spec
+                .key_digests
+                .iter()
+                .any(|known| same(known, &digest))
+        })
+        .map(|(key, team)| Caller {
+            key,
+            name: team.name.clone(),
+        })
+        .ok_or_else(|| {
+            Refusal::new(
+                Code::UnknownKey,
+                "no team has this key; give `authorization: Bearer KEY`",
+            )
+        })
+}
+
+fn same(known: &str, digest: &str) -> bool {
+    let known = known.to_ascii_lowercase();
+    bool::from(known.as_bytes().ct_eq(digest.as_bytes()))
+}
+
+fn hex_digest(key: &str) -> CompactString {
+    let mut digits = CompactString::default();
+    for byte in Sha256::digest(key.as_bytes()) {
+        write!(digits, "{byte:02x}").expect("writing to a string does not fail");
+    }
+    digits
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/handler.rs
@@ -0,0 +1,297 @@
+//! One caller's request, from its head to its answer.
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sha2::{Digest, Sha256};
+
+use super::account::Account;
+use super::answer::{self, Notes};
+use super::auth::authenticate;
+use super::board::Board;
+use super::chat::Chat;
+use super::clock::Clock;
+use super::head::Head;
+use super::plain::{self, Target};
+use super::plan;
+use super::refusal::Refusal;
+use super::run::{self, Job};
+use super::session::{Pin, Session};
+use super::shared::Worker;
+use super::{admission, models};
+use crate::http::{ReadBodyError, read_body, text};
+use crate::peer::message::Priority;
+use crate::policy::{Ask, Pool};
+use crate::resource::{Backend, Task, TaskClass, TeamKey};
+use crate::traffic::Code;
+
+/// Path of chat completions.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Answers one request.
+pub(super) async fn handle(worker: Worker, request: Request) -> Response<BoxBody> {
+    let leaving = worker.shared.is_leaving();
+    let mut response = match (request.method(), request.path()) {
+        (&Method::GET, "/health") => health(leaving),
+        (&Method::GET, "/v1/models") => models::list(&worker, &request),
+        (&Method::POST, CHAT_PATH) => chat(&worker, request).await,
+        (_, path) if path.starts_with(plain::PREFIX) => call(&worker, request).await,
+        (method, path) => {
+            let message = format!("there is no call {method} {path}");
+            let refusal = Refusal::new(Code::UnknownRoute, message);
+            refused_early(&worker, &refusal)
+        }
+    };
+    if leaving {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response
+}
+
+fn health(leaving: bool) -> Response<BoxBody> {
+    if leaving {
+        text(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+    } else {
+        text(StatusCode::OK, "ok\n")
+    }
+}
+
+/// The answer to a request that is not taken in.
+pub(super) fn refused_early(worker: &Worker, refusal: &Refusal) -> Response<BoxBody> {
+    let id = worker.shared.refusal_id();
+    let mut response = refusal.response(&id);
+    answer::identify(&mut response, &id);
+    response
+}
+
+// A request that was taken in: who asks, and its account.
+struct Taken {
+    board: std::sync::Arc<Board>,
+    team: TeamKey,
+    head: Head,
+    account: Account,
+}
+
+async fn chat(worker: &Worker, mut request: Request) -> Response<BoxBody> {
+    let mut taken = match take(worker, &request) {
+        Ok(taken) => taken,
+        Err(refusal) => return refused_early(worker, &refusal),
+    };
+    match complete(worker, &mut request, &mut taken).await {
+        Ok((reply, notes)) if reply.rest.is_some() => {
+            answer::streamed(reply, taken.account, &notes)
+        }
+        Ok((reply, notes)) => answer::whole(reply, &mut taken.account, &notes),
+        Err(refusal) => refused(&mut taken.account, &refusal),
+    }
+}
+
+async fn call(worker: &Worker, mut request: Request) -> Response<BoxBody> {
+    let mut taken = match take(worker, &request) {
+        Ok(taken) => taken,
+        Err(refusal) => return refused_early(worker, &refusal),
+    };
+    match pass(worker, &mut request, &mut taken).await {
+        Ok(reply) => answer::whole(reply, &mut taken.account, &Notes::default()),
+        Err(refusal) => refused(&mut taken.account, &refusal),
+    }
+}
+
+fn take(worker: &Worker, request: &Request) -> Result<Taken, Refusal> {
+    let board = worker.shared.board();
+    let head = Head::read(request.headers())?;
+    let team = authenticate(&board.view.config, &head.bearer)?;
+    admission::check(&worker.shared, &board.view)?;
+    let now_ms = worker.shared.now_ms();
+    let place = worker.shared.limits.take(&board.view, team.key, now_ms)?;
+    let clock = Clock::start(head.deadline_ms);
+    let account = Account::open(&worker.shared, place, team.name.clone(), clock);
+    Ok(Taken {
+        team: team.key,
+        head,
+        account,
+        board: std::sync::Arc::clone(&board),
+    })
+}
+
+fn refused(account: &mut Account, refusal: &Refusal) -> Response<BoxBody> {
+    account.refused = refusal.ran == crate::peer::message::Ran::No;
+    account.failed = refusal.code.status().is_server_error();
+    let mut response = refusal.response(&account.text);
+    answer::identify(&mut response, &account.text);
+    response
+}
+
+async fn body(worker: &Worker, request: &mut Request) -> Result<Bytes, Refusal> {
+    let limit = worker.shared.max_body;
+    read_body(request.take_payload(), limit)
+        .await
+        .map_err(|error| {
+            let code = match &error {
+                ReadBodyError::TooLarge { .. } => Code::BodyTooLarge,
+                ReadBodyError::Broken { .. } => Code::MalformedBody,
+            };
+            Refusal::new(code, error.to_compact_string())
+        })
+}
+
+async fn complete(
+    worker: &Worker,
+    request: &mut Request,
+    taken: &mut Taken,
+) -> Result<(run::Reply, Notes), Refusal> {
+    let mut chat = Chat::read(&body(worker, request).await?)?;
+    let board = std::sync::Arc::clone(&taken.board);
+    let config = &board.view.config;
+    let (service_key, service) = plan::service_of(config, &chat.model)?;
+    let task = plan::task_of(service, taken.head.task.as_ref())?;
+    taken.account.service = service.name.clone();
+    taken.account.task = task.name.clone();
+    let kept = kept_version(worker, taken)?;
+    let pinned = kept
+        .as_ref()
+        .and_then(|version| plan::pinned(config, &chat.model, version));
+    let ask = Ask {
+        team: taken.team,
+        service: service_key,
+        task: &task.name,
+        model: &chat.model,
+        quality: taken.head.quality,
+        budget_ms: task.latency_ms,
+        pinned,
+        stream: chat.stream,
+        prompt_tokens: plan::prompt_tokens(chat.prompt_bytes),
+        cached_tokens: 0,
+    };
+    let plan = plan::plan(&board, &ask, &mut SmallRng::from_os_rng())?;
+    let step = plan.steps.last().expect("a plan has at least one step");
+    let version = config
+        .versions
+        .get(step.version)
+        .expect("a plan names versions of its configuration");
+    taken.account.version = version.name.clone();
+    taken.account.compared = step.compared;
+    let job = Job {
+        step: 0,
+        pool: Pool::Version(step.version),
+        version: version.name.clone(),
+        priority: priority(task, chat.stream),
+        idempotent: true,
+        key: CompactString::default(),
+        stream: chat.stream,
+        method: "POST".into(),
+        path: CHAT_PATH.into(),
+        content_type: "application/json".into(),
+        prefix: chat.prefix,
+        body: chat.body(&version.name),
+        fingerprint: Bytes::new(),
+        latency_ms: task.latency_ms,
+    };
+    let reply = run::run(worker, &job, &mut taken.account).await?;
+    let pin = Pin {
+        team: taken.account.team.clone(),
+        version: version.name.clone(),
+    };
+    let moved = kept.filter(|_| plan.explanation.unpinned);
+    let notes = Notes {
+        session: Some(pin.token(&worker.shared.keys)),
+        moved: moved.map(String::from),
+        usage: chat.usage,
+    };
+    Ok((reply, notes))
+}
+
+fn kept_version(worker: &Worker, taken: &Taken) -> Result<Option<CompactString>, Refusal> {
+    let Some(text) = &taken.head.session else {
+        return Ok(None);
+    };
+    match Session::read(text, &taken.account.team, &worker.shared.keys)? {
+        Session::Pinned(pin) => Ok(Some(pin.version)),
+        Session::Own(_) => Ok(None),
+    }
+}
+
+// A stream has a person before it, whatever its task.
+fn priority(task: &Task, stream: bool) -> Priority {
+    if stream {
+        return Priority::Interactive;
+    }
+    priority_of(task.class)
+}
+
+fn priority_of(class: TaskClass) -> Priority {
+    match class {
+        TaskClass::Interactive => Priority::Interactive,
+        TaskClass::Normal => Priority::Normal,
+        TaskClass::Batch => Priority::Batch,
+    }
+}
+
+async fn pass(
+    worker: &Worker,
+    request: &mut Request,
+    taken: &mut Taken,
+) -> Result<run::Reply, Refusal> {
+    let method = request.method().as_str().to_compact_string();
+    let uri = request.uri().clone();
+    let target = Target::read(uri.path())?;
+    let config = &taken.board.view.config;
+    let forbidden = || {
+        let message = format!("the team may not call service `{}`", target.service);
+        Refusal::new(Code::ForbiddenService, message)
+    };
+    let team = config.teams.get(taken.team).ok_or_else(forbidden)?;
+    if !team.spec.services.iter().any(|name| name == target.service) {
+        return Err(forbidden());
+    }
+    let key = config.services.key(target.service).ok_or_else(forbidden)?;
+    let service = config.services.get(key).ok_or_else(forbidden)?;
+    if service.spec.backend != Backend::Plain {
+        return Err(Refusal::new(
+            Code::UnknownRoute,
+            "model engines are called by /v1/chat/completions",
+        ));
+    }
+    let route = plain::route(service, &method, target.path)?;
+    taken.account.service = service.name.clone();
+    taken.account.task = format!("{} {}", route.method, route.path).into();
+    let path: CompactString = match uri.query() {
+        Some(query) => format!("{}?{query}", target.path).into(),
+        None => target.path.into(),
+    };
+    let body = body(worker, request).await?;
+    let idempotency_key = taken.head.idempotency_key.clone().unwrap_or_default();
+    let job = Job {
+        step: 0,
+        pool: Pool::Service(key),
+        version: CompactString::default(),
+        priority: priority_of(route.class),
+        idempotent: route.idempotent,
+        fingerprint: fingerprint(&method, &path, &body, &idempotency_key),
+        key: idempotency_key,
+        stream: false,
+        method,
+        path,
+        content_type: taken.head.content_type.clone(),
+        prefix: 0,
+        body,
+        latency_ms: 1_000,
+    };
+    run::run(worker, &job, &mut taken.account).await
+}
+
+// Only a request with a key is compared with an earlier one.
+fn fingerprint(method: &str, path: &str, body: &[u8], key: &str) -> Bytes {
+    if key.is_empty() {
+        return Bytes::new();
+    }
+    let mut hasher = Sha256::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    Bytes::copy_from_slice(&hasher.finalize())
+}
--- a/src/carawayrun/traffic/gateway/mod.rs
+++ b/src/carawayrun/traffic/gateway/mod.rs
@@ -5,23 +5,27 @@
 //! | `server` | the listener, and stopping it without cutting a request |
 //! | `handler` | one caller's request from its head to its answer |
 //! | `head`, `chat`, `plain` | reading what the caller sent |
-//! | `choose` | permitted versions of a request, in the order to try them |
+//! | `plan`, `board` | which version answers, from the view in force |
 //! | `session` | signed tokens that keep a session on its version |
 //! | `run`, `attempt`, `frames` | sending runs to agents and checking what comes back |
 //! | `account` | what one request used: limits, its bill and its outcome |
 //! | `answer`, `refusal` | writing the answer |
 
 mod account;
+mod admission;
 mod answer;
 mod attempt;
+mod auth;
+mod board;
 mod chat;
-mod choose;
 mod clock;
 mod frames;
 mod handler;
 mod head;
 mod limits;
+mod models;
 mod plain;
+mod plan;
 mod refusal;
 mod run;
 mod server;
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/plan.rs
@@ -0,0 +1,98 @@
+//! From a request for a model to the versions that answer it.
+
+use compact_str::{CompactString, format_compact};
+use rand::rngs::SmallRng;
+
+use super::board::Board;
+use super::refusal::Refusal;
+use crate::policy::{Ask, NoPlan, Plan, Situation};
+use crate::resource::{Config, Named, Service, ServiceKey, Task, VersionKey};
+use crate::traffic::Code;
+
+/// Wait that is advised where no upstream is ready, in milliseconds.
+pub(super) const READY_RETRY_MS: u64 = 1_000;
+
+/// Bytes of text to a token, for estimates.
+const TOKEN_BYTES: usize = 4;
+
+/// The engine service that runs a model or version.
+pub(super) fn service_of<'a>(
+    config: &'a Config,
+    model: &str,
+) -> Result<(ServiceKey, &'a Named<Service>), Refusal> {
+    config
+        .versions
+        .iter()
+        .find(|(_, version)| version.name == model || version.spec.model == model)
+        .and_then(|(_, version)| config.services.key(&version.spec.service))
+        .and_then(|key| config.services.get(key).map(|service| (key, service)))
+        .ok_or_else(|| {
+            let message = format_compact!("there is no model or version `{model}`");
+            Refusal::new(Code::UnknownModel, message)
+        })
+}
+
+/// The task of a request: the service's first one where the caller names none.
+pub(super) fn task_of<'a>(
+    service: &'a Named<Service>,
+    name: Option<&CompactString>,
+) -> Result<&'a Task, Refusal> {
+    let tasks = &service.spec.tasks;
+    let found = match name {
+        None => tasks.first(),
+        Some(name) => tasks.iter().find(|task| task.name == *name),
+    };
+    found.ok_or_else(|| {
+        let name = name.map_or("", CompactString::as_str);
+        let message = format_compact!("service `{}` has no task `{name}`", service.name);
+        Refusal::new(Code::UnknownTask, message)
+    })
+}
+
+/// The version of a session, where it is one of the model that is asked for.
+pub(super) fn pinned(config: &Config, model: &str, version: &str) -> Option<VersionKey> {
+    let key = config.versions.key(version)?;
+    let entry = config.versions.get(key)?;
+    (entry.name == model || entry.spec.model == model).then_some(key)
+}
+
+/// Tokens that a prompt of so many bytes is estimated at.
+pub(super) fn prompt_tokens(bytes: usize) -> u64 {
+    bytes.div_ceil(TOKEN_BYTES) as u64
+}
+
+/// Plans one request.
+///
+/// # Errors
+///
+/// A [`Refusal`] that says why no version may answer.
+pub(super) fn plan(board: &Board, ask: &Ask<'_>, rng: &mut SmallRng) -> Result<Plan, Refusal> {
+    let situation = Situation {
+        config: &board.view.config,
+        estimates: &board.estimates,
+        pools: &board.pools,
+        splits: &board.splits,
+        suspended: &board.view.suspended,
+        rating_micros: 0.0,
+        rating_ms: 0.0,
+        rated_share: 0.0,
+    };
+    crate::policy::plan(ask, &situation, rng).map_err(|error| refusal(error, ask))
+}
+
+fn refusal(error: NoPlan, ask: &Ask<'_>) -> Refusal {
+    let code = match error {
+        NoPlan::Gone => Code::StaleConfiguration,
+        NoPlan::UnknownTask => Code::UnknownTask,
+        NoPlan::UnknownModel => Code::UnknownModel,
+        NoPlan::ForbiddenVersion => Code::ForbiddenVersion,
+        NoPlan::Withdrawn => Code::Withdrawn,
+        NoPlan::NoUpstream => Code::NoUpstream,
+    };
+    let refusal = Refusal::new(code, format_compact!("model `{}`: {error}", ask.model));
+    if code == Code::NoUpstream {
+        refusal.retry_after(READY_RETRY_MS)
+    } else {
+        refusal
+    }
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/server.rs
@@ -0,0 +1,120 @@
+//! The callers' listener, and stopping it without cutting a request.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::time::{Instant, sleep, timeout};
+use compact_str::CompactString;
+
+use super::handler::handle;
+use super::shared::{Shared, Worker};
+use crate::http::{self, Listener, ServerOptions};
+use crate::node::Handle;
+use crate::peer::Keys;
+
+/// Time between two looks at the requests in flight.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Time that the last bytes of answers get to leave the process.
+const LAST_WRITES: Duration = Duration::from_millis(200);
+
+/// Longest wait for the listener's threads to end.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Settings of the callers' listener.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    /// Address to listen on; port zero takes a free one.
+    pub listen: SocketAddr,
+    /// Number of threads that serve callers.
+    pub workers: usize,
+    /// Longest body of a caller, in bytes.
+    pub max_body: usize,
+    /// Name of the gateway's data centre.
+    pub data_centre: CompactString,
+    /// Keys shared by all nodes.
+    pub keys: Keys,
+    /// Time in which a stopping gateway still takes requests, so that the
+    /// balancer can see by `/health` that it is leaving.
+    pub linger: Duration,
+    /// Longest time a graceful stop waits for requests in flight.
+    pub drain: Duration,
+}
+
+/// A running callers' listener.
+#[derive(Debug)]
+pub struct Gateway {
+    listener: Listener,
+    shared: Arc<Shared>,
+    linger: Duration,
+    drain: Duration,
+}
+
+/// Binds the callers' listener and starts serving.
+///
+/// # Errors
+///
+/// An [`io::Error`] where the address can't be bound.
+pub fn bind(settings: GatewaySettings, handle: Handle) -> io::Result<Gateway> {
+    let shared = Arc::new(Shared::new(
+        handle,
+        settings.keys,
+        settings.data_centre,
+        settings.max_body,
+    ));
+    let options = ServerOptions {
+        name: "callers",
+        addr: settings.listen,
+        workers: settings.workers,
+        drain: settings.drain,
+    };
+    let threads = Arc::clone(&shared);
+    let listener = http::bind(&options, move || {
+        let worker = Worker::new(Arc::clone(&threads));
+        move |request| handle_boxed(worker.clone(), request)
+    })?;
+    Ok(Gateway {
+        listener,
+        shared,
+        linger: settings.linger,
+        drain: settings.drain,
+    })
+}
+
+fn handle_boxed(
+    worker: Worker,
+    request: actix_http::Request,
+) -> impl Future<Output = actix_http::Response<actix_http::body::BoxBody>> {
+    handle(worker, request)
+}
+
+impl Gateway {
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.listener.addr()
+    }
+
+    /// Requests whose answer is not finished.
+    pub fn in_flight(&self) -> u64 {
+        self.shared.in_flight()
+    }
+
+    /// Stops without cutting a request: says so by `/health`, lingers, refuses
+    /// new requests, and waits for those in flight up to the drain time.
+    /// Returns the number of requests that were cut.
+    pub async fn stop(&self) -> u64 {
+        self.shared.leaving();
+        sleep(self.linger).await;
+        self.shared.drain();
+        let deadline = Instant::now() + self.drain;
+        while self.shared.in_flight() > 0 && Instant::now() < deadline {
+            sleep(POLL).await;
+        }
+        let cut = self.shared.in_flight();
+        sleep(LAST_WRITES).await;
+        timeout(STOP_TIMEOUT, self.listener.stop(true)).await.ok();
+        cut
+    }
+}
--- a/src/carawayrun/traffic/gateway/shared.rs
+++ b/src/carawayrun/traffic/gateway/shared.rs
@@ -3,17 +3,21 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use actix_rt::time::Instant;
+use arc_swap::ArcSwap;
 use compact_str::{CompactString, format_compact};
-use rustc_hash::FxHashMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
+use super::board::Board;
 use super::limits::TeamLimits;
 use crate::node::Handle;
 use crate::peer::{Keys, NodeId, RequestId};
-use crate::policy::RetryBudget;
+use crate::policy::{Choice, Ejection, Flight, Pick, Pools, RetryBudget};
+use crate::resource::UpstreamKey;
 
 /// Longest time to connect to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -36,9 +40,19 @@
     sequence: AtomicU64,
     refusals: AtomicU64,
     in_flight: AtomicU64,
+    leaving: AtomicBool,
     draining: AtomicBool,
-    retries: Mutex<RetryBudget>,
-    running: Mutex<FxHashMap<NodeId, u32>>,
+    board: ArcSwap<Board>,
+    routing: Mutex<Routing>,
+}
+
+// What this gateway itself sees of the upstreams.
+#[derive(Debug)]
+struct Routing {
+    flight: Flight,
+    ejection: Ejection,
+    retries: RetryBudget,
+    rng: SmallRng,
 }
 
 impl Shared {
@@ -48,8 +62,10 @@
         data_centre: CompactString,
         max_body: usize,
     ) -> Self {
+        let view = handle.view();
         Self {
-            node: handle.view().node.clone(),
+            node: view.node.clone(),
+            board: ArcSwap::from_pointee(Board::of(view)),
             handle,
             keys,
             data_centre,
@@ -59,9 +75,14 @@
             sequence: AtomicU64::new(0),
             refusals: AtomicU64::new(0),
             in_flight: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
-            retries: Mutex::default(),
-            running: Mutex::default(),
+            routing: Mutex::new(Routing {
+                flight: Flight::default(),
+                ejection: Ejection::default(),
+                retries: RetryBudget::default(),
+                rng: SmallRng::from_os_rng(),
+            }),
         }
     }
 
@@ -98,6 +119,16 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Tells the balancer, by `/health`, to send no more requests.
+    pub(super) fn leaving(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Refuses new requests from now on.
     pub(super) fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
     }
@@ -106,59 +137,74 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// The view in force, with its pools.
+    pub(super) fn board(&self) -> Arc<Board> {
+        let board = self.board.load_full();
+        let view = self.handle.view();
+        if Arc::ptr_eq(&board.view, &view) {
+            return board;
+        }
+        let board = Arc::new(Board::of(view));
+        let now_ms = self.now_ms();
+        let mut routing = self.routing();
+        routing.flight.observe(&board.pools, now_ms);
+        self.board.store(Arc::clone(&board));
+        board
+    }
+
+    /// The upstream for one attempt.
+    pub(super) fn choose(&self, pools: &Pools, choice: &Choice<'_>) -> Option<Pick> {
+        let routing = &mut *self.routing();
+        pools.choose(
+            choice,
+            &routing.flight,
+            &routing.ejection,
+            &mut routing.rng,
+        )
+    }
+
+    /// Tells how an attempt ended.
+    pub(super) fn attempted(&self, upstream: UpstreamKey, failed: bool, latency_ratio: f64) {
+        let now_ms = self.now_ms();
+        self.routing()
+            .ejection
+            .record(upstream, failed, latency_ratio, now_ms);
+    }
+
     /// True where one more retry is affordable.
     pub(super) fn may_retry(&self) -> bool {
-        self.retries
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .withdraw()
+        self.routing().retries.withdraw()
     }
 
     /// Tells that a request succeeded.
     pub(super) fn succeeded(&self) {
-        self.retries
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .deposit();
+        self.routing().retries.deposit();
     }
 
-    /// Runs of this gateway at an agent.
-    pub(super) fn running(&self, agent: &NodeId) -> u32 {
-        let running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
-        running.get(agent).copied().unwrap_or_default()
-    }
-
-    /// Counts one run at an agent until the value is dropped.
-    pub(super) fn visit(self: &Arc<Self>, agent: &NodeId) -> Visit {
-        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
-        *running.entry(agent.clone()).or_default() += 1;
+    /// Counts one run at an upstream until the value is dropped.
+    pub(super) fn visit(self: &Arc<Self>, upstream: UpstreamKey) -> Visit {
+        self.routing().flight.start(upstream);
         Visit {
             shared: Arc::clone(self),
-            agent: agent.clone(),
+            upstream,
         }
     }
+
+    fn routing(&self) -> MutexGuard<'_, Routing> {
+        self.routing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-/// One run at an agent.
+/// One run at an upstream.
 #[derive(Debug)]
 pub(super) struct Visit {
     shared: Arc<Shared>,
-    agent: NodeId,
+    upstream: UpstreamKey,
 }
 
 impl Drop for Visit {
     fn drop(&mut self) {
-        let mut running = self
-            .shared
-            .running
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = running.get_mut(&self.agent) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&self.agent);
-            }
-        }
+        self.shared.routing().flight.end(self.upstream);
     }
 }
 
