--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -6,12 +6,14 @@
 
 mod effect;
 mod event;
+mod ledger;
 mod state;
 mod time;
 mod view;
 
 pub use self::effect::{Concern, Effect, Effects, Ticket};
-pub use self::event::{Bill, BillStep, Event, HostEntry, Outcome, Rating};
+pub use self::event::{AwaitedStep, Bill, BillStep, Event, HostEntry, Outcome, Rating};
+pub use self::ledger::MAX_IN_FLIGHT;
 pub use self::state::{Context, Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -9,7 +9,8 @@
 use super::time::Millis;
 use crate::peer::NodeId;
 use crate::peer::message::{self, MemberState};
-use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
+use crate::policy::{Candidate, Estimates, Pool, Pools, Split};
+use crate::resource::{Config, RolloutKey, TeamKey, Upstream, UpstreamKey, VersionKey};
 
 /// An immutable picture of the control state; replaced as a whole.
 #[derive(Debug, Clone)]
@@ -27,6 +28,8 @@
     /// Versions that were judged bad and whose withdrawal is not yet in the
     /// configuration; they take no new work either.
     pub suspended: Vec<VersionKey>,
+    /// What was learned of each version's answers.
+    pub estimates: Arc<Estimates>,
     /// Whether new requests are taken.
     pub admission: Admission,
     /// All members that this node knows, itself included.
@@ -44,6 +47,7 @@
             shares: FxHashMap::default(),
             rollouts: Vec::new(),
             suspended: Vec::new(),
+            estimates: Arc::default(),
             admission: Admission::Closed {
                 code: "stale_configuration",
                 retry_after_ms: 1_000,
@@ -51,6 +55,78 @@
             members: Vec::new(),
         }
     }
+
+    /// The upstreams that take new work; `Candidate::agent` is the position
+    /// in `agents`.
+    pub fn pools(&self) -> Pools {
+        let open = self
+            .agents
+            .iter()
+            .enumerate()
+            .filter(|(_, agent)| agent.open);
+        Pools::build(open.filter_map(|(index, agent)| self.candidate(index, agent)))
+    }
+
+    /// The roll-outs as the policy needs them.
+    pub fn splits(&self) -> Vec<Split> {
+        self.rollouts
+            .iter()
+            .filter_map(|rollout| self.split(rollout))
+            .collect()
+    }
+
+    fn candidate(&self, index: usize, agent: &AgentView) -> Option<Candidate> {
+        let upstream = &self.config.upstreams.get(agent.upstream)?.spec;
+        if upstream.drain {
+            return None;
+        }
+        let load = agent.load.as_ref();
+        Some(Candidate {
+            agent: index,
+            upstream: agent.upstream,
+            data_centre: agent.data_centre.clone(),
+            slots: upstream.slots,
+            reported: load.map_or(0, |load| load.running + load.queued),
+            wait_ms: load.map_or(0, |load| load.wait_ms),
+            report_ms: agent.load_time.0,
+            pools: self.memberships(upstream, load),
+        })
+    }
+
+    // An agent whose load is not known yet counts as warm for what its
+    // upstream should have; it refuses what it can't run.
+    fn memberships(&self, upstream: &Upstream, load: Option<&message::Load>) -> Vec<Pool> {
+        let service = self
+            .config
+            .services
+            .key(&upstream.service)
+            .map(Pool::Service);
+        let version = |name: &str| self.config.versions.key(name).map(Pool::Version);
+        let mut pools: Vec<Pool> = match load {
+            Some(load) => load.warm.iter().filter_map(|name| version(name)).collect(),
+            None => upstream
+                .versions
+                .iter()
+                .filter_map(|name| version(name))
+                .collect(),
+        };
+        pools.extend(service);
+        pools
+    }
+
+    fn split(&self, view: &RolloutView) -> Option<Split> {
+        let rollout = &self.config.rollouts.get(view.key)?.spec;
+        let compared = matches!(view.phase, RolloutPhase::Running | RolloutPhase::Paused);
+        if view.phase == RolloutPhase::Withdrawn {
+            return None;
+        }
+        Some(Split {
+            from: self.config.versions.key(&rollout.from)?,
+            to: self.config.versions.key(&rollout.to)?,
+            share: view.share,
+            compared,
+        })
+    }
 }
 
 /// A member as this node knows it.
--- a/src/carawayrun/traffic/gateway/answer.rs
+++ b/src/carawayrun/traffic/gateway/answer.rs
@@ -15,7 +15,7 @@
 use super::chat::is_usage_only;
 use super::refusal::Refusal;
 use super::run::{Reply, Rest};
-use crate::peer::message::Ran;
+use crate::peer::message::{End, Ran, Usage};
 use crate::traffic::Code;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -54,18 +54,12 @@
 }
 
 /// The answer to a request whose stream has begun.
-pub(super) fn streamed(
-    reply: Reply,
-    mut account: Account,
-    notes: &Notes,
-) -> Response<BoxBody> {
+pub(super) fn streamed(reply: Reply, mut account: Account, notes: &Notes) -> Response<BoxBody> {
     account.first_byte();
     let status = status(&reply);
     let upstream = reply.upstream.clone();
-    let text = account.text.clone();
     let mut response = Response::with_body(status, ());
     mark(&mut response, &account, &upstream, notes);
-    debug_assert_eq!(text, account.text);
     let events = events(Events {
         ready: reply.chunks.into(),
         rest: reply.rest,
@@ -160,11 +154,11 @@
         let left = self.account.clock.left().ok_or(AttemptError::Expired)?;
         match &mut self.rest {
             Some(rest) => rest.answer.next(left).await,
-            None => Ok(Piece::End(crate::peer::message::End::default())),
+            None => Ok(Piece::End(End::default())),
         }
     }
 
-    fn settle(&mut self, usage: &crate::peer::message::Usage) {
+    fn settle(&mut self, usage: &Usage) {
         if let Some(rest) = self.rest.take() {
             self.account.used(rest.step, &rest.upstream, usage);
         }
--- a/src/carawayrun/traffic/gateway/attempt.rs
+++ b/src/carawayrun/traffic/gateway/attempt.rs
@@ -21,9 +21,7 @@
 /// Longest answer to a settle call, in bytes.
 const MAX_SETTLED_BYTES: usize = 1024;
 
-type Body = awc::ClientResponse<
-    actix_http::encoding::Decoder<actix_http::Payload>,
->;
+type Body = awc::ClientResponse<actix_http::encoding::Decoder<actix_http::Payload>>;
 
 /// How an attempt ended without an answer.
 #[derive(Debug)]
--- a/src/carawayrun/traffic/gateway/frames.rs
+++ b/src/carawayrun/traffic/gateway/frames.rs
@@ -81,11 +81,6 @@
         }
     }
 
-    /// True where the last part has come.
-    pub(super) fn ended(&self) -> bool {
-        self.stage == Stage::Ended
-    }
-
     fn decode(&mut self) -> Result<Option<Frame>, FrameError> {
         let mut prefix = &self.buffer[..];
         let length = match prost::decode_length_delimiter(&mut prefix) {
--- a/src/carawayrun/traffic/gateway/handler.rs
+++ b/src/carawayrun/traffic/gateway/handler.rs
@@ -1,11 +1,11 @@
 //! One caller's request, from its head to its answer.
 
+use std::sync::Arc;
+
 use actix_http::body::BoxBody;
-use actix_http::{Method, Request, Response, StatusCode};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use sha2::{Digest, Sha256};
 
 use super::account::Account;
@@ -23,7 +23,7 @@
 use super::shared::Worker;
 use super::{admission, models};
 use crate::http::{ReadBodyError, read_body, text};
-use crate::peer::message::Priority;
+use crate::peer::message::{Priority, Ran};
 use crate::policy::{Ask, Pool};
 use crate::resource::{Backend, Task, TaskClass, TeamKey};
 use crate::traffic::Code;
@@ -46,7 +46,9 @@
         }
     };
     if leaving {
-        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
     }
     response
 }
@@ -69,7 +71,7 @@
 
 // A request that was taken in: who asks, and its account.
 struct Taken {
-    board: std::sync::Arc<Board>,
+    board: Arc<Board>,
     team: TeamKey,
     head: Head,
     account: Account,
@@ -113,12 +115,12 @@
         team: team.key,
         head,
         account,
-        board: std::sync::Arc::clone(&board),
+        board: Arc::clone(&board),
     })
 }
 
 fn refused(account: &mut Account, refusal: &Refusal) -> Response<BoxBody> {
-    account.refused = refusal.ran == crate::peer::message::Ran::No;
+    account.refused = refusal.ran == Ran::No;
     account.failed = refusal.code.status().is_server_error();
     let mut response = refusal.response(&account.text);
     answer::identify(&mut response, &account.text);
@@ -144,7 +146,7 @@
     taken: &mut Taken,
 ) -> Result<(run::Reply, Notes), Refusal> {
     let mut chat = Chat::read(&body(worker, request).await?)?;
-    let board = std::sync::Arc::clone(&taken.board);
+    let board = Arc::clone(&taken.board);
     let config = &board.view.config;
     let (service_key, service) = plan::service_of(config, &chat.model)?;
     let task = plan::task_of(service, taken.head.task.as_ref())?;
@@ -166,7 +168,7 @@
         prompt_tokens: plan::prompt_tokens(chat.prompt_bytes),
         cached_tokens: 0,
     };
-    let plan = plan::plan(&board, &ask, &mut SmallRng::from_os_rng())?;
+    let plan = plan::plan(&board, &ask, &mut worker.rng.borrow_mut())?;
     let step = plan.steps.last().expect("a plan has at least one step");
     let version = config
         .versions
--- a/src/carawayrun/traffic/gateway/models.rs
+++ b/src/carawayrun/traffic/gateway/models.rs
@@ -1,7 +1,7 @@
 //! The list of models that a team may use.
 
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{HttpMessage, Request, Response, StatusCode};
 use compact_str::CompactString;
 use serde::Serialize;
 
--- a/src/carawayrun/traffic/gateway/plan.rs
+++ b/src/carawayrun/traffic/gateway/plan.rs
@@ -69,7 +69,7 @@
 pub(super) fn plan(board: &Board, ask: &Ask<'_>, rng: &mut SmallRng) -> Result<Plan, Refusal> {
     let situation = Situation {
         config: &board.view.config,
-        estimates: &board.estimates,
+        estimates: &board.view.estimates,
         pools: &board.pools,
         splits: &board.splits,
         suspended: &board.view.suspended,
--- a/src/carawayrun/traffic/gateway/refusal.rs
+++ b/src/carawayrun/traffic/gateway/refusal.rs
@@ -86,9 +86,7 @@
         let mut response = json(self.code.status(), &self.body(request_id));
         if let Some(wait_ms) = self.retry_after_ms {
             let seconds = HeaderValue::from(wait_ms.div_ceil(1_000));
-            response
-                .headers_mut()
-                .insert(header::RETRY_AFTER, seconds);
+            response.headers_mut().insert(header::RETRY_AFTER, seconds);
         }
         if response.status() == StatusCode::UNAUTHORIZED {
             let scheme = HeaderValue::from_static("Bearer");
--- a/src/carawayrun/traffic/gateway/run.rs
+++ b/src/carawayrun/traffic/gateway/run.rs
@@ -112,7 +112,7 @@
         return false;
     }
     let longest_ms = BACKOFF_MS << attempt;
-    let wait = Duration::from_millis(rand::rng().random_range(1..=longest_ms));
+    let wait = Duration::from_millis(worker.rng.borrow_mut().random_range(1..=longest_ms));
     if account.clock.left().is_none_or(|left| left < wait) {
         return false;
     }
@@ -191,13 +191,7 @@
     !matches!(error, AttemptError::Refused(_))
 }
 
-fn message(
-    job: &Job,
-    account: &Account,
-    target: &Target<'_>,
-    attempt: u32,
-    left: Duration,
-) -> Run {
+fn message(job: &Job, account: &Account, target: &Target<'_>, attempt: u32, left: Duration) -> Run {
     Run {
         request: Some((&account.id).into()),
         step: job.step,
@@ -293,7 +287,13 @@
             after_refusal(Refusal::refused(&refused))
         }
         AttemptError::Failed(failed) => {
-            note_usage(account, job.step, target, failed.usage.as_ref(), known(failed.ran()));
+            note_usage(
+                account,
+                job.step,
+                target,
+                failed.usage.as_ref(),
+                known(failed.ran()),
+            );
             after_failure(job, Refusal::failed(&failed))
         }
         AttemptError::Lost(reason) => {
--- a/src/carawayrun/traffic/gateway/shared.rs
+++ b/src/carawayrun/traffic/gateway/shared.rs
@@ -1,5 +1,6 @@
 //! What the threads of a gateway share.
 
+use std::cell::RefCell;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -155,12 +156,7 @@
     /// The upstream for one attempt.
     pub(super) fn choose(&self, pools: &Pools, choice: &Choice<'_>) -> Option<Pick> {
         let routing = &mut *self.routing();
-        pools.choose(
-            choice,
-            &routing.flight,
-            &routing.ejection,
-            &mut routing.rng,
-        )
+        pools.choose(choice, &routing.flight, &routing.ejection, &mut routing.rng)
     }
 
     /// Tells how an attempt ended.
@@ -213,6 +209,8 @@
 pub(super) struct Worker {
     pub(super) shared: Arc<Shared>,
     pub(super) client: Rc<awc::Client>,
+    /// Source of the thread's random choices.
+    pub(super) rng: Rc<RefCell<SmallRng>>,
 }
 
 impl Worker {
@@ -229,6 +227,7 @@
         Self {
             shared,
             client: Rc::new(client),
+            rng: Rc::new(RefCell::new(SmallRng::from_os_rng())),
         }
     }
 }
