--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,6 +4,8 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod candidates;
+mod claims;
 mod effect;
 mod event;
 mod ledger;
@@ -11,8 +13,15 @@
 mod time;
 mod view;
 
-pub use self::effect::{Concern, Effect, Effects, Ticket};
-pub use self::event::{AwaitedStep, Bill, BillStep, Event, HostEntry, Outcome, Rating};
+pub use self::claims::{
+    ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
+};
+pub use self::effect::{
+    Concern, Effect, Effects, EngineOrder, OrderAction, Ticket, UpstreamAction,
+};
+pub use self::event::{
+    AwaitedStep, Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating,
+};
 pub use self::ledger::MAX_IN_FLIGHT;
 pub use self::state::{Context, Identity, Role, State};
 pub use self::time::Millis;
