--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -1,15 +1,237 @@
 //! `carawayrun gateway`.
 
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
 use bpaf::Bpaf;
+use carawayrun::control::Event;
+use carawayrun::http::Listener;
+use carawayrun::node::{self, Handle};
+use carawayrun::ops::why::Decisions;
+use carawayrun::ops::{self, OperatorKey, Operators, ParseOperatorKeyError};
+use carawayrun::traffic::gateway::{self, Ended, Gateway, GatewaySettings};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tracing::{info, warn};
 
 use crate::failure::Failure;
+use crate::settings::{NodeFlags, node_flags};
 
 /// Runs an entry host's process: callers' HTTP and the operators' API
+///
+/// The first SIGTERM or SIGINT stops it gracefully; the second one at once.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("gateway"), generate(cli))]
-pub(crate) struct Options {}
+pub(crate) struct Options {
+    #[bpaf(external(node_flags))]
+    node: NodeFlags,
+    /// Address to listen on for callers
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_LISTEN"),
+        argument("IP:PORT"),
+        fallback(SocketAddr::from(([127, 0, 0, 1], 0))),
+        display_fallback
+    )]
+    listen: SocketAddr,
+    /// Address to listen on for operators
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_OPERATOR_LISTEN"),
+        argument("IP:PORT"),
+        fallback(SocketAddr::from(([127, 0, 0, 1], 0))),
+        display_fallback
+    )]
+    operator_listen: SocketAddr,
+    /// Operators' names and digests of their keys, divided by commas
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_OPERATORS"),
+        argument("NAME=DIGEST,.."),
+        fallback(OperatorList::default())
+    )]
+    operators: OperatorList,
+    /// Threads that serve callers
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_WORKERS"),
+        argument("COUNT"),
+        fallback(2),
+        display_fallback,
+        guard(is_positive, "give at least 1")
+    )]
+    workers: usize,
+    /// Address of the rating service; answers are not rated where absent
+    #[bpaf(long, env("CARAWAYRUN_RATER_ADDR"), argument("IP:PORT"), optional)]
+    rater_addr: Option<SocketAddr>,
+    /// Share of answers that are given to the rating service
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_RATED_SHARE"),
+        argument("SHARE"),
+        fallback(0.1),
+        display_fallback,
+        guard(is_share, "give a number from 0 to 1")
+    )]
+    rated_share: f64,
+    /// Longest body of a caller, in bytes
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_MAX_BODY"),
+        argument("BYTES"),
+        fallback(4 * 1024 * 1024),
+        display_fallback,
+        guard(is_positive, "give at least 1")
+    )]
+    max_body: usize,
+    /// Time in which a stopping gateway still takes requests, in milliseconds
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_LINGER_MS"),
+        argument("MS"),
+        fallback(2_000),
+        display_fallback
+    )]
+    linger_ms: u64,
+    /// Longest time a graceful stop waits for requests in flight, in seconds
+    #[bpaf(
+        long,
+        env("CARAWAYRUN_DRAIN_S"),
+        argument("SECONDS"),
+        fallback(120),
+        display_fallback
+    )]
+    drain_s: u64,
+}
+
+/// Keys of operators as the flag gives them.
+#[derive(Debug, Clone, Default)]
+struct OperatorList(Vec<OperatorKey>);
+
+impl FromStr for OperatorList {
+    type Err = ParseOperatorKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let keys = text.split(',').filter(|key| !key.is_empty());
+        keys.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// Runs the process until it is told to stop.
+pub(crate) fn exec(options: &Options) -> Result<(), Failure> {
+    actix_rt::System::new().block_on(serve(options))
+}
+
+async fn serve(options: &Options) -> Result<(), Failure> {
+    let settings = options.node.gateway().map_err(Failure::usage)?;
+    let table_addr = settings.platform.table_addr;
+    let keys = settings.keys.clone();
+    let data_centre = settings.data_centre.clone();
+    let mut signals = Signals::open().map_err(Failure::failed)?;
+    let handle = node::spawn(settings).map_err(Failure::failed)?;
+    let decisions = Arc::new(Decisions::default());
+    let callers = GatewaySettings {
+        listen: options.listen,
+        workers: options.workers,
+        max_body: options.max_body,
+        data_centre,
+        keys,
+        table_addr,
+        rater_addr: options.rater_addr,
+        rated_share: options.rated_share,
+        linger: Duration::from_millis(options.linger_ms),
+        drain: Duration::from_secs(options.drain_s),
+        decisions: Arc::clone(&decisions),
+    };
+    let gateway = gateway::bind(callers, handle.clone()).map_err(Failure::failed)?;
+    let operators = ops::Options {
+        addr: options.operator_listen,
+        drain: Duration::from_secs(options.drain_s),
+        operators: Operators::new(options.operators.0.clone()),
+        table_addr,
+        decisions,
+    };
+    let operators = ops::bind(handle.clone(), operators).map_err(Failure::failed)?;
+    info!(
+        name: "gateway.ready",
+        node = %handle.view().node,
+        callers = %gateway.addr(),
+        operators = %operators.addr(),
+        peers = %handle.peer_addr(),
+        "ready"
+    );
+    run(&gateway, &operators, &handle, &mut signals).await
+}
+
+async fn run(
+    gateway: &Gateway,
+    operators: &Listener,
+    handle: &Handle,
+    signals: &mut Signals,
+) -> Result<(), Failure> {
+    let sealed = tokio::select! {
+        () = signals.next() => false,
+        () = gateway.sealed() => true,
+    };
+    info!(name: "gateway.stopping", in_flight = gateway.in_flight(), sealed, "stopping");
+    handle.post(Event::Stop);
+    let ended = tokio::select! {
+        ended = gateway.stop() => ended,
+        () = signals.next() => gateway.cut(),
+    };
+    report(&ended);
+    operators.stop(false).await;
+    handle.close().await;
+    if sealed {
+        return Err(Failure::failed(
+            "another gateway closed this one's ledger; start it again",
+        ));
+    }
+    Ok(())
+}
+
+fn report(ended: &Ended) {
+    if ended.cut > 0 || ended.unbilled > 0 {
+        warn!(
+            name: "gateway.cut",
+            cut = ended.cut,
+            unbilled = ended.unbilled,
+            "stopped before all requests had ended and all bills were written"
+        );
+    } else {
+        info!(name: "gateway.stopped", "stopped; no request was cut");
+    }
+}
+
+/// The signals that stop the process.
+struct Signals {
+    term: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn open() -> std::io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the parser passes a reference")]
+fn is_positive(value: &usize) -> bool {
+    *value > 0
+}
 
-/// Not built yet: the gateway helper replaces this file.
-pub(crate) fn exec(_options: &Options) -> Result<(), Failure> {
-    Err(Failure::failed("gateway: not built yet"))
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the parser passes a reference")]
+fn is_share(value: &f64) -> bool {
+    (0.0..=1.0).contains(value)
 }
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -11,6 +11,7 @@
 mod output;
 mod progress;
 mod remote;
+mod settings;
 mod table;
 
 use std::process::ExitCode;
--- a/src/carawayrun/traffic/gateway/mod.rs
+++ b/src/carawayrun/traffic/gateway/mod.rs
@@ -32,4 +32,4 @@
 mod session;
 mod shared;
 
-pub use self::server::{Gateway, GatewaySettings, bind};
+pub use self::server::{Ended, Gateway, GatewaySettings, bind};
--- a/src/carawayrun/traffic/gateway/server.rs
+++ b/src/carawayrun/traffic/gateway/server.rs
@@ -12,6 +12,7 @@
 use super::shared::{Shared, Worker};
 use crate::http::{self, Listener, ServerOptions};
 use crate::node::Handle;
+use crate::ops::why::Decisions;
 use crate::peer::Keys;
 
 /// Time between two looks at the requests in flight.
@@ -20,6 +21,12 @@
 /// Time that the last bytes of answers get to leave the process.
 const LAST_WRITES: Duration = Duration::from_millis(200);
 
+/// Time between two looks whether the ledger is closed.
+const SEALED_POLL: Duration = Duration::from_millis(200);
+
+/// Longest wait for the last bills to be written.
+const LAST_BILLS: Duration = Duration::from_secs(10);
+
 /// Longest wait for the listener's threads to end.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,11 +43,29 @@
     pub data_centre: CompactString,
     /// Keys shared by all nodes.
     pub keys: Keys,
+    /// Address of the table service.
+    pub table_addr: SocketAddr,
+    /// Address of the rating service; answers are not rated where absent.
+    pub rater_addr: Option<SocketAddr>,
+    /// Share of answers that are given to the rating service, in 0..=1.
+    pub rated_share: f64,
     /// Time in which a stopping gateway still takes requests, so that the
     /// balancer can see by `/health` that it is leaving.
     pub linger: Duration,
     /// Longest time a graceful stop waits for requests in flight.
     pub drain: Duration,
+    /// Where the last decisions are kept.
+    pub decisions: Arc<Decisions>,
+}
+
+/// How a gateway ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// Requests whose answer was cut.
+    pub cut: u64,
+    /// Bills that this gateway has not written; its agents hold what they
+    /// need for them.
+    pub unbilled: u64,
 }
 
 /// A running callers' listener.
@@ -58,12 +83,7 @@
 ///
 /// An [`io::Error`] where the address can't be bound.
 pub fn bind(settings: GatewaySettings, handle: Handle) -> io::Result<Gateway> {
-    let shared = Arc::new(Shared::new(
-        handle,
-        settings.keys,
-        settings.data_centre,
-        settings.max_body,
-    ));
+    let shared = Arc::new(Shared::new(handle, &settings));
     let options = ServerOptions {
         name: "callers",
         addr: settings.listen,
@@ -73,7 +93,7 @@
     let threads = Arc::clone(&shared);
     let listener = http::bind(&options, move || {
         let worker = Worker::new(Arc::clone(&threads));
-        move |request| handle_boxed(worker.clone(), request)
+        move |request| handle(worker.clone(), request)
     })?;
     Ok(Gateway {
         listener,
@@ -83,13 +103,6 @@
     })
 }
 
-fn handle_boxed(
-    worker: Worker,
-    request: actix_http::Request,
-) -> impl Future<Output = actix_http::Response<actix_http::body::BoxBody>> {
-    handle(worker, request)
-}
-
 impl Gateway {
     /// The address it listens on.
     pub fn addr(&self) -> SocketAddr {
@@ -101,10 +114,19 @@
         self.shared.in_flight()
     }
 
+    /// Waits until another gateway has closed this one's ledger.
+    ///
+    /// From then on this life can't bill, so it takes no work and has to end.
+    pub async fn sealed(&self) {
+        while !self.shared.handle.view().ledger.sealed {
+            sleep(SEALED_POLL).await;
+        }
+    }
+
     /// Stops without cutting a request: says so by `/health`, lingers, refuses
-    /// new requests, and waits for those in flight up to the drain time.
-    /// Returns the number of requests that were cut.
-    pub async fn stop(&self) -> u64 {
+    /// new requests, waits for those in flight up to the drain time, and for
+    /// their bills.
+    pub async fn stop(&self) -> Ended {
         self.shared.leaving();
         sleep(self.linger).await;
         self.shared.drain();
@@ -115,6 +137,26 @@
         let cut = self.shared.in_flight();
         sleep(LAST_WRITES).await;
         timeout(STOP_TIMEOUT, self.listener.stop(true)).await.ok();
-        cut
+        let deadline = Instant::now() + LAST_BILLS;
+        while self.unbilled() > 0 && Instant::now() < deadline {
+            sleep(POLL).await;
+        }
+        Ended {
+            cut,
+            unbilled: self.unbilled(),
+        }
+    }
+
+    /// How it ends where it stops now.
+    pub fn cut(&self) -> Ended {
+        Ended {
+            cut: self.shared.in_flight(),
+            unbilled: self.unbilled(),
+        }
+    }
+
+    fn unbilled(&self) -> u64 {
+        let ledger = self.shared.handle.view().ledger;
+        if ledger.sealed { 0 } else { ledger.unwritten }
     }
 }
--- a/src/carawayrun/traffic/gateway/shared.rs
+++ b/src/carawayrun/traffic/gateway/shared.rs
@@ -15,7 +15,9 @@
 
 use super::board::Board;
 use super::limits::TeamLimits;
+use super::server::GatewaySettings;
 use crate::node::Handle;
+use crate::ops::why::Decisions;
 use crate::peer::{Keys, NodeId, RequestId};
 use crate::policy::{Choice, Ejection, Flight, Pick, Pools, RetryBudget};
 use crate::resource::UpstreamKey;
@@ -36,6 +38,7 @@
     /// Longest body of a caller, in bytes.
     pub(super) max_body: usize,
     pub(super) limits: Arc<TeamLimits>,
+    pub(super) decisions: Arc<Decisions>,
     node: NodeId,
     start: Instant,
     sequence: AtomicU64,
@@ -57,20 +60,16 @@
 }
 
 impl Shared {
-    pub(super) fn new(
-        handle: Handle,
-        keys: Keys,
-        data_centre: CompactString,
-        max_body: usize,
-    ) -> Self {
+    pub(super) fn new(handle: Handle, settings: &GatewaySettings) -> Self {
         let view = handle.view();
         Self {
             node: view.node.clone(),
             board: ArcSwap::from_pointee(Board::of(view)),
             handle,
-            keys,
-            data_centre,
-            max_body,
+            keys: settings.keys.clone(),
+            data_centre: settings.data_centre.clone(),
+            max_body: settings.max_body,
+            decisions: Arc::clone(&settings.decisions),
             limits: Arc::default(),
             start: Instant::now(),
             sequence: AtomicU64::new(0),
