--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -144,7 +144,7 @@
         drain: Duration::from_secs(options.drain_s),
         decisions: Arc::clone(&decisions),
     };
-    let gateway = gateway::bind(callers, handle.clone()).map_err(Failure::failed)?;
+    let gateway = gateway::bind(&callers, handle.clone()).map_err(Failure::failed)?;
     let operators = ops::Options {
         addr: options.operator_listen,
         drain: Duration::from_secs(options.drain_s),
@@ -226,12 +226,18 @@
     }
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the parser passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the parser passes a reference"
+)]
 fn is_positive(value: &usize) -> bool {
     *value > 0
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the parser passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the parser passes a reference"
+)]
 fn is_share(value: &f64) -> bool {
     (0.0..=1.0).contains(value)
 }
--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -22,7 +22,7 @@
 /// Commands:
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum Command {
-    Gateway(#[bpaf(external(gateway::cli))] gateway::Options),
+    Gateway(#[bpaf(external(gateway::cli), map(Box::new))] Box<gateway::Options>),
     Agent(#[bpaf(external(agent::cli))] agent::Options),
     Apply(#[bpaf(external(apply::cli))] apply::Options),
     Get(#[bpaf(external(get::cli))] get::Options),
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -26,7 +26,7 @@
 pub use self::state::{Context, Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
-    Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
+    Admission, AgentView, LedgerView, MemberView, RolloutPhase, RolloutView, ShareView, View,
 };
 
 /// Time between two [`Event::Tick`]s, in milliseconds.
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -112,6 +112,7 @@
             estimates: Arc::new(Estimates::default()),
             admission: Admission::Open,
             members: Vec::new(),
+            ledger: super::view::LedgerView::default(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -34,6 +34,8 @@
     pub admission: Admission,
     /// All members that this node knows, itself included.
     pub members: Vec<MemberView>,
+    /// State of this gateway's billing.
+    pub ledger: LedgerView,
 }
 
 impl View {
@@ -53,6 +55,7 @@
                 retry_after_ms: 1_000,
             },
             members: Vec::new(),
+            ledger: LedgerView::default(),
         }
     }
 }
@@ -74,6 +77,16 @@
     pub generation: u64,
 }
 
+/// State of a gateway's billing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LedgerView {
+    /// Bills that are not in the table service yet.
+    pub unwritten: u64,
+    /// True where another gateway has closed this one's ledger, so that this
+    /// life can't bill any more.
+    pub sealed: bool,
+}
+
 /// An agent as this node knows it.
 #[derive(Debug, Clone)]
 pub struct AgentView {
--- a/src/carawayrun/traffic/gateway/account.rs
+++ b/src/carawayrun/traffic/gateway/account.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use compact_str::{CompactString, ToCompactString};
+use jiff::Timestamp;
 
 use super::clock::Clock;
 use super::limits::Place;
+use super::refusal::{Refusal, ran_text};
 use super::shared::Shared;
 use crate::control::{AwaitedStep, Bill, BillStep, Event, Outcome};
+use crate::ops::why::{Attempt, Decision};
 use crate::peer::RequestId;
-use crate::peer::message::Usage;
+use crate::peer::message::{Ran, Usage};
 
 /// The account of one request.
 ///
@@ -28,10 +31,18 @@
     pub(super) compared: bool,
     pub(super) failed: bool,
     pub(super) refused: bool,
+    /// Why no answer was given.
+    pub(super) error: Option<Refusal>,
+    /// Configuration generation that the plan was made on.
+    pub(super) generation: u64,
+    /// The policy's explanation.
+    pub(super) explanation: Vec<CompactString>,
     shared: Arc<Shared>,
     first_ms: Option<u64>,
     steps: Vec<BillStep>,
     awaited: Vec<AwaitedStep>,
+    attempts: Vec<Attempt>,
+    arrival: Timestamp,
     _place: Place,
 }
 
@@ -56,10 +67,15 @@
             compared: false,
             failed: false,
             refused: false,
+            error: None,
+            generation: 0,
+            explanation: Vec::new(),
             shared: Arc::clone(shared),
             first_ms: None,
             steps: Vec::new(),
             awaited: Vec::new(),
+            attempts: Vec::new(),
+            arrival: Timestamp::now(),
             _place: place,
         }
     }
@@ -90,6 +106,37 @@
         self.first_ms.get_or_insert(elapsed_ms);
     }
 
+    /// Notes an attempt for the record of decisions.
+    pub(super) fn attempted(&mut self, attempt: Attempt) {
+        self.attempts.push(attempt);
+    }
+
+    /// Notes that the request gets no answer, or not all of it.
+    pub(super) fn fail(&mut self, refusal: &Refusal) {
+        self.refused = refusal.ran == Ran::No;
+        self.failed = refusal.code.status().is_server_error();
+        self.error = Some(refusal.clone());
+    }
+
+    fn decision(&mut self, bill: &Bill) -> Decision {
+        let error = self.error.as_ref();
+        Decision {
+            request: self.text.clone(),
+            time: self.arrival.to_compact_string(),
+            team: self.team.clone(),
+            service: self.service.clone(),
+            task: self.task.clone(),
+            generation: self.generation,
+            explanation: std::mem::take(&mut self.explanation),
+            attempts: std::mem::take(&mut self.attempts),
+            code: error.map_or("", |error| error.code.as_str()).into(),
+            ran: error.map_or("yes", |error| ran_text(error.ran)).into(),
+            version: self.version.clone(),
+            total_ms: self.clock.elapsed_ms(),
+            cost_micros: bill.cost_micros,
+        }
+    }
+
     fn bill(&mut self) -> Bill {
         Bill {
             sequence: self.id.sequence,
@@ -124,6 +171,8 @@
         let bill = self.bill();
         let completion_tokens = bill.steps.last().map_or(0, |step| step.completion_tokens);
         let outcome = self.outcome(completion_tokens);
+        let decision = self.decision(&bill);
+        self.shared.decisions.push(decision);
         self.shared.handle.post(Event::Billed(Box::new(bill)));
         self.shared.handle.post(Event::Answered(Box::new(outcome)));
         self.shared.leave();
--- a/src/carawayrun/traffic/gateway/answer.rs
+++ b/src/carawayrun/traffic/gateway/answer.rs
@@ -15,7 +15,7 @@
 use super::chat::is_usage_only;
 use super::refusal::Refusal;
 use super::run::{Reply, Rest};
-use crate::peer::message::{End, Ran, Usage};
+use crate::peer::message::{Ran, Usage};
 use crate::traffic::Code;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -36,9 +36,9 @@
 }
 
 /// The answer to a request that was answered whole.
-pub(super) fn whole(reply: Reply, account: &mut Account, notes: &Notes) -> Response<BoxBody> {
+pub(super) fn whole(reply: &Reply, account: &mut Account, notes: &Notes) -> Response<BoxBody> {
     account.first_byte();
-    let status = status(&reply);
+    let status = status(reply);
     account.failed |= status.is_server_error();
     let mut body = BytesMut::with_capacity(reply.chunks.iter().map(Bytes::len).sum());
     for chunk in &reply.chunks {
@@ -154,7 +154,7 @@
         let left = self.account.clock.left().ok_or(AttemptError::Expired)?;
         match &mut self.rest {
             Some(rest) => rest.answer.next(left).await,
-            None => Ok(Piece::End(End::default())),
+            None => Ok(Piece::End(Box::default())),
         }
     }
 
@@ -167,7 +167,6 @@
 
     // The caller has a part of the answer, so it is told that there is no more.
     fn cut(&mut self, error: AttemptError) -> Bytes {
-        self.account.failed = true;
         let refusal = match error {
             AttemptError::Failed(failed) => {
                 if let Some(usage) = &failed.usage {
@@ -185,6 +184,8 @@
             }
             AttemptError::Refused(refused) => Refusal::refused(&refused),
         };
+        self.account.fail(&refusal);
+        self.account.failed = true;
         self.done = true;
         self.rest = None;
         data(refusal.event(&self.account.text).as_bytes())
--- a/src/carawayrun/traffic/gateway/attempt.rs
+++ b/src/carawayrun/traffic/gateway/attempt.rs
@@ -29,9 +29,9 @@
     /// Nothing reached the agent.
     NotSent(CompactString),
     /// The agent did not run it and never will.
-    Refused(Refused),
+    Refused(Box<Refused>),
     /// The agent tells of a failure.
-    Failed(Failed),
+    Failed(Box<Failed>),
     /// The agent's word was lost or can't be trusted; it may have run.
     Lost(CompactString),
     /// The deadline passed; it may have run.
@@ -90,8 +90,8 @@
         };
         match frames.next().await? {
             Part::Started(started) => Ok(Answer { started, frames }),
-            Part::Refused(refused) => Err(AttemptError::Refused(refused)),
-            Part::Failed(failed) => Err(AttemptError::Failed(failed)),
+            Part::Refused(refused) => Err(AttemptError::Refused(Box::new(refused))),
+            Part::Failed(failed) => Err(AttemptError::Failed(Box::new(failed))),
             Part::Chunk(_) | Part::End(_) => unreachable!("the reader refuses these first"),
         }
     }
@@ -125,8 +125,8 @@
     pub(super) async fn next(&mut self, left: Duration) -> Result<Piece, AttemptError> {
         match timeout(left, self.frames.next()).await {
             Ok(Ok(Part::Chunk(chunk))) => Ok(Piece::Chunk(chunk)),
-            Ok(Ok(Part::End(end))) => Ok(Piece::End(end)),
-            Ok(Ok(Part::Failed(failed))) => Err(AttemptError::Failed(failed)),
+            Ok(Ok(Part::End(end))) => Ok(Piece::End(Box::new(end))),
+            Ok(Ok(Part::Failed(failed))) => Err(AttemptError::Failed(Box::new(failed))),
             Ok(Ok(_)) => unreachable!("the reader refuses these first"),
             Ok(Err(error)) => Err(error),
             Err(_) => Err(AttemptError::Expired),
@@ -140,7 +140,7 @@
     /// A part of the upstream's body.
     Chunk(Bytes),
     /// The answer is whole.
-    End(End),
+    End(Box<End>),
 }
 
 struct Frames {
@@ -151,19 +151,19 @@
 impl Frames {
     async fn next(&mut self) -> Result<Part, AttemptError> {
         loop {
-            if let Some(part) = self.reader.next().map_err(untrusted)? {
+            if let Some(part) = self.reader.next().map_err(|error| untrusted(&error))? {
                 return Ok(part);
             }
             match self.body.next().await {
                 Some(Ok(bytes)) => self.reader.push(&bytes),
                 Some(Err(error)) => return Err(AttemptError::Lost(error.to_compact_string())),
-                None => return Err(untrusted(FrameError::Unfinished)),
+                None => return Err(untrusted(&FrameError::Unfinished)),
             }
         }
     }
 }
 
-fn untrusted(error: FrameError) -> AttemptError {
+fn untrusted(error: &FrameError) -> AttemptError {
     AttemptError::Lost(error.to_compact_string())
 }
 
--- a/src/carawayrun/traffic/gateway/frames.rs
+++ b/src/carawayrun/traffic/gateway/frames.rs
@@ -82,7 +82,7 @@
     }
 
     fn decode(&mut self) -> Result<Option<Frame>, FrameError> {
-        let mut prefix = &self.buffer[..];
+        let mut prefix: &[u8] = &self.buffer;
         let length = match prost::decode_length_delimiter(&mut prefix) {
             Ok(length) => length,
             Err(_) if self.buffer.len() < MAX_PREFIX_BYTES => return Ok(None),
--- a/src/carawayrun/traffic/gateway/handler.rs
+++ b/src/carawayrun/traffic/gateway/handler.rs
@@ -23,7 +23,7 @@
 use super::shared::Worker;
 use super::{admission, models};
 use crate::http::{ReadBodyError, read_body, text};
-use crate::peer::message::{Priority, Ran};
+use crate::peer::message::Priority;
 use crate::policy::{Ask, Pool};
 use crate::resource::{Backend, Task, TaskClass, TeamKey};
 use crate::traffic::Code;
@@ -86,7 +86,7 @@
         Ok((reply, notes)) if reply.rest.is_some() => {
             answer::streamed(reply, taken.account, &notes)
         }
-        Ok((reply, notes)) => answer::whole(reply, &mut taken.account, &notes),
+        Ok((reply, notes)) => answer::whole(&reply, &mut taken.account, &notes),
         Err(refusal) => refused(&mut taken.account, &refusal),
     }
 }
@@ -97,7 +97,7 @@
         Err(refusal) => return refused_early(worker, &refusal),
     };
     match pass(worker, &mut request, &mut taken).await {
-        Ok(reply) => answer::whole(reply, &mut taken.account, &Notes::default()),
+        Ok(reply) => answer::whole(&reply, &mut taken.account, &Notes::default()),
         Err(refusal) => refused(&mut taken.account, &refusal),
     }
 }
@@ -120,8 +120,7 @@
 }
 
 fn refused(account: &mut Account, refusal: &Refusal) -> Response<BoxBody> {
-    account.refused = refusal.ran == Ran::No;
-    account.failed = refusal.code.status().is_server_error();
+    account.fail(refusal);
     let mut response = refusal.response(&account.text);
     answer::identify(&mut response, &account.text);
     response
@@ -150,8 +149,8 @@
     let config = &board.view.config;
     let (service_key, service) = plan::service_of(config, &chat.model)?;
     let task = plan::task_of(service, taken.head.task.as_ref())?;
-    taken.account.service = service.name.clone();
-    taken.account.task = task.name.clone();
+    taken.account.service.clone_from(&service.name);
+    taken.account.task.clone_from(&task.name);
     let kept = kept_version(worker, taken)?;
     let pinned = kept
         .as_ref()
@@ -169,12 +168,14 @@
         cached_tokens: 0,
     };
     let plan = plan::plan(&board, &ask, &mut worker.rng.borrow_mut())?;
+    taken.account.generation = config.generation;
+    taken.account.explanation = vec![plan.explanation.to_compact_string()];
     let step = plan.steps.last().expect("a plan has at least one step");
     let version = config
         .versions
         .get(step.version)
         .expect("a plan names versions of its configuration");
-    taken.account.version = version.name.clone();
+    taken.account.version.clone_from(&version.name);
     taken.account.compared = step.compared;
     let job = Job {
         step: 0,
@@ -258,7 +259,7 @@
         ));
     }
     let route = plain::route(service, &method, target.path)?;
-    taken.account.service = service.name.clone();
+    taken.account.service.clone_from(&service.name);
     taken.account.task = format!("{} {}", route.method, route.path).into();
     let path: CompactString = match uri.query() {
         Some(query) => format!("{}?{query}", target.path).into(),
--- a/src/carawayrun/traffic/gateway/refusal.rs
+++ b/src/carawayrun/traffic/gateway/refusal.rs
@@ -128,7 +128,8 @@
     (wait_ms > 0).then_some(u64::from(wait_ms))
 }
 
-fn ran_text(ran: Ran) -> &'static str {
+/// `no`, `yes` or `unknown`.
+pub(super) fn ran_text(ran: Ran) -> &'static str {
     match ran {
         Ran::No => "no",
         Ran::Yes => "yes",
--- a/src/carawayrun/traffic/gateway/run.rs
+++ b/src/carawayrun/traffic/gateway/run.rs
@@ -14,6 +14,8 @@
 use super::refusal::{Refusal, known};
 use super::shared::{Visit, Worker};
 use crate::control::{AgentView, Event};
+use crate::ops::why::Attempt;
+use crate::peer::NodeId;
 use crate::peer::message::{Priority, Ran, Run, Started, Usage};
 use crate::policy::{Choice, Pool};
 use crate::resource::UpstreamKey;
@@ -124,7 +126,7 @@
     agent: &'a AgentView,
     upstream: CompactString,
     generation: u64,
-    node: &'a crate::peer::NodeId,
+    node: &'a NodeId,
 }
 
 fn target<'a>(
@@ -169,6 +171,7 @@
         keys: &worker.shared.keys,
         addr: &target.agent.http_addr,
     };
+    let start_ms = account.clock.elapsed_ms();
     let visit = worker.shared.visit(target.agent.upstream);
     account.sent(job.step, &target.upstream);
     let result = receive(wire, job, account, target, &run, visit).await;
@@ -176,10 +179,27 @@
     worker
         .shared
         .attempted(target.agent.upstream, failed, latency_ratio(job, account));
-    match result {
+    let outcome = match result {
         Ok(reply) => Ok(reply),
         Err(error) => Err(next(worker, job, account, target, wire, &run, error).await),
-    }
+    };
+    let (result, message) = match &outcome {
+        Ok(_) => ("answered", CompactString::default()),
+        Err(Next::Again(refusal) | Next::Stop(refusal)) => {
+            (refusal.code.as_str(), refusal.message.clone())
+        }
+    };
+    account.attempted(Attempt {
+        step: job.step,
+        attempt,
+        version: job.version.clone(),
+        upstream: target.upstream.clone(),
+        result: result.into(),
+        message,
+        start_ms,
+        took_ms: account.clock.elapsed_ms() - start_ms,
+    });
+    outcome
 }
 
 fn latency_ratio(job: &Job, account: &Account) -> f64 {
--- a/src/carawayrun/traffic/gateway/server.rs
+++ b/src/carawayrun/traffic/gateway/server.rs
@@ -8,7 +8,7 @@
 use actix_rt::time::{Instant, sleep, timeout};
 use compact_str::CompactString;
 
-use super::handler::handle;
+use super::handler;
 use super::shared::{Shared, Worker};
 use crate::http::{self, Listener, ServerOptions};
 use crate::node::Handle;
@@ -82,8 +82,8 @@
 /// # Errors
 ///
 /// An [`io::Error`] where the address can't be bound.
-pub fn bind(settings: GatewaySettings, handle: Handle) -> io::Result<Gateway> {
-    let shared = Arc::new(Shared::new(handle, &settings));
+pub fn bind(settings: &GatewaySettings, handle: Handle) -> io::Result<Gateway> {
+    let shared = Arc::new(Shared::new(handle, settings));
     let options = ServerOptions {
         name: "callers",
         addr: settings.listen,
@@ -93,7 +93,7 @@
     let threads = Arc::clone(&shared);
     let listener = http::bind(&options, move || {
         let worker = Worker::new(Arc::clone(&threads));
-        move |request| handle(worker.clone(), request)
+        move |request| handler::handle(worker.clone(), request)
     })?;
     Ok(Gateway {
         listener,
@@ -136,7 +136,7 @@
         }
         let cut = self.shared.in_flight();
         sleep(LAST_WRITES).await;
-        timeout(STOP_TIMEOUT, self.listener.stop(true)).await.ok();
+        let _ = timeout(STOP_TIMEOUT, self.listener.stop(true)).await;
         let deadline = Instant::now() + LAST_BILLS;
         while self.unbilled() > 0 && Instant::now() < deadline {
             sleep(POLL).await;
