--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -10,6 +10,7 @@
 mod effect;
 mod event;
 mod follow;
+mod ledger;
 mod member;
 mod state;
 mod time;
@@ -26,13 +27,16 @@
 pub use self::effect::{
     Concern, Effect, Effects, EngineOrder, OrderAction, Ticket, UpstreamAction,
 };
-pub use self::event::{Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating};
+pub use self::event::{
+    AwaitedStep, Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating,
+};
 pub use self::follow::STALE_AFTER;
+pub use self::ledger::MAX_IN_FLIGHT;
 pub use self::member::{Directory, Member, MemberKey};
 pub use self::state::{Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
-    Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
+    Admission, AgentView, LedgerView, MemberView, RolloutPhase, RolloutView, ShareView, View,
 };
 
 pub use self::work::{WorkOutcome, WorkResult, Works};
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -117,6 +117,7 @@
             admission: self.admission(),
             members: member_views(&self.context),
             estimates: Arc::new(Estimates::default()),
+            ledger: super::view::LedgerView::default(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/board.rs
@@ -0,0 +1,24 @@
+//! What plans and choices are made from, rebuilt when the view changes.
+
+use std::sync::Arc;
+
+use crate::control::View;
+use crate::policy::{Pools, Split};
+
+/// A view with its pools.
+#[derive(Debug)]
+pub(super) struct Board {
+    pub(super) view: Arc<View>,
+    pub(super) pools: Pools,
+    pub(super) splits: Vec<Split>,
+}
+
+impl Board {
+    pub(super) fn of(view: Arc<View>) -> Self {
+        Self {
+            pools: view.pools(),
+            splits: view.splits(),
+            view,
+        }
+    }
+}
