--- a/src/carawayrun/node/run.rs
+++ b/src/carawayrun/node/run.rs
@@ -115,12 +115,12 @@
             Effect::WriteSnapshot(bytes) => self.write_snapshot(bytes),
             Effect::Claimed(ticket, answer) => {
                 if let Some(event) = self.tickets.answer(ticket, answer) {
-                    let _ = self.inputs.send(Input::Event(event));
+                    drop(self.inputs.send(Input::Event(event)));
                 }
             }
             Effect::Upstream(action) => {
                 if let Some(upstream) = &self.upstream {
-                    let _ = upstream.send(action);
+                    drop(upstream.send(action));
                 }
             }
         }
