--- a/src/carawayrun/control/ledger/case.rs
+++ b/src/carawayrun/control/ledger/case.rs
@@ -33,10 +33,19 @@
 const BATCH_BILLS: usize = 512;
 
 /// What an agent holds of a dead gateway's requests.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Held {
     peer_addr: CompactString,
-    usages: Vec<Usage>,
+    usages: BTreeMap<Attempt, Usage>,
+    /// Number of usages that the agent said it holds.
+    total: usize,
+}
+
+/// An attempt at one agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Attempt {
+    sequence: u64,
+    step: u32,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -112,13 +121,14 @@
         }
     }
 
-    /// Takes what an agent holds.
+    /// Takes what an agent holds; it may come in parts.
     pub(super) fn learn(&mut self, agent: &message::Node, held: &BillsHeld, reply_addr: &str) {
-        let held = Held {
-            peer_addr: reply_addr.into(),
-            usages: held.usages.clone(),
-        };
-        self.held.insert(agent.into(), held);
+        let known = self.held.entry(agent.into()).or_default();
+        known.peer_addr = reply_addr.into();
+        known.total = known.total.max(held.total as usize);
+        for usage in &held.usages {
+            known.usages.insert(Attempt::of(usage), usage.clone());
+        }
     }
 
     pub(super) fn stored(
@@ -253,9 +263,7 @@
     }
 
     fn is_answered(&self, agent: &NodeId) -> bool {
-        self.held
-            .get(agent)
-            .is_some_and(|held| held.usages.iter().all(|usage| usage.finished))
+        self.held.get(agent).is_some_and(Held::is_complete)
     }
 
     fn write(&mut self, calls: &mut Calls, context: &mut Context) {
@@ -279,7 +287,7 @@
     // Bills of the requests that agents hold and the ledger does not have.
     fn missing(&self) -> Vec<Bill> {
         let mut bills: BTreeMap<u64, Bill> = BTreeMap::new();
-        for usage in self.held.values().flat_map(|held| &held.usages) {
+        for usage in self.held.values().flat_map(|held| held.usages.values()) {
             let sequence = sequence(usage);
             if self.stored.row.written.contains(sequence) {
                 continue;
@@ -308,13 +316,29 @@
             let body = Body::BillsFlushed(BillsFlushed {
                 gateway: Some((&self.node).into()),
                 watermark: self.stored.row.written.watermark(),
-                sequences: held.usages.iter().map(sequence).collect(),
+                sequences: held.usages.values().map(sequence).collect(),
             });
             context.send(&held.peer_addr, body);
         }
     }
 }
 
+impl Held {
+    fn is_complete(&self) -> bool {
+        let finished = self.usages.values().all(|usage| usage.finished);
+        finished && self.usages.len() >= self.total
+    }
+}
+
+impl Attempt {
+    fn of(usage: &Usage) -> Self {
+        Self {
+            sequence: sequence(usage),
+            step: usage.step,
+        }
+    }
+}
+
 fn sequence(usage: &Usage) -> u64 {
     usage.request.as_ref().map_or(0, |id| id.sequence)
 }
--- a/src/carawayrun/control/ledger/own.rs
+++ b/src/carawayrun/control/ledger/own.rs
@@ -329,7 +329,8 @@
     fn learn(&mut self, upstream: &CompactString, held: &BillsHeld, now: Millis) {
         for open in &mut self.open {
             let late = now.since(open.since) >= ABSENT_AFTER;
-            settle(&mut open.bill, upstream, held, late);
+            let whole = held.usages.len() >= held.total as usize;
+            settle(&mut open.bill, upstream, held, late && whole);
         }
         self.close_open(now);
     }
@@ -358,7 +359,7 @@
 // Takes what an agent holds of a bill's awaited steps. What still runs is asked
 // for again. What the agent does not hold did not run there, once a run that
 // was still on its way must have arrived.
-fn settle(bill: &mut Bill, upstream: &CompactString, held: &BillsHeld, late: bool) {
+fn settle(bill: &mut Bill, upstream: &CompactString, held: &BillsHeld, absent: bool) {
     let sequence = bill.sequence;
     let steps = &mut bill.steps;
     bill.awaited.retain(|awaited| {
@@ -375,7 +376,7 @@
                 steps.push(BillStep::from(usage));
                 false
             }
-            None => !late,
+            None => !absent,
         }
     });
     bill.cost_micros = bill.steps.iter().map(|step| step.cost_micros).sum();
--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -303,6 +303,10 @@
     pub gateway: ::core::option::Option<Node>,
     #[prost(message, repeated, tag = "2")]
     pub usages: ::prost::alloc::vec::Vec<Usage>,
+    /// Number of usages the sender holds for the gateway; a message may carry a
+    /// part of them.
+    #[prost(uint32, tag = "3")]
+    pub total: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Cancel {
