--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -10,6 +10,7 @@
 use super::effect::{Effect, Effects};
 use super::event::Event;
 use super::follow::Follow;
+use super::ledger::Ledger;
 use super::member::{Membership, agent_views, member_views};
 use super::time::Millis;
 use super::view::{Admission, View};
@@ -52,6 +53,7 @@
     works: Works,
     published: Option<Millis>,
     claims: Claims,
+    ledger: Ledger,
 }
 
 impl State {
@@ -66,6 +68,7 @@
             works: Works::default(),
             published: None,
             claims: Claims::default(),
+            ledger: Ledger::default(),
         }
     }
 
@@ -94,6 +97,7 @@
         self.follow.handle(event, &mut self.context);
         self.works.handle(event, &mut self.context);
         self.claims.handle(event, &mut self.context);
+        self.ledger.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -117,7 +121,7 @@
             admission: self.admission(),
             members: member_views(&self.context),
             estimates: Arc::new(Estimates::default()),
-            ledger: super::view::LedgerView::default(),
+            ledger: self.ledger.view(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
@@ -129,6 +133,9 @@
                 retry_after_ms: 0,
             };
         }
-        self.follow.admission()
+        match self.ledger.admission() {
+            Admission::Open => self.follow.admission(),
+            closed => closed,
+        }
     }
 }
--- a/src/carawayrun/traffic/gateway/admission.rs
+++ b/src/carawayrun/traffic/gateway/admission.rs
@@ -2,7 +2,7 @@
 
 use super::refusal::Refusal;
 use super::shared::Shared;
-use crate::control::{Admission, View};
+use crate::control::Admission;
 use crate::traffic::Code;
 
 /// Most requests in flight at one gateway. The ledger keeps room for the bills
@@ -13,7 +13,7 @@
 const FULL_RETRY_MS: u64 = 1_000;
 
 /// Refuses where the gateway drains, is closed or full.
-pub(super) fn check(shared: &Shared, view: &View) -> Result<(), Refusal> {
+pub(super) fn check(shared: &Shared) -> Result<(), Refusal> {
     if shared.is_draining() {
         let refusal = Refusal::new(Code::Draining, "this gateway is stopping; use another");
         return Err(refusal.retry_after(0));
@@ -21,11 +21,11 @@
     if let Admission::Closed {
         code,
         retry_after_ms,
-    } = &view.admission
+    } = shared.handle.admission()
     {
         let code = code.parse().unwrap_or(Code::Overloaded);
         let refusal = Refusal::new(code, "this gateway takes no requests at the moment");
-        return Err(refusal.retry_after(*retry_after_ms));
+        return Err(refusal.retry_after(retry_after_ms));
     }
     if shared.in_flight() >= MAX_IN_FLIGHT {
         let refusal = Refusal::new(Code::Overloaded, "this gateway is full");
