--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -27,9 +27,9 @@
     ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
 };
 use self::row::{ClaimRow, ClaimState, fingerprint_text, request_name, row_key};
+use super::context::Context;
 use super::effect::{Concern, Effect, Ticket};
 use super::event::Event;
-use super::state::Context;
 use super::time::Millis;
 use crate::peer::NodeId;
 use crate::platform::table::{Row, TableAnswer, TableCall, TableError};
@@ -58,7 +58,6 @@
     retry_time: Option<Millis>,
     // Calls in a row that the service did not answer with success.
     failures: u32,
-    lives: FxHashMap<CompactString, Life>,
 }
 
 // What this life knows of one key that it has claimed or wants to.
@@ -85,13 +84,6 @@
     Ended(ClaimState),
 }
 
-// The newest life of a node that was heard of.
-#[derive(Debug, Clone, Copy)]
-struct Life {
-    incarnation: u64,
-    dead: bool,
-}
-
 impl Claims {
     pub(crate) fn handle(&mut self, event: &Event, context: &mut Context) {
         match event {
@@ -100,7 +92,6 @@
             Event::Stored(ticket, result) if ticket.concern == Concern::Claims => {
                 self.stored(ticket.number, result, context);
             }
-            Event::Received(envelope) => self.learn(&envelope.members),
             Event::Tick => self.expire(context),
             _ => return,
         }
@@ -263,26 +254,10 @@
             }
             return;
         }
-        let answer = self.judge(&held, &write.row.fingerprint, context.now);
+        let answer = judge(&held, &write.row.fingerprint, context);
         self.settle(&write.key, answer, context);
     }
 
-    fn judge(&self, held: &ClaimRow, fingerprint: &str, now: Millis) -> ClaimAnswer {
-        if held.fingerprint != fingerprint {
-            return ClaimAnswer::Reused;
-        }
-        match &held.state {
-            ClaimState::Finished {
-                answer: Some(answer),
-            } => ClaimAnswer::Replay(answer.clone()),
-            ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
-            ClaimState::Running if self.may_live(&held.owner, now) => ClaimAnswer::InProgress,
-            ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
-                ClaimAnswer::UnknownOutcome
-            }
-        }
-    }
-
     // Another's row decides the claim; nothing of ours is to be written.
     fn settle(&mut self, key: &CompactString, answer: ClaimAnswer, context: &mut Context) {
         let Some(claim) = self.rows.remove(key) else {
@@ -330,31 +305,32 @@
         self.retry_time = Some(context.now + RETRY);
         self.failures = self.failures.saturating_add(1);
     }
+}
 
-    fn learn(&mut self, members: &[crate::peer::message::Member]) {
-        for member in members {
-            let Some(node) = &member.node else { continue };
-            let life = Life {
-                incarnation: node.incarnation,
-                dead: member.state() == crate::peer::message::MemberState::Dead,
-            };
-            let known = self.lives.entry(node.name.as_str().into()).or_insert(life);
-            if known.incarnation < life.incarnation {
-                *known = life;
-            } else if known.incarnation == life.incarnation {
-                known.dead = life.dead;
-            }
-        }
+// False where the life is over, or was not heard of for long.
+fn may_live(owner: &str, context: &Context) -> bool {
+    let Ok(owner) = owner.parse::<NodeId>() else {
+        return false;
+    };
+    let key = context.members.key(&owner.name);
+    match key.and_then(|key| context.members.get(key)) {
+        Some(member) => member.node.incarnation == owner.incarnation && member.is_present(),
+        None => context.now < MEMBERS_LEARNED,
     }
+}
 
-    // False where the life is over, or was not heard of for long.
-    fn may_live(&self, owner: &str, now: Millis) -> bool {
-        let Ok(owner) = owner.parse::<NodeId>() else {
-            return false;
-        };
-        match self.lives.get(&owner.name) {
-            Some(life) => life.incarnation == owner.incarnation && !life.dead,
-            None => now < MEMBERS_LEARNED,
+fn judge(held: &ClaimRow, fingerprint: &str, context: &Context) -> ClaimAnswer {
+    if held.fingerprint != fingerprint {
+        return ClaimAnswer::Reused;
+    }
+    match &held.state {
+        ClaimState::Finished {
+            answer: Some(answer),
+        } => ClaimAnswer::Replay(answer.clone()),
+        ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
+        ClaimState::Running if may_live(&held.owner, context) => ClaimAnswer::InProgress,
+        ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
+            ClaimAnswer::UnknownOutcome
         }
     }
 }
--- a/src/carawayrun/control/effect.rs
+++ b/src/carawayrun/control/effect.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 
 use super::claims::{ClaimAnswer, ClaimTicket};
+use super::time::Millis;
 use super::view::View;
 use crate::peer::RequestId;
 use crate::peer::message;
@@ -43,6 +45,14 @@
     Store(Ticket, TableCall),
     /// Publishes a new view to the traffic threads.
     Publish(Arc<View>),
+    /// Tells the traffic threads until when the configuration is known to be
+    /// the newest.
+    Fresh(Millis),
+    /// Reads the newest snapshot of the configuration from the object store; an
+    /// [`super::Event::SnapshotRead`] follows where there is one.
+    ReadSnapshot,
+    /// Writes a snapshot of the configuration to the object store.
+    WriteSnapshot(Bytes),
     /// Answers a request that asked for its idempotency key.
     Claimed(ClaimTicket, ClaimAnswer),
     /// Gives the traffic threads of an agent something to do at its upstream.
--- a/src/carawayrun/traffic/agent/judge.rs
+++ b/src/carawayrun/traffic/agent/judge.rs
@@ -14,17 +14,24 @@
 /// differ, in milliseconds.
 const FOLLOW_MS: u32 = 500;
 
-/// Checks a run, directly before it is queued and again before it is sent.
-pub(crate) fn judge(view: &View, upstream: &str, run: &Run) -> Result<Backend, Refusal> {
-    if let Admission::Closed {
-        code,
-        retry_after_ms,
-    } = &view.admission
-    {
-        let code = code.parse().unwrap_or(Code::Draining);
-        let message = "the agent takes no new work";
-        return Err(Refusal::new(code, message).after(*retry_after_ms as u32));
+/// Whether the process takes new work at all.
+pub(crate) fn admitted(view: &View) -> Result<(), Refusal> {
+    match &view.admission {
+        Admission::Open => Ok(()),
+        Admission::Closed {
+            code,
+            retry_after_ms,
+        } => {
+            let code = code.parse().unwrap_or(Code::Draining);
+            let refusal = Refusal::new(code, "the agent takes no new work");
+            Err(refusal.after(*retry_after_ms as u32))
+        }
     }
+}
+
+/// Whether the run is permitted; asked when it arrives, and again directly
+/// before it is sent.
+pub(crate) fn judge(view: &View, upstream: &str, run: &Run) -> Result<Backend, Refusal> {
     permitted(view, upstream, run).map_err(|refusal| dated(refusal, &view.config, run))
 }
 
