--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -104,7 +104,7 @@
             let answer = claim.answer_again(&fingerprint_text(call));
             return context.out.push(Effect::Claimed(ticket, answer));
         }
-        if self.rows.len() >= MAX_CLAIMS || self.failures >= OUTAGE_FAILURES {
+        if self.rows.len() >= MAX_CLAIMS || self.is_out(context.now) {
             return context
                 .out
                 .push(Effect::Claimed(ticket, ClaimAnswer::Unavailable));
@@ -122,6 +122,12 @@
         self.rows.insert(key, claim);
     }
 
+    // While the service is out, one claim at a time tries whether it is back.
+    fn is_out(&self, now: Millis) -> bool {
+        let resting = self.retry_time.is_some_and(|time| now < time);
+        self.failures >= OUTAGE_FAILURES && (resting || self.in_flight.is_some())
+    }
+
     fn ended(&mut self, ticket: ClaimTicket, end: &ClaimEnd) {
         let Some(key) = self.keys.remove(&ticket) else {
             return;
@@ -191,10 +197,12 @@
             Err(TableError::Lost { .. }) => {
                 self.wait(context);
                 self.doubt(&batch);
+                self.refuse_unsent(context);
             }
             Err(TableError::Unavailable { .. } | TableError::Invalid { .. }) => {
                 self.wait(context);
                 self.refuse(&batch, context);
+                self.refuse_unsent(context);
             }
         }
     }
@@ -287,6 +295,22 @@
         }
     }
 
+    // Claims that wait for their first call while the service is out.
+    fn refuse_unsent(&mut self, context: &mut Context) {
+        if self.failures < OUTAGE_FAILURES {
+            return;
+        }
+        let keys = &mut self.keys;
+        self.rows.retain(|_, claim| {
+            let unsent = matches!(claim.step, Step::Wanted) && !claim.doubtful;
+            if unsent {
+                keys.remove(&claim.ticket);
+                claim.give_up(context);
+            }
+            !unsent
+        });
+    }
+
     // The writes may have taken effect.
     fn doubt(&mut self, batch: &Batch) {
         for write in &batch.writes {
--- a/src/carawayrun/control/orders.rs
+++ b/src/carawayrun/control/orders.rs
@@ -104,12 +104,11 @@
             // earlier life that wakes finds itself replaced.
             Holding::New => self.read(context),
             Holding::Held { .. } if self.next_order(context).is_some() => self.read(context),
-            Holding::Held { .. } => {}
             Holding::Taking { row, version } => {
                 let commit = commit(context, row, *version);
                 self.call(commit, context);
             }
-            Holding::Ordering { .. } | Holding::Lost => {}
+            Holding::Held { .. } | Holding::Ordering { .. } | Holding::Lost => {}
         }
     }
 
