--- a/src/carawayrun/control/claims/tests.rs
+++ b/src/carawayrun/control/claims/tests.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::format_compact;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -11,6 +11,7 @@
 mod event;
 mod follow;
 mod held;
+mod ledger;
 mod member;
 mod orders;
 mod state;
@@ -28,13 +29,16 @@
 pub use self::effect::{
     Concern, Effect, Effects, EngineOrder, OrderAction, Ticket, UpstreamAction,
 };
-pub use self::event::{Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating};
+pub use self::event::{
+    AwaitedStep, Bill, BillStep, Event, HostEntry, OrderResult, Outcome, Rating,
+};
 pub use self::follow::STALE_AFTER;
+pub use self::ledger::MAX_IN_FLIGHT;
 pub use self::member::{Directory, Member, MemberKey};
 pub use self::state::{Identity, Role, State};
 pub use self::time::Millis;
 pub use self::view::{
-    Admission, AgentView, MemberView, RolloutPhase, RolloutView, ShareView, View,
+    Admission, AgentView, LedgerView, MemberView, RolloutPhase, RolloutView, ShareView, View,
 };
 
 pub use self::work::{WorkOutcome, WorkResult, Works};
