--- a/src/bin/carawayrun/commands/agent.rs
+++ b/src/bin/carawayrun/commands/agent.rs
@@ -18,8 +18,8 @@
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("agent"), generate(cli))]
 pub(crate) struct Options {
-    #[bpaf(external(node_flags))]
-    node: NodeFlags,
+    #[bpaf(external(node_flags), map(Box::new))]
+    node: Box<NodeFlags>,
     /// Address to listen on for runs
     #[bpaf(
         long,
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -11,7 +11,9 @@
 use super::event::Event;
 use super::follow::Follow;
 use super::ledger::Ledger;
+use super::held::Held;
 use super::member::{Membership, agent_views, member_views};
+use super::orders::Orders;
 use super::time::Millis;
 use super::view::{Admission, View};
 use super::work::Works;
@@ -54,6 +56,8 @@
     published: Option<Millis>,
     claims: Claims,
     ledger: Ledger,
+    held: Held,
+    orders: Orders,
 }
 
 impl State {
@@ -69,6 +73,8 @@
             published: None,
             claims: Claims::default(),
             ledger: Ledger::default(),
+            held: Held::default(),
+            orders: Orders::default(),
         }
     }
 
@@ -98,6 +104,8 @@
         self.works.handle(event, &mut self.context);
         self.claims.handle(event, &mut self.context);
         self.ledger.handle(event, &mut self.context);
+        self.held.handle(event, &mut self.context);
+        self.orders.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -133,9 +141,8 @@
                 retry_after_ms: 0,
             };
         }
-        match self.ledger.admission() {
-            Admission::Open => self.follow.admission(),
-            closed => closed,
-        }
+        let parts = [self.follow.admission(), self.ledger.admission(), self.held.admission()];
+        let closed = parts.into_iter().find(|part| *part != Admission::Open);
+        closed.unwrap_or(Admission::Open)
     }
 }
