--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,20 +1,25 @@
 //! Time to decide one request: plan and choice of upstream.
 
+use std::fmt::Write;
 use std::hint::black_box;
 
 use carawayrun::policy::{
     Ask, Candidate, Choice, Ejection, Estimates, Flight, Pool, Pools, Situation, Tally, plan,
 };
 use carawayrun::resource::{Config, Resource, parse_manifests};
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BenchmarkId, Criterion, criterion_main};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 const VERSIONS: usize = 13;
 const DATA_CENTRES: [&str; 5] = ["recife", "natal", "olinda", "vacoas", "curepipe"];
 
-criterion_group!(benches, decision);
-criterion_main!(benches);
+mod group {
+
+    criterion::criterion_group!(benches, super::decision);
+}
+
+criterion_main!(group::benches);
 
 fn decision(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("decision");
@@ -150,22 +155,28 @@
     for (number, name) in names.iter().enumerate() {
         let price = 10 + 15 * number;
         let quality = 0.5 + 0.035 * number as f64;
-        text.push_str(&format!(
+        write!(
+            text,
             "---\napiVersion: carawayrun/v1\nkind: Version\nmetadata: {{name: {name}}}\nspec: \
              {{model: lathe, service: advisor, price: {{prompt: {price}, cached: 1, completion: \
              {price}}}, quality: {{plan: {quality}, note: {quality}}}, latencyMs: 300}}\n"
-        ));
+        )
+        .expect("a String takes all text");
     }
     for number in 0..upstreams {
         let place = DATA_CENTRES[number % DATA_CENTRES.len()];
-        text.push_str(&format!(
+        write!(
+            text,
             "---\napiVersion: carawayrun/v1\nkind: Upstream\nmetadata: {{name: u{number}}}\nspec: \
              {{service: advisor, dataCentre: {place}, slots: 8, versions: [{list}]}}\n"
-        ));
+        )
+        .expect("a String takes all text");
     }
-    text.push_str(&format!(
+    write!(
+        text,
         "---\napiVersion: carawayrun/v1\nkind: Team\nmetadata: {{name: estate}}\nspec: \
          {{keyDigests: [], versions: [{list}]}}\n"
-    ));
+    )
+    .expect("a String takes all text");
     text
 }
--- a/crates/lab/src/rater.rs
+++ b/crates/lab/src/rater.rs
@@ -1,8 +1,32 @@
-//! Not written yet; see docs/PLATFORM.md.
+//! Rates answers: late, noisy, and some never.
 
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use actix_rt::time::Instant;
 use bpaf::Bpaf;
+use carawayrun::http::{json, text};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
 
 use crate::command::Failure;
+use crate::faults::FaultSwitch;
+use crate::serve::{common, query_value, read_json, run as serve};
+
+/// Mean rating of a version and task without a flag.
+const DEFAULT_QUALITY: f64 = 0.8;
+/// Mean rating of the version that `PUT /faults` names as bad.
+const BAD_QUALITY: f64 = 0.2;
+/// Uniform draws that are added up to one nearly normal noise.
+const NOISE_DRAWS: usize = 4;
+/// Most ratings of one answer.
+const PAGE: usize = 1_000;
 
 /// Flags.
 #[derive(Debug, Clone, Bpaf)]
@@ -11,8 +35,207 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// True mean rating of a version on a task; may be given many times
+    #[bpaf(argument("VERSION/TASK=SCORE"), many)]
+    quality: Vec<TrueQuality>,
+    /// Standard deviation of a rating
+    #[bpaf(argument("SCORE"), fallback(0.15))]
+    noise: f64,
+    /// Share of ratings that never come, in 0..=1
+    #[bpaf(argument("SHARE"), fallback(0.1))]
+    missing: f64,
+    /// Longest time until a rating comes, in milliseconds
+    #[bpaf(argument("MS"), fallback(500))]
+    late_ms: u64,
+    /// Seed of the noise
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+}
+
+#[derive(Debug, Clone)]
+struct TrueQuality {
+    version: String,
+    task: String,
+    score: f64,
+}
+
+impl FromStr for TrueQuality {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = || format!("`{text}` is not VERSION/TASK=SCORE");
+        let (place, score) = text.split_once('=').ok_or_else(invalid)?;
+        let (version, task) = place.split_once('/').ok_or_else(invalid)?;
+        Ok(Self {
+            version: version.into(),
+            task: task.into(),
+            score: score.parse().map_err(|_| invalid())?,
+        })
+    }
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
-    Err(format!("not written yet: {}", options.listen).into())
+    if !(0.0..=1.0).contains(&options.missing) {
+        return Err(format!("--missing: {} is not in 0..=1", options.missing).into());
+    }
+    let shared = options.clone();
+    serve(&options.listen, move || {
+        let rater = Rc::new(Rater::new(shared.clone()));
+        move |request| Rc::clone(&rater).handle(request)
+    })
+}
+
+#[derive(Debug)]
+struct Rater {
+    options: Options,
+    qualities: HashMap<(String, String), f64>,
+    faults: FaultSwitch,
+    state: RefCell<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    rng: SmallRng,
+    // Not due yet, in the order of the time they are due.
+    coming: BTreeMap<(Instant, u64), Due>,
+    accepted: u64,
+    ratings: Vec<Rating>,
+}
+
+#[derive(Debug)]
+struct Due {
+    id: String,
+    score: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Answer {
+    id: String,
+    version: String,
+    task: String,
+    #[serde(default)]
+    #[expect(
+        dead_code,
+        reason = "a part of the protocol that the stand-in does not judge"
+    )]
+    answer: serde_json::Value,
+}
+
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Rating {
+    number: u64,
+    id: String,
+    score: f64,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    ratings: Vec<Rating>,
+}
+
+impl Rater {
+    fn new(options: Options) -> Self {
+        let qualities = options.quality.iter().cloned();
+        let state = State {
+            rng: SmallRng::seed_from_u64(options.seed),
+            coming: BTreeMap::new(),
+            accepted: 0,
+            ratings: Vec::new(),
+        };
+        Self {
+            qualities: qualities
+                .map(|quality| ((quality.version, quality.task), quality.score))
+                .collect(),
+            options,
+            faults: FaultSwitch::default(),
+            state: RefCell::new(state),
+        }
+    }
+
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if let Some(answer) = common(&mut request, &self.faults).await {
+            return answer;
+        }
+        match (request.method(), request.path()) {
+            (&Method::POST, "/v1/ratings") => self.accept(&mut request).await,
+            (&Method::GET, "/v1/ratings") => self.list(&request),
+            _ => text(StatusCode::NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    async fn accept(&self, request: &mut Request) -> Response<BoxBody> {
+        let answer: Answer = match read_json(request).await {
+            Ok(answer) => answer,
+            Err(refusal) => return refusal,
+        };
+        let mean = self.mean(&answer);
+        self.state
+            .borrow_mut()
+            .accept(answer.id, mean, &self.options);
+        text(StatusCode::ACCEPTED, "")
+    }
+
+    fn mean(&self, answer: &Answer) -> f64 {
+        if self.faults.get().bad_version == answer.version {
+            return BAD_QUALITY;
+        }
+        let place = (answer.version.clone(), answer.task.clone());
+        self.qualities
+            .get(&place)
+            .copied()
+            .unwrap_or(DEFAULT_QUALITY)
+    }
+
+    fn list(&self, request: &Request) -> Response<BoxBody> {
+        let after = query_value(request, "after").and_then(|text| text.parse().ok());
+        let prefix = query_value(request, "ids").unwrap_or_default();
+        let mut state = self.state.borrow_mut();
+        state.publish(Instant::now());
+        let first = after.unwrap_or(0_u64) as usize;
+        let newer = state.ratings.iter().skip(first);
+        let ratings = newer
+            .filter(|rating| rating.id.starts_with(&prefix))
+            .take(PAGE)
+            .cloned()
+            .collect();
+        json(StatusCode::OK, &Page { ratings })
+    }
+}
+
+impl State {
+    fn accept(&mut self, id: String, mean: f64, options: &Options) {
+        if self.rng.random_bool(options.missing) {
+            return;
+        }
+        let score = (mean + self.noise(options.noise)).clamp(0.0, 1.0);
+        let late = Duration::from_millis(self.rng.random_range(0..=options.late_ms));
+        self.accepted += 1;
+        let due = (Instant::now() + late, self.accepted);
+        self.coming.insert(due, Due { id, score });
+    }
+
+    // The sum of n uniform draws from -1..1 has the variance n / 3.
+    fn noise(&mut self, deviation: f64) -> f64 {
+        let sum: f64 = (0..NOISE_DRAWS)
+            .map(|_| self.rng.random_range(-1.0..1.0))
+            .sum();
+        sum * deviation / (NOISE_DRAWS as f64 / 3.0).sqrt()
+    }
+
+    fn publish(&mut self, now: Instant) {
+        while let Some(entry) = self.coming.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let due = entry.remove();
+            self.ratings.push(Rating {
+                number: self.ratings.len() as u64 + 1,
+                id: due.id,
+                score: due.score,
+            });
+        }
+    }
 }
--- a/src/carawayrun/policy/mod.rs
+++ b/src/carawayrun/policy/mod.rs
@@ -15,26 +15,32 @@
 //! | [`judge`] | whether a roll-out goes on, waits or is withdrawn |
 //! | [`DriftDetector`] | whether a version turned bad without a roll-out |
 
+mod ask;
 mod binomial;
 mod bucket;
+mod draft;
 mod drift;
 mod ejection;
 mod estimates;
 mod explanation;
+mod flight;
 mod judge;
 mod normal;
 mod plan;
 mod pools;
 mod retry;
+mod ring;
 mod tally;
 
+pub use self::ask::{Ask, Gate, NoPlan, Plan, Situation, Split, Step};
 pub use self::bucket::{Bucket, OverLimit};
 pub use self::drift::{DriftDetector, DriftVerdict};
 pub use self::ejection::Ejection;
 pub use self::estimates::{Estimates, Quality};
 pub use self::explanation::{Explanation, Reason};
+pub use self::flight::Flight;
 pub use self::judge::{Arms, Evidence, Judgement, Progress, Verdict, judge};
-pub use self::plan::{Ask, Gate, NoPlan, Plan, Situation, Split, Step, plan};
-pub use self::pools::{Candidate, Choice, Flight, Pick, Pool, Pools};
+pub use self::plan::plan;
+pub use self::pools::{Candidate, Choice, Pick, Pool, Pools};
 pub use self::retry::RetryBudget;
 pub use self::tally::Tally;
--- a/src/carawayrun/policy/pools.rs
+++ b/src/carawayrun/policy/pools.rs
@@ -9,17 +9,17 @@
 use compact_str::CompactString;
 use rand::Rng;
 use rustc_hash::FxHashMap;
-use slotmap::{Key, SecondaryMap};
+use slotmap::SecondaryMap;
 
 use super::ejection::Ejection;
+use super::flight::Flight;
+use super::ring::{Place, place_of};
 use crate::resource::{ServiceKey, UpstreamKey, VersionKey};
 
 /// Random upstreams compared in a choice.
 const CHOICES: usize = 2;
 /// Random draws before ejected upstreams are accepted.
 const MOST_DRAWS: usize = 8;
-/// Points of each upstream on the ring of prefix homes.
-const RING_POINTS: u64 = 8;
 /// Load that a warm prefix is worth, as a share of an upstream's slots.
 const PREFIX_BONUS: f64 = 0.3;
 /// Load from which an upstream makes a request wait, as a share of its slots.
@@ -96,65 +96,6 @@
     pub wait_ms: u32,
 }
 
-/// The gateway's own requests in flight at each upstream, and since when it
-/// knows them; outlives the [`Pools`] of one view.
-#[derive(Debug, Clone, Default)]
-pub struct Flight {
-    entries: SecondaryMap<UpstreamKey, FlightEntry>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct FlightEntry {
-    running: u32,
-    since_ms: u64,
-}
-
-impl Flight {
-    /// Takes note of the upstreams of new pools. Those seen from the start
-    /// need no slow start; later ones do.
-    pub fn observe(&mut self, pools: &Pools, now_ms: u64) {
-        let first = self.entries.is_empty();
-        let since_ms = if first { 0 } else { now_ms };
-        self.entries
-            .retain(|key, entry| entry.running > 0 || pools.members.contains_key(key));
-        for upstream in pools.members.keys() {
-            if let Some(entry) = self.entries.entry(upstream) {
-                entry.or_insert(FlightEntry {
-                    running: 0,
-                    since_ms,
-                });
-            }
-        }
-    }
-
-    /// Tells that a request was sent.
-    pub fn start(&mut self, upstream: UpstreamKey) {
-        if let Some(entry) = self.entries.entry(upstream) {
-            let entry = entry.or_insert(FlightEntry {
-                running: 0,
-                since_ms: 0,
-            });
-            entry.running += 1;
-        }
-    }
-
-    /// Tells that a sent request ended.
-    pub fn end(&mut self, upstream: UpstreamKey) {
-        if let Some(entry) = self.entries.get_mut(upstream) {
-            entry.running = entry.running.saturating_sub(1);
-        }
-    }
-
-    /// Requests in flight at an upstream.
-    pub fn running(&self, upstream: UpstreamKey) -> u32 {
-        self.entries.get(upstream).map_or(0, |entry| entry.running)
-    }
-
-    fn since_ms(&self, upstream: UpstreamKey) -> u64 {
-        self.entries.get(upstream).map_or(0, |entry| entry.since_ms)
-    }
-}
-
 /// The upstreams that take new work, by version or service and data centre.
 #[derive(Debug, Clone, Default)]
 pub struct Pools {
@@ -171,20 +112,6 @@
     report_ms: u64,
 }
 
-// The members of a pool in one data centre.
-#[derive(Debug, Clone)]
-struct Place {
-    data_centre: CompactString,
-    upstreams: Vec<UpstreamKey>,
-    ring: Vec<RingPoint>,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct RingPoint {
-    point: u64,
-    upstream: UpstreamKey,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Scored {
     upstream: UpstreamKey,
@@ -201,7 +128,7 @@
             pools.add(&candidate);
         }
         for place in pools.pools.values_mut().flatten() {
-            place.ring.sort_unstable();
+            place.seal();
         }
         pools
     }
@@ -245,6 +172,16 @@
         self.pick(choice, places, &best)
     }
 
+    /// True where an upstream is in a pool.
+    pub(crate) fn contains(&self, upstream: UpstreamKey) -> bool {
+        self.members.contains_key(upstream)
+    }
+
+    /// All upstreams of all pools.
+    pub(crate) fn upstreams(&self) -> impl Iterator<Item = UpstreamKey> {
+        self.members.keys()
+    }
+
     fn add(&mut self, candidate: &Candidate) {
         let member = Member {
             agent: candidate.agent,
@@ -275,53 +212,6 @@
     }
 }
 
-fn place_of<'a>(places: &'a mut Vec<Place>, data_centre: &CompactString) -> &'a mut Place {
-    let known = places
-        .iter()
-        .position(|place| place.data_centre == *data_centre);
-    let index = known.unwrap_or_else(|| {
-        places.push(Place {
-            data_centre: data_centre.clone(),
-            upstreams: Vec::new(),
-            ring: Vec::new(),
-        });
-        places.len() - 1
-    });
-    &mut places[index]
-}
-
-impl Place {
-    fn add(&mut self, upstream: UpstreamKey) {
-        let Err(index) = self.upstreams.binary_search(&upstream) else {
-            return;
-        };
-        self.upstreams.insert(index, upstream);
-        let id = upstream.data().as_ffi();
-        self.ring.extend((0..RING_POINTS).map(|copy| RingPoint {
-            point: mix(id ^ copy.rotate_left(48)),
-            upstream,
-        }));
-    }
-
-    fn home(&self, prefix: u64) -> Option<UpstreamKey> {
-        if prefix == 0 {
-            return None;
-        }
-        let point = mix(prefix);
-        let index = self.ring.partition_point(|other| other.point < point);
-        let found = self.ring.get(index).or_else(|| self.ring.first());
-        found.map(|found| found.upstream)
-    }
-}
-
-// SplitMix64's finalizer (Steele, Lea and Flood, 2014).
-fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 // What stays the same while one choice is made.
 struct Round<'a> {
     pools: &'a Pools,
