--- a/crates/lab/src/rater.rs
+++ b/crates/lab/src/rater.rs
@@ -114,12 +114,6 @@
     id: String,
     version: String,
     task: String,
-    #[serde(default)]
-    #[expect(
-        dead_code,
-        reason = "a part of the protocol that the stand-in does not judge"
-    )]
-    answer: serde_json::Value,
 }
 
 #[derive(Debug, Clone, Serialize)]
