--- a/src/carawayrun/resource/write.rs
+++ b/src/carawayrun/resource/write.rs
@@ -125,7 +125,7 @@
             time: origin.time.clone(),
             items,
         };
-        let problems = config.applied(&change).problems();
+        let problems = new_problems(config, &change);
         if !problems.is_empty() {
             return InvalidSnafu { problems }.fail();
         }
@@ -137,6 +137,15 @@
     }
 }
 
+/// Problems that `change` brings in; what was wrong before, as after a release
+/// with stricter checks, does not block other changes.
+fn new_problems(config: &Config, change: &Change) -> Vec<Problem> {
+    let before = config.problems();
+    let mut after = config.applied(change).problems();
+    after.retain(|problem| !before.contains(problem));
+    after
+}
+
 fn item(config: &Config, edit: &Edit, generation: u64) -> Result<Option<ChangeItem>, WriteError> {
     match edit {
         Edit::Put(resource) => put_item(config, resource, generation),
--- /dev/null
+++ b/tests/testsuite/writing.rs
@@ -0,0 +1,368 @@
+//! A write of the configuration takes effect once or not at all, and its
+//! writer learns which, whatever becomes of the table service's answers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use carawayrun::ops::{AttemptError, Next, WriteAttempt};
+use carawayrun::platform::table::{ListCall, Row, TableAnswer, TableCall, TableError, Transaction};
+use carawayrun::resource::{
+    Change, Config, Edit, HEAD_KEY, Kind, Origin, Resource, Write, WriteError, WriteId, change_key,
+    parse_manifests,
+};
+use proptest::prelude::*;
+
+/// What becomes of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// The service says that it did nothing.
+    Down,
+    /// The call gets lost on its way.
+    LostBefore,
+    /// The call takes effect and its answer is lost.
+    LostAfter,
+}
+
+/// Rows in memory, with the semantics of the table service.
+#[derive(Debug, Default)]
+struct Table {
+    rows: BTreeMap<String, Row>,
+}
+
+impl Table {
+    fn call(&mut self, call: TableCall, fault: Fault) -> Result<TableAnswer, TableError> {
+        match fault {
+            Fault::Down => {
+                return Err(TableError::Unavailable {
+                    message: "down".into(),
+                });
+            }
+            Fault::LostBefore => {
+                return Err(TableError::Lost {
+                    message: "cut".into(),
+                });
+            }
+            Fault::None | Fault::LostAfter => {}
+        }
+        let answer = match call {
+            TableCall::Read(keys) => {
+                let found = keys.iter().filter_map(|key| self.rows.get(key.as_str()));
+                Ok(TableAnswer::Rows(found.cloned().collect()))
+            }
+            TableCall::List(list) => Ok(TableAnswer::Rows(self.list(&list))),
+            TableCall::Commit(transaction) => self.commit(&transaction),
+        };
+        if fault == Fault::LostAfter {
+            return Err(TableError::Lost {
+                message: "cut".into(),
+            });
+        }
+        answer
+    }
+
+    fn list(&self, list: &ListCall) -> Vec<Row> {
+        let after = self.rows.iter().filter(|(key, _)| {
+            key.starts_with(list.prefix.as_str()) && key.as_str() > list.after.as_str()
+        });
+        let rows = after.map(|(_, row)| row.clone());
+        rows.take(list.limit as usize).collect()
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> Result<TableAnswer, TableError> {
+        let version = |key: &str| self.rows.get(key).map_or(0, |row| row.version);
+        let failed = transaction
+            .conditions
+            .iter()
+            .any(|condition| version(&condition.key) != condition.version);
+        if failed {
+            return Err(TableError::Conflict { rows: Vec::new() });
+        }
+        for put in &transaction.puts {
+            let row = Row {
+                key: put.key.clone(),
+                version: version_of(&self.rows, &put.key) + 1,
+                value: put.value.clone(),
+            };
+            self.rows.insert(put.key.to_string(), row);
+        }
+        for key in &transaction.deletes {
+            self.rows.remove(key.as_str());
+        }
+        Ok(TableAnswer::Committed)
+    }
+
+    fn changes(&self) -> Vec<Change> {
+        let rows = self
+            .rows
+            .iter()
+            .filter(|(key, _)| key.starts_with("config/change/"));
+        rows.map(|(_, row)| serde_json::from_str(row.value.get()).expect("a change"))
+            .collect()
+    }
+}
+
+fn version_of(rows: &BTreeMap<String, Row>, key: &str) -> u64 {
+    rows.get(key).map_or(0, |row| row.version)
+}
+
+fn service(name: &str, latency_ms: u64, seen: u64) -> Resource {
+    let text = format!(
+        "{{apiVersion: carawayrun/v1, kind: Service, metadata: {{name: {name}, resourceVersion: {seen}}}, \
+         spec: {{backend: engine, tasks: [{{name: plan, class: normal, quality: 0.5, latencyMs: {latency_ms}}}]}}}}"
+    );
+    parse_manifests(&text).expect("a resource").remove(0)
+}
+
+fn put(name: &str, latency_ms: u64, seen: u64) -> Vec<Edit> {
+    vec![Edit::Put(Box::new(service(name, latency_ms, seen)))]
+}
+
+fn origin(id: &str) -> Origin {
+    Origin {
+        write_id: WriteId(id.into()),
+        author: "ana".into(),
+        reason: "test".into(),
+        time: "2026-12-03T22:24:00Z".into(),
+    }
+}
+
+fn attempt(id: &str, edits: Vec<Edit>) -> WriteAttempt {
+    WriteAttempt::new(Arc::new(Config::empty()), edits, origin(id), false)
+}
+
+/// Makes the calls of an attempt; the faults strike one call each.
+fn drive(attempt: &mut WriteAttempt, table: &mut Table, faults: &[Fault]) -> Next {
+    let mut faults = faults.iter().copied();
+    loop {
+        match attempt.next() {
+            Next::Call { call, .. } => {
+                let fault = faults.next().unwrap_or(Fault::None);
+                attempt.answered(table.call(call, fault));
+            }
+            end => return end,
+        }
+    }
+}
+
+fn generation(end: &Next) -> Option<u64> {
+    match end {
+        Next::Done(change) => Some(change.generation),
+        _ => None,
+    }
+}
+
+#[test]
+fn the_first_write_makes_generation_one() {
+    let mut table = Table::default();
+    let end = drive(&mut attempt("a", put("scene", 1, 0)), &mut table, &[]);
+    assert_eq!(generation(&end), Some(1));
+    assert_eq!(table.rows[HEAD_KEY].value.get(), r#"{"generation":1}"#);
+    assert_eq!(table.rows[HEAD_KEY].version, 1);
+    let stored: Resource =
+        serde_json::from_str(table.rows["config/resource/Service/scene"].value.get())
+            .expect("a resource");
+    assert_eq!(stored.metadata.resource_version, 1);
+    assert!(table.rows.contains_key(change_key(1).as_str()));
+}
+
+#[test]
+fn an_equal_resource_is_no_change() {
+    let mut table = Table::default();
+    drive(&mut attempt("a", put("scene", 1, 0)), &mut table, &[]);
+    let end = drive(&mut attempt("b", put("scene", 1, 0)), &mut table, &[]);
+    assert!(matches!(end, Next::Unchanged(1)), "{end:?}");
+}
+
+#[test]
+fn a_write_whose_answer_was_lost_is_found_by_its_id() {
+    let mut table = Table::default();
+    let faults = [Fault::None, Fault::LostAfter];
+    let end = drive(&mut attempt("a", put("scene", 1, 0)), &mut table, &faults);
+    assert_eq!(generation(&end), Some(1));
+    assert_eq!(table.changes().len(), 1);
+}
+
+#[test]
+fn a_write_that_was_lost_is_sent_again() {
+    let mut table = Table::default();
+    let faults = [Fault::None, Fault::LostBefore, Fault::LostBefore];
+    let end = drive(&mut attempt("a", put("scene", 1, 0)), &mut table, &faults);
+    assert_eq!(generation(&end), Some(1));
+    assert_eq!(table.changes().len(), 1);
+}
+
+#[test]
+fn a_store_that_is_down_refuses_with_nothing_done() {
+    let mut table = Table::default();
+    let end = drive(
+        &mut attempt("a", put("scene", 1, 0)),
+        &mut table,
+        &[Fault::Down; 20],
+    );
+    assert!(
+        matches!(end, Next::Failed(AttemptError::Unavailable { .. })),
+        "{end:?}"
+    );
+    assert!(table.rows.is_empty());
+}
+
+#[test]
+fn a_store_that_goes_away_during_the_write_leaves_it_unknown_and_says_so() {
+    let mut table = Table::default();
+    let mut faults = vec![Fault::None, Fault::LostAfter];
+    faults.extend([Fault::Down; 20]);
+    let end = drive(&mut attempt("a", put("scene", 1, 0)), &mut table, &faults);
+    assert!(
+        matches!(&end, Next::Failed(AttemptError::Unknown { write_id, .. }) if write_id == "a"),
+        "{end:?}"
+    );
+}
+
+#[test]
+fn a_racing_write_of_another_resource_is_no_conflict() {
+    let mut table = Table::default();
+    let mut slow = attempt("slow", put("scene", 1, 0));
+    let Next::Call { call, .. } = slow.next() else {
+        panic!("it first catches up");
+    };
+    slow.answered(table.call(call, Fault::None));
+    drive(&mut attempt("fast", put("advisor", 1, 0)), &mut table, &[]);
+    let end = drive(&mut slow, &mut table, &[]);
+    assert_eq!(generation(&end), Some(2));
+}
+
+#[test]
+fn a_racing_write_of_the_same_resource_is_a_conflict() {
+    let mut table = Table::default();
+    drive(&mut attempt("first", put("scene", 1, 0)), &mut table, &[]);
+    let mut slow = attempt("slow", put("scene", 2, 1));
+    let Next::Call { call, .. } = slow.next() else {
+        panic!("it first catches up");
+    };
+    slow.answered(table.call(call, Fault::None));
+    drive(&mut attempt("fast", put("scene", 3, 1)), &mut table, &[]);
+    let end = drive(&mut slow, &mut table, &[]);
+    let expected = WriteError::Conflict {
+        kind: Kind::Service,
+        name: "scene".into(),
+        expected: 1,
+        current: 2,
+    };
+    let Next::Failed(AttemptError::Refused { error }) = end else {
+        panic!("{end:?}");
+    };
+    assert_eq!(error, expected);
+    assert_eq!(
+        error.to_string(),
+        "Service/scene is at resource version 2, not 1; read it again and repeat the edit on that"
+    );
+}
+
+#[test]
+fn a_gateway_that_is_behind_judges_by_the_newest_configuration() {
+    let mut table = Table::default();
+    drive(&mut attempt("a", put("scene", 1, 0)), &mut table, &[]);
+    drive(&mut attempt("b", put("scene", 2, 1)), &mut table, &[]);
+    // The attempt starts from an empty configuration.
+    let end = drive(&mut attempt("c", put("scene", 3, 2)), &mut table, &[]);
+    assert_eq!(generation(&end), Some(3));
+}
+
+#[test]
+fn a_dry_run_writes_nothing() {
+    let mut table = Table::default();
+    let config = Arc::new(Config::empty());
+    let mut dry = WriteAttempt::new(config, put("scene", 1, 0), origin("a"), true);
+    let end = drive(&mut dry, &mut table, &[]);
+    assert_eq!(generation(&end), Some(1));
+    assert!(table.rows.is_empty());
+}
+
+#[test]
+fn a_resource_that_others_name_is_not_deleted() {
+    let manifest = r"
+apiVersion: carawayrun/v1
+kind: Service
+metadata: {name: scene}
+spec: {backend: engine, tasks: [{name: plan, class: normal, quality: 0.5, latencyMs: 1}]}
+---
+apiVersion: carawayrun/v1
+kind: Version
+metadata: {name: scene-1}
+spec: {model: scene-large, service: scene, price: {prompt: 1, completion: 1}}
+";
+    let config = Config::empty();
+    let resources = parse_manifests(manifest).expect("resources");
+    let config = config.replaced(1, &resources).expect("a configuration");
+    let edit = Edit::Delete {
+        kind: Kind::Service,
+        name: "scene".into(),
+        resource_version: 0,
+    };
+    let error = Write::build(&config, &[edit], &origin("a")).expect_err("it is named");
+    assert_eq!(
+        error.to_string(),
+        "Version/scene-1: spec.service: there is no Service `scene`; create it first or in the same apply"
+    );
+}
+
+#[test]
+fn a_problem_from_before_does_not_block_other_changes() {
+    // As after a release with a stricter check: the stored resource is applied unchecked.
+    let broken = service("Broken", 1, 0);
+    let first = Write::build(&Config::empty(), &put("scene", 1, 0), &origin("a"))
+        .expect("valid")
+        .expect("a change");
+    let mut change = first.change;
+    change.items[0].after = Some(broken);
+    let config = Config::empty().applied(&change);
+    assert!(!config.problems().is_empty());
+    let next = Write::build(&config, &put("advisor", 1, 0), &origin("b"));
+    assert!(next.is_ok_and(|write| write.is_some()));
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::Down),
+        1 => Just(Fault::LostBefore),
+        1 => Just(Fault::LostAfter),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Three writers race in any order of calls under any faults.
+    #[test]
+    fn racing_writers_learn_the_truth(turns in prop::collection::vec((0..3_usize, fault()), 0..60)) {
+        let mut table = Table::default();
+        let mut writers: Vec<WriteAttempt> = (0..3)
+            .map(|n| attempt(&format!("w{n}"), put("scene", n + 1, 0)))
+            .collect();
+        for (writer, fault) in turns {
+            if let Next::Call { call, .. } = writers[writer].next() {
+                let answer = table.call(call, fault);
+                writers[writer].answered(answer);
+            }
+        }
+        for (n, writer) in writers.iter_mut().enumerate() {
+            let end = drive(writer, &mut table, &[]);
+            let id = WriteId(format!("w{n}").into());
+            let found = table.changes().iter().filter(|change| change.write_id == id).count();
+            match end {
+                Next::Done(change) => {
+                    prop_assert_eq!(found, 1);
+                    prop_assert_eq!(&change.write_id, &id);
+                }
+                Next::Failed(AttemptError::Unavailable { .. }) => prop_assert_eq!(found, 0),
+                Next::Failed(AttemptError::Unknown { .. }) => prop_assert!(found <= 1),
+                other => prop_assert!(false, "{:?}", other),
+            }
+        }
+        let generations: Vec<u64> = table.changes().iter().map(|change| change.generation).collect();
+        let expected: Vec<u64> = (1..=generations.len() as u64).collect();
+        prop_assert_eq!(generations, expected);
+    }
+}
