--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the whole product.
 
+mod policy;
 mod resources;
 mod writing;
