--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -27,9 +27,9 @@
     ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
 };
 use self::row::{ClaimRow, ClaimState, fingerprint_text, request_name, row_key};
+use super::context::Context;
 use super::effect::{Concern, Effect, Ticket};
 use super::event::Event;
-use super::state::Context;
 use super::time::Millis;
 use crate::peer::NodeId;
 use crate::platform::table::{Row, TableAnswer, TableCall, TableError};
