Report burn of service-level objectives

Gateways count in buckets of five minutes and keep an hour a row in the table service, written again as a whole, so a lost answer counts nothing twice. The report adds rows and memory up: burn rates over four windows, two-window alerts, budget left, by team and version; text, JSON and a page with plots.

Shared: View.burn and Concern::Burn are new. Config::restored takes accepted resources without checking them again and follow uses it: with the stricter checks a node that was far behind refused an accepted configuration (found by control's tests a_node_far_behind_takes_all_resources and a_snapshot_gives_a_configuration_but_does_not_open).

--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -9,6 +9,7 @@
 mod digest;
 mod gateway;
 mod get;
+mod report;
 mod rollout;
 mod status;
 mod watch;
@@ -31,6 +32,7 @@
     Delete(#[bpaf(external(delete::cli))] delete::Options),
     Rollout(#[bpaf(external(rollout::cli))] rollout::Options),
     Status(#[bpaf(external(status::cli))] status::Options),
+    Report(#[bpaf(external(report::cli))] report::Options),
     Why(#[bpaf(external(why::cli))] why::Options),
     Check(#[bpaf(external(check::cli))] check::Options),
     Digest(#[bpaf(external(digest::cli))] digest::Options),
@@ -49,6 +51,7 @@
         Command::Delete(options) => delete::exec(options, output),
         Command::Rollout(options) => rollout::exec(options, output),
         Command::Status(options) => status::exec(options, output),
+        Command::Report(options) => report::exec(options, output),
         Command::Why(options) => why::exec(options, output),
         Command::Check(options) => check::exec(options, output),
         Command::Digest(options) => digest::exec(options, output),
--- /dev/null
+++ b/src/carawayrun/control/burn.rs
@@ -0,0 +1,183 @@
+//! Counting requests for service-level objectives at a gateway.
+//!
+//! Counts are kept by hour. An hour's row in the table service belongs to this
+//! life of the gateway alone and holds all its counts of the hour, so writing
+//! it again, as after a lost answer, is harmless.
+
+use std::collections::BTreeSet;
+
+use serde_json::value::to_raw_value;
+
+use super::context::{Context, Life};
+use super::effect::{Concern, Effect, Ticket};
+use super::event::{Event, Outcome};
+use super::time::Millis;
+use crate::platform::table::{Put, TableCall, Transaction};
+use crate::report::{BurnSums, Cell, HOUR_MS, HourRow, Measure, Sample, burn_key, measures};
+
+/// Shortest time between two writes of counts.
+const WRITE_INTERVAL: Millis = Millis(15_000);
+
+/// The same while the process drains.
+const DRAIN_INTERVAL: Millis = Millis(500);
+
+/// Shortest time between two views with new counts.
+const PUBLISH_INTERVAL: Millis = Millis(2_000);
+
+/// Hours that are kept after they were written.
+const KEPT_HOURS: u64 = 7;
+
+/// Hours that are kept while they can't be written.
+const MAX_HOURS: u64 = 48;
+
+/// Counts of this gateway.
+#[derive(Debug, Default)]
+pub(super) struct Burn {
+    sums: BurnSums,
+    measures: Vec<Measure>,
+    /// Generation that `measures` are of.
+    generation: u64,
+    /// Hours whose row is older than their counts.
+    dirty: BTreeSet<u64>,
+    in_flight: Option<Flight>,
+    /// Number of writes so far.
+    writes: u64,
+    written: Option<Millis>,
+    published: Option<Millis>,
+    unpublished: bool,
+}
+
+/// A write under way.
+#[derive(Debug)]
+struct Flight {
+    number: u64,
+    hours: Vec<u64>,
+}
+
+impl Burn {
+    pub(super) fn handle(&mut self, event: &Event, context: &mut Context) {
+        match event {
+            Event::Answered(outcome) => self.answered(outcome, context),
+            Event::Tick => self.tick(context),
+            Event::Stored(ticket, result) if ticket.concern == Concern::Burn => {
+                self.stored(ticket.number, result.is_ok());
+            }
+            _ => {}
+        }
+    }
+
+    /// The counts for the view.
+    pub(super) fn sums(&self) -> BurnSums {
+        self.sums.clone()
+    }
+
+    fn answered(&mut self, outcome: &Outcome, context: &Context) {
+        // A refusal through the caller's own fault says nothing of the service.
+        if outcome.refused && !outcome.failed {
+            return;
+        }
+        self.follow(context);
+        let sample = Sample {
+            team: &outcome.team,
+            service: &outcome.service,
+            task: &outcome.task,
+            failed: outcome.failed,
+            first_ms: outcome.first_ms,
+            total_ms: outcome.total_ms,
+        };
+        for measure in &self.measures {
+            let Some(good) = measure.judge(&sample) else {
+                continue;
+            };
+            let cell = Cell {
+                measure: measure.name.clone(),
+                team: outcome.team.clone(),
+                version: outcome.version.clone(),
+            };
+            let hour = self.sums.record(cell, wall_ms(context), good);
+            self.dirty.insert(hour);
+            self.unpublished = true;
+        }
+    }
+
+    fn follow(&mut self, context: &Context) {
+        if self.generation != context.config.generation {
+            self.generation = context.config.generation;
+            self.measures = measures(&context.config);
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context) {
+        if self.unpublished && is_due(self.published, PUBLISH_INTERVAL, context.now) {
+            self.unpublished = false;
+            self.published = Some(context.now);
+            context.changed = true;
+        }
+        let interval = match context.life {
+            Life::Stopping => DRAIN_INTERVAL,
+            Life::Running | Life::Superseded => WRITE_INTERVAL,
+        };
+        let idle = self.in_flight.is_none() && !self.dirty.is_empty();
+        if idle && is_due(self.written, interval, context.now) {
+            self.write(context);
+        }
+    }
+
+    fn write(&mut self, context: &mut Context) {
+        self.forget(wall_ms(context) / HOUR_MS);
+        let hours: Vec<u64> = std::mem::take(&mut self.dirty).into_iter().collect();
+        let puts = hours.iter().filter_map(|hour| self.put(*hour, context));
+        let transaction = Transaction {
+            puts: puts.collect(),
+            ..Transaction::default()
+        };
+        self.writes += 1;
+        self.written = Some(context.now);
+        let ticket = Ticket {
+            concern: Concern::Burn,
+            number: self.writes,
+        };
+        let call = TableCall::Commit(transaction);
+        context.out.push(Effect::Store(ticket, call));
+        self.in_flight = Some(Flight {
+            number: self.writes,
+            hours,
+        });
+    }
+
+    fn put(&self, hour: u64, context: &Context) -> Option<Put> {
+        let row = HourRow::new(hour, self.sums.hour(hour)?);
+        Some(Put {
+            key: burn_key(hour, &context.identity.node),
+            value: to_raw_value(&row).expect("counts can be written as JSON"),
+        })
+    }
+
+    fn stored(&mut self, number: u64, done: bool) {
+        let Some(flight) = self.in_flight.take_if(|flight| flight.number == number) else {
+            return;
+        };
+        if !done {
+            self.dirty.extend(flight.hours);
+        }
+    }
+
+    fn forget(&mut self, now_hour: u64) {
+        let oldest = now_hour.saturating_sub(MAX_HOURS);
+        self.dirty.retain(|hour| *hour >= oldest);
+        let dirty = &self.dirty;
+        let kept = now_hour.saturating_sub(KEPT_HOURS);
+        self.sums
+            .retain(|hour| hour >= kept || dirty.contains(&hour));
+    }
+}
+
+/// Milliseconds since the Unix epoch: the process's start by the wall clock, and
+/// the runtime's clock since.
+fn wall_ms(context: &Context) -> u64 {
+    context.identity.node.incarnation / 1_000 + context.now.0
+}
+
+fn is_due(last: Option<Millis>, interval: Millis, now: Millis) -> bool {
+    last.is_none_or(|last| now.since(last) >= interval)
+}
--- a/src/carawayrun/control/effect.rs
+++ b/src/carawayrun/control/effect.rs
@@ -25,6 +25,8 @@
     Work,
     /// Orders to the engine.
     Orders,
+    /// Counts for service-level objectives.
+    Burn,
 }
 
 /// Ties an answer of the table service to its call.
--- a/src/carawayrun/control/follow/mod.rs
+++ b/src/carawayrun/control/follow/mod.rs
@@ -120,18 +120,10 @@
         if generation <= context.config.generation {
             return false;
         }
-        match context.config.replaced(generation, resources) {
-            Ok(next) => {
-                self.history.clear();
-                put_in_force(next, context);
-                true
-            }
-            Err(problems) => {
-                let first = problems.first().map(ToString::to_string);
-                warn!(name: "config.unusable", generation, problem = first);
-                false
-            }
-        }
+        self.history.clear();
+        let next = context.config.restored(generation, resources);
+        put_in_force(next, context);
+        true
     }
 
     fn keep_fresh(&mut self, context: &mut Context) {
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,6 +4,7 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod burn;
 mod candidates;
 mod claims;
 mod context;
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use super::TICK;
+use super::burn::Burn;
 use super::claims::Claims;
 use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
@@ -52,6 +53,7 @@
     works: Works,
     published: Option<Millis>,
     claims: Claims,
+    burn: Burn,
 }
 
 impl State {
@@ -66,6 +68,7 @@
             works: Works::default(),
             published: None,
             claims: Claims::default(),
+            burn: Burn::default(),
         }
     }
 
@@ -94,6 +97,7 @@
         self.follow.handle(event, &mut self.context);
         self.works.handle(event, &mut self.context);
         self.claims.handle(event, &mut self.context);
+        self.burn.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -117,6 +121,7 @@
             admission: self.admission(),
             members: member_views(&self.context),
             estimates: Arc::new(Estimates::default()),
+            burn: self.burn.sums(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer, driven event by event.
 
+mod burn;
 mod follow;
 mod member;
 mod work;
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -10,6 +10,7 @@
 use crate::peer::NodeId;
 use crate::peer::message::{self, MemberState};
 use crate::policy::Estimates;
+use crate::report::BurnSums;
 use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
 
 /// An immutable picture of the control state; replaced as a whole.
@@ -34,6 +35,8 @@
     pub admission: Admission,
     /// All members that this node knows, itself included.
     pub members: Vec<MemberView>,
+    /// This gateway's counts for service-level objectives.
+    pub burn: BurnSums,
 }
 
 impl View {
@@ -53,6 +56,7 @@
                 retry_after_ms: 1_000,
             },
             members: Vec::new(),
+            burn: BurnSums::default(),
         }
     }
 }
--- /dev/null
+++ b/src/carawayrun/ops/burn.rs
@@ -0,0 +1,86 @@
+//! The burn report of the fleet: rows of all gateways and this one's memory.
+
+use std::time::SystemTime;
+
+use compact_str::CompactString;
+
+use crate::control::View;
+use crate::platform::TableClient;
+use crate::platform::table::{ListCall, Row, TableAnswer, TableCall, TableError};
+use crate::report::{BURN_PREFIX, BurnReport, HOUR_MS, HourRow, burn_key, burn_report};
+
+/// Rows read at once.
+const PAGE: u32 = 1_000;
+
+const HOURS_PER_DAY: u64 = 24;
+
+/// The report, partial where the rows can't be read.
+pub(super) async fn report(view: &View, table: &TableClient) -> BurnReport {
+    let now_ms = now_ms();
+    let own: Vec<HourRow> = view
+        .burn
+        .iter()
+        .map(|(hour, sums)| HourRow::new(hour, sums))
+        .collect();
+    let stored = stored_rows(view, table, oldest_hour(view, now_ms)).await;
+    let partial = stored.is_err();
+    let mut rows = stored.unwrap_or_default();
+    rows.extend(own);
+    burn_report(&view.config, &rows, now_ms, partial)
+}
+
+/// Rows but those that this gateway has newer in memory.
+async fn stored_rows(
+    view: &View,
+    table: &TableClient,
+    oldest: u64,
+) -> Result<Vec<HourRow>, TableError> {
+    let own: Vec<CompactString> = view
+        .burn
+        .iter()
+        .map(|(hour, _)| burn_key(hour, &view.node))
+        .collect();
+    let mut found = Vec::new();
+    let mut after = CompactString::from(format!("{BURN_PREFIX}{oldest:016x}"));
+    loop {
+        let page = page(table, &after).await?;
+        let Some(last) = page.last() else {
+            return Ok(found);
+        };
+        after.clone_from(&last.key);
+        let whole = page.len() == PAGE as usize;
+        let others = page.iter().filter(|row| !own.contains(&row.key));
+        found.extend(others.filter_map(|row| serde_json::from_str(row.value.get()).ok()));
+        if !whole {
+            return Ok(found);
+        }
+    }
+}
+
+async fn page(table: &TableClient, after: &CompactString) -> Result<Vec<Row>, TableError> {
+    let call = TableCall::List(ListCall {
+        prefix: BURN_PREFIX.into(),
+        after: after.clone(),
+        limit: PAGE,
+    });
+    match table.call(call).await? {
+        TableAnswer::Rows(rows) => Ok(rows),
+        TableAnswer::Committed => Ok(Vec::new()),
+    }
+}
+
+/// Hour in which the longest budget window begins.
+fn oldest_hour(view: &View, now_ms: u64) -> u64 {
+    let days = view
+        .config
+        .objectives
+        .iter()
+        .map(|(_, named)| u64::from(named.spec.window_days));
+    let hours = days.max().unwrap_or(0) * HOURS_PER_DAY;
+    (now_ms / HOUR_MS).saturating_sub(hours)
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod api;
 mod attempt;
+mod burn;
 mod client;
 mod difference;
 mod operators;
--- a/src/carawayrun/ops/server.rs
+++ b/src/carawayrun/ops/server.rs
@@ -17,6 +17,7 @@
 
 use super::api::{ApplyBody, AuditBody, DeleteBody, ListBody};
 use super::attempt::WriteAttempt;
+use super::burn;
 use super::operators::Operators;
 use super::refusal::Refusal;
 use super::routes::Route;
@@ -168,7 +169,10 @@
             Route::Audit { after, limit } => self.audit(after, limit).await,
             Route::Status => Ok(json(StatusCode::OK, &status_body(&self.handle.view()))),
             Route::Why(request) => self.why(&request),
-            Route::Burn => Err(Refusal::not_found("burn: not built yet")),
+            Route::Burn => Ok(json(
+                StatusCode::OK,
+                &burn::report(&self.handle.view(), &self.table).await,
+            )),
             Route::OpenApi | Route::Health => unreachable!("answered without a key"),
         }
     }
--- /dev/null
+++ b/src/carawayrun/report/burn.rs
@@ -0,0 +1,324 @@
+//! Burn rates and error budgets from counts.
+//!
+//! The burn rate of a window is the share of bad requests in it over the share
+//! that the objective allows: at rate 1 the budget lasts just its window. Two
+//! windows together decide an alert, a long one that a blip does not trip and a
+//! short one that falls soon after the cause has gone.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+use jiff::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use super::measure::Measure;
+use super::sums::{BUCKET_MS, BUCKETS_PER_HOUR, Count, HOUR_MS, HourRow};
+use crate::resource::{Config, Objective};
+
+/// Burn rate over an hour and five minutes that uses 2% of a 30-day budget in
+/// an hour.
+const FAST_RATE: f64 = 14.4;
+
+/// Burn rate over six hours and half an hour that uses 5% of a 30-day budget in
+/// six hours.
+const SLOW_RATE: f64 = 6.0;
+
+const DAY_MS: u64 = 24 * HOUR_MS;
+
+/// A window that is looked at; it begins with a whole bucket, so it is up to
+/// five minutes longer than its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Window {
+    /// Five minutes.
+    #[serde(rename = "5m")]
+    FiveMinutes,
+    /// Half an hour.
+    #[serde(rename = "30m")]
+    HalfHour,
+    /// An hour.
+    #[serde(rename = "1h")]
+    Hour,
+    /// Six hours.
+    #[serde(rename = "6h")]
+    SixHours,
+}
+
+impl Window {
+    /// All windows, shortest first.
+    pub const ALL: [Self; 4] = [
+        Self::FiveMinutes,
+        Self::HalfHour,
+        Self::Hour,
+        Self::SixHours,
+    ];
+
+    /// The name in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FiveMinutes => "5m",
+            Self::HalfHour => "30m",
+            Self::Hour => "1h",
+            Self::SixHours => "6h",
+        }
+    }
+
+    fn length_ms(self) -> u64 {
+        match self {
+            Self::FiveMinutes => BUCKET_MS,
+            Self::HalfHour => HOUR_MS / 2,
+            Self::Hour => HOUR_MS,
+            Self::SixHours => 6 * HOUR_MS,
+        }
+    }
+}
+
+/// Whether somebody should look.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Alert {
+    /// No.
+    None,
+    /// Within the day: the budget will not last.
+    Slow,
+    /// Now: the budget will be gone in hours.
+    Fast,
+}
+
+/// Burn of all objectives.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct BurnReport {
+    /// When it was made, RFC 3339.
+    pub time: CompactString,
+    /// Generation whose objectives it shows.
+    pub generation: u64,
+    /// True where the counts of other gateways and of the past could not be
+    /// read, so it shows the answering gateway's memory only.
+    pub partial: bool,
+    /// By name.
+    pub objectives: Vec<ObjectiveBurn>,
+}
+
+/// Burn of one objective.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ObjectiveBurn {
+    /// Name of the resource.
+    pub name: CompactString,
+    /// What is promised.
+    pub objective: Objective,
+    /// Whether somebody should look.
+    pub alert: Alert,
+    /// Count over the budget window.
+    pub budget: Count,
+    /// Share of the error budget that is left; below zero where it is overdrawn.
+    pub budget_left: f64,
+    /// Burn by window, shortest first.
+    pub windows: Vec<WindowBurn>,
+    /// Burn over the budget window by team and version.
+    pub parts: Vec<PartBurn>,
+    /// Burn rates of the last six hours, a bucket a point.
+    pub series: Vec<SeriesPoint>,
+}
+
+/// Burn over one window.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WindowBurn {
+    /// The window.
+    pub window: Window,
+    /// Its count.
+    #[serde(flatten)]
+    pub count: Count,
+    /// Share of bad requests over the share that is allowed.
+    pub rate: f64,
+}
+
+/// A team's and version's part.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PartBurn {
+    /// Name of the team.
+    pub team: CompactString,
+    /// Version; empty for plain services and where none answered.
+    pub version: CompactString,
+    /// Its count.
+    #[serde(flatten)]
+    pub count: Count,
+    /// Share of bad requests over the share that is allowed.
+    pub rate: f64,
+}
+
+/// Burn rate of one bucket.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct SeriesPoint {
+    /// Minutes from the bucket's start to the report.
+    pub minutes_ago: u64,
+    /// Share of bad requests over the share that is allowed.
+    pub rate: f64,
+}
+
+/// The report at `now_ms` after the Unix epoch over the counts in `rows`.
+pub fn burn_report(config: &Config, rows: &[HourRow], now_ms: u64, partial: bool) -> BurnReport {
+    let mut objectives: Vec<ObjectiveBurn> = config
+        .objectives
+        .iter()
+        .map(|(_, named)| objective_burn(&named.name, &named.spec, rows, now_ms))
+        .collect();
+    objectives.sort_by(|one, other| one.name.cmp(&other.name));
+    BurnReport {
+        time: time_text(now_ms),
+        generation: config.generation,
+        partial,
+        objectives,
+    }
+}
+
+fn time_text(now_ms: u64) -> CompactString {
+    let time = Timestamp::from_millisecond(now_ms as i64).unwrap_or_default();
+    CompactString::from(time.to_string())
+}
+
+fn objective_burn(
+    name: &CompactString,
+    objective: &Objective,
+    rows: &[HourRow],
+    now_ms: u64,
+) -> ObjectiveBurn {
+    let counts = Counts::of(objective, rows, now_ms);
+    let budget_ms = u64::from(objective.window_days) * DAY_MS;
+    let budget = counts.last(budget_ms);
+    let windows: Vec<WindowBurn> = Window::ALL
+        .into_iter()
+        .map(|window| window_burn(objective, &counts, window))
+        .collect();
+    ObjectiveBurn {
+        name: name.clone(),
+        objective: objective.clone(),
+        alert: alert(&windows),
+        budget,
+        budget_left: 1.0 - rate(objective, budget),
+        windows,
+        parts: counts.parts(objective, budget_ms),
+        series: counts.series(objective),
+    }
+}
+
+fn window_burn(objective: &Objective, counts: &Counts, window: Window) -> WindowBurn {
+    let count = counts.last(window.length_ms());
+    WindowBurn {
+        window,
+        count,
+        rate: rate(objective, count),
+    }
+}
+
+/// Share of bad requests over the share that is allowed; zero without requests.
+fn rate(objective: &Objective, count: Count) -> f64 {
+    if count.total == 0 {
+        return 0.0;
+    }
+    let bad = count.bad() as f64 / count.total as f64;
+    bad / (1.0 - objective.target)
+}
+
+fn alert(windows: &[WindowBurn]) -> Alert {
+    let reaches = |window: Window, rate: f64| {
+        windows
+            .iter()
+            .any(|burn| burn.window == window && burn.rate >= rate)
+    };
+    if reaches(Window::Hour, FAST_RATE) && reaches(Window::FiveMinutes, FAST_RATE) {
+        Alert::Fast
+    } else if reaches(Window::SixHours, SLOW_RATE) && reaches(Window::HalfHour, SLOW_RATE) {
+        Alert::Slow
+    } else {
+        Alert::None
+    }
+}
+
+/// Counts of one objective, by bucket and by part.
+struct Counts {
+    /// Number of the bucket that holds the time of the report.
+    now_bucket: u64,
+    entries: Vec<Entry>,
+}
+
+struct Entry {
+    /// Number of the bucket since the Unix epoch.
+    bucket: u64,
+    part: Part,
+    count: Count,
+}
+
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Part {
+    team: CompactString,
+    version: CompactString,
+}
+
+impl Counts {
+    fn of(objective: &Objective, rows: &[HourRow], now_ms: u64) -> Self {
+        let measure = Measure::of(objective).name;
+        let mut entries = Vec::new();
+        for row in rows {
+            let cells = row.cells.iter().filter(|cell| cell.measure == measure);
+            for cell in cells {
+                entries.extend(cell.buckets.iter().map(|bucket| Entry {
+                    bucket: row.hour * BUCKETS_PER_HOUR as u64 + bucket.bucket as u64,
+                    part: Part {
+                        team: cell.team.clone(),
+                        version: cell.version.clone(),
+                    },
+                    count: bucket.count,
+                }));
+            }
+        }
+        Self {
+            now_bucket: now_ms / BUCKET_MS,
+            entries,
+        }
+    }
+
+    /// Entries of the bucket that is being filled and of `length_ms` before it.
+    fn within(&self, length_ms: u64) -> impl Iterator<Item = &Entry> {
+        let first = self.now_bucket.saturating_sub(length_ms / BUCKET_MS);
+        self.entries
+            .iter()
+            .filter(move |entry| entry.bucket >= first)
+    }
+
+    fn last(&self, length_ms: u64) -> Count {
+        let mut sum = Count::default();
+        self.within(length_ms)
+            .for_each(|entry| sum.add(entry.count));
+        sum
+    }
+
+    fn parts(&self, objective: &Objective, length_ms: u64) -> Vec<PartBurn> {
+        let mut sums: BTreeMap<Part, Count> = BTreeMap::new();
+        for entry in self.within(length_ms) {
+            sums.entry(entry.part.clone()).or_default().add(entry.count);
+        }
+        let parts = sums.into_iter().map(|(part, count)| PartBurn {
+            team: part.team,
+            version: part.version,
+            count,
+            rate: rate(objective, count),
+        });
+        parts.collect()
+    }
+
+    fn series(&self, objective: &Objective) -> Vec<SeriesPoint> {
+        let length_ms = Window::SixHours.length_ms();
+        let mut sums: BTreeMap<u64, Count> = BTreeMap::new();
+        for entry in self.within(length_ms) {
+            sums.entry(entry.bucket).or_default().add(entry.count);
+        }
+        let first = self.now_bucket.saturating_sub(length_ms / BUCKET_MS);
+        let points = (first..=self.now_bucket).map(|bucket| SeriesPoint {
+            minutes_ago: (self.now_bucket - bucket) * BUCKET_MS / 60_000,
+            rate: rate(objective, sums.get(&bucket).copied().unwrap_or_default()),
+        });
+        points.collect()
+    }
+}
--- /dev/null
+++ b/src/carawayrun/report/html.rs
@@ -0,0 +1,185 @@
+//! The burn report as one HTML page with a plot, without other files.
+
+use std::fmt::Write;
+
+use plotters::prelude::*;
+use snafu::{ResultExt, Snafu};
+
+use super::burn::{BurnReport, ObjectiveBurn, WindowBurn};
+use super::text::{alert_word, percent, promise};
+
+/// Width of a plot, in pixels.
+const PLOT_WIDTH: u32 = 900;
+
+/// Height of a plot, in pixels.
+const PLOT_HEIGHT: u32 = 240;
+
+/// Top of the axis over the highest rate.
+const HEADROOM: f64 = 1.1;
+
+/// Least top of the axis of burn rates.
+const MIN_TOP: f64 = 2.0;
+
+const STYLE: &str = "body{font:15px sans-serif;margin:2em auto;max-width:60em}\
+table{border-collapse:collapse}td,th{padding:.2em .8em;border-bottom:1px solid #ccc;text-align:left}\
+.fast{color:#b00}.slow{color:#a60}.none{color:#070}";
+
+type Cause = Box<dyn std::error::Error + Send + Sync>;
+
+/// A plot that could not be drawn.
+#[derive(Debug, Snafu)]
+#[snafu(display("can't draw the plot of `{name}`: {source}"))]
+pub struct DrawError {
+    name: String,
+    source: Cause,
+}
+
+/// The report as a page.
+///
+/// # Errors
+///
+/// [`DrawError`] where the drawing library fails.
+pub fn burn_html(report: &BurnReport) -> Result<String, DrawError> {
+    let mut page = format!(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Burn</title>\
+         <style>{STYLE}</style></head><body><h1>Burn at {}</h1><p>Generation {}</p>",
+        escaped(&report.time),
+        report.generation
+    );
+    if report.partial {
+        page.push_str("<p>Partial: the table service is unavailable, so this is one gateway's memory only.</p>");
+    }
+    for objective in &report.objectives {
+        page.push_str(&section(objective)?);
+    }
+    page.push_str("</body></html>\n");
+    Ok(page)
+}
+
+fn section(burn: &ObjectiveBurn) -> Result<String, DrawError> {
+    let name = escaped(&burn.name);
+    let plot = plot(burn).context(DrawSnafu { name: name.clone() })?;
+    let word = alert_word(burn.alert);
+    let class = match word {
+        "FAST BURN" => "fast",
+        "SLOW BURN" => "slow",
+        _ => "none",
+    };
+    let mut text = String::new();
+    push(
+        &mut text,
+        format_args!("<h2>{name} <span class=\"{class}\">{word}</span></h2>"),
+    );
+    push(
+        &mut text,
+        format_args!("<p>{}</p>", escaped(&promise(&burn.objective))),
+    );
+    push(
+        &mut text,
+        format_args!(
+            "<p>Error budget left: <b>{}%</b>, {} bad of {}</p>",
+            percent(burn.budget_left),
+            burn.budget.bad(),
+            burn.budget.total
+        ),
+    );
+    text.push_str(&plot);
+    text.push_str(&windows(&burn.windows));
+    text.push_str(&parts(burn));
+    Ok(text)
+}
+
+fn windows(windows: &[WindowBurn]) -> String {
+    let mut text =
+        String::from("<table><tr><th>Window</th><th>Burn rate</th><th>Bad</th><th>All</th></tr>");
+    for burn in windows {
+        push(
+            &mut text,
+            format_args!(
+                "<tr><td>{}</td><td>{:.2}</td><td>{}</td><td>{}</td></tr>",
+                burn.window.as_str(),
+                burn.rate,
+                burn.count.bad(),
+                burn.count.total
+            ),
+        );
+    }
+    text.push_str("</table>");
+    text
+}
+
+fn parts(burn: &ObjectiveBurn) -> String {
+    let mut text = String::from(
+        "<table><tr><th>Team</th><th>Version</th><th>Burn rate</th><th>Bad</th><th>All</th></tr>",
+    );
+    for part in &burn.parts {
+        push(
+            &mut text,
+            format_args!(
+                "<tr><td>{}</td><td>{}</td><td>{:.2}</td><td>{}</td><td>{}</td></tr>",
+                escaped(&part.team),
+                escaped(&part.version),
+                part.rate,
+                part.count.bad(),
+                part.count.total
+            ),
+        );
+    }
+    text.push_str("</table>");
+    text
+}
+
+/// Burn rates of the last six hours as SVG.
+fn plot(burn: &ObjectiveBurn) -> Result<String, Cause> {
+    let mut svg = String::new();
+    let size = (PLOT_WIDTH, PLOT_HEIGHT);
+    draw(burn, SVGBackend::with_string(&mut svg, size)).map_err(|error| error.to_string())?;
+    Ok(svg)
+}
+
+/// Draws the rates and a line at rate 1, at which the budget just lasts.
+fn draw<B: DrawingBackend>(
+    burn: &ObjectiveBurn,
+    backend: B,
+) -> Result<(), DrawingAreaErrorKind<B::ErrorType>> {
+    let oldest = burn.series.iter().map(|point| point.minutes_ago).max();
+    let left = -hours(oldest.unwrap_or(60));
+    let top = burn
+        .series
+        .iter()
+        .fold(MIN_TOP, |top, point| top.max(point.rate));
+    let points = burn
+        .series
+        .iter()
+        .map(|point| (-hours(point.minutes_ago), point.rate));
+    let area = backend.into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(45)
+        .build_cartesian_2d(left..0.0, 0.0..top * HEADROOM)?;
+    chart
+        .configure_mesh()
+        .x_desc("hours")
+        .y_desc("burn rate")
+        .draw()?;
+    chart.draw_series(LineSeries::new(points, &BLUE))?;
+    chart.draw_series(LineSeries::new([(left, 1.0), (0.0, 1.0)], &RED))?;
+    area.present()
+}
+
+fn hours(minutes: u64) -> f64 {
+    minutes as f64 / 60.0
+}
+
+fn push(text: &mut String, arguments: std::fmt::Arguments<'_>) {
+    text.write_fmt(arguments).expect("writing to a string");
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
+}
--- a/src/carawayrun/report/mod.rs
+++ b/src/carawayrun/report/mod.rs
@@ -1,1 +1,23 @@
 //! Burn of service-level objectives.
+//!
+//! Each gateway counts good and all requests in buckets of five minutes
+//! ([`BurnSums`]) and keeps them in the table service, an hour a row. A report
+//! ([`BurnReport`]) adds the rows of all gateways up: how fast the error budget
+//! burns over short and long windows, and how much of it is left.
+
+mod burn;
+mod html;
+mod measure;
+mod sums;
+mod text;
+
+pub use self::burn::{
+    Alert, BurnReport, ObjectiveBurn, PartBurn, SeriesPoint, Window, WindowBurn, burn_report,
+};
+pub use self::html::{DrawError, burn_html};
+pub use self::measure::{Measure, Sample, measures};
+pub use self::sums::{
+    BUCKET_MS, BUCKETS_PER_HOUR, BURN_PREFIX, BurnSums, Cell, Count, HOUR_MS, HourRow, HourSums,
+    burn_key,
+};
+pub use self::text::burn_text;
--- a/src/carawayrun/resource/config.rs
+++ b/src/carawayrun/resource/config.rs
@@ -185,6 +185,20 @@
     ///
     /// All problems found, in the order of the resources.
     pub fn replaced(&self, generation: u64, resources: &[Resource]) -> Result<Self, Vec<Problem>> {
+        let next = self.restored(generation, resources);
+        let problems = next.problems();
+        if problems.is_empty() {
+            Ok(next)
+        } else {
+            Err(problems)
+        }
+    }
+
+    /// The same for resources that were accepted before, which are not checked
+    /// again: a stricter check of a later release must not stop a node from
+    /// following.
+    #[must_use]
+    pub fn restored(&self, generation: u64, resources: &[Resource]) -> Self {
         let mut next = self.clone();
         next.generation = generation;
         let kept: Vec<ResourceId> = resources.iter().map(ResourceId::of).collect();
@@ -201,12 +215,7 @@
             next.put(resource.clone());
         }
         next.index_keys();
-        let problems = next.problems();
-        if problems.is_empty() {
-            Ok(next)
-        } else {
-            Err(problems)
-        }
+        next
     }
 
     fn put(&mut self, resource: Resource) {
