--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -122,6 +122,7 @@
             members: member_views(&self.context),
             estimates: Arc::new(Estimates::default()),
             burn: self.burn.sums(),
+            ledger: super::view::LedgerView::default(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -37,6 +37,8 @@
     pub members: Vec<MemberView>,
     /// This gateway's counts for service-level objectives.
     pub burn: BurnSums,
+    /// State of this gateway's billing.
+    pub ledger: LedgerView,
 }
 
 impl View {
@@ -57,6 +59,7 @@
             },
             members: Vec::new(),
             burn: BurnSums::default(),
+            ledger: LedgerView::default(),
         }
     }
 }
@@ -78,6 +81,16 @@
     pub generation: u64,
 }
 
+/// State of a gateway's billing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LedgerView {
+    /// Bills that are not in the table service yet.
+    pub unwritten: u64,
+    /// True where another gateway has closed this one's ledger, so that this
+    /// life can't bill any more.
+    pub sealed: bool,
+}
+
 /// An agent as this node knows it.
 #[derive(Debug, Clone)]
 pub struct AgentView {
