--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -5,13 +5,14 @@
 use compact_str::CompactString;
 
 use super::TICK;
+use super::burn::Burn;
 use super::claims::Claims;
 use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
 use super::event::Event;
 use super::follow::Follow;
-use super::ledger::Ledger;
 use super::held::Held;
+use super::ledger::Ledger;
 use super::member::{Membership, agent_views, member_views};
 use super::orders::Orders;
 use super::time::Millis;
@@ -58,6 +59,7 @@
     ledger: Ledger,
     held: Held,
     orders: Orders,
+    burn: Burn,
 }
 
 impl State {
@@ -75,6 +77,7 @@
             ledger: Ledger::default(),
             held: Held::default(),
             orders: Orders::default(),
+            burn: Burn::default(),
         }
     }
 
@@ -106,6 +109,7 @@
         self.ledger.handle(event, &mut self.context);
         self.held.handle(event, &mut self.context);
         self.orders.handle(event, &mut self.context);
+        self.burn.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -130,6 +134,7 @@
             members: member_views(&self.context),
             estimates: Arc::new(Estimates::default()),
             ledger: self.ledger.view(),
+            burn: self.burn.sums(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
@@ -141,7 +146,11 @@
                 retry_after_ms: 0,
             };
         }
-        let parts = [self.follow.admission(), self.ledger.admission(), self.held.admission()];
+        let parts = [
+            self.follow.admission(),
+            self.ledger.admission(),
+            self.held.admission(),
+        ];
         let closed = parts.into_iter().find(|part| *part != Admission::Open);
         closed.unwrap_or(Admission::Open)
     }
