--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -58,7 +58,6 @@
     retry_time: Option<Millis>,
     // Calls in a row that the service did not answer with success.
     failures: u32,
-    lives: FxHashMap<CompactString, Life>,
 }
 
 // What this life knows of one key that it has claimed or wants to.
@@ -85,13 +84,6 @@
     Ended(ClaimState),
 }
 
-// The newest life of a node that was heard of.
-#[derive(Debug, Clone, Copy)]
-struct Life {
-    incarnation: u64,
-    dead: bool,
-}
-
 impl Claims {
     pub(crate) fn handle(&mut self, event: &Event, context: &mut Context) {
         match event {
@@ -100,7 +92,6 @@
             Event::Stored(ticket, result) if ticket.concern == Concern::Claims => {
                 self.stored(ticket.number, result, context);
             }
-            Event::Received(envelope) => self.learn(&envelope.members),
             Event::Tick => self.expire(context),
             _ => return,
         }
@@ -113,7 +104,7 @@
             let answer = claim.answer_again(&fingerprint_text(call));
             return context.out.push(Effect::Claimed(ticket, answer));
         }
-        if self.rows.len() >= MAX_CLAIMS || self.failures >= OUTAGE_FAILURES {
+        if self.rows.len() >= MAX_CLAIMS || self.is_out(context.now) {
             return context
                 .out
                 .push(Effect::Claimed(ticket, ClaimAnswer::Unavailable));
@@ -131,6 +122,12 @@
         self.rows.insert(key, claim);
     }
 
+    // While the service is out, one claim at a time tries whether it is back.
+    fn is_out(&self, now: Millis) -> bool {
+        let resting = self.retry_time.is_some_and(|time| now < time);
+        self.failures >= OUTAGE_FAILURES && (resting || self.in_flight.is_some())
+    }
+
     fn ended(&mut self, ticket: ClaimTicket, end: &ClaimEnd) {
         let Some(key) = self.keys.remove(&ticket) else {
             return;
@@ -200,10 +197,12 @@
             Err(TableError::Lost { .. }) => {
                 self.wait(context);
                 self.doubt(&batch);
+                self.refuse_unsent(context);
             }
             Err(TableError::Unavailable { .. } | TableError::Invalid { .. }) => {
                 self.wait(context);
                 self.refuse(&batch, context);
+                self.refuse_unsent(context);
             }
         }
     }
@@ -263,26 +262,10 @@
             }
             return;
         }
-        let answer = self.judge(&held, &write.row.fingerprint, context.now);
+        let answer = judge(&held, &write.row.fingerprint, context);
         self.settle(&write.key, answer, context);
     }
 
-    fn judge(&self, held: &ClaimRow, fingerprint: &str, now: Millis) -> ClaimAnswer {
-        if held.fingerprint != fingerprint {
-            return ClaimAnswer::Reused;
-        }
-        match &held.state {
-            ClaimState::Finished {
-                answer: Some(answer),
-            } => ClaimAnswer::Replay(answer.clone()),
-            ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
-            ClaimState::Running if self.may_live(&held.owner, now) => ClaimAnswer::InProgress,
-            ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
-                ClaimAnswer::UnknownOutcome
-            }
-        }
-    }
-
     // Another's row decides the claim; nothing of ours is to be written.
     fn settle(&mut self, key: &CompactString, answer: ClaimAnswer, context: &mut Context) {
         let Some(claim) = self.rows.remove(key) else {
@@ -312,6 +295,22 @@
         }
     }
 
+    // Claims that wait for their first call while the service is out.
+    fn refuse_unsent(&mut self, context: &mut Context) {
+        if self.failures < OUTAGE_FAILURES {
+            return;
+        }
+        let keys = &mut self.keys;
+        self.rows.retain(|_, claim| {
+            let unsent = matches!(claim.step, Step::Wanted) && !claim.doubtful;
+            if unsent {
+                keys.remove(&claim.ticket);
+                claim.give_up(context);
+            }
+            !unsent
+        });
+    }
+
     // The writes may have taken effect.
     fn doubt(&mut self, batch: &Batch) {
         for write in &batch.writes {
@@ -330,31 +329,32 @@
         self.retry_time = Some(context.now + RETRY);
         self.failures = self.failures.saturating_add(1);
     }
+}
 
-    fn learn(&mut self, members: &[crate::peer::message::Member]) {
-        for member in members {
-            let Some(node) = &member.node else { continue };
-            let life = Life {
-                incarnation: node.incarnation,
-                dead: member.state() == crate::peer::message::MemberState::Dead,
-            };
-            let known = self.lives.entry(node.name.as_str().into()).or_insert(life);
-            if known.incarnation < life.incarnation {
-                *known = life;
-            } else if known.incarnation == life.incarnation {
-                known.dead = life.dead;
-            }
-        }
+// False where the life is over, or was not heard of for long.
+fn may_live(owner: &str, context: &Context) -> bool {
+    let Ok(owner) = owner.parse::<NodeId>() else {
+        return false;
+    };
+    let key = context.members.key(&owner.name);
+    match key.and_then(|key| context.members.get(key)) {
+        Some(member) => member.node.incarnation == owner.incarnation && member.is_present(),
+        None => context.now < MEMBERS_LEARNED,
     }
+}
 
-    // False where the life is over, or was not heard of for long.
-    fn may_live(&self, owner: &str, now: Millis) -> bool {
-        let Ok(owner) = owner.parse::<NodeId>() else {
-            return false;
-        };
-        match self.lives.get(&owner.name) {
-            Some(life) => life.incarnation == owner.incarnation && !life.dead,
-            None => now < MEMBERS_LEARNED,
+fn judge(held: &ClaimRow, fingerprint: &str, context: &Context) -> ClaimAnswer {
+    if held.fingerprint != fingerprint {
+        return ClaimAnswer::Reused;
+    }
+    match &held.state {
+        ClaimState::Finished {
+            answer: Some(answer),
+        } => ClaimAnswer::Replay(answer.clone()),
+        ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
+        ClaimState::Running if may_live(&held.owner, context) => ClaimAnswer::InProgress,
+        ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
+            ClaimAnswer::UnknownOutcome
         }
     }
 }
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -4,14 +4,17 @@
 //! It does no I/O and reads no clock; the loop in `node` owns both. Each
 //! concern has a file of its own and is called from here in a fixed order.
 
+mod burn;
 mod candidates;
 mod claims;
 mod context;
 mod effect;
 mod event;
 mod follow;
+mod held;
 mod ledger;
 mod member;
+mod orders;
 mod state;
 mod time;
 mod view;
--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -11,7 +11,7 @@
 use super::claim::{HeldClaim, NotClaimed, claim};
 use super::exchange::{Outcome, Progress, exchange};
 use super::frames::{Failure, FrameWriter};
-use super::judge::judge;
+use super::judge::{admitted, judge};
 use super::ledger::{Arrival, Dispatched, Queued, RunKey, RunTicket};
 use super::refusal::Refusal;
 use super::usage;
@@ -128,6 +128,7 @@
         return Err(Refusal::new(Code::Draining, "the agent is stopping").into());
     }
     let view = worker.view();
+    admitted(&view)?;
     worker.follow(&view.config);
     let backend = judge(&view, &worker.upstream, run)?;
     let claim = claim(&worker.handle, run, key, deadline).await?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,9 +8,12 @@
 
 mod answers;
 mod billing;
+mod burn;
 mod configuration;
 mod once;
 mod path;
 mod policy;
+mod resources;
 mod sessions;
 mod stopping;
+mod writing;
