--- a/src/carawayrun/control/held.rs
+++ b/src/carawayrun/control/held.rs
@@ -90,7 +90,8 @@
         if let Some(addr) = copies.wanted_by.clone()
             && usage.finished
         {
-            send(&addr, &gateway, vec![usage.clone()], context);
+            let total = copies.usages.len();
+            send(&addr, &gateway, vec![usage.clone()], total, context);
         }
         self.forget_empty(&gateway);
     }
@@ -129,12 +130,12 @@
             return;
         };
         let Some(copies) = self.gateways.get_mut(&gateway) else {
-            return send(addr, &gateway, Vec::new(), context);
+            return send(addr, &gateway, Vec::new(), 0, context);
         };
         copies.wanted_by = Some(addr.clone());
         let usages: Vec<Usage> = copies.usages.values().cloned().collect();
         for part in usages.chunks(MAX_SENT) {
-            send(addr, &gateway, part.to_vec(), context);
+            send(addr, &gateway, part.to_vec(), usages.len(), context);
         }
     }
 
@@ -161,10 +162,18 @@
     usage.cost_micros == 0 && usage.prompt_tokens == 0 && usage.completion_tokens == 0
 }
 
-fn send(addr: &CompactString, gateway: &NodeId, usages: Vec<Usage>, context: &mut Context) {
+// `total` is the number of usages held for the gateway, over all messages.
+fn send(
+    addr: &CompactString,
+    gateway: &NodeId,
+    usages: Vec<Usage>,
+    total: usize,
+    context: &mut Context,
+) {
     let held = BillsHeld {
         gateway: Some(gateway.into()),
         usages,
+        total: u32::try_from(total).unwrap_or(u32::MAX),
     };
     context.send(addr, Body::BillsHeld(held));
 }
