--- a/src/carawayrun/peer/link.rs
+++ b/src/carawayrun/peer/link.rs
@@ -185,11 +185,13 @@
     let socket = Socket::new(Protocol::Pull0)?;
     socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
     let listener = Listener::new(&socket, &format!("tcp://{addr}"))?;
-    let bound = match listener.get_opt::<LocalAddr>()? {
+    let mut bound = match listener.get_opt::<LocalAddr>()? {
         nng::SocketAddr::Inet(inet) => SocketAddr::from(inet),
         nng::SocketAddr::Inet6(inet) => SocketAddr::from(inet),
-        _ => addr,
+        _ => return Ok((socket, addr)),
     };
+    // The library leaves the port in network byte order.
+    bound.set_port(u16::from_be(bound.port()));
     Ok((socket, bound))
 }
 
