Send the users' mixed load and check every answer (lab load)

Open loop with seeded arrivals; each answer is compared with the text the stand-in makes for that request id, so a short or crossed one counts as wrong.

--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -10,7 +10,7 @@
 mod orders;
 mod service;
 mod slots;
-mod text;
+pub(crate) mod text;
 
 use bpaf::Bpaf;
 
--- /dev/null
+++ b/crates/lab/src/load/call.rs
@@ -0,0 +1,307 @@
+//! One request and what became of it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use actix_rt::time::Instant;
+use awc::ClientRequest;
+use bytes::{Buf, BytesMut};
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::class::Class;
+use super::verify::{Expected, check_echo};
+use super::{MAX_CONNECTIONS, Options};
+use crate::command::Failure;
+
+/// Tokens of the answers that are not streamed.
+const TWEAK_TOKENS: usize = 12;
+const PLAN_TOKENS: usize = 200;
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Outcome {
+    /// A whole answer of its own.
+    Answered {
+        first: Duration,
+        total: Duration,
+        chunks: u64,
+    },
+    /// An error with the stable code and whether it ran.
+    Refused { code: String, ran: String },
+    /// The connection failed.
+    Broken { message: String },
+    /// An answer that is not whole or not its own.
+    Wrong { message: String },
+}
+
+/// Sends requests to the targets in turn.
+pub(super) struct Caller {
+    client: awc::Client,
+    targets: Vec<String>,
+    direct: bool,
+    key: String,
+    model: String,
+    service: String,
+    tasks: BTreeMap<String, String>,
+    stream_tokens: usize,
+    deadline_ms: u64,
+    seed: u64,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorObject,
+}
+
+#[derive(Deserialize)]
+struct ErrorObject {
+    code: String,
+    #[serde(default)]
+    ran: String,
+}
+
+// The caller's side of an answer under way.
+struct Reading {
+    start: Instant,
+    first: Option<Duration>,
+    body: Vec<u8>,
+}
+
+impl Caller {
+    pub(super) fn new(options: &Options) -> Result<Self, Failure> {
+        let mut tasks = BTreeMap::new();
+        for pair in &options.task {
+            let (class, task) = pair
+                .split_once('=')
+                .ok_or_else(|| format!("--task: `{pair}` is not CLASS=TASK"))?;
+            tasks.insert(class.to_owned(), task.to_owned());
+        }
+        let connector = awc::Connector::new().limit(MAX_CONNECTIONS);
+        Ok(Self {
+            client: awc::Client::builder()
+                .connector(connector)
+                .disable_timeout()
+                .finish(),
+            targets: options
+                .direct
+                .iter()
+                .chain(&options.target)
+                .cloned()
+                .collect(),
+            direct: options.direct.is_some(),
+            key: options.key.clone(),
+            model: options.model.clone(),
+            service: options.service.clone(),
+            tasks,
+            stream_tokens: options.stream_tokens,
+            deadline_ms: options.deadline_ms,
+            seed: options.seed,
+        })
+    }
+
+    /// Sends one request and reads its answer to the end.
+    pub(super) async fn call(&self, class: Class, number: u64) -> Outcome {
+        match class {
+            Class::Stream => self.chat(class, number, self.stream_tokens).await,
+            Class::Tweak => self.chat(class, number, TWEAK_TOKENS).await,
+            Class::Plan => self.chat(class, number, PLAN_TOKENS).await,
+            Class::Status => self.plain(class, number, String::new()).await,
+            Class::Switch => {
+                let body = json!({"effect": format!("{}-{number}", self.seed)});
+                self.plain(class, number, body.to_string()).await
+            }
+        }
+    }
+
+    async fn chat(&self, class: Class, number: u64, words: usize) -> Outcome {
+        let body = json!({
+            "model": self.model,
+            "stream": class == Class::Stream,
+            "max_tokens": words,
+            "messages": [{"role": "user", "content": format!("request {number}")}],
+        });
+        let url = format!("{}/v1/chat/completions", self.target(number));
+        let request = self.headed(self.client.post(url), class, number);
+        let start = Instant::now();
+        let sent = request.send_body(body.to_string()).await;
+        let mut response = match sent {
+            Ok(response) => response,
+            Err(error) => return broken(&error),
+        };
+        let expected = Expected {
+            version: self.text(&response, "x-carawayrun-version", &self.model),
+            id: self.text(&response, "x-request-id", &self.own_id(number)),
+            words,
+        };
+        let status = response.status();
+        let mut reading = Reading::new(start);
+        if let Err(message) = reading.read(&mut response).await {
+            return Outcome::Broken { message };
+        }
+        if !status.is_success() {
+            return refused(&reading.body, status.as_u16());
+        }
+        if class == Class::Stream {
+            streamed(&reading, &expected)
+        } else {
+            let checked = expected.check(std::slice::from_ref(&reading.body));
+            reading.outcome(checked, 1)
+        }
+    }
+
+    async fn plain(&self, class: Class, number: u64, body: String) -> Outcome {
+        let base = self.target(number);
+        let service = &self.service;
+        let request = match class {
+            Class::Switch => self
+                .client
+                .post(format!("{base}/services/{service}/switch")),
+            _ => self
+                .client
+                .get(format!("{base}/services/{service}/status/{number}")),
+        };
+        let mut request = self.headed(request, class, number);
+        if class == Class::Switch {
+            let key = format!("switch-{}-{number}", self.seed);
+            request = request.insert_header(("idempotency-key", key));
+        }
+        let start = Instant::now();
+        let mut response = match request.send_body(body.clone()).await {
+            Ok(response) => response,
+            Err(error) => return broken(&error),
+        };
+        let id = self.text(&response, "x-request-id", "");
+        let status = response.status();
+        let mut reading = Reading::new(start);
+        if let Err(message) = reading.read(&mut response).await {
+            return Outcome::Broken { message };
+        }
+        if !status.is_success() {
+            return refused(&reading.body, status.as_u16());
+        }
+        let checked = check_echo(&reading.body, &id, &body);
+        reading.outcome(checked, 1)
+    }
+
+    fn target(&self, number: u64) -> &str {
+        &self.targets[number as usize % self.targets.len()]
+    }
+
+    fn own_id(&self, number: u64) -> String {
+        format!("load-{}-{number}", self.seed)
+    }
+
+    fn headed(&self, request: ClientRequest, class: Class, number: u64) -> ClientRequest {
+        if self.direct {
+            return request.insert_header(("x-request-id", self.own_id(number)));
+        }
+        let request = request
+            .insert_header(("authorization", format!("Bearer {}", self.key)))
+            .insert_header(("x-carawayrun-deadline-ms", self.deadline_ms.to_string()));
+        match self.tasks.get(class.as_str()) {
+            Some(task) => request.insert_header(("x-carawayrun-task", task.as_str())),
+            None => request,
+        }
+    }
+
+    fn text<S>(&self, response: &awc::ClientResponse<S>, name: &str, fallback: &str) -> String {
+        let value = response.headers().get(name);
+        let text = value.and_then(|value| value.to_str().ok());
+        if self.direct { None } else { text }
+            .unwrap_or(fallback)
+            .to_owned()
+    }
+}
+
+impl Reading {
+    fn new(start: Instant) -> Self {
+        Self {
+            start,
+            first: None,
+            body: Vec::new(),
+        }
+    }
+
+    async fn read<S>(&mut self, response: &mut awc::ClientResponse<S>) -> Result<(), String>
+    where
+        S: futures_core::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+    {
+        while let Some(part) = response.next().await {
+            let part = part.map_err(|error| error.to_string())?;
+            self.first.get_or_insert_with(|| self.start.elapsed());
+            self.body.extend_from_slice(&part);
+        }
+        Ok(())
+    }
+
+    fn outcome(&self, checked: Result<(), String>, chunks: u64) -> Outcome {
+        match checked {
+            Ok(()) => Outcome::Answered {
+                first: self.first.unwrap_or_default(),
+                total: self.start.elapsed(),
+                chunks,
+            },
+            Err(message) => Outcome::Wrong { message },
+        }
+    }
+}
+
+fn broken(error: &awc::error::SendRequestError) -> Outcome {
+    Outcome::Broken {
+        message: error.to_string(),
+    }
+}
+
+fn refused(body: &[u8], status: u16) -> Outcome {
+    match serde_json::from_slice::<ErrorBody>(body) {
+        Ok(ErrorBody { error }) => Outcome::Refused {
+            code: error.code,
+            ran: error.ran,
+        },
+        Err(_) => Outcome::Refused {
+            code: format!("status_{status}"),
+            ran: "unknown".into(),
+        },
+    }
+}
+
+// A stream has to end with `[DONE]`, or with an error object and without it.
+fn streamed(reading: &Reading, expected: &Expected) -> Outcome {
+    let mut payloads = events(&reading.body);
+    if payloads.last().is_some_and(|last| last == b"[DONE]") {
+        payloads.pop();
+        let chunks = payloads.len() as u64;
+        return reading.outcome(expected.check(&payloads), chunks);
+    }
+    match payloads
+        .last()
+        .map(|last| serde_json::from_slice::<ErrorBody>(last))
+    {
+        Some(Ok(ErrorBody { error })) => Outcome::Refused {
+            code: error.code,
+            ran: error.ran,
+        },
+        _ => Outcome::Wrong {
+            message: format!("the stream of {} ended early without a word", expected.id),
+        },
+    }
+}
+
+fn events(body: &[u8]) -> Vec<Vec<u8>> {
+    let mut rest = BytesMut::from(body);
+    let mut payloads = Vec::new();
+    while let Some(end) = rest.windows(2).position(|pair| pair == b"\n\n") {
+        let event = rest.split_to(end);
+        rest.advance(2);
+        payloads.extend(
+            event
+                .as_ref()
+                .split(|byte: &u8| *byte == b'\n')
+                .filter_map(|line| line.strip_prefix(b"data: "))
+                .map(<[u8]>::to_vec),
+        );
+    }
+    payloads
+}
--- /dev/null
+++ b/crates/lab/src/load/mod.rs
@@ -0,0 +1,131 @@
+//! Sends a mixed load to gateways and reports what came back.
+//!
+//! Arrivals are an open loop: they follow a seeded Poisson process and don't
+//! wait for earlier answers, so a slow system is not spared. Every answer is
+//! checked against the text that the stand-in makes for its request.
+
+mod call;
+mod class;
+mod report;
+mod verify;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::{Instant, sleep_until};
+use bpaf::Bpaf;
+use rand::distr::{Distribution, weighted::WeightedIndex};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use self::call::Caller;
+use self::class::{Class, Mix};
+use self::report::Report;
+use crate::command::Failure;
+
+/// Connections that one caller's client keeps to one gateway.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// Longest time to wait for the last answers.
+const LAST_ANSWERS: Duration = Duration::from_secs(150);
+
+/// Flags.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(options))]
+pub(crate) struct Options {
+    /// Gateway to send to, as `http://IP:PORT`; may be repeated
+    #[bpaf(argument("URL"))]
+    target: Vec<String>,
+    /// Engine to send to without a gateway, as `http://IP:PORT`
+    #[bpaf(argument("URL"), optional)]
+    direct: Option<String>,
+    /// Key of the team
+    #[bpaf(argument("KEY"), fallback(String::from("luz-key")))]
+    key: String,
+    /// Model or version to ask for
+    #[bpaf(argument("NAME"), fallback(String::from("scene")))]
+    model: String,
+    /// Plain service to call
+    #[bpaf(argument("NAME"), fallback(String::from("home-app")))]
+    service: String,
+    /// Requests a second over all classes
+    #[bpaf(argument("N"), fallback(50.0))]
+    rate: f64,
+    /// Length of the run, in seconds
+    #[bpaf(argument("S"), fallback(10.0))]
+    seconds: f64,
+    /// Most requests
+    #[bpaf(argument("N"), fallback(u64::MAX))]
+    requests: u64,
+    /// Seed of arrivals and of the mix
+    #[bpaf(argument("N"), fallback(1))]
+    seed: u64,
+    /// Weights of the classes
+    #[bpaf(argument("CLASS=N,.."), fallback(Mix::default()), display_fallback)]
+    mix: Mix,
+    /// Task header of a class, as CLASS=TASK; may be repeated
+    #[bpaf(argument("CLASS=TASK"))]
+    task: Vec<String>,
+    /// Tokens of a stream's answer
+    #[bpaf(argument("N"), fallback(50))]
+    stream_tokens: usize,
+    /// Deadline of each request, in milliseconds
+    #[bpaf(argument("MS"), fallback(120_000))]
+    deadline_ms: u64,
+    /// Prints the report as JSON
+    json: bool,
+}
+
+pub(crate) fn run(options: &Options) -> Result<(), Failure> {
+    if options.target.is_empty() == options.direct.is_none() {
+        return Err("give either --target or --direct".into());
+    }
+    let report = actix_rt::System::new().block_on(send_all(options))?;
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&report.summary())?);
+    } else {
+        println!("{report}");
+    }
+    if report.wrong() > 0 {
+        return Err(format!("{} answers were not the caller's own", report.wrong()).into());
+    }
+    Ok(())
+}
+
+async fn send_all(options: &Options) -> Result<Report, Failure> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let weights = WeightedIndex::new(options.mix.weights())?;
+    let caller = Rc::new(Caller::new(options)?);
+    let report = Rc::new(RefCell::new(Report::default()));
+    let start = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut sent = 0;
+    while sent < options.requests {
+        due += gap(options.rate, &mut rng);
+        if due.as_secs_f64() > options.seconds {
+            break;
+        }
+        sleep_until(start + due).await;
+        let class = Class::ALL[weights.sample(&mut rng)];
+        actix_rt::spawn(one(Rc::clone(&caller), Rc::clone(&report), class, sent));
+        sent += 1;
+    }
+    let deadline = Instant::now() + LAST_ANSWERS;
+    while report.borrow().ended() < sent && Instant::now() < deadline {
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    let mut report = report.take();
+    report.close(sent, start.elapsed());
+    Ok(report)
+}
+
+async fn one(caller: Rc<Caller>, report: Rc<RefCell<Report>>, class: Class, number: u64) {
+    let outcome = caller.call(class, number).await;
+    report.borrow_mut().add(class, &outcome);
+}
+
+fn gap(rate: f64, rng: &mut ChaCha8Rng) -> Duration {
+    let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+    Duration::from_secs_f64(-uniform.ln() / rate.max(f64::MIN_POSITIVE))
+}
--- /dev/null
+++ b/crates/lab/src/load/report.rs
@@ -0,0 +1,212 @@
+//! What came back, by class.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::call::Outcome;
+use super::class::Class;
+
+/// Counts and latencies of a run.
+#[derive(Debug, Default)]
+pub(super) struct Report {
+    classes: BTreeMap<Class, Row>,
+    unanswered: u64,
+    elapsed: Duration,
+}
+
+#[derive(Debug)]
+struct Row {
+    sent: u64,
+    answered: u64,
+    broken: u64,
+    wrong: u64,
+    chunks: u64,
+    /// Errors by code and whether the request ran.
+    refused: BTreeMap<String, u64>,
+    first_us: Histogram<u64>,
+    total_us: Histogram<u64>,
+    /// Messages of what was broken or wrong, the first few.
+    messages: Vec<String>,
+}
+
+/// Messages that are kept of each class.
+const MAX_MESSAGES: usize = 5;
+
+/// Latencies above this are cut off, in microseconds.
+const MAX_LATENCY_US: u64 = 600_000_000;
+
+/// A run as programs read it.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct Summary {
+    seconds: f64,
+    unanswered: u64,
+    classes: Vec<ClassSummary>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct ClassSummary {
+    class: Class,
+    sent: u64,
+    answered: u64,
+    broken: u64,
+    wrong: u64,
+    chunks: u64,
+    refused: BTreeMap<String, u64>,
+    first_p50_ms: f64,
+    first_p99_ms: f64,
+    total_p50_ms: f64,
+    total_p99_ms: f64,
+    messages: Vec<String>,
+}
+
+impl Default for Row {
+    fn default() -> Self {
+        let histogram = || {
+            Histogram::new_with_bounds(1, MAX_LATENCY_US, 3)
+                .expect("the bounds are in order and the precision is in range")
+        };
+        Self {
+            sent: 0,
+            answered: 0,
+            broken: 0,
+            wrong: 0,
+            chunks: 0,
+            refused: BTreeMap::new(),
+            first_us: histogram(),
+            total_us: histogram(),
+            messages: Vec::new(),
+        }
+    }
+}
+
+impl Report {
+    pub(super) fn add(&mut self, class: Class, outcome: &Outcome) {
+        let row = self.classes.entry(class).or_default();
+        row.sent += 1;
+        match outcome {
+            Outcome::Answered {
+                first,
+                total,
+                chunks,
+            } => {
+                row.answered += 1;
+                row.chunks += chunks;
+                row.first_us.saturating_record(first.as_micros() as u64);
+                row.total_us.saturating_record(total.as_micros() as u64);
+            }
+            Outcome::Refused { code, ran } => {
+                *row.refused.entry(format!("{code}/{ran}")).or_default() += 1;
+            }
+            Outcome::Broken { message } => {
+                row.broken += 1;
+                row.note(message);
+            }
+            Outcome::Wrong { message } => {
+                row.wrong += 1;
+                row.note(message);
+            }
+        }
+    }
+
+    /// Requests whose end is known.
+    pub(super) fn ended(&self) -> u64 {
+        self.classes.values().map(|row| row.sent).sum()
+    }
+
+    /// Answers that were not whole or not the caller's own.
+    pub(super) fn wrong(&self) -> u64 {
+        self.classes.values().map(|row| row.wrong).sum()
+    }
+
+    pub(super) fn close(&mut self, sent: u64, elapsed: Duration) {
+        self.unanswered = sent - self.ended();
+        self.elapsed = elapsed;
+    }
+
+    pub(super) fn summary(&self) -> Summary {
+        Summary {
+            seconds: self.elapsed.as_secs_f64(),
+            unanswered: self.unanswered,
+            classes: self
+                .classes
+                .iter()
+                .map(|(class, row)| row.summary(*class))
+                .collect(),
+        }
+    }
+}
+
+impl Row {
+    fn note(&mut self, message: &str) {
+        if self.messages.len() < MAX_MESSAGES {
+            self.messages.push(message.to_owned());
+        }
+    }
+
+    fn summary(&self, class: Class) -> ClassSummary {
+        ClassSummary {
+            class,
+            sent: self.sent,
+            answered: self.answered,
+            broken: self.broken,
+            wrong: self.wrong,
+            chunks: self.chunks,
+            refused: self.refused.clone(),
+            first_p50_ms: quantile_ms(&self.first_us, 0.5),
+            first_p99_ms: quantile_ms(&self.first_us, 0.99),
+            total_p50_ms: quantile_ms(&self.total_us, 0.5),
+            total_p99_ms: quantile_ms(&self.total_us, 0.99),
+            messages: self.messages.clone(),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<8}{:>8}{:>8}{:>8}{:>8}{:>12}{:>12}{:>12}{:>12}  errors (code/ran)",
+            "class", "sent", "ok", "broken", "wrong", "first p50", "p99 ms", "total p50", "p99 ms"
+        )?;
+        for (class, row) in &self.classes {
+            let errors: Vec<String> = row
+                .refused
+                .iter()
+                .map(|(code, count)| format!("{code}: {count}"))
+                .collect();
+            writeln!(
+                f,
+                "{:<8}{:>8}{:>8}{:>8}{:>8}{:>12.2}{:>12.2}{:>12.2}{:>12.2}  {}",
+                class.as_str(),
+                row.sent,
+                row.answered,
+                row.broken,
+                row.wrong,
+                quantile_ms(&row.first_us, 0.5),
+                quantile_ms(&row.first_us, 0.99),
+                quantile_ms(&row.total_us, 0.5),
+                quantile_ms(&row.total_us, 0.99),
+                errors.join(", ")
+            )?;
+            for message in &row.messages {
+                writeln!(f, "        {message}")?;
+            }
+        }
+        write!(
+            f,
+            "{:.1} s, {} requests without an end",
+            self.elapsed.as_secs_f64(),
+            self.unanswered
+        )
+    }
+}
+
+fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/lab/src/load/verify.rs
@@ -0,0 +1,80 @@
+//! Whether an answer is whole and the caller's own.
+
+use serde::Deserialize;
+
+use crate::engine::text::tokens;
+
+/// What a chat answer has to be.
+#[derive(Debug, Clone)]
+pub(super) struct Expected {
+    pub(super) version: String,
+    pub(super) id: String,
+    pub(super) words: usize,
+}
+
+#[derive(Deserialize)]
+struct Part {
+    id: String,
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    delta: Option<Message>,
+    #[serde(default)]
+    message: Option<Message>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+/// The echo of a plain call.
+#[derive(Deserialize)]
+struct Echo {
+    id: String,
+    body: String,
+}
+
+impl Expected {
+    /// Checks the payloads of a chat answer: one, or those of a stream.
+    pub(super) fn check(&self, payloads: &[Vec<u8>]) -> Result<(), String> {
+        let mut text = String::new();
+        for payload in payloads {
+            let part: Part = serde_json::from_slice(payload).map_err(|error| error.to_string())?;
+            if part.id != self.id {
+                return Err(format!("answer of {} to {}", part.id, self.id));
+            }
+            for choice in part.choices {
+                let message = choice.delta.or(choice.message);
+                text.push_str(
+                    &message
+                        .and_then(|message| message.content)
+                        .unwrap_or_default(),
+                );
+            }
+        }
+        let good = tokens(&self.version, &self.id, self.words, false).concat();
+        let bad = tokens(&self.version, &self.id, self.words, true).concat();
+        if text == good || text == bad {
+            return Ok(());
+        }
+        Err(format!("text of {} is not whole: `{text}`", self.id))
+    }
+}
+
+/// Checks the echo of a plain call.
+pub(super) fn check_echo(answer: &[u8], id: &str, sent: &str) -> Result<(), String> {
+    let echo: Echo = serde_json::from_slice(answer).map_err(|error| error.to_string())?;
+    if echo.id != id {
+        return Err(format!("answer of {} to {id}", echo.id));
+    }
+    if echo.body != sent {
+        return Err(format!("{id} got the answer to `{}`", echo.body));
+    }
+    Ok(())
+}
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -135,7 +135,7 @@
         }
         match self.ledger.admission() {
             Admission::Open => self.follow.admission(),
-            closed => closed,
+            closed @ Admission::Closed { .. } => closed,
         }
     }
 }
