--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,6 @@
-//! One binary with all integration tests.
+//! Tests of the whole product.
 
+mod burn;
 mod policy;
+mod resources;
+mod writing;
