--- a/src/carawayrun/control/held.rs
+++ b/src/carawayrun/control/held.rs
@@ -13,6 +13,7 @@
 
 use super::context::Context;
 use super::event::Event;
+use super::time::Millis;
 use super::view::Admission;
 use crate::peer::NodeId;
 use crate::peer::message::envelope::Body;
@@ -24,6 +25,9 @@
 /// Most usages in one message.
 const MAX_SENT: usize = 200;
 
+/// Time between two offers of what a sealer asked for.
+const OFFER_PERIOD: Millis = Millis(30_000);
+
 /// When a caller should come back while there is no room, in milliseconds.
 const FULL_RETRY_MS: u64 = 2_000;
 
@@ -32,6 +36,7 @@
 pub(crate) struct Held {
     gateways: FxHashMap<NodeId, Copies>,
     count: usize,
+    offered_at: Millis,
 }
 
 // The copies of one gateway's life.
@@ -54,6 +59,7 @@
         match event {
             Event::Used(usage) => self.used(usage, context),
             Event::Received(envelope) => self.received(envelope, context),
+            Event::Tick => self.offer(context),
             _ => return,
         }
         if self.is_full() != was_full {
@@ -101,12 +107,31 @@
             Some(Body::BillsFlushed(flushed)) => self.flushed(flushed),
             Some(Body::BillsWant(want)) => {
                 let addr = CompactString::from(envelope.reply_addr.as_str());
-                self.wanted(want, &addr, context);
+                let sealing = want.gateway != envelope.sender;
+                self.wanted(want, &addr, sealing, context);
             }
             _ => {}
         }
     }
 
+    // Messages may be lost, so what a sealer wants is sent until it is flushed.
+    fn offer(&mut self, context: &mut Context) {
+        if context.now.since(self.offered_at) < OFFER_PERIOD {
+            return;
+        }
+        self.offered_at = context.now;
+        for (gateway, copies) in &self.gateways {
+            let Some(addr) = &copies.wanted_by else {
+                continue;
+            };
+            let ended = copies.usages.values().filter(|usage| usage.finished);
+            let ended: Vec<Usage> = ended.take(MAX_SENT).cloned().collect();
+            if !ended.is_empty() {
+                send(addr, gateway, ended, copies.usages.len(), context);
+            }
+        }
+    }
+
     // What is still running stays, as it may have been billed without it.
     fn flushed(&mut self, flushed: &BillsFlushed) {
         let Some(gateway) = flushed.gateway.as_ref().map(NodeId::from) else {
@@ -125,14 +150,24 @@
         self.forget_empty(&gateway);
     }
 
-    fn wanted(&mut self, want: &BillsWant, addr: &CompactString, context: &mut Context) {
+    fn wanted(
+        &mut self,
+        want: &BillsWant,
+        addr: &CompactString,
+        sealing: bool,
+        context: &mut Context,
+    ) {
         let Some(gateway) = want.gateway.as_ref().map(NodeId::from) else {
             return;
         };
-        let Some(copies) = self.gateways.get_mut(&gateway) else {
-            return send(addr, &gateway, Vec::new(), 0, context);
-        };
-        copies.wanted_by = Some(addr.clone());
+        let copies = self.gateways.entry(gateway.clone()).or_default();
+        if sealing {
+            copies.wanted_by = Some(addr.clone());
+        }
+        if copies.usages.is_empty() {
+            send(addr, &gateway, Vec::new(), 0, context);
+            return self.forget_empty(&gateway);
+        }
         let usages: Vec<Usage> = copies.usages.values().cloned().collect();
         for part in usages.chunks(MAX_SENT) {
             send(addr, &gateway, part.to_vec(), usages.len(), context);
@@ -140,7 +175,8 @@
     }
 
     fn forget_empty(&mut self, gateway: &NodeId) {
-        let is_empty = |copies: &Copies| copies.usages.is_empty();
+        // A gateway that wakes again may still have started something.
+        let is_empty = |copies: &Copies| copies.usages.is_empty() && copies.wanted_by.is_none();
         if self.gateways.get(gateway).is_some_and(is_empty) {
             self.gateways.remove(gateway);
         }
--- a/src/carawayrun/control/ledger/case.rs
+++ b/src/carawayrun/control/ledger/case.rs
@@ -96,9 +96,9 @@
         }
     }
 
-    /// True where the row has not been sealed by this node.
-    pub(super) fn is_watching(&self) -> bool {
-        matches!(self.stage, Stage::Watching { .. })
+    /// True where nothing was done yet and no agent has told of anything.
+    pub(super) fn is_idle(&self) -> bool {
+        matches!(self.stage, Stage::Watching { .. }) && self.held.is_empty()
     }
 
     pub(super) fn is_done(&self) -> bool {
@@ -125,6 +125,11 @@
     pub(super) fn learn(&mut self, agent: &message::Node, held: &BillsHeld, reply_addr: &str) {
         let known = self.held.entry(agent.into()).or_default();
         known.peer_addr = reply_addr.into();
+        if held.usages.len() >= held.total as usize {
+            // All that it holds, so what was running and is not there has gone.
+            known.usages.retain(|_, usage| usage.finished);
+            known.total = 0;
+        }
         known.total = known.total.max(held.total as usize);
         for usage in &held.usages {
             known.usages.insert(Attempt::of(usage), usage.clone());
@@ -287,7 +292,8 @@
     // Bills of the requests that agents hold and the ledger does not have.
     fn missing(&self) -> Vec<Bill> {
         let mut bills: BTreeMap<u64, Bill> = BTreeMap::new();
-        for usage in self.held.values().flat_map(|held| held.usages.values()) {
+        let usages = self.held.values().flat_map(|held| held.usages.values());
+        for usage in usages.filter(|usage| usage.finished || usage.cost_micros > 0) {
             let sequence = sequence(usage);
             if self.stored.row.written.contains(sequence) {
                 continue;
--- a/src/carawayrun/control/ledger/mod.rs
+++ b/src/carawayrun/control/ledger/mod.rs
@@ -21,9 +21,6 @@
 mod row;
 mod sequences;
 
-#[cfg(test)]
-mod tests;
-
 use self::own::Own;
 use self::recovery::Recovery;
 use super::context::Context;
--- a/src/carawayrun/control/ledger/own.rs
+++ b/src/carawayrun/control/ledger/own.rs
@@ -30,8 +30,9 @@
 /// Time after which a run that an agent does not know of has not run there.
 const ABSENT_AFTER: Millis = Millis(3_000);
 
-/// Longest time a bill waits for an agent's word on lost usage.
-const ASK_LIMIT: Millis = Millis(60_000);
+/// Longest time a bill waits for an agent's word on lost usage; regions may lose
+/// each other for an hour.
+const ASK_LIMIT: Millis = Millis(2 * 3_600_000);
 
 /// Time after which agents are told again what is written.
 const REMIND_PERIOD: Millis = Millis(10_000);
--- a/src/carawayrun/control/ledger/recovery.rs
+++ b/src/carawayrun/control/ledger/recovery.rs
@@ -54,7 +54,7 @@
         self.search(calls, context);
         self.notice_dead(context);
         self.cases
-            .retain(|case| !case.is_watching() || !has(context, &case.node));
+            .retain(|case| !case.is_idle() || !has(context, &case.node));
         for case in &mut self.cases {
             case.tick(calls, context);
         }
@@ -72,8 +72,8 @@
         if gateway == context.identity.node {
             return;
         }
-        // An agent that could not be asked in time tells by itself.
-        if !held.usages.is_empty() && !has(context, &gateway) {
+        // An agent that was asked once tells of what ended since then.
+        if !held.usages.is_empty() {
             self.done.remove(&gateway);
             self.open(gateway.clone(), context);
         }
--- a/src/carawayrun/control/ledger/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of billing.
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -96,6 +96,16 @@
         &self.context
     }
 
+    #[cfg(test)]
+    pub(super) fn ledger_view(&self) -> super::view::LedgerView {
+        self.ledger.view()
+    }
+
+    #[cfg(test)]
+    pub(super) fn ledger_admission(&self) -> Admission {
+        self.ledger.admission()
+    }
+
     // Each concern looks at the event in turn and ignores what is not its own.
     fn dispatch(&mut self, event: &Event) {
         if matches!(event, Event::Stop) {
--- /dev/null
+++ b/src/carawayrun/control/tests/ledger.rs
@@ -0,0 +1,319 @@
+//! Billing: each request once, whatever happens to gateways and the store.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use test_case::test_case;
+
+use super::world::{World, identity, upstream};
+use crate::control::{AwaitedStep, Bill, BillStep, Event, Millis, TICK};
+use crate::peer::message::{MemberState, RequestId, Usage};
+
+const GATEWAYS: usize = 3;
+const AGENTS: usize = 2;
+/// Time in which a dead gateway's ledger is found, sealed and completed.
+const RECOVERY: Millis = Millis(180_000);
+
+/// A world in which requests are made, and what each of them should cost.
+struct Billing {
+    world: World,
+    rng: SmallRng,
+    sequences: [u64; GATEWAYS],
+    /// Cost by gateway and request.
+    expected: Costs,
+    later: Vec<Later>,
+}
+
+/// Something that will happen to a request.
+struct Later {
+    due: Millis,
+    node: usize,
+    event: Event,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Written {
+    sequence: u64,
+    cost_micros: u64,
+}
+
+impl Billing {
+    fn new(seed: u64) -> Self {
+        let mut world = World::with_agents(GATEWAYS, AGENTS, seed);
+        let last = GATEWAYS + AGENTS - 1;
+        world.run_until("all know the last agent", |world| {
+            world.all_see(last, MemberState::Alive)
+        });
+        Self {
+            world,
+            rng: SmallRng::seed_from_u64(seed),
+            sequences: [0; GATEWAYS],
+            expected: BTreeMap::new(),
+            later: Vec::new(),
+        }
+    }
+
+    /// A request of one or two steps; now and then its answer is lost.
+    fn request(&mut self, gateway: usize) {
+        self.sequences[gateway] += 1;
+        let sequence = self.sequences[gateway];
+        let mut bill = Bill {
+            sequence,
+            team: "t".into(),
+            service: "s".into(),
+            cost_micros: 0,
+            steps: Vec::new(),
+            awaited: Vec::new(),
+        };
+        let mut cost = 0;
+        let steps = self.rng.random_range(1..=2);
+        for step in 0..steps {
+            let agent = GATEWAYS + self.rng.random_range(0..AGENTS);
+            let used = usage(gateway, sequence, step, agent, &mut self.rng);
+            cost += used.cost_micros;
+            self.run_step(agent, &used);
+            if self.rng.random_bool(0.2) {
+                bill.awaited.push(AwaitedStep {
+                    step,
+                    upstream: upstream(agent),
+                });
+            } else {
+                bill.cost_micros += used.cost_micros;
+                bill.steps.push(BillStep::from(&used));
+            }
+        }
+        self.expected.insert((gateway, sequence), cost);
+        let wait = Millis(self.rng.random_range(0..3_000));
+        self.later(wait, gateway, Event::Billed(Box::new(bill)));
+    }
+
+    // The agent knows of the attempt before anybody is answered.
+    fn run_step(&mut self, agent: usize, used: &Usage) {
+        let started = Usage {
+            finished: false,
+            cost_micros: 0,
+            ..used.clone()
+        };
+        self.world.post(agent, Event::Used(Box::new(started)));
+        if self.rng.random_bool(0.5) {
+            self.world.post(agent, Event::Used(Box::new(used.clone())));
+        } else {
+            let wait = Millis(self.rng.random_range(0..5_000));
+            self.later(wait, agent, Event::Used(Box::new(used.clone())));
+        }
+    }
+
+    fn later(&mut self, wait: Millis, node: usize, event: Event) {
+        let due = self.world.now + wait;
+        self.later.push(Later { due, node, event });
+    }
+
+    /// Lets time pass; requests come to `gateways` all the while.
+    fn traffic(&mut self, span: Millis, gateways: &[usize]) {
+        let end = self.world.now + span;
+        while self.world.now < end {
+            for gateway in gateways {
+                if self.rng.random_bool(0.3) {
+                    self.request(*gateway);
+                }
+            }
+            self.pass(TICK);
+        }
+    }
+
+    fn pass(&mut self, span: Millis) {
+        let end = self.world.now + span;
+        while self.world.now < end {
+            let now = self.world.now;
+            let due: Vec<Later> = self
+                .later
+                .extract_if(.., |later| later.due <= now)
+                .collect();
+            for later in due {
+                self.world.post(later.node, later.event);
+            }
+            self.world.run(TICK);
+        }
+    }
+
+    fn kill(&mut self, gateway: usize) {
+        self.world.nodes[gateway].frozen = true;
+        self.world.nodes[gateway].cut = true;
+    }
+
+    fn wake(&mut self, gateway: usize) {
+        self.world.nodes[gateway].frozen = false;
+        self.world.nodes[gateway].cut = false;
+    }
+
+    /// Costs in the table by gateway and request; a request that is there
+    /// twice is a failure.
+    fn billed(&self) -> Costs {
+        let mut billed = BTreeMap::new();
+        for gateway in 0..GATEWAYS {
+            let prefix = format!("bill/{}/", identity(gateway, 1).node);
+            for (key, row) in &self.world.table.rows {
+                if !key.starts_with(&prefix) {
+                    continue;
+                }
+                let bills: Vec<Written> = serde_json::from_str(row.value.get()).unwrap();
+                for bill in bills {
+                    let id = (gateway, bill.sequence);
+                    let before = billed.insert(id, bill.cost_micros);
+                    assert_eq!(before, None, "{id:?} is billed twice");
+                }
+            }
+        }
+        billed
+    }
+
+    fn assert_billed_once(&self) {
+        let billed = self.billed();
+        let missing: Vec<_> = difference(&self.expected, &billed);
+        let wrong: Vec<_> = difference(&billed, &self.expected);
+        assert_eq!((missing, wrong), (Vec::new(), Vec::new()));
+    }
+}
+
+type Costs = BTreeMap<(usize, u64), u64>;
+
+fn difference(of: &Costs, from: &Costs) -> Vec<((usize, u64), u64)> {
+    let same = |id: &(usize, u64), cost: &u64| from.get(id) == Some(cost);
+    of.iter()
+        .filter(|(id, cost)| !same(id, cost))
+        .map(|(id, cost)| (*id, *cost))
+        .collect()
+}
+
+fn usage(gateway: usize, sequence: u64, step: u32, agent: usize, rng: &mut SmallRng) -> Usage {
+    Usage {
+        request: Some(RequestId {
+            gateway: Some((&identity(gateway, 1).node).into()),
+            sequence,
+        }),
+        step,
+        team: "t".into(),
+        service: "s".into(),
+        version: "v".into(),
+        upstream: upstream(agent).into(),
+        prompt_tokens: 10,
+        cached_tokens: 0,
+        completion_tokens: 20,
+        cost_micros: rng.random_range(1..1_000),
+        finished: true,
+    }
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn all_is_billed_once_while_answers_of_the_store_get_lost(seed: u64) {
+    let mut billing = Billing::new(seed);
+    for _ in 0..10 {
+        billing.world.table.lose_answers += 2;
+        billing.traffic(Millis(3_000), &[0, 1, 2]);
+    }
+    billing.pass(Millis(20_000));
+    billing.assert_billed_once();
+}
+
+#[test_case(4)]
+#[test_case(5)]
+fn all_is_billed_once_after_an_outage_of_the_store(seed: u64) {
+    let mut billing = Billing::new(seed);
+    billing.traffic(Millis(5_000), &[0, 1]);
+    billing.world.table.down = true;
+    billing.traffic(Millis(40_000), &[0, 1]);
+    billing.world.table.down = false;
+    billing.pass(Millis(20_000));
+    billing.assert_billed_once();
+}
+
+#[test_case(6, 0.0)]
+#[test_case(7, 0.0)]
+#[test_case(8, 0.2)]
+#[test_case(9, 0.2)]
+fn a_dead_gateways_requests_are_billed_once_by_another(seed: u64, loss: f64) {
+    let mut billing = Billing::new(seed);
+    billing.world.loss = loss;
+    billing.traffic(Millis(12_000), &[0, 1, 2]);
+    billing.kill(0);
+    billing.world.table.lose_answers = 3;
+    billing.traffic(Millis(10_000), &[1, 2]);
+    billing.pass(RECOVERY);
+    billing.assert_billed_once();
+}
+
+#[test_case(10, 40_000; "before it is settled")]
+#[test_case(11, 40_000; "before it is settled, another order")]
+#[test_case(12, 150_000; "after it is settled")]
+#[test_case(13, 150_000; "after it is settled, another order")]
+fn a_gateway_that_wakes_adds_nothing_to_its_sealed_ledger(seed: u64, asleep_ms: u64) {
+    let mut billing = Billing::new(seed);
+    billing.traffic(Millis(8_000), &[0, 1, 2]);
+    billing.kill(0);
+    billing.traffic(Millis(asleep_ms), &[1]);
+    billing.wake(0);
+    // It still starts work before it finds out.
+    billing.request(0);
+    billing.request(0);
+    billing.pass(RECOVERY);
+    billing.assert_billed_once();
+    let ledger = billing.world.nodes[0].state.ledger_view();
+    assert!(ledger.sealed, "the woken gateway knows that it is sealed");
+}
+
+#[test]
+fn a_gateway_that_only_lost_its_peers_is_not_sealed() {
+    let mut billing = Billing::new(14);
+    billing.world.loss = 1.0;
+    billing.traffic(Millis(120_000), &[0]);
+    billing.world.loss = 0.0;
+    billing.pass(RECOVERY);
+    let sealed = (0..GATEWAYS).filter(|at| billing.world.nodes[*at].state.ledger_view().sealed);
+    assert_eq!(sealed.count(), 0);
+    billing.assert_billed_once();
+}
+
+#[test]
+fn admission_closes_before_a_bill_could_be_lost() {
+    use crate::control::Admission;
+    let mut billing = Billing::new(15);
+    billing.world.table.down = true;
+    let mut taken = 0;
+    while billing.world.nodes[0].state.ledger_admission() == Admission::Open {
+        taken += 1;
+        assert!(taken < 1_000_000, "admission never closes");
+        let bill = bill_of(taken);
+        billing.world.post(0, Event::Billed(Box::new(bill)));
+    }
+    billing.world.table.down = false;
+    billing.pass(Millis(60_000));
+    assert_eq!(
+        billing.world.nodes[0].state.ledger_admission(),
+        Admission::Open
+    );
+    assert_eq!(billing.billed().len() as u64, taken);
+}
+
+fn bill_of(sequence: u64) -> Bill {
+    Bill {
+        sequence,
+        team: "t".into(),
+        service: "s".into(),
+        cost_micros: 1,
+        steps: vec![BillStep {
+            step: 0,
+            version: "v".into(),
+            upstream: upstream(GATEWAYS),
+            prompt_tokens: 1,
+            cached_tokens: 0,
+            completion_tokens: 1,
+            cost_micros: 1,
+        }],
+        awaited: Vec::new(),
+    }
+}
--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod burn;
 mod follow;
+mod ledger;
 mod member;
 mod work;
 mod world;
--- a/src/carawayrun/control/tests/world.rs
+++ b/src/carawayrun/control/tests/world.rs
@@ -81,6 +81,22 @@
         world
     }
 
+    /// A world of gateways, and of agents that come after them.
+    pub(super) fn with_agents(gateways: usize, agents: usize, seed: u64) -> Self {
+        let mut world = Self::new(gateways + agents, seed);
+        for index in gateways..gateways + agents {
+            let identity = Identity {
+                role: Role::Agent,
+                http_addr: format_compact!("10.0.0.{index}:2"),
+                upstream: upstream(index),
+                ..identity(index, 1)
+            };
+            let seed = seed * 1_000 + index as u64;
+            world.nodes[index].state = State::new(identity, seed);
+        }
+        world
+    }
+
     /// Starts a new life of a node.
     pub(super) fn restart(&mut self, index: usize, incarnation: u64) {
         self.nodes[index] = node(index, incarnation, incarnation);
@@ -300,6 +316,11 @@
     format_compact!("n{index}")
 }
 
+/// Name of the upstream that an agent stands before.
+pub(super) fn upstream(index: usize) -> CompactString {
+    format_compact!("u{index}")
+}
+
 pub(super) fn identity(index: usize, incarnation: u64) -> Identity {
     Identity {
         node: NodeId {
