--- a/src/carawayrun/traffic/gateway/mod.rs
+++ b/src/carawayrun/traffic/gateway/mod.rs
@@ -32,4 +32,7 @@
 mod session;
 mod shared;
 
+#[cfg(test)]
+mod tests;
+
 pub use self::server::{Ended, Gateway, GatewaySettings, bind};
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/tests/head.rs
@@ -0,0 +1,80 @@
+//! Headers of callers.
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use test_case::test_case;
+
+use crate::traffic::Code;
+use crate::traffic::gateway::head::{DEFAULT_DEADLINE_MS, Head};
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        headers.append(
+            HeaderName::from_static(name),
+            HeaderValue::from_static(value),
+        );
+    }
+    headers
+}
+
+#[test]
+fn a_request_without_headers_takes_the_defaults() {
+    let head = Head::read(&headers(&[])).unwrap();
+    assert_eq!(head.bearer, "");
+    assert_eq!(head.deadline_ms, DEFAULT_DEADLINE_MS);
+    assert_eq!((head.task, head.session, head.quality), (None, None, None));
+}
+
+#[test]
+fn every_header_is_read() {
+    let head = Head::read(&headers(&[
+        ("authorization", "bearer  secret"),
+        ("x-carawayrun-task", "tweak"),
+        ("x-carawayrun-session", "room-4"),
+        ("x-carawayrun-deadline-ms", "250"),
+        ("x-carawayrun-quality", "0.75"),
+        ("idempotency-key", "k-1"),
+        ("content-type", "text/plain"),
+    ]))
+    .unwrap();
+    assert_eq!(head.bearer, "secret");
+    assert_eq!(head.task.as_deref(), Some("tweak"));
+    assert_eq!(head.session.as_deref(), Some("room-4"));
+    assert_eq!(head.deadline_ms, 250);
+    assert_eq!(head.quality, Some(0.75));
+    assert_eq!(head.idempotency_key.as_deref(), Some("k-1"));
+    assert_eq!(head.content_type, "text/plain");
+}
+
+#[test_case("authorization", "Basic abc"; "another scheme")]
+#[test_case("authorization", "secret"; "no scheme")]
+#[test_case("x-carawayrun-deadline-ms", "soon"; "a deadline in words")]
+#[test_case("x-carawayrun-deadline-ms", "-5"; "a negative deadline")]
+#[test_case("x-carawayrun-deadline-ms", "3600001"; "too long a deadline")]
+#[test_case("x-carawayrun-quality", "1.5"; "too high a quality")]
+#[test_case("x-carawayrun-quality", "NaN"; "a quality that is no number")]
+#[test_case("idempotency-key", ""; "an empty key")]
+#[test_case("x-carawayrun-task", "0123456789012345678901234567890123456789012345678901234567890123"; "a long task")]
+fn a_value_that_can_not_be_read_is_refused(name: &'static str, value: &'static str) {
+    let refusal = Head::read(&headers(&[(name, value)])).unwrap_err();
+    assert_eq!(refusal.code, Code::MalformedHeader);
+    assert!(refusal.message.contains(name), "{}", refusal.message);
+}
+
+#[test]
+fn a_deadline_of_zero_has_passed() {
+    let refusal = Head::read(&headers(&[("x-carawayrun-deadline-ms", "0")])).unwrap_err();
+    assert_eq!(refusal.code, Code::DeadlineExpired);
+}
+
+#[test_case("authorization")]
+#[test_case("idempotency-key")]
+#[test_case("x-carawayrun-session")]
+#[test_case("x-carawayrun-task")]
+#[test_case("x-carawayrun-deadline-ms")]
+#[test_case("x-carawayrun-quality")]
+fn a_header_that_stands_twice_is_refused(name: &'static str) {
+    let refusal = Head::read(&headers(&[(name, "1"), (name, "1")])).unwrap_err();
+    assert_eq!(refusal.code, Code::DuplicateHeader);
+    assert!(refusal.message.contains(name), "{}", refusal.message);
+}
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/tests/plain.rs
@@ -0,0 +1,64 @@
+//! Routes of plain services.
+
+use test_case::test_case;
+
+use crate::resource::{Backend, Named, Route, Service, TaskClass};
+use crate::traffic::Code;
+use crate::traffic::gateway::plain::{Target, route};
+
+fn service(routes: &[(&str, &str)]) -> Named<Service> {
+    let routes = routes.iter().map(|(method, path)| Route {
+        method: (*method).into(),
+        path: (*path).into(),
+        idempotent: true,
+        class: TaskClass::Normal,
+        price_micros: 0,
+    });
+    Named {
+        name: "home".into(),
+        spec: Service {
+            backend: Backend::Plain,
+            tasks: Vec::new(),
+            routes: routes.collect(),
+        },
+    }
+}
+
+#[test_case("GET", "/status", Some("/status"); "the path itself")]
+#[test_case("get", "/status/7", Some("/status"); "a path below, in lower case")]
+#[test_case("GET", "/status/all/7", Some("/status/all"); "the longest prefix")]
+#[test_case("GET", "/statusboard", None; "half a segment")]
+#[test_case("POST", "/status", None; "another method")]
+#[test_case("GET", "/", None; "the root")]
+fn the_longest_prefix_of_whole_segments_wins(method: &str, path: &str, expected: Option<&str>) {
+    let service = service(&[("GET", "/status"), ("GET", "/status/all/")]);
+    let found = route(&service, method, path).ok();
+    assert_eq!(
+        found.map(|route| route.path.trim_end_matches('/')),
+        expected
+    );
+}
+
+#[test]
+fn a_call_names_service_and_path() {
+    let target = Target::read("/services/home/switch/4").unwrap();
+    assert_eq!(
+        target,
+        Target {
+            service: "home",
+            path: "/switch/4"
+        }
+    );
+}
+
+#[test_case("/services/home"; "no path")]
+#[test_case("/services//status"; "no service")]
+#[test_case("/services/home/a/../switch"; "a step up")]
+#[test_case("/services/home/./switch"; "a step in place")]
+#[test_case("/services/home/a//switch"; "an empty segment")]
+#[test_case("/services/home/a%2F..%2Fswitch"; "escaped slashes")]
+#[test_case("/services/home/%2e%2e/switch"; "escaped dots")]
+#[test_case("/services/home/a\\switch"; "a backslash")]
+fn a_path_that_could_be_read_in_two_ways_is_refused(path: &str) {
+    assert_eq!(Target::read(path).unwrap_err().code, Code::UnknownRoute);
+}
