--- a/src/carawayrun/peer/link.rs
+++ b/src/carawayrun/peer/link.rs
@@ -186,13 +186,18 @@
     socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
     let listener = Listener::new(&socket, &format!("tcp://{addr}"))?;
     let bound = match listener.get_opt::<LocalAddr>()? {
-        nng::SocketAddr::Inet(inet) => SocketAddr::from(inet),
-        nng::SocketAddr::Inet6(inet) => SocketAddr::from(inet),
+        nng::SocketAddr::Inet(inet) => host_order(inet.into()),
+        nng::SocketAddr::Inet6(inet) => host_order(inet.into()),
         _ => addr,
     };
     Ok((socket, bound))
 }
 
+// The library leaves the port in the order of the network.
+fn host_order(addr: SocketAddr) -> SocketAddr {
+    SocketAddr::new(addr.ip(), u16::from_be(addr.port()))
+}
+
 fn dial(addr: &str) -> nng::Result<Peer> {
     let socket = Socket::new(Protocol::Push0)?;
     socket.set_opt::<SendBufferSize>(SEND_QUEUE)?;
