Test orders and held usages, and describe at most once

Seen to fail with the mechanism off: an order without the row naming this life, and a life that takes the row only when it has something to order.

--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod burn;
 mod follow;
+mod held;
 mod member;
+mod orders;
 mod work;
 mod world;
--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -128,6 +128,9 @@
         return Err(Refusal::new(Code::Draining, "the agent is stopping").into());
     }
     let view = worker.view();
+    if run.generation > view.config.generation {
+        worker.handle.post(Event::Behind(run.generation));
+    }
     admitted(&view)?;
     worker.follow(&view.config);
     let backend = judge(&view, &worker.upstream, run)?;
--- a/src/carawayrun/traffic/agent/tests/admission.rs
+++ b/src/carawayrun/traffic/agent/tests/admission.rs
@@ -10,7 +10,7 @@
 use crate::traffic::agent::admission::{Admission, Permit};
 use crate::traffic::agent::refusal::Refusal;
 
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 type Entered = actix_rt::task::JoinHandle<Result<Permit, Refusal>>;
 
