--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -3,6 +3,8 @@
 mod burn;
 mod follow;
 mod ledger;
+mod held;
 mod member;
+mod orders;
 mod work;
 mod world;
