Measure cost at the target against baselines and an oracle

Gates now lie on a fine grid searched by halves, exploration goes where the expected saving is largest, and ratings of a second step are corrected for the hard requests it gets.

--- /dev/null
+++ b/crates/lab/src/experiment/report.rs
@@ -0,0 +1,175 @@
+//! The table of results.
+
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+
+use crate::command::Failure;
+
+const BEGIN: &str = "## Policy\n";
+
+/// Values of one measure, one per seed.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sample {
+    values: Vec<f64>,
+}
+
+impl Sample {
+    pub(crate) fn push(&mut self, value: f64) {
+        self.values.push(value);
+    }
+
+    pub(crate) fn mean(&self) -> f64 {
+        self.values.iter().sum::<f64>() / self.values.len().max(1) as f64
+    }
+
+    pub(crate) fn median(&self) -> f64 {
+        self.quantile(0.5)
+    }
+
+    /// The value below which a share of the values is.
+    pub(crate) fn quantile(&self, share: f64) -> f64 {
+        let mut sorted = self.values.clone();
+        sorted.sort_by(f64::total_cmp);
+        let last = sorted.len().saturating_sub(1);
+        let index = (share * last as f64).round() as usize;
+        sorted.get(index).copied().unwrap_or(f64::NAN)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Target {
+    AtMost(f64),
+    AtLeast(f64),
+}
+
+/// One line of the table.
+#[derive(Debug, Clone)]
+pub(crate) struct Row {
+    pub(crate) deployment: &'static str,
+    pub(crate) measure: &'static str,
+    pub(crate) way: String,
+    pub(crate) median: f64,
+    least: f64,
+    most: f64,
+    target: Option<Target>,
+}
+
+impl Row {
+    /// A line whose median should be at most `target`.
+    pub(crate) fn new(
+        deployment: &'static str,
+        measure: &'static str,
+        way: &str,
+        sample: &Sample,
+        target: Option<f64>,
+    ) -> Self {
+        Self {
+            deployment,
+            measure,
+            way: way.into(),
+            median: sample.median(),
+            least: sample.quantile(0.0),
+            most: sample.quantile(1.0),
+            target: target.map(Target::AtMost),
+        }
+    }
+
+    /// The median should be at least `target`.
+    pub(crate) fn at_least(self, target: f64) -> Self {
+        Self {
+            target: Some(Target::AtLeast(target)),
+            ..self
+        }
+    }
+
+    fn verdict(&self) -> String {
+        match self.target {
+            None => String::new(),
+            Some(Target::AtMost(most)) => {
+                format!("at most {most}: {}", word(self.median <= most))
+            }
+            Some(Target::AtLeast(least)) => {
+                format!("at least {least}: {}", word(self.median >= least))
+            }
+        }
+    }
+}
+
+fn word(met: bool) -> &'static str {
+    if met { "met" } else { "**not met**" }
+}
+
+/// All results.
+#[derive(Debug)]
+pub(crate) struct Report {
+    pub(crate) rows: Vec<Row>,
+    seeds: u64,
+}
+
+impl Report {
+    pub(crate) fn new(seeds: u64) -> Self {
+        Self {
+            rows: Vec::new(),
+            seeds,
+        }
+    }
+
+    pub(crate) fn push(&mut self, row: Row) {
+        self.rows.push(row);
+    }
+
+    pub(crate) fn markdown(&self) -> String {
+        let mut text = format!(
+            "{BEGIN}\nCommand: `cargo run --release -p carawayrun-lab -- experiment --seeds {} \
+             --docs docs`. Seeded outcomes, no network; median over {} seeds, then the least and \
+             the most. A target is judged on the median.\n\n\
+             | deployment | measure | way | median | least | most | target |\n\
+             |---|---|---|---|---|---|---|\n",
+            self.seeds, self.seeds
+        );
+        for row in &self.rows {
+            writeln!(
+                text,
+                "| {} | {} | {} | {} | {} | {} | {} |",
+                row.deployment,
+                row.measure,
+                row.way,
+                figure(row.median),
+                figure(row.least),
+                figure(row.most),
+                row.verdict()
+            )
+            .expect("a String takes all text");
+        }
+        text
+    }
+
+    /// Replaces the section of the page, or adds it.
+    pub(crate) fn write(&self, docs: &Path) -> Result<(), Failure> {
+        let page = docs.join("MEASUREMENTS.md");
+        let old = fs::read_to_string(&page).unwrap_or_else(|_| "# Measurements\n".into());
+        let section = format!(
+            "{}\nPlots: [cost](plots/policy-cost.svg), [exposure](plots/policy-exposure.svg), \
+             [overload](plots/policy-overload.svg).\n",
+            self.markdown()
+        );
+        let text = match old.split_once(BEGIN) {
+            None => format!("{}\n\n{section}", old.trim_end()),
+            Some((before, rest)) => {
+                let after = rest.find("\n## ").map_or("", |index| &rest[index + 1..]);
+                let gap = if after.is_empty() { "" } else { "\n" };
+                format!("{before}{section}{gap}{after}")
+            }
+        };
+        fs::write(&page, text).map_err(|error| format!("{}: {error}", page.display()).into())
+    }
+}
+
+fn figure(value: f64) -> String {
+    match value.abs() {
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 10.0 => format!("{value:.1}"),
+        _ => format!("{value:.3}"),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/experiment/truth.rs
@@ -0,0 +1,115 @@
+//! What is true of the versions and hidden from the policy.
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::deployment::Deployment;
+
+/// Standard deviation of the quality of single answers.
+pub(crate) const ANSWER_DEVIATION: f64 = 0.10;
+/// Standard deviation of the noise of a rating.
+pub(crate) const RATING_NOISE: f64 = 0.08;
+/// Share of the variance of answers that the request explains, for all versions.
+pub(crate) const SHARED: f64 = 0.4;
+/// Standard deviation of the manifest's first guesses.
+const GUESS_DEVIATION: f64 = 0.05;
+
+/// Mean qualities and targets by version and task.
+#[derive(Debug, Clone)]
+pub(crate) struct Truth {
+    means: Vec<Vec<f64>>,
+    guesses: Vec<Vec<f64>>,
+    targets: Vec<f64>,
+}
+
+/// The quality of one answer and what the rating service would say.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Graded {
+    pub(crate) quality: f64,
+    pub(crate) rating: f64,
+}
+
+impl Truth {
+    pub(crate) fn draw(deployment: &Deployment, rng: &mut SmallRng) -> Self {
+        let versions = deployment.versions;
+        let means: Vec<Vec<f64>> = (0..versions)
+            .map(|index| {
+                let rank = index as f64 / (versions - 1) as f64;
+                let base = 0.55 + 0.3 * rank.powf(0.7) + 0.01 * normal(rng);
+                let tasks = deployment.tasks.iter();
+                tasks
+                    .map(|task| base + task.ease + 0.015 * normal(rng))
+                    .collect()
+            })
+            .collect();
+        let guesses = means
+            .iter()
+            .map(|tasks| {
+                let guess = |mean: &f64| (mean + GUESS_DEVIATION * normal(rng)).clamp(0.0, 1.0);
+                tasks.iter().map(guess).collect()
+            })
+            .collect();
+        let targets = (0..deployment.tasks.len())
+            .map(|task| best_mean(&means, task) - rng.random_range(0.03..0.15))
+            .collect();
+        Self {
+            means,
+            guesses,
+            targets,
+        }
+    }
+
+    pub(crate) fn mean(&self, version: usize, task: usize) -> f64 {
+        self.means[version][task]
+    }
+
+    pub(crate) fn guess(&self, version: usize, task: usize) -> f64 {
+        self.guesses[version][task]
+    }
+
+    pub(crate) fn target(&self, task: usize) -> f64 {
+        self.targets[task]
+    }
+
+    /// Version with the highest mean on a task.
+    pub(crate) fn best(&self, task: usize) -> usize {
+        (0..self.means.len())
+            .max_by(|&a, &b| self.means[a][task].total_cmp(&self.means[b][task]))
+            .unwrap_or(0)
+    }
+
+    /// Answers a request of some difficulty, which is a standard normal value.
+    pub(crate) fn answer(
+        &self,
+        version: usize,
+        task: usize,
+        difficulty: f64,
+        rng: &mut SmallRng,
+    ) -> Graded {
+        let own = (1.0 - SHARED).sqrt() * normal(rng);
+        let shared = SHARED.sqrt() * difficulty;
+        let quality = self.means[version][task] + ANSWER_DEVIATION * (own - shared);
+        Graded {
+            quality,
+            rating: (quality + RATING_NOISE * normal(rng)).clamp(0.0, 1.0),
+        }
+    }
+}
+
+/// A standard normal value (Box and Muller, 1958).
+pub(crate) fn normal(rng: &mut SmallRng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
+
+/// An exponential value of the given mean.
+pub(crate) fn exponential(mean: f64, rng: &mut SmallRng) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+fn best_mean(means: &[Vec<f64>], task: usize) -> f64 {
+    means
+        .iter()
+        .map(|tasks| tasks[task])
+        .fold(f64::MIN, f64::max)
+}
--- a/src/carawayrun/policy/ask.rs
+++ b/src/carawayrun/policy/ask.rs
@@ -87,6 +87,9 @@
     pub gate: Option<Gate>,
     /// True where a roll-out's random split drew the version, old or new.
     pub compared: bool,
+    /// To be added to a rating of this step's answer before it is learned: a
+    /// second step gets the requests that were hard for the first.
+    pub shift: f64,
 }
 
 /// The versions to ask, in order, and why.
--- a/src/carawayrun/policy/draft.rs
+++ b/src/carawayrun/policy/draft.rs
@@ -23,6 +23,7 @@
     pub(crate) cost: f64,
     pub(crate) first_ms: f64,
     pub(crate) escalation: f64,
+    pub(crate) shift: f64,
 }
 
 /// A draft and the versions it names.
@@ -56,6 +57,7 @@
         cost: line.cost,
         first_ms: line.quality.first_ms,
         escalation: 0.0,
+        shift: 0.0,
     }
 }
 
--- a/src/carawayrun/policy/mod.rs
+++ b/src/carawayrun/policy/mod.rs
@@ -24,6 +24,7 @@
 mod estimates;
 mod explanation;
 mod flight;
+mod gate;
 mod judge;
 mod normal;
 mod plan;
--- a/src/carawayrun/policy/plan.rs
+++ b/src/carawayrun/policy/plan.rs
@@ -6,6 +6,7 @@
 use super::draft::{Chosen, Draft, Line, best_effort, least_by, single_draft};
 use super::estimates::Quality;
 use super::explanation::{Explanation, Reason};
+use super::gate::{GateLevel, gate_levels};
 use super::normal;
 use super::pools::Pool;
 use crate::resource::{Named, Phase, Task, TaskClass, Version, VersionKey, Weights};
@@ -16,8 +17,6 @@
 /// Correlation of one version's rating with another's answer to the same
 /// request: what is hard for one is hard for the other.
 const SHARED_DIFFICULTY: f64 = 0.3;
-/// Gates that are weighed, in standard deviations from the mean rating.
-const GATES: [f64; 4] = [-1.0, -0.5, 0.0, 0.5];
 /// Share of requests that may try a version whose quality is uncertain.
 const EXPLORED_SHARE: f64 = 0.02;
 /// Standard errors above the mean that still may meet the target.
@@ -224,11 +223,16 @@
         }
         let may_pay = |line: &Line<'_>| {
             let hope = OPTIMISM.mul_add(line.quality.error, line.quality.mean);
-            line.cost < best.cost && hope >= self.target
+            line.cost < best.cost && line.quality.lower() < self.target && hope >= self.target
+        };
+        let gain = |index: usize| {
+            let line = &lines[index];
+            let meets = (line.quality.mean - self.target) / line.quality.error.max(1e-9);
+            (best.cost - line.cost) * normal::below(meets)
         };
         let index = (0..lines.len())
             .filter(|&index| may_pay(&lines[index]))
-            .min_by(|&a, &b| lines[a].cost.total_cmp(&lines[b].cost))?;
+            .max_by(|&a, &b| gain(a).total_cmp(&gain(b)))?;
         Some(single_draft(lines, index))
     }
 
@@ -270,24 +274,26 @@
         if tail.mean.max(head.mean) + RELIABILITY * head.deviation < self.target {
             return None;
         }
-        GATES.iter().find_map(|&gate| {
-            let pass = (1.0 - normal::below(gate)) * self.situation.rated_share;
-            let gain = RELIABILITY * head.deviation - SHARED_DIFFICULTY * tail.deviation;
+        let rated = self.situation.rated_share;
+        let gain = RELIABILITY * head.deviation - SHARED_DIFFICULTY * tail.deviation;
+        let draft = |level: &GateLevel| {
+            let pass = level.above * rated;
             let rest = 1.0 - pass;
-            let selected = normal::density(gate) * self.situation.rated_share * gain;
-            let quality = pass.mul_add(head.mean, rest * tail.mean) + selected;
-            let error = (pass * head.error).hypot(rest * tail.error);
-            let draft = Draft {
+            Draft {
                 first,
-                second: Some((second, gate.mul_add(head.deviation, head.mean))),
-                quality,
-                error,
+                second: Some((second, level.score(&head))),
+                quality: pass.mul_add(head.mean, rest * tail.mean) + level.density * rated * gain,
+                error: (pass * head.error).hypot(rest * tail.error),
                 cost: lines[first].cost + self.situation.rating_micros + rest * lines[second].cost,
                 first_ms: rest.mul_add(tail.first_ms, first_ms),
                 escalation: rest,
-            };
-            (quality - error >= self.target).then_some(draft)
-        })
+                shift: SHARED_DIFFICULTY * tail.deviation * level.density * rated / rest,
+            }
+        };
+        let meets = |draft: &Draft| draft.quality - draft.error >= self.target;
+        let levels = gate_levels();
+        let lowest = levels.partition_point(|level| !meets(&draft(level)));
+        levels.get(lowest).map(draft).filter(meets)
     }
 
     // Lets the roll-outs' splits replace old versions by new ones.
@@ -298,14 +304,14 @@
             .draft
             .second
             .map(|(_, score)| Gate { score, wait_ms });
-        steps.push(self.step(chosen.head.key, gate, rng));
+        steps.push(self.step(chosen.head.key, gate, 0.0, rng));
         if let Some(tail) = chosen.tail {
-            steps.push(self.step(tail.key, None, rng));
+            steps.push(self.step(tail.key, None, chosen.draft.shift, rng));
         }
         self.explained(chosen.reason, steps, &chosen.draft, chosen.weighed)
     }
 
-    fn step(&self, key: VersionKey, gate: Option<Gate>, rng: &mut impl Rng) -> Step {
+    fn step(&self, key: VersionKey, gate: Option<Gate>, shift: f64, rng: &mut impl Rng) -> Step {
         let split = self.split(key);
         let version = match split {
             Some(split) if rng.random_bool(split.share.clamp(0.0, 1.0)) => split.to,
@@ -315,6 +321,7 @@
             version,
             gate,
             compared: split.is_some_and(|split| split.compared),
+            shift,
         }
     }
 
@@ -337,6 +344,7 @@
             version: line.key,
             gate: None,
             compared: false,
+            shift: 0.0,
         };
         self.explained(Reason::Pinned, vec![step], &draft, 1)
     }
