--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum Command {
     Gateway(#[bpaf(external(gateway::cli), map(Box::new))] Box<gateway::Options>),
-    Agent(#[bpaf(external(agent::cli))] agent::Options),
+    Agent(#[bpaf(external(agent::cli), map(Box::new))] Box<agent::Options>),
     Apply(#[bpaf(external(apply::cli))] apply::Options),
     Get(#[bpaf(external(get::cli))] get::Options),
     Describe(#[bpaf(external(describe::cli))] describe::Options),
--- a/src/bin/carawayrun/logging.rs
+++ b/src/bin/carawayrun/logging.rs
@@ -1,6 +1,6 @@
 //! Log lines on standard error, for people or for programs.
 
-use std::io;
+use std::io::{self, IsTerminal};
 use std::str::FromStr;
 
 use bpaf::Bpaf;
@@ -8,6 +8,9 @@
 
 use crate::failure::Failure;
 
+/// Changes of state of our own, and trouble of the libraries.
+const DEFAULT_FILTER: &str = "warn,carawayrun=info";
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LogFormat {
@@ -37,7 +40,7 @@
         long("log"),
         env("CARAWAYRUN_LOG"),
         argument("FILTER"),
-        fallback(String::from("info")),
+        fallback(String::from(DEFAULT_FILTER)),
         display_fallback
     )]
     filter: String,
@@ -65,6 +68,7 @@
     })?;
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(io::stderr().is_terminal())
         .with_writer(io::stderr);
     match settings.format {
         LogFormat::Text => lines.init(),
