--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -11,7 +11,10 @@
 use super::effect::{Effect, Effects};
 use super::event::Event;
 use super::follow::Follow;
+use super::held::Held;
+use super::ledger::Ledger;
 use super::member::{Membership, agent_views, member_views};
+use super::orders::Orders;
 use super::time::Millis;
 use super::view::{Admission, View};
 use super::work::Works;
@@ -53,6 +56,9 @@
     works: Works,
     published: Option<Millis>,
     claims: Claims,
+    ledger: Ledger,
+    held: Held,
+    orders: Orders,
     burn: Burn,
 }
 
@@ -68,6 +74,9 @@
             works: Works::default(),
             published: None,
             claims: Claims::default(),
+            ledger: Ledger::default(),
+            held: Held::default(),
+            orders: Orders::default(),
             burn: Burn::default(),
         }
     }
@@ -97,6 +106,9 @@
         self.follow.handle(event, &mut self.context);
         self.works.handle(event, &mut self.context);
         self.claims.handle(event, &mut self.context);
+        self.ledger.handle(event, &mut self.context);
+        self.held.handle(event, &mut self.context);
+        self.orders.handle(event, &mut self.context);
         self.burn.handle(event, &mut self.context);
     }
 
@@ -121,8 +133,8 @@
             admission: self.admission(),
             members: member_views(&self.context),
             estimates: Arc::new(Estimates::default()),
+            ledger: self.ledger.view(),
             burn: self.burn.sums(),
-            ledger: super::view::LedgerView::default(),
         };
         self.context.out.push(Effect::Publish(Arc::new(view)));
     }
@@ -134,6 +146,12 @@
                 retry_after_ms: 0,
             };
         }
-        self.follow.admission()
+        let parts = [
+            self.follow.admission(),
+            self.ledger.admission(),
+            self.held.admission(),
+        ];
+        let closed = parts.into_iter().find(|part| *part != Admission::Open);
+        closed.unwrap_or(Admission::Open)
     }
 }
