--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -37,7 +37,9 @@
     }
     let mut report = Report::new(options.seeds);
     for deployment in Deployment::ALL {
-        if std::env::var("NOCOST").is_err() { cost::measure(deployment, options.seeds, &mut report); }
+        if std::env::var("NOCOST").is_err() {
+            cost::measure(deployment, options.seeds, &mut report);
+        }
         exposure::measure(deployment, options.seeds, &mut report);
         overload::measure(deployment, options.seeds, &mut report);
     }
--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -2,8 +2,8 @@
 
 mod burn;
 mod follow;
-mod ledger;
 mod held;
+mod ledger;
 mod member;
 mod orders;
 mod work;
