--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -315,7 +315,7 @@
 }
 /// Head of a request from a gateway to an agent. The body of the caller
 /// follows it in the HTTP body.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Run {
     #[prost(message, optional, tag = "1")]
     pub request: ::core::option::Option<RequestId>,
@@ -361,6 +361,17 @@
     /// Digest of method, path and body: a key reused with another request is refused.
     #[prost(bytes = "bytes", tag = "19")]
     pub fingerprint: ::prost::bytes::Bytes,
+    /// Headers of the caller that the upstream gets too; plain services only.
+    #[prost(message, repeated, tag = "20")]
+    pub headers: ::prost::alloc::vec::Vec<Header>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Header {
+    /// In lower case.
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub value: ::prost::alloc::string::String,
 }
 /// One part of an answer. `sequence` counts from zero without gaps.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/carawayrun/traffic/agent/upstream.rs
+++ b/src/carawayrun/traffic/agent/upstream.rs
@@ -92,6 +92,9 @@
         if !run.idempotency_key.is_empty() {
             request = request.insert_header(("idempotency-key", run.idempotency_key.as_str()));
         }
+        for header in &run.headers {
+            request = request.append_header((header.name.as_str(), header.value.as_str()));
+        }
         let sent = request.send_body(run.body.clone()).await;
         sent.map_err(|error| call_failure(&error))
     }
--- a/src/carawayrun/traffic/gateway/head.rs
+++ b/src/carawayrun/traffic/gateway/head.rs
@@ -4,6 +4,7 @@
 use compact_str::{CompactString, format_compact};
 
 use super::refusal::Refusal;
+use crate::peer::message::Header;
 use crate::traffic::Code;
 
 /// Time an answer may take where the caller names none, in milliseconds.
@@ -21,6 +22,31 @@
 /// Longest name of a task, in bytes.
 const MAX_TASK_BYTES: usize = 63;
 
+/// Headers that end at the gateway.
+const KEPT_HEADERS: [&str; 18] = [
+    "accept-encoding",
+    "authorization",
+    "connection",
+    "content-length",
+    "content-type",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-prefix",
+    "x-priority",
+    "x-request-id",
+];
+
+/// Prefix of the headers that speak to the gateway itself.
+const OWN_HEADERS: &str = "x-carawayrun-";
+
 /// What the headers of a request say.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Head {
@@ -32,6 +58,8 @@
     pub(super) quality: Option<f64>,
     pub(super) idempotency_key: Option<CompactString>,
     pub(super) content_type: CompactString,
+    /// What a plain service gets of the caller's headers.
+    pub(super) passed: Vec<Header>,
 }
 
 impl Head {
@@ -49,10 +77,31 @@
             quality: quality(headers)?,
             idempotency_key: limited(headers, "idempotency-key", MAX_KEY_BYTES)?,
             content_type: single(headers, header::CONTENT_TYPE.as_str())?.unwrap_or_default(),
+            passed: passed(headers)?,
         })
     }
 }
 
+// All but the headers of one connection, those with a meaning of their own
+// here, and the caller's key.
+fn passed(headers: &HeaderMap) -> Result<Vec<Header>, Refusal> {
+    let mut passed = Vec::new();
+    for (name, value) in headers {
+        let name = name.as_str();
+        if KEPT_HEADERS.contains(&name) || name.starts_with(OWN_HEADERS) {
+            continue;
+        }
+        let Ok(value) = value.to_str() else {
+            return Err(malformed(name, "give visible ASCII only"));
+        };
+        passed.push(Header {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        });
+    }
+    Ok(passed)
+}
+
 fn bearer(headers: &HeaderMap) -> Result<CompactString, Refusal> {
     let Some(value) = single(headers, header::AUTHORIZATION.as_str())? else {
         return Ok(CompactString::default());
--- a/src/carawayrun/traffic/gateway/run.rs
+++ b/src/carawayrun/traffic/gateway/run.rs
@@ -16,7 +16,7 @@
 use crate::control::{AgentView, Event};
 use crate::ops::why::Attempt;
 use crate::peer::NodeId;
-use crate::peer::message::{Priority, Ran, Run, Started, Usage};
+use crate::peer::message::{Header, Priority, Ran, Run, Started, Usage};
 use crate::policy::{Choice, Pool};
 use crate::resource::UpstreamKey;
 use crate::traffic::Code;
@@ -44,6 +44,8 @@
     pub(super) method: CompactString,
     pub(super) path: CompactString,
     pub(super) content_type: CompactString,
+    /// Headers of the caller that the upstream gets too.
+    pub(super) headers: Vec<Header>,
     pub(super) prefix: u64,
     pub(super) body: Bytes,
     pub(super) fingerprint: Bytes,
@@ -229,6 +231,7 @@
         method: job.method.to_string(),
         path: job.path.to_string(),
         content_type: job.content_type.to_string(),
+        headers: job.headers.clone(),
         prefix: job.prefix,
         body: job.body.clone(),
         fingerprint: job.fingerprint.clone(),
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -459,7 +459,7 @@
             "http://{}/effects",
             self.addr(FIRST_UPSTREAM + number, HTTP_PORT)
         );
-        read_json(&url, "").await
+        read_json(&url, "").await["effects"].take()
     }
 
     /// Number of the first slot of a plain upstream.
