Report the port that a peer listener is bound to

A node that listens on port 0 announced a wrong address, so nobody reached it: the wrapper returns the port of LocalAddr in the wrong byte order. BoundPort is right. Found by the link test that sends to a listener on port 0; the listener that comes up later had passed, as it bound the same wrong port. Tests of keys, codec (proptest) and links come with it.

--- a/src/carawayrun/peer/link.rs
+++ b/src/carawayrun/peer/link.rs
@@ -13,9 +13,8 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use nng::options::{
-    LocalAddr, Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize,
-};
+use nng::options::transport::tcp::BoundPort;
+use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
 use nng::{Dialer, Listener, Protocol, Socket};
 use rustc_hash::FxHashMap;
 use snafu::{ResultExt, Snafu};
@@ -185,11 +184,9 @@
     let socket = Socket::new(Protocol::Pull0)?;
     socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
     let listener = Listener::new(&socket, &format!("tcp://{addr}"))?;
-    let bound = match listener.get_opt::<LocalAddr>()? {
-        nng::SocketAddr::Inet(inet) => SocketAddr::from(inet),
-        nng::SocketAddr::Inet6(inet) => SocketAddr::from(inet),
-        _ => addr,
-    };
+    // The address that nng reports has its port in the wrong byte order.
+    let port = listener.get_opt::<BoundPort>()?;
+    let bound = SocketAddr::new(addr.ip(), port);
     Ok((socket, bound))
 }
 
--- a/src/carawayrun/peer/mod.rs
+++ b/src/carawayrun/peer/mod.rs
@@ -14,6 +14,9 @@
 mod id;
 mod link;
 
+#[cfg(test)]
+mod tests;
+
 pub use self::auth::{KeyError, Keys, MIN_KEY_BYTES, OpenError};
 pub use self::codec::{Codec, DecodeError, EncodeError, MAX_MESSAGE_BYTES};
 pub use self::id::{NodeId, ParseIdError, RequestId};
