--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,2 +1,3 @@
-//! placeholder
-fn main() {}
+//! All integration tests, one binary.
+
+mod control;
