--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod once;
 mod path;
+mod control;
 mod policy;
 mod resources;
 mod sessions;
