Count what is read after a pause as old as the pause

Cause: a run carries the time left to its deadline, so an agent that was frozen counted from its waking and could send a request whose caller had been told of the timeout.

--- a/src/carawayrun/control/tests/orders.rs
+++ b/src/carawayrun/control/tests/orders.rs
@@ -93,8 +93,10 @@
 
 #[test]
 fn what_is_missing_is_loaded_before_what_is_too_much_goes() {
-    let mut world = World::default();
-    world.loaded = vec!["old".into()];
+    let mut world = World {
+        loaded: vec!["old".into()],
+        ..World::default()
+    };
     let mut life = world.life(1, "[a, b]");
     world.run(&mut life, 200);
     let expected = [
@@ -164,19 +166,18 @@
 
 // An engine service whose upstream should have `versions`.
 fn config(generation: u64, versions: &str) -> Change {
-    let mut text = String::from(
-        "apiVersion: carawayrun/v1\nkind: Service\nmetadata: {name: advisor}\nspec: {backend: engine}\n",
-    );
-    for version in ["a", "b", "old"] {
-        text += &format!(
+    let service = "apiVersion: carawayrun/v1\nkind: Service\nmetadata: {name: advisor}\nspec: {backend: engine}\n";
+    let models = ["a", "b", "old"].map(|version| {
+        format!(
             "---\napiVersion: carawayrun/v1\nkind: Version\nmetadata: {{name: {version}}}\n\
              spec: {{model: lathe, service: advisor, price: {{prompt: 1, completion: 1}}}}\n"
-        );
-    }
-    text += &format!(
+        )
+    });
+    let upstream = format!(
         "---\napiVersion: carawayrun/v1\nkind: Upstream\nmetadata: {{name: lathe-1}}\n\
          spec: {{service: advisor, dataCentre: vacoas, slots: 2, versions: {versions}}}\n"
     );
+    let text = format!("{service}{}{upstream}", models.concat());
     let items = parse_manifests(&text)
         .unwrap()
         .into_iter()
--- a/src/carawayrun/traffic/agent/mod.rs
+++ b/src/carawayrun/traffic/agent/mod.rs
@@ -16,6 +16,7 @@
 mod frames;
 mod judge;
 mod ledger;
+mod pulse;
 mod queue;
 mod refusal;
 mod run;
--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -2,7 +2,6 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_rt::time::{Instant, sleep_until};
 
@@ -15,7 +14,7 @@
 use super::ledger::{Arrival, Dispatched, Queued, RunKey, RunTicket};
 use super::refusal::Refusal;
 use super::usage;
-use super::worker::{MAX_DEADLINE_MS, Worker};
+use super::worker::Worker;
 use crate::control::{ClaimEnd, Event, StoredAnswer};
 use crate::peer::RequestId;
 use crate::peer::message::{Ran, Run, Usage};
@@ -24,7 +23,7 @@
 
 /// Runs `run`, or refuses it, and writes the answer to `frames`.
 pub(crate) async fn execute(worker: Rc<Worker>, run: Run, frames: FrameWriter) {
-    let deadline = Instant::now() + Duration::from_millis(run.deadline_ms.min(MAX_DEADLINE_MS));
+    let deadline = worker.deadline(&run);
     let _in_flight = worker.enter();
     let ticket = match arrive(&worker, &run) {
         Ok(ticket) => ticket,
@@ -127,6 +126,7 @@
     if worker.is_draining() {
         return Err(Refusal::new(Code::Draining, "the agent is stopping").into());
     }
+    in_time(deadline)?;
     let view = worker.view();
     if run.generation > view.config.generation {
         worker.handle.post(Event::Behind(run.generation));
--- a/src/carawayrun/traffic/agent/tests.rs
+++ b/src/carawayrun/traffic/agent/tests.rs
@@ -2,5 +2,6 @@
 
 mod admission;
 mod ledger;
+mod pulse;
 mod queue;
 mod whole;
--- a/src/carawayrun/traffic/agent/worker.rs
+++ b/src/carawayrun/traffic/agent/worker.rs
@@ -8,10 +8,12 @@
 
 use actix_rt::time::{Instant, interval};
 use compact_str::CompactString;
+use tokio::time::MissedTickBehavior;
 
 use super::admission::Admission;
 use super::cancel::Cancels;
 use super::ledger::{Arrival, RunKey, RunLedger};
+use super::pulse::{BEAT, Pulse};
 use super::upstream::UpstreamClient;
 use crate::control::{Event, Millis, UpstreamAction, View};
 use crate::node::Handle;
@@ -20,7 +22,7 @@
 use crate::resource::{Backend, Config};
 
 /// Longest deadline of a request, in milliseconds; a longer one is cut.
-pub(crate) const MAX_DEADLINE_MS: u64 = 600_000;
+const MAX_DEADLINE_MS: u64 = 600_000;
 
 /// Time after the longest deadline in which a late message may still arrive.
 const LATE_MS: u64 = 60_000;
@@ -51,6 +53,7 @@
     pub(crate) cancels: Rc<Cancels>,
     pub(crate) ledger: RefCell<RunLedger>,
     warm: RefCell<Vec<String>>,
+    pulse: Pulse,
     status: Arc<Status>,
     started: Instant,
 }
@@ -88,9 +91,11 @@
             cancels: Rc::default(),
             ledger: RefCell::default(),
             warm: RefCell::default(),
+            pulse: Pulse::new(),
             status: parts.status,
             started: Instant::now(),
         });
+        actix_rt::spawn(beat(Rc::clone(&worker)));
         actix_rt::spawn(watch(Rc::clone(&worker)));
         actix_rt::spawn(act(Rc::clone(&worker)));
         worker
@@ -104,6 +109,12 @@
         self.status.draining.load(Ordering::Relaxed)
     }
 
+    /// The deadline of a run that is read now.
+    pub(crate) fn deadline(&self, run: &Run) -> Instant {
+        let left = Duration::from_millis(run.deadline_ms.min(MAX_DEADLINE_MS));
+        Instant::now() + left.saturating_sub(self.pulse.lateness())
+    }
+
     /// Counts a run as queued or running.
     pub(crate) fn enter(&self) -> InFlight {
         self.status.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -163,9 +174,19 @@
     }
 }
 
+async fn beat(worker: Rc<Worker>) {
+    let mut ticks = interval(BEAT);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        worker.pulse.beat();
+    }
+}
+
 // Follows the configuration and the engine, and reports the load.
 async fn watch(worker: Rc<Worker>) {
     let mut ticks = interval(WATCH_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut reported = Load::default();
     let mut looks = 0;
     loop {
