--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -3,6 +3,7 @@
 mod burn;
 mod follow;
 mod held;
+mod ledger;
 mod member;
 mod orders;
 mod work;
