Send nothing from a queue whose configuration may be out of date

A process that was stopped and goes on has a view that may be old; its queued runs asked only that view. They now also ask the reducer's clock, by Handle::admission. A process that drains still finishes its queue.

The run ledger lives as long as the process, so the agent ends where its thread would be started a second time.

--- a/src/carawayrun/traffic/agent/judge.rs
+++ b/src/carawayrun/traffic/agent/judge.rs
@@ -15,8 +15,8 @@
 const FOLLOW_MS: u32 = 500;
 
 /// Whether the process takes new work at all.
-pub(crate) fn admitted(view: &View) -> Result<(), Refusal> {
-    match &view.admission {
+pub(crate) fn admitted(admission: &Admission) -> Result<(), Refusal> {
+    match admission {
         Admission::Open => Ok(()),
         Admission::Closed {
             code,
@@ -29,6 +29,19 @@
     }
 }
 
+/// Whether what is queued may still be sent.
+///
+/// A process that drains finishes its queue; one whose configuration may be
+/// out of date, as it was paused or cut off, does not.
+pub(crate) fn still_admitted(admission: &Admission) -> Result<(), Refusal> {
+    match admission {
+        Admission::Closed { code, .. } if *code == Code::StaleConfiguration.as_str() => {
+            admitted(admission)
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Whether the run is permitted; asked when it arrives, and again directly
 /// before it is sent.
 pub(crate) fn judge(view: &View, upstream: &str, run: &Run) -> Result<Backend, Refusal> {
--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -10,7 +10,7 @@
 use super::claim::{HeldClaim, NotClaimed, claim};
 use super::exchange::{Outcome, Progress, exchange};
 use super::frames::{Failure, FrameWriter};
-use super::judge::{admitted, judge};
+use super::judge::{admitted, judge, still_admitted};
 use super::ledger::{Arrival, Dispatched, Queued, RunKey, RunTicket};
 use super::refusal::Refusal;
 use super::usage;
@@ -131,7 +131,7 @@
     if run.generation > view.config.generation {
         worker.handle.post(Event::Behind(run.generation));
     }
-    admitted(&view)?;
+    admitted(&worker.handle.admission())?;
     worker.follow(&view.config);
     let backend = judge(&view, &worker.upstream, run)?;
     let claim = claim(&worker.handle, run, key, deadline).await?;
@@ -150,7 +150,9 @@
     ticket: RunTicket<Queued>,
     deadline: Instant,
 ) -> Result<RunTicket<Dispatched>, Refusal> {
-    let permitted = judge(&worker.view(), &worker.upstream, run).and_then(|_| in_time(deadline));
+    let permitted = still_admitted(&worker.handle.admission())
+        .and_then(|()| judge(&worker.view(), &worker.upstream, run))
+        .and_then(|_| in_time(deadline));
     let mut ledger = worker.ledger.borrow_mut();
     if let Err(refusal) = permitted {
         ledger.refuse(&ticket);
--- a/src/carawayrun/traffic/agent/server.rs
+++ b/src/carawayrun/traffic/agent/server.rs
@@ -17,7 +17,7 @@
 use futures_util::stream::poll_fn;
 use prost::Message;
 use snafu::{ResultExt, Snafu};
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::frames::FrameWriter;
 use super::run::execute;
@@ -176,7 +176,13 @@
 }
 
 impl Parts {
+    // The run ledger lives as long as the process: a second thread would have
+    // an empty one and run again what the first ran.
     fn worker(&self) -> WorkerParts {
+        if self.status.started.swap(true, Ordering::Relaxed) {
+            error!(name: "agent.thread_lost", "the agent lost its thread");
+            std::process::abort();
+        }
         WorkerParts {
             handle: self.handle.clone(),
             keys: self.keys.clone(),
--- a/src/carawayrun/traffic/agent/worker.rs
+++ b/src/carawayrun/traffic/agent/worker.rs
@@ -36,6 +36,8 @@
 /// What the process needs to know from other threads.
 #[derive(Debug, Default)]
 pub(crate) struct Status {
+    /// True once the thread has been started.
+    pub(crate) started: AtomicBool,
     /// True once new runs are refused.
     pub(crate) draining: AtomicBool,
     /// Runs that are queued or running.
