--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -2,7 +2,6 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_rt::time::{Instant, sleep_until};
 
@@ -11,11 +10,11 @@
 use super::claim::{HeldClaim, NotClaimed, claim};
 use super::exchange::{Outcome, Progress, exchange};
 use super::frames::{Failure, FrameWriter};
-use super::judge::{admitted, judge};
+use super::judge::{admitted, judge, still_admitted};
 use super::ledger::{Arrival, Dispatched, Queued, RunKey, RunTicket};
 use super::refusal::Refusal;
 use super::usage;
-use super::worker::{MAX_DEADLINE_MS, Worker};
+use super::worker::Worker;
 use crate::control::{ClaimEnd, Event, StoredAnswer};
 use crate::peer::RequestId;
 use crate::peer::message::{Ran, Run, Usage};
@@ -24,7 +23,7 @@
 
 /// Runs `run`, or refuses it, and writes the answer to `frames`.
 pub(crate) async fn execute(worker: Rc<Worker>, run: Run, frames: FrameWriter) {
-    let deadline = Instant::now() + Duration::from_millis(run.deadline_ms.min(MAX_DEADLINE_MS));
+    let deadline = worker.deadline(&run);
     let _in_flight = worker.enter();
     let ticket = match arrive(&worker, &run) {
         Ok(ticket) => ticket,
@@ -127,11 +126,12 @@
     if worker.is_draining() {
         return Err(Refusal::new(Code::Draining, "the agent is stopping").into());
     }
+    in_time(deadline)?;
     let view = worker.view();
     if run.generation > view.config.generation {
         worker.handle.post(Event::Behind(run.generation));
     }
-    admitted(&view)?;
+    admitted(&worker.handle.admission())?;
     worker.follow(&view.config);
     let backend = judge(&view, &worker.upstream, run)?;
     let claim = claim(&worker.handle, run, key, deadline).await?;
@@ -150,7 +150,9 @@
     ticket: RunTicket<Queued>,
     deadline: Instant,
 ) -> Result<RunTicket<Dispatched>, Refusal> {
-    let permitted = judge(&worker.view(), &worker.upstream, run).and_then(|_| in_time(deadline));
+    let permitted = still_admitted(&worker.handle.admission())
+        .and_then(|()| judge(&worker.view(), &worker.upstream, run))
+        .and_then(|_| in_time(deadline));
     let mut ledger = worker.ledger.borrow_mut();
     if let Err(refusal) = permitted {
         ledger.refuse(&ticket);
