--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -2,7 +2,9 @@
 
 mod burn;
 mod follow;
+mod held;
 mod ledger;
 mod member;
+mod orders;
 mod work;
 mod world;
