--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -26,20 +26,35 @@
     /// Number of seeds, from one
     #[bpaf(argument("N"), fallback(10))]
     seeds: u64,
+    /// One part alone: cost, exposure or overload
+    #[bpaf(argument("PART"), optional)]
+    only: Option<String>,
     /// Directory of the pages; nothing is written without it
     #[bpaf(argument("DIR"), optional)]
     docs: Option<std::path::PathBuf>,
 }
 
+impl Options {
+    fn wants(&self, part: &str) -> bool {
+        self.only.as_deref().is_none_or(|only| only == part)
+    }
+}
+
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
     if options.seeds == 0 {
         return Err("--seeds: 0 is not a number of seeds; give at least 1".into());
     }
     let mut report = Report::new(options.seeds);
     for deployment in Deployment::ALL {
-        if std::env::var("NOCOST").is_err() { cost::measure(deployment, options.seeds, &mut report); }
-        exposure::measure(deployment, options.seeds, &mut report);
-        overload::measure(deployment, options.seeds, &mut report);
+        if options.wants("cost") {
+            cost::measure(deployment, options.seeds, &mut report);
+        }
+        if options.wants("exposure") {
+            exposure::measure(deployment, options.seeds, &mut report);
+        }
+        if options.wants("overload") {
+            overload::measure(deployment, options.seeds, &mut report);
+        }
     }
     println!("{}", report.markdown());
     if let Some(docs) = &options.docs {
--- a/src/carawayrun/policy/mod.rs
+++ b/src/carawayrun/policy/mod.rs
@@ -10,11 +10,13 @@
 //! | [`Estimates`] | how good, slow and long a version's answers are |
 //! | [`Pools`] | which upstream runs it |
 //! | [`Ejection`] | which upstreams are left out for a while |
+//! | [`may_start`], [`queue_limit`] | which class of work an upstream starts or queues |
 //! | [`Bucket`] | whether a team is within its limits |
 //! | [`RetryBudget`] | whether a retry is affordable |
 //! | [`judge`] | whether a roll-out goes on, waits or is withdrawn |
 //! | [`DriftDetector`] | whether a version turned bad without a roll-out |
 
+mod admission;
 mod ask;
 mod binomial;
 mod bucket;
@@ -33,6 +35,7 @@
 mod ring;
 mod tally;
 
+pub use self::admission::{may_start, queue_limit};
 pub use self::ask::{Ask, Gate, NoPlan, Plan, Situation, Split, Step};
 pub use self::bucket::{Bucket, OverLimit};
 pub use self::drift::{DriftDetector, DriftVerdict};
