--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -27,9 +27,9 @@
     ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
 };
 use self::row::{ClaimRow, ClaimState, fingerprint_text, request_name, row_key};
+use super::context::Context;
 use super::effect::{Concern, Effect, Ticket};
 use super::event::Event;
-use super::state::Context;
 use super::time::Millis;
 use crate::peer::NodeId;
 use crate::platform::table::{Row, TableAnswer, TableCall, TableError};
@@ -50,14 +50,14 @@
 /// The concern.
 #[derive(Debug, Default)]
 pub(crate) struct Claims {
-    claims: FxHashMap<CompactString, Claim>,
+    // By the key of the row.
+    rows: FxHashMap<CompactString, Claim>,
     keys: FxHashMap<ClaimTicket, CompactString>,
     in_flight: Option<Batch>,
     next_number: u64,
     retry_time: Option<Millis>,
     // Calls in a row that the service did not answer with success.
     failures: u32,
-    lives: FxHashMap<CompactString, Life>,
 }
 
 // What this life knows of one key that it has claimed or wants to.
@@ -84,13 +84,6 @@
     Ended(ClaimState),
 }
 
-// The newest life of a node that was heard of.
-#[derive(Debug, Clone, Copy)]
-struct Life {
-    incarnation: u64,
-    dead: bool,
-}
-
 impl Claims {
     pub(crate) fn handle(&mut self, event: &Event, context: &mut Context) {
         match event {
@@ -99,7 +92,6 @@
             Event::Stored(ticket, result) if ticket.concern == Concern::Claims => {
                 self.stored(ticket.number, result, context);
             }
-            Event::Received(envelope) => self.learn(&envelope.members),
             Event::Tick => self.expire(context),
             _ => return,
         }
@@ -108,11 +100,11 @@
 
     fn claim(&mut self, ticket: ClaimTicket, call: &ClaimCall, context: &mut Context) {
         let key = row_key(call);
-        if let Some(claim) = self.claims.get(&key) {
+        if let Some(claim) = self.rows.get(&key) {
             let answer = claim.answer_again(&fingerprint_text(call));
             return context.out.push(Effect::Claimed(ticket, answer));
         }
-        if self.claims.len() >= MAX_CLAIMS || self.failures >= OUTAGE_FAILURES {
+        if self.rows.len() >= MAX_CLAIMS || self.is_out(context.now) {
             return context
                 .out
                 .push(Effect::Claimed(ticket, ClaimAnswer::Unavailable));
@@ -127,14 +119,20 @@
             doubtful: false,
             step: Step::Wanted,
         };
-        self.claims.insert(key, claim);
+        self.rows.insert(key, claim);
+    }
+
+    // While the service is out, one claim at a time tries whether it is back.
+    fn is_out(&self, now: Millis) -> bool {
+        let resting = self.retry_time.is_some_and(|time| now < time);
+        self.failures >= OUTAGE_FAILURES && (resting || self.in_flight.is_some())
     }
 
     fn ended(&mut self, ticket: ClaimTicket, end: &ClaimEnd) {
         let Some(key) = self.keys.remove(&ticket) else {
             return;
         };
-        let Some(claim) = self.claims.get_mut(&key) else {
+        let Some(claim) = self.rows.get_mut(&key) else {
             return;
         };
         claim.step = Step::Ended(match end {
@@ -150,7 +148,7 @@
 
     // Gives up claims that can't be settled in time; they are released later.
     fn expire(&mut self, context: &mut Context) {
-        for claim in self.claims.values_mut() {
+        for claim in self.rows.values_mut() {
             if matches!(claim.step, Step::Wanted) && claim.deadline <= context.now {
                 self.keys.remove(&claim.ticket);
                 claim.give_up(context);
@@ -164,7 +162,7 @@
         }
         let owner = context.identity.node.to_compact_string();
         let mut due: Vec<_> = self
-            .claims
+            .rows
             .iter()
             .filter(|(_, claim)| claim.is_due())
             .collect();
@@ -199,10 +197,12 @@
             Err(TableError::Lost { .. }) => {
                 self.wait(context);
                 self.doubt(&batch);
+                self.refuse_unsent(context);
             }
             Err(TableError::Unavailable { .. } | TableError::Invalid { .. }) => {
                 self.wait(context);
                 self.refuse(&batch, context);
+                self.refuse_unsent(context);
             }
         }
     }
@@ -216,7 +216,7 @@
 
     // The row has the version `version` and holds what was written.
     fn written(&mut self, write: &Write, version: u64, context: &mut Context) {
-        let Some(claim) = self.claims.get_mut(&write.key) else {
+        let Some(claim) = self.rows.get_mut(&write.key) else {
             return;
         };
         claim.version = version;
@@ -227,7 +227,7 @@
                 context.out.push(Effect::Claimed(ticket, ClaimAnswer::Run));
             }
             (Step::Ended(state), written) if state == written => {
-                self.claims.remove(&write.key);
+                self.rows.remove(&write.key);
             }
             _ => {}
         }
@@ -257,34 +257,18 @@
             && held.state == ClaimState::Running;
         if ours || held.state == ClaimState::Released {
             // Our own claim before its end, or a free key: write over it.
-            if let Some(claim) = self.claims.get_mut(&write.key) {
+            if let Some(claim) = self.rows.get_mut(&write.key) {
                 claim.version = row.version;
             }
             return;
         }
-        let answer = self.judge(&held, &write.row.fingerprint, context.now);
+        let answer = judge(&held, &write.row.fingerprint, context);
         self.settle(&write.key, answer, context);
     }
 
-    fn judge(&self, held: &ClaimRow, fingerprint: &str, now: Millis) -> ClaimAnswer {
-        if held.fingerprint != fingerprint {
-            return ClaimAnswer::Reused;
-        }
-        match &held.state {
-            ClaimState::Finished {
-                answer: Some(answer),
-            } => ClaimAnswer::Replay(answer.clone()),
-            ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
-            ClaimState::Running if self.may_live(&held.owner, now) => ClaimAnswer::InProgress,
-            ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
-                ClaimAnswer::UnknownOutcome
-            }
-        }
-    }
-
     // Another's row decides the claim; nothing of ours is to be written.
     fn settle(&mut self, key: &CompactString, answer: ClaimAnswer, context: &mut Context) {
-        let Some(claim) = self.claims.remove(key) else {
+        let Some(claim) = self.rows.remove(key) else {
             return;
         };
         self.keys.remove(&claim.ticket);
@@ -297,7 +281,7 @@
     // at once; what may have taken effect earlier is released later.
     fn refuse(&mut self, batch: &Batch, context: &mut Context) {
         for write in &batch.writes {
-            let Some(claim) = self.claims.get_mut(&write.key) else {
+            let Some(claim) = self.rows.get_mut(&write.key) else {
                 continue;
             };
             if !matches!(claim.step, Step::Wanted) {
@@ -306,15 +290,31 @@
             self.keys.remove(&claim.ticket);
             claim.give_up(context);
             if !claim.doubtful {
-                self.claims.remove(&write.key);
+                self.rows.remove(&write.key);
             }
         }
     }
 
+    // Claims that wait for their first call while the service is out.
+    fn refuse_unsent(&mut self, context: &mut Context) {
+        if self.failures < OUTAGE_FAILURES {
+            return;
+        }
+        let keys = &mut self.keys;
+        self.rows.retain(|_, claim| {
+            let unsent = matches!(claim.step, Step::Wanted) && !claim.doubtful;
+            if unsent {
+                keys.remove(&claim.ticket);
+                claim.give_up(context);
+            }
+            !unsent
+        });
+    }
+
     // The writes may have taken effect.
     fn doubt(&mut self, batch: &Batch) {
         for write in &batch.writes {
-            if let Some(claim) = self.claims.get_mut(&write.key) {
+            if let Some(claim) = self.rows.get_mut(&write.key) {
                 claim.doubtful = true;
             }
         }
@@ -329,31 +329,32 @@
         self.retry_time = Some(context.now + RETRY);
         self.failures = self.failures.saturating_add(1);
     }
+}
 
-    fn learn(&mut self, members: &[crate::peer::message::Member]) {
-        for member in members {
-            let Some(node) = &member.node else { continue };
-            let life = Life {
-                incarnation: node.incarnation,
-                dead: member.state() == crate::peer::message::MemberState::Dead,
-            };
-            let known = self.lives.entry(node.name.as_str().into()).or_insert(life);
-            if known.incarnation < life.incarnation {
-                *known = life;
-            } else if known.incarnation == life.incarnation {
-                known.dead = life.dead;
-            }
-        }
+// False where the life is over, or was not heard of for long.
+fn may_live(owner: &str, context: &Context) -> bool {
+    let Ok(owner) = owner.parse::<NodeId>() else {
+        return false;
+    };
+    let key = context.members.key(&owner.name);
+    match key.and_then(|key| context.members.get(key)) {
+        Some(member) => member.node.incarnation == owner.incarnation && member.is_present(),
+        None => context.now < MEMBERS_LEARNED,
     }
+}
 
-    // False where the life is over, or was not heard of for long.
-    fn may_live(&self, owner: &str, now: Millis) -> bool {
-        let Ok(owner) = owner.parse::<NodeId>() else {
-            return false;
-        };
-        match self.lives.get(&owner.name) {
-            Some(life) => life.incarnation == owner.incarnation && !life.dead,
-            None => now < MEMBERS_LEARNED,
+fn judge(held: &ClaimRow, fingerprint: &str, context: &Context) -> ClaimAnswer {
+    if held.fingerprint != fingerprint {
+        return ClaimAnswer::Reused;
+    }
+    match &held.state {
+        ClaimState::Finished {
+            answer: Some(answer),
+        } => ClaimAnswer::Replay(answer.clone()),
+        ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
+        ClaimState::Running if may_live(&held.owner, context) => ClaimAnswer::InProgress,
+        ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
+            ClaimAnswer::UnknownOutcome
         }
     }
 }
--- /dev/null
+++ b/src/carawayrun/control/ledger/sequences.rs
@@ -0,0 +1,80 @@
+//! Sets of request numbers.
+
+use serde::{Deserialize, Serialize};
+
+/// Consecutive numbers, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Span {
+    first: u64,
+    last: u64,
+}
+
+/// A set of request numbers: all up to a watermark, and spans above it.
+///
+/// The gaps between spans are requests in flight, so the set stays small.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(super) struct Sequences {
+    watermark: u64,
+    #[serde(default)]
+    above: Vec<Span>,
+}
+
+impl Sequences {
+    /// The number up to which all are in the set.
+    pub(super) fn watermark(&self) -> u64 {
+        self.watermark
+    }
+
+    /// True where `number` is in the set.
+    pub(super) fn contains(&self, number: u64) -> bool {
+        if number <= self.watermark {
+            return true;
+        }
+        let index = self.above.partition_point(|span| span.last < number);
+        self.above
+            .get(index)
+            .is_some_and(|span| span.first <= number)
+    }
+
+    /// Adds a number; false where it was there.
+    pub(super) fn insert(&mut self, number: u64) -> bool {
+        if self.contains(number) {
+            return false;
+        }
+        let index = self.above.partition_point(|span| span.last < number);
+        self.above.insert(
+            index,
+            Span {
+                first: number,
+                last: number,
+            },
+        );
+        self.join(index);
+        if index > 0 {
+            self.join(index - 1);
+        }
+        self.raise();
+        true
+    }
+
+    // Joins a span with the next one where they touch.
+    fn join(&mut self, index: usize) {
+        let Some(next) = self.above.get(index + 1).copied() else {
+            return;
+        };
+        if self.above[index].last + 1 == next.first {
+            self.above[index].last = next.last;
+            self.above.remove(index + 1);
+        }
+    }
+
+    fn raise(&mut self) {
+        while let Some(first) = self.above.first().copied() {
+            if first.first != self.watermark + 1 {
+                return;
+            }
+            self.watermark = first.last;
+            self.above.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/src/carawayrun/control/tests/mod.rs
@@ -0,0 +1,10 @@
+//! The reducer, driven event by event.
+
+mod burn;
+mod follow;
+mod held;
+mod ledger;
+mod member;
+mod orders;
+mod work;
+mod world;
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -10,6 +10,7 @@
 use crate::peer::NodeId;
 use crate::peer::message::{self, MemberState};
 use crate::policy::Estimates;
+use crate::report::BurnSums;
 use crate::resource::{Config, RolloutKey, TeamKey, UpstreamKey, VersionKey};
 
 /// An immutable picture of the control state; replaced as a whole.
@@ -34,6 +35,10 @@
     pub admission: Admission,
     /// All members that this node knows, itself included.
     pub members: Vec<MemberView>,
+    /// This gateway's counts for service-level objectives.
+    pub burn: BurnSums,
+    /// State of this gateway's billing.
+    pub ledger: LedgerView,
 }
 
 impl View {
@@ -53,6 +58,8 @@
                 retry_after_ms: 1_000,
             },
             members: Vec::new(),
+            burn: BurnSums::default(),
+            ledger: LedgerView::default(),
         }
     }
 }
@@ -74,6 +81,16 @@
     pub generation: u64,
 }
 
+/// State of a gateway's billing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LedgerView {
+    /// Bills that are not in the table service yet.
+    pub unwritten: u64,
+    /// True where another gateway has closed this one's ledger, so that this
+    /// life can't bill any more.
+    pub sealed: bool,
+}
+
 /// An agent as this node knows it.
 #[derive(Debug, Clone)]
 pub struct AgentView {
--- /dev/null
+++ b/src/carawayrun/traffic/agent/tests.rs
@@ -0,0 +1,6 @@
+//! The pure parts of the agent: ledger, queue, events and whole answers.
+
+mod admission;
+mod ledger;
+mod queue;
+mod whole;
