Judge roll-outs over all gateways, learn qualities and share team limits

Outcomes are summed by gateway, merged by one that rendezvous hashing names, and sent back; the same gateway judges roll-outs and withdraws by a change of the configuration in one transaction with its work row. Suspension needs no table service. Shared types change by addition: EvidenceReport and Evidence of the peer protocol, and the reducer's state has three more concerns.

Ruled out: a report to the holder of the work row, as other nodes can't see who that is without reading the table.

--- /dev/null
+++ b/src/carawayrun/control/rollout/row.rs
@@ -0,0 +1,60 @@
+//! What the home of the roll-outs keeps in its work row.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
+
+use crate::control::view::RolloutPhase;
+use crate::policy::Progress;
+use crate::resource::Rollout;
+
+/// State of all roll-outs.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct Saved {
+    pub(super) rollouts: BTreeMap<CompactString, Entry>,
+    /// Versions judged bad whose withdrawal has still to be written.
+    pub(super) bad: BTreeSet<CompactString>,
+}
+
+/// State of one roll-out.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct Entry {
+    pub(super) from: CompactString,
+    pub(super) to: CompactString,
+    pub(super) phase: RolloutPhase,
+    /// What the steps before the current one have shown.
+    pub(super) progress: Progress,
+    /// Requests that the new version answered, when this was written.
+    pub(super) exposed: f64,
+}
+
+impl Entry {
+    pub(super) fn new(rollout: &Rollout) -> Self {
+        Self {
+            from: rollout.from.clone(),
+            to: rollout.to.clone(),
+            phase: RolloutPhase::Running,
+            progress: Progress::default(),
+            exposed: 0.0,
+        }
+    }
+
+    pub(super) fn is_of(&self, rollout: &Rollout) -> bool {
+        self.from == rollout.from && self.to == rollout.to
+    }
+}
+
+impl Saved {
+    /// The state of a row; none where it holds none.
+    pub(super) fn read(state: &RawValue) -> Option<Self> {
+        serde_json::from_str(state.get()).ok()
+    }
+
+    pub(super) fn to_value(&self) -> Box<RawValue> {
+        to_raw_value(self).expect("the state of roll-outs can be written as JSON")
+    }
+}
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -10,16 +10,18 @@
 use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
 use super::event::Event;
+use super::evidence::Evidence;
 use super::follow::Follow;
 use super::held::Held;
 use super::ledger::Ledger;
 use super::member::{Membership, agent_views, member_views};
 use super::orders::Orders;
+use super::rollout::Rollouts;
+use super::share::Shares;
 use super::time::Millis;
 use super::view::{Admission, View};
 use super::work::Works;
 use crate::peer::NodeId;
-use crate::policy::Estimates;
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +62,9 @@
     held: Held,
     orders: Orders,
     burn: Burn,
+    evidence: Evidence,
+    rollouts: Rollouts,
+    shares: Shares,
 }
 
 impl State {
@@ -78,6 +83,9 @@
             held: Held::default(),
             orders: Orders::default(),
             burn: Burn::default(),
+            evidence: Evidence::default(),
+            rollouts: Rollouts::default(),
+            shares: Shares::default(),
         }
     }
 
@@ -120,6 +128,10 @@
         self.held.handle(event, &mut self.context);
         self.orders.handle(event, &mut self.context);
         self.burn.handle(event, &mut self.context);
+        self.evidence.handle(event, &mut self.context);
+        self.rollouts
+            .handle(event, &self.evidence, &mut self.works, &mut self.context);
+        self.shares.handle(event, &mut self.context);
     }
 
     // Many small changes a moment apart make one view.
@@ -137,12 +149,12 @@
             node: self.context.identity.node.clone(),
             config: Arc::clone(&self.context.config),
             agents: agent_views(&self.context),
-            shares: rustc_hash::FxHashMap::default(),
-            rollouts: Vec::new(),
-            suspended: Vec::new(),
+            shares: self.shares.views(&self.context),
+            rollouts: self.rollouts.views(&self.context),
+            suspended: self.rollouts.suspended(&self.context),
             admission: self.admission(),
             members: member_views(&self.context),
-            estimates: Arc::new(Estimates::default()),
+            estimates: self.evidence.estimates(),
             ledger: self.ledger.view(),
             burn: self.burn.sums(),
         };
--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -6,5 +6,7 @@
 mod ledger;
 mod member;
 mod orders;
+mod rollout;
+mod share;
 mod work;
 mod world;
--- a/src/carawayrun/control/tests/world.rs
+++ b/src/carawayrun/control/tests/world.rs
@@ -4,6 +4,7 @@
 //! run of a test is the same.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use compact_str::{CompactString, format_compact};
 use rand::rngs::SmallRng;
@@ -11,14 +12,14 @@
 use serde_json::value::to_raw_value;
 
 use crate::control::{
-    Directory, Effect, Event, HostEntry, Identity, Millis, Role, State, TICK, Ticket,
+    Directory, Effect, Event, HostEntry, Identity, Millis, Role, State, TICK, Ticket, View,
 };
 use crate::peer::NodeId;
 use crate::peer::message::{Envelope, MemberState};
 use crate::platform::table::{Put, Row, TableAnswer, TableCall, TableError, Transaction};
 use crate::resource::{
-    Change, Config, HEAD_KEY, Head, Kind, Resource, WriteId, change_key, parse_manifests,
-    resource_key,
+    Change, Config, Edit, HEAD_KEY, Head, Kind, Origin, Resource, Write, WriteId, change_key,
+    parse_manifests, resource_key,
 };
 
 /// Longest delay of a message.
@@ -44,6 +45,8 @@
     pub(super) cut: bool,
     /// Highest generation it ever had.
     pub(super) highest: u64,
+    /// What its traffic threads see.
+    pub(super) view: Option<Arc<View>>,
 }
 
 #[derive(Default)]
@@ -134,6 +137,31 @@
         self.post(index, Event::Accepted(Box::new(change)));
     }
 
+    /// Accepts a set of manifests through `index`.
+    pub(super) fn apply(&mut self, index: usize, manifests: &str) {
+        let resources = parse_manifests(manifests).unwrap();
+        let edits: Vec<Edit> = resources
+            .into_iter()
+            .map(|resource| Edit::Put(Box::new(resource)))
+            .collect();
+        let origin = Origin {
+            write_id: WriteId("apply".into()),
+            author: "test".into(),
+            reason: "test".into(),
+            time: "2026-01-01T00:00:00Z".into(),
+        };
+        let config = Arc::clone(&self.nodes[index].state.context().config);
+        let write = Write::build(&config, &edits, &origin).unwrap().unwrap();
+        self.table
+            .call(TableCall::Commit(write.transaction))
+            .unwrap();
+        self.post(index, Event::Accepted(Box::new(write.change)));
+    }
+
+    pub(super) fn view(&self, index: usize) -> &View {
+        self.nodes[index].view.as_ref().unwrap()
+    }
+
     pub(super) fn post(&mut self, index: usize, event: Event) {
         if self.nodes[index].frozen {
             if !matches!(event, Event::Tick) {
@@ -180,6 +208,7 @@
         match effect {
             Effect::Send(addr, envelope) => self.send(index, &addr, &envelope),
             Effect::Store(ticket, call) => self.store(index, ticket, call),
+            Effect::Publish(view) => self.nodes[index].view = Some(view),
             _ => {}
         }
     }
@@ -372,6 +401,7 @@
         frozen: false,
         cut: false,
         highest: 0,
+        view: None,
     }
 }
 
--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -186,6 +186,29 @@
 pub struct EvidenceReport {
     #[prost(message, repeated, tag = "1")]
     pub sums: ::prost::alloc::vec::Vec<Evidence>,
+    /// True where the sums are of all gateways, from the one that collects them.
+    #[prost(bool, tag = "2")]
+    pub merged: bool,
+    /// Versions judged bad whose withdrawal may not be in the configuration yet.
+    #[prost(string, repeated, tag = "3")]
+    pub suspended: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Roll-outs as their collector has them; only where `merged`.
+    #[prost(message, repeated, tag = "4")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutShare>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutShare {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// Share of the model's new work on the new version.
+    #[prost(double, tag = "2")]
+    pub share: f64,
+    #[prost(bool, tag = "3")]
+    pub compared: bool,
+    #[prost(bool, tag = "4")]
+    pub complete: bool,
+    #[prost(bool, tag = "5")]
+    pub withdrawn: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Evidence {
@@ -210,6 +233,13 @@
     pub rating_sum: f64,
     #[prost(double, tag = "9")]
     pub rating_squares: f64,
+    /// Sums of times in milliseconds and of generated tokens.
+    #[prost(double, tag = "10")]
+    pub first_ms: f64,
+    #[prost(double, tag = "11")]
+    pub total_ms: f64,
+    #[prost(double, tag = "12")]
+    pub tokens: f64,
 }
 /// Demand of teams at one gateway since the last report.
 #[derive(Clone, PartialEq, ::prost::Message)]
