--- a/src/bin/carawayrun/commands/digest.rs
+++ b/src/bin/carawayrun/commands/digest.rs
@@ -28,7 +28,7 @@
     let key = key.trim_end_matches(['\r', '\n']);
     if key.is_empty() {
         return Err(Failure::usage(
-            "standard input holds no key; pipe one in, such as printf %s \"$TEAM_KEY\" | carawayrun digest",
+            "standard input holds no key; pipe one in, such as printf %s \"$KEY\" | carawayrun digest",
         ));
     }
     output.line(&key_digest(key));
--- a/src/bin/carawayrun/commands/why.rs
+++ b/src/bin/carawayrun/commands/why.rs
@@ -61,7 +61,9 @@
         decision.task,
         decision.generation
     ));
-    let result = if decision.code.is_empty() {
+    let result = if decision.code.is_empty() && decision.version.is_empty() {
+        "answered".to_owned()
+    } else if decision.code.is_empty() {
         format!("answered by {}", decision.version)
     } else {
         format!("{}, ran: {}", decision.code, decision.ran)
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -13,6 +13,7 @@
 mod remote;
 mod settings;
 mod table;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -44,12 +45,12 @@
 
 /// Prints what the parser wants printed: help, completions or a usage error.
 fn stopped(failure: &ParseFailure) -> ExitCode {
-    let code = match failure {
-        ParseFailure::Stderr(_) => Failure::USAGE,
-        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => 0,
+    let ParseFailure::Stderr(message) = failure else {
+        failure.print_message(HELP_WIDTH);
+        return ExitCode::SUCCESS;
     };
-    failure.print_message(HELP_WIDTH);
-    ExitCode::from(code)
+    let line = usage::usage_line(&message.monochrome(true));
+    failed(&mut Output::open(), &Failure::usage(line))
 }
 
 fn failed(output: &mut Output, failure: &Failure) -> ExitCode {
--- a/src/bin/carawayrun/output.rs
+++ b/src/bin/carawayrun/output.rs
@@ -40,13 +40,18 @@
         ignore_closed(writeln!(self.err, "{verb} {object}"));
     }
 
-    /// An error and its causes, on standard error.
+    /// An error on standard error, with the causes that it does not name itself.
     pub(crate) fn error(&mut self, error: &dyn Error) {
         let label = paint(self.color_err, RED, "error:");
-        ignore_closed(writeln!(self.err, "{label} {error}"));
+        let mut said = error.to_string();
+        ignore_closed(writeln!(self.err, "{label} {said}"));
         let mut cause = error.source();
         while let Some(source) = cause {
-            ignore_closed(writeln!(self.err, "  caused by: {source}"));
+            let text = source.to_string();
+            if !said.contains(&text) {
+                ignore_closed(writeln!(self.err, "  caused by: {text}"));
+                said = text;
+            }
             cause = source.source();
         }
     }
--- /dev/null
+++ b/src/bin/carawayrun/usage.rs
@@ -0,0 +1,92 @@
+//! Usage errors in one line that names the flag or variable at fault.
+//!
+//! The parser tells a value that it can't take but not the flag it stood in, so
+//! the value is looked up among the arguments. Of a variable it does not even
+//! tell the value: each variable of ours is then tried as the flag it stands
+//! for (`CARAWAYRUN_PEER_ADDR` for `--peer-addr`).
+
+use std::env;
+
+use bpaf::{Args, ParseFailure};
+
+use crate::cli;
+
+/// Prefix of our environment variables.
+const VARIABLE_PREFIX: &str = "CARAWAYRUN_";
+
+/// The parser's message for programs and people: one line, with the flag.
+pub(crate) fn usage_line(message: &str) -> String {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let line = one_line(message);
+    if let Some(flag) = wrong_value(&line).and_then(|value| flag(&args, value)) {
+        return placed(flag, &line);
+    }
+    if line.starts_with("check failed") || line.starts_with("couldn't parse") {
+        return wrong_variable(&args).unwrap_or(line);
+    }
+    line
+}
+
+/// Lines are broken for terminals; one error is one line.
+fn one_line(message: &str) -> String {
+    message.replace('\n', " ")
+}
+
+fn placed(place: &str, line: &str) -> String {
+    let told = ["accepted", "give ", "names are"]
+        .iter()
+        .any(|word| line.contains(word));
+    let hint = if told {
+        ""
+    } else {
+        "; pass `--help` for what is accepted"
+    };
+    format!("{place}: {line}{hint}")
+}
+
+/// The value in messages of the forms "couldn't parse `VALUE`: .." and
+/// "`VALUE`: ..".
+fn wrong_value(line: &str) -> Option<&str> {
+    let rest = line.strip_prefix("couldn't parse ").unwrap_or(line);
+    let (value, rest) = rest.strip_prefix('`')?.split_once('`')?;
+    rest.starts_with(':').then_some(value)
+}
+
+/// The flag that holds `value`.
+fn flag<'a>(args: &'a [String], value: &str) -> Option<&'a str> {
+    let joined = args.iter().filter_map(|arg| arg.split_once('='));
+    let mut joined = joined.filter(|(flag, found)| flag.starts_with('-') && *found == value);
+    if let Some((flag, _)) = joined.next() {
+        return Some(flag);
+    }
+    let mut pairs = args
+        .windows(2)
+        .filter(|pair| pair[0].starts_with('-') && pair[1] == value);
+    pairs.next().map(|pair| pair[0].as_str())
+}
+
+/// The message for the first of our variables that the parser can't take.
+fn wrong_variable(args: &[String]) -> Option<String> {
+    let ours = env::vars().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
+    ours.filter_map(|(name, value)| {
+        let line = refusal_of(args, &name, &value)?;
+        Some(placed(&name, &line))
+    })
+    .next()
+}
+
+fn refusal_of(args: &[String], name: &str, value: &str) -> Option<String> {
+    let flag = name
+        .strip_prefix(VARIABLE_PREFIX)?
+        .to_ascii_lowercase()
+        .replace('_', "-");
+    let mut tried: Vec<&str> = args.iter().map(String::as_str).collect();
+    let given = format!("--{flag}={value}");
+    tried.push(&given);
+    let parsed = cli::cli().run_inner(Args::from(tried.as_slice()));
+    let Err(ParseFailure::Stderr(message)) = parsed else {
+        return None;
+    };
+    let line = one_line(&message.monochrome(true));
+    (wrong_value(&line) == Some(value)).then_some(line)
+}
--- a/src/carawayrun/ops/client.rs
+++ b/src/carawayrun/ops/client.rs
@@ -175,13 +175,14 @@
         body: Bytes,
     ) -> Result<T, ClientError> {
         let mut last = None;
+        let mut unreachable = Vec::new();
         for turn in 0..self.servers.len() {
             let index = (self.current.get() + turn) % self.servers.len();
             let answer = self
                 .call_one(&self.servers[index], &method, path, &body)
                 .await;
             match answer {
-                Err(error @ ClientError::Unreachable { .. }) => last = Some(error),
+                Err(ClientError::Unreachable { message }) => unreachable.push(message),
                 Err(error @ ClientError::Lost { .. }) if method == Method::GET => {
                     last = Some(error);
                 }
@@ -191,7 +192,9 @@
                 }
             }
         }
-        Err(last.unwrap_or_else(no_server))
+        Err(last.unwrap_or_else(|| ClientError::Unreachable {
+            message: unreachable.join("; ").into(),
+        }))
     }
 
     async fn call_one<T: DeserializeOwned>(
--- a/src/carawayrun/ops/difference.rs
+++ b/src/carawayrun/ops/difference.rs
@@ -8,6 +8,9 @@
 /// Lines around a difference that are shown.
 const CONTEXT_LINES: usize = 3;
 
+/// Most items of a change that its summary names.
+const SHOWN_ITEMS: usize = 4;
+
 /// The difference an item makes, as a unified diff of YAML.
 pub fn item_difference(item: &ChangeItem) -> String {
     let before = item.before.as_ref().map_or_else(String::new, desired);
@@ -22,7 +25,11 @@
 
 /// One line that says what a change did.
 pub fn change_summary(change: &Change) -> String {
-    let items: Vec<String> = change.items.iter().map(item_summary).collect();
+    let shown = change.items.iter().take(SHOWN_ITEMS);
+    let mut items: Vec<String> = shown.map(item_summary).collect();
+    if change.items.len() > SHOWN_ITEMS {
+        items.push(format!("and {} more", change.items.len() - SHOWN_ITEMS));
+    }
     let mut line = format!(
         "{} {} by {}: {}",
         change.generation,
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod burn;
 mod client;
+mod clock;
 mod difference;
 mod operators;
 mod refusal;
--- a/src/carawayrun/ops/server.rs
+++ b/src/carawayrun/ops/server.rs
@@ -11,13 +11,13 @@
 use actix_http::header::{self, HeaderMap};
 use actix_http::{HttpMessage, Request, Response, StatusCode};
 use bytes::Bytes;
-use compact_str::{CompactString, ToCompactString, format_compact};
-use jiff::Timestamp;
+use compact_str::{CompactString, format_compact};
 use serde_json::Value;
 
 use super::api::{ApplyBody, AuditBody, DeleteBody, ListBody};
 use super::attempt::WriteAttempt;
 use super::burn;
+use super::clock::now_text;
 use super::operators::Operators;
 use super::refusal::Refusal;
 use super::routes::Route;
@@ -276,7 +276,7 @@
             write_id: WriteId(format_compact!("{}.{number}", view.node)),
             author: call.author.clone(),
             reason: call.reason.clone(),
-            time: Timestamp::now().to_compact_string(),
+            time: now_text(),
         };
         let config = Arc::clone(&view.config);
         let attempt = WriteAttempt::new(config, edits, origin, dry_run);
--- a/src/carawayrun/ops/since.rs
+++ b/src/carawayrun/ops/since.rs
@@ -2,11 +2,11 @@
 
 use std::sync::{Arc, Mutex};
 
-use compact_str::{CompactString, ToCompactString};
-use jiff::Timestamp;
+use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
 use super::api::ConditionView;
+use super::clock::now_text;
 use crate::resource::{Kind, Resource};
 
 /// Most conditions that are remembered; beyond it all times start anew.
@@ -48,7 +48,7 @@
         match seen.get(&id) {
             Some(before) if before.reason == condition.reason => before.since.clone(),
             _ => {
-                let since = Timestamp::now().to_compact_string();
+                let since = now_text();
                 if seen.len() >= CAPACITY {
                     seen.clear();
                 }
--- a/src/carawayrun/resource/check/references.rs
+++ b/src/carawayrun/resource/check/references.rs
@@ -126,7 +126,9 @@
     fn missing(&mut self, field: &str, kind: Kind, name: &str) {
         self.findings.add(
             field,
-            format!("there is no {kind} `{name}`; create it first or in the same apply"),
+            format!(
+                "there is no {kind} `{name}`; create it in the same apply, or take the name out"
+            ),
         );
     }
 }
--- a/tests/testsuite/resources.rs
+++ b/tests/testsuite/resources.rs
@@ -114,7 +114,7 @@
 #[test_case("cached: 10", "cached: 1000", "Version/scene-1: spec.price.cached: `1000` is not accepted; accepted is at most the price of a prompt token that is not cached"; "price")]
 #[test_case("service: scene\n  price", "service: home\n  price", "Version/scene-1: spec.service: `home` is not accepted; accepted is a service with the backend engine"; "plain service of a version")]
 #[test_case("slots: 8", "slots: 0", "Upstream/scene-a: spec.slots: `0` is not accepted; accepted is a whole number from 1 to 65536"; "slots")]
-#[test_case("versions: [scene-1]}", "versions: [scene-9]}", "Upstream/scene-a: spec.versions: there is no Version `scene-9`; create it first or in the same apply"; "version of an upstream")]
+#[test_case("versions: [scene-1]}", "versions: [scene-9]}", "Upstream/scene-a: spec.versions: there is no Version `scene-9`; create it in the same apply, or take the name out"; "version of an upstream")]
 #[test_case("services: [home]", "services: [home, home]", "Team/shops: spec.services: `home` stands there twice; remove one"; "doubled service")]
 #[test_case("services: [home]", "services: [scene]", "Team/shops: spec.services: `scene` is not accepted; accepted is a service with the backend plain; engines are used by spec.versions"; "engine in services")]
 #[test_case("services: [home]", "limits: {rate: 0}", "Team/shops: spec.limits.rate: `0` is not accepted; accepted is a number above 0"; "rate")]
--- a/tests/testsuite/writing.rs
+++ b/tests/testsuite/writing.rs
@@ -303,7 +303,7 @@
     let error = Write::build(&config, &[edit], &origin("a")).expect_err("it is named");
     assert_eq!(
         error.to_string(),
-        "Version/scene-1: spec.service: there is no Service `scene`; create it first or in the same apply"
+        "Version/scene-1: spec.service: there is no Service `scene`; create it in the same apply, or take the name out"
     );
 }
 
