Check settings without starting anything, and write their reference

docs/SETTINGS.md is what `carawayrun settings` prints; a test compares. After a change of a flag write it anew: carawayrun settings > docs/SETTINGS.md

--- a/src/bin/carawayrun/commands/agent.rs
+++ b/src/bin/carawayrun/commands/agent.rs
@@ -71,6 +71,16 @@
     drain_s: u64,
 }
 
+impl Options {
+    /// Checks what the parser can't, without starting anything.
+    pub(crate) fn check(&self) -> Result<(), Failure> {
+        self.node
+            .agent(&self.upstream, self.listen)
+            .map(drop)
+            .map_err(Failure::usage)
+    }
+}
+
 pub(crate) fn exec(options: &Options) -> Result<(), Failure> {
     let node = options
         .node
--- a/src/bin/carawayrun/commands/check.rs
+++ b/src/bin/carawayrun/commands/check.rs
@@ -2,41 +2,68 @@
 
 use std::path::PathBuf;
 
-use bpaf::Bpaf;
+use bpaf::{Args, Bpaf, ParseFailure};
 use carawayrun::resource::{Problem, check_set};
 
+use super::Command;
+use crate::cli;
 use crate::failure::Failure;
 use crate::manifests;
 use crate::output::Output;
+use crate::usage::usage_line;
 
-/// Checks manifests and changes nothing
+/// Checks manifests and settings and changes nothing
 ///
 ///
-/// The manifests must make a whole configuration together.
+/// The manifests must make a whole configuration together. Settings are those of the command after
+/// `--`, with the environment variables that are set.
 ///
 ///
-/// Example:
+/// Examples:
 ///    carawayrun check -f examples/luzcena.yaml
+///    carawayrun check -- gateway --name gw-1 --data-centre ne-br-a
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(command("check"), generate(cli))]
 pub(crate) struct Options {
     /// Manifest, folder of manifests, or - for standard input; may be repeated
-    #[bpaf(
-        short('f'),
-        long("file"),
-        argument("FILE"),
-        some("give at least one -f FILE")
-    )]
+    #[bpaf(short('f'), long("file"), argument("FILE"))]
     files: Vec<PathBuf>,
+    /// A command with its flags
+    #[bpaf(positional("COMMAND"), strict, many)]
+    command: Vec<String>,
 }
 
 pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), Failure> {
-    let resources = manifests::read(&options.files)?;
-    check_set(&resources).map_err(|problems| Failure::usage(text(&problems)))?;
-    output.status("Checked", format!("{} resources", resources.len()));
+    if options.files.is_empty() && options.command.is_empty() {
+        return Err(Failure::usage(
+            "nothing to check; give -f FILE or -- COMMAND FLAGS",
+        ));
+    }
+    if !options.files.is_empty() {
+        let resources = manifests::read(&options.files)?;
+        check_set(&resources).map_err(|problems| Failure::usage(text(&problems)))?;
+        output.status("Checked", format!("{} resources", resources.len()));
+    }
+    if !options.command.is_empty() {
+        check_settings(&options.command)?;
+        output.status("Checked", format!("settings of {}", options.command[0]));
+    }
     Ok(())
 }
 
+fn check_settings(command: &[String]) -> Result<(), Failure> {
+    let args: Vec<&str> = command.iter().map(String::as_str).collect();
+    let parsed = cli::cli().run_inner(Args::from(args.as_slice()));
+    match parsed.map(|cli| cli.command) {
+        Ok(Command::Gateway(options)) => options.check(),
+        Ok(Command::Agent(options)) => options.check(),
+        Ok(_) | Err(ParseFailure::Stdout(..) | ParseFailure::Completion(_)) => Ok(()),
+        Err(ParseFailure::Stderr(message)) => {
+            Err(Failure::usage(usage_line(&message.monochrome(true))))
+        }
+    }
+}
+
 fn text(problems: &[Problem]) -> String {
     let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
     format!("{} problems\n{}", problems.len(), lines.join("\n"))
--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -118,6 +118,13 @@
     }
 }
 
+impl Options {
+    /// Checks what the parser can't, without starting anything.
+    pub(crate) fn check(&self) -> Result<(), Failure> {
+        self.node.gateway().map(drop).map_err(Failure::usage)
+    }
+}
+
 /// Runs the process until it is told to stop.
 pub(crate) fn exec(options: &Options) -> Result<(), Failure> {
     actix_rt::System::new().block_on(serve(options))
--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -11,6 +11,7 @@
 mod get;
 mod report;
 mod rollout;
+mod settings;
 mod status;
 mod watch;
 mod why;
@@ -36,6 +37,7 @@
     Why(#[bpaf(external(why::cli))] why::Options),
     Check(#[bpaf(external(check::cli))] check::Options),
     Digest(#[bpaf(external(digest::cli))] digest::Options),
+    Settings(#[bpaf(external(settings::cli))] settings::Options),
     Completions(#[bpaf(external(completions::cli))] completions::Options),
 }
 
@@ -55,6 +57,7 @@
         Command::Why(options) => why::exec(options, output),
         Command::Check(options) => check::exec(options, output),
         Command::Digest(options) => digest::exec(options, output),
+        Command::Settings(options) => settings::exec(options, output),
         Command::Completions(options) => completions::exec(options, output),
     }
 }
--- /dev/null
+++ b/src/bin/carawayrun/commands/settings.rs
@@ -0,0 +1,18 @@
+//! `carawayrun settings`, which writes docs/SETTINGS.md.
+
+use bpaf::Bpaf;
+
+use crate::cli;
+use crate::failure::Failure;
+use crate::output::Output;
+
+/// Prints the reference of all commands and flags as Markdown
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(command("settings"), hide, generate(cli))]
+pub(crate) struct Options {}
+
+pub(crate) fn exec(_options: &Options, output: &mut Output) -> Result<(), Failure> {
+    output.print("# Settings\n\nWritten by `carawayrun settings`; do not edit.\n\n");
+    output.print(&cli::cli().render_markdown("carawayrun"));
+    Ok(())
+}
--- a/src/bin/carawayrun/settings.rs
+++ b/src/bin/carawayrun/settings.rs
@@ -45,10 +45,10 @@
     /// Address under which the other nodes reach it; as bound where absent
     #[bpaf(long, env("CARAWAYRUN_PEER_ADDR"), argument("IP:PORT"), optional)]
     peer_addr: Option<SocketAddr>,
-    /// Key shared by all nodes, at least 16 bytes; else from CARAWAYRUN_CLUSTER_KEY
+    /// Key shared by all nodes, at least 16 bytes; else from `CARAWAYRUN_CLUSTER_KEY`
     #[bpaf(long, argument("KEY"), fallback_with(cluster_key_variable))]
     cluster_key: String,
-    /// Key that is being replaced, still accepted; else from CARAWAYRUN_PREVIOUS_KEY
+    /// Key that is being replaced, still accepted; else from `CARAWAYRUN_PREVIOUS_KEY`
     #[bpaf(long, argument("KEY"), optional, map(or_previous_key_variable))]
     previous_key: Option<String>,
     /// Address of the table service
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -69,8 +69,9 @@
     status                   Shows what a gateway knows: generation, members, agents and roll-outs
     report                   Reports on what the system did
     why                      Shows how a request was decided and what became of it
-    check                    Checks manifests and changes nothing
+    check                    Checks manifests and settings and changes nothing
     digest                   Prints the SHA-256 digest of a key read from standard input
+    settings                 Prints the reference of all commands and flags as Markdown
     completions              Prints the completion script of a shell
 
 Available options:
@@ -123,7 +124,7 @@
 fn help_of_report_burn_shows_examples() {
     assert_data_eq!(
         stdout(&run(&["report", "burn", "--help"])),
-        str![[r#"
+        str![[r"
 Burn of each service-level objective and what is left of its error budget
 
 Usage: carawayrun report burn [-o=FORM]
@@ -140,7 +141,7 @@
   carawayrun report burn --output html > burn.html
 
 
-"#]]
+"]]
     );
 }
 
@@ -178,6 +179,7 @@
 #[test_case(&["completions", "tcsh"], "error: couldn't parse `tcsh`: unknown shell `tcsh`; accepted are bash, zsh, fish and elvish\n"; "unknown shell")]
 #[test_case(&["apply"], "error: give at least one -f FILE\n"; "no file")]
 #[test_case(&["get", "teams"], "error: CARAWAYRUN_OPERATOR_KEY is not set; give it the operator's key\n"; "no key")]
+#[test_case(&["check"], "error: nothing to check; give -f FILE or -- COMMAND FLAGS\n"; "nothing to check")]
 #[test_case(&["check", "-f", "no-such-file"], "error: can't read no-such-file: No such file or directory (os error 2)\n"; "no such file")]
 #[test_case(&["digest"], "error: standard input holds no key; pipe one in, such as printf %s \"$KEY\" | carawayrun digest\n"; "empty input")]
 #[test_case(&["status", "--log-format=xml"], "error: --log-format: couldn't parse `xml`: `xml` is not accepted; give text or json\n"; "joined value")]
@@ -258,6 +260,42 @@
     assert_eq!(output.status.code(), Some(0));
 }
 
+#[test]
+fn settings_are_checked_without_starting_anything() {
+    let good = [
+        "check",
+        "--",
+        "gateway",
+        "--name",
+        "gw-1",
+        "--data-centre",
+        "dc-a",
+        "--table-addr",
+        "127.0.0.1:1",
+        "--hosts-addr",
+        "127.0.0.1:1",
+        "--cluster-key",
+        "0123456789abcdef",
+    ];
+    let output = run(&good);
+    assert_eq!(stderr(&output), "     Checked settings of gateway\n");
+    assert_eq!(output.status.code(), Some(0));
+    let mut short = good;
+    short[good.len() - 1] = "short";
+    let output = run(&short);
+    assert_eq!(
+        stderr(&output),
+        "error: the cluster key has 5 bytes; give at least 16\n"
+    );
+    assert_eq!(output.status.code(), Some(2));
+}
+
+#[test]
+fn the_reference_of_settings_is_committed() {
+    let written = stdout(&run(&["settings"]));
+    assert_data_eq!(written, snapbox::file!["../../docs/SETTINGS.md"]);
+}
+
 #[test]
 fn problems_of_manifests_are_listed() {
     let manifest = "{apiVersion: carawayrun/v1, kind: Upstream, metadata: {name: a}, \
@@ -266,13 +304,13 @@
     assert_eq!(output.status.code(), Some(2));
     assert_data_eq!(
         stderr(&output),
-        str![[r#"
+        str![[r"
 error: 3 problems
 Upstream/a: spec.dataCentre: `X` is not accepted; accepted is 1 to 63 of a-z, 0-9, `-` and `.`, with a letter or digit at both ends
 Upstream/a: spec.slots: `0` is not accepted; accepted is a whole number from 1 to 65536
 Upstream/a: spec.service: there is no Service `scene`; create it in the same apply, or take the name out
 
-"#]]
+"]]
     );
 }
 
