--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -1,4 +1,11 @@
 //! The command line: help texts, errors and exit codes.
+//!
+//! `SNAPSHOTS=overwrite cargo test` writes the snapshots anew.
+
+#![expect(
+    clippy::needless_raw_string_hashes,
+    reason = "snapshots are written with them"
+)]
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
