--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -2,7 +2,7 @@
 
 use bpaf::Bpaf;
 
-use crate::{engine, experiment, hosts, load, objects, plain, rater, table};
+use crate::{engine, experiment, hosts, load, objects, pass, plain, rater, table};
 
 /// One stand-in or tool.
 #[derive(Debug, Clone, Bpaf)]
@@ -23,6 +23,9 @@
     /// Object store
     #[bpaf(command)]
     Objects(#[bpaf(external(objects::options))] objects::Options),
+    /// Passes every call on, for comparison with the gateway and the agent
+    #[bpaf(command)]
+    Pass(#[bpaf(external(pass::options))] pass::Options),
     /// Plain service whose calls may not all be repeated
     #[bpaf(command)]
     Plain(#[bpaf(external(plain::options))] plain::Options),
--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -36,6 +36,9 @@
     Wrong { message: String },
 }
 
+/// Body of an answer.
+type Body = actix_http::encoding::Decoder<actix_http::Payload>;
+
 /// Sends requests to the targets in turn.
 pub(super) struct Caller {
     client: awc::Client,
@@ -122,10 +125,12 @@
             "max_tokens": words,
             "messages": [{"role": "user", "content": format!("request {number}")}],
         });
-        let url = format!("{}/v1/chat/completions", self.target(number));
-        let request = self.headed(self.client.post(url), class, number);
+        let request = |base: &str| {
+            let url = format!("{base}/v1/chat/completions");
+            self.headed(self.client.post(url), class, number)
+        };
         let start = Instant::now();
-        let sent = request.send_body(body.to_string()).await;
+        let sent = self.send(number, request, &body.to_string()).await;
         let mut response = match sent {
             Ok(response) => response,
             Err(error) => return broken(&error),
@@ -152,23 +157,9 @@
     }
 
     async fn plain(&self, class: Class, number: u64, body: String) -> Outcome {
-        let base = self.target(number);
-        let service = &self.service;
-        let request = match class {
-            Class::Switch => self
-                .client
-                .post(format!("{base}/services/{service}/switch")),
-            _ => self
-                .client
-                .get(format!("{base}/services/{service}/status/{number}")),
-        };
-        let mut request = self.headed(request, class, number);
-        if class == Class::Switch {
-            let key = format!("switch-{}-{number}", self.seed);
-            request = request.insert_header(("idempotency-key", key));
-        }
         let start = Instant::now();
-        let mut response = match request.send_body(body.clone()).await {
+        let request = |base: &str| self.plain_request(class, number, base);
+        let mut response = match self.send(number, request, &body).await {
             Ok(response) => response,
             Err(error) => return broken(&error),
         };
@@ -185,10 +176,44 @@
         reading.outcome(checked, 1)
     }
 
+    fn plain_request(&self, class: Class, number: u64, base: &str) -> ClientRequest {
+        let service = &self.service;
+        if class != Class::Switch {
+            let url = format!("{base}/services/{service}/status/{number}");
+            return self.headed(self.client.get(url), class, number);
+        }
+        let url = format!("{base}/services/{service}/switch");
+        let key = format!("switch-{}-{number}", self.seed);
+        self.headed(self.client.post(url), class, number)
+            .insert_header(("idempotency-key", key))
+    }
+
     fn target(&self, number: u64) -> &str {
         &self.targets[number as usize % self.targets.len()]
     }
 
+    // As a balancer does, takes the next target where one can't be reached.
+    async fn send(
+        &self,
+        number: u64,
+        request: impl Fn(&str) -> ClientRequest,
+        body: &str,
+    ) -> Result<awc::ClientResponse<Body>, awc::error::SendRequestError> {
+        let mut tried = 1;
+        loop {
+            let base = self.target(number + tried - 1);
+            let sent = request(base).send_body(body.to_owned()).await;
+            match sent {
+                Err(awc::error::SendRequestError::Connect(_))
+                    if tried < self.targets.len() as u64 =>
+                {
+                    tried += 1;
+                }
+                sent => return sent,
+            }
+        }
+    }
+
     fn own_id(&self, number: u64) -> String {
         format!("load-{}-{number}", self.seed)
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,7 @@
 mod hosts;
 mod load;
 mod objects;
+mod pass;
 mod plain;
 mod rater;
 mod serve;
@@ -32,6 +33,7 @@
         Command::Hosts(options) => hosts::run(&options),
         Command::Load(options) => load::run(&options),
         Command::Objects(options) => objects::run(&options),
+        Command::Pass(options) => pass::run(&options),
         Command::Plain(options) => plain::run(&options),
         Command::Rater(options) => rater::run(&options),
         Command::Table(options) => table::run(&options),
--- /dev/null
+++ b/crates/lab/src/pass.rs
@@ -0,0 +1,82 @@
+//! A bare hop: passes every call on and its answer back, and does nothing else.
+//!
+//! Two of these on the libraries of gateway and agent are what those are
+//! measured against.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::{HttpMessage, Request, Response, StatusCode};
+use bpaf::Bpaf;
+use carawayrun::http::{ServerOptions, bind, read_body, text};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::command::Failure;
+
+/// Longest body that is passed on, in bytes.
+const MAX_BODY: usize = 16 << 20;
+
+/// Time to wait for answers in flight when it is told to stop.
+const DRAIN: Duration = Duration::from_secs(1);
+
+/// Flags.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(options))]
+pub(crate) struct Options {
+    /// Address to listen on
+    #[bpaf(argument("ADDR"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+    listen: SocketAddr,
+    /// Where calls are passed on to, as `http://IP:PORT`
+    #[bpaf(argument("URL"))]
+    to: String,
+    /// Threads
+    #[bpaf(argument("N"), fallback(2))]
+    workers: usize,
+}
+
+pub(crate) fn run(options: &Options) -> Result<(), Failure> {
+    let server = ServerOptions {
+        name: "pass",
+        addr: options.listen,
+        workers: options.workers,
+        drain: DRAIN,
+    };
+    let to = options.to.clone();
+    actix_rt::System::new().block_on(async move {
+        let listener = bind(&server, move || {
+            let hop = Rc::new(Hop {
+                client: awc::Client::builder().disable_timeout().finish(),
+                to: to.clone(),
+            });
+            move |request| Rc::clone(&hop).handle(request)
+        })?;
+        println!("listening on {}", listener.addr());
+        signal(SignalKind::terminate())?.recv().await;
+        listener.stop(false).await;
+        Ok(())
+    })
+}
+
+struct Hop {
+    client: awc::Client,
+    to: String,
+}
+
+impl Hop {
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        let url = format!("{}{}", self.to, request.uri());
+        let mut call = self.client.request(request.method().clone(), url);
+        if let Some(id) = request.headers().get("x-request-id") {
+            call = call.insert_header(("x-request-id", id.clone()));
+        }
+        let Ok(body) = read_body(request.take_payload(), MAX_BODY).await else {
+            return text(StatusCode::BAD_REQUEST, "the body can't be read\n");
+        };
+        match call.send_body(body).await {
+            Ok(answer) => Response::with_body(answer.status(), BodyStream::new(answer).boxed()),
+            Err(error) => text(StatusCode::BAD_GATEWAY, format!("{error}\n")),
+        }
+    }
+}
--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -175,9 +175,8 @@
         () = gateway.sealed() => true,
     };
     info!(name: "gateway.stopping", in_flight = gateway.in_flight(), sealed, "stopping");
-    handle.post(Event::Stop);
     let ended = tokio::select! {
-        ended = gateway.stop() => ended,
+        ended = stop(gateway, handle, sealed) => ended,
         () = signals.next() => gateway.cut(),
     };
     report(&ended);
@@ -191,6 +190,14 @@
     Ok(())
 }
 
+async fn stop(gateway: &Gateway, handle: &Handle, sealed: bool) -> Ended {
+    if !sealed {
+        gateway.leave().await;
+    }
+    handle.post(Event::Stop);
+    gateway.stop().await
+}
+
 fn report(ended: &Ended) {
     if ended.cut > 0 || ended.unbilled > 0 {
         warn!(
--- a/src/carawayrun/traffic/gateway/server.rs
+++ b/src/carawayrun/traffic/gateway/server.rs
@@ -124,12 +124,17 @@
         }
     }
 
-    /// Stops without cutting a request: says so by `/health`, lingers, refuses
-    /// new requests, waits for those in flight up to the drain time, and for
-    /// their bills.
-    pub async fn stop(&self) -> Ended {
+    /// Says by `/health` that the gateway is leaving, and serves on for the
+    /// linger time, in which the balancer takes note.
+    pub async fn leave(&self) {
         self.shared.leaving();
         sleep(self.linger).await;
+    }
+
+    /// Stops without cutting a request: refuses new requests, waits for those
+    /// in flight up to the drain time, and for their bills.
+    pub async fn stop(&self) -> Ended {
+        self.shared.leaving();
         self.shared.drain();
         let deadline = Instant::now() + self.drain;
         while self.shared.in_flight() > 0 && Instant::now() < deadline {
