--- a/src/bin/carawayrun/settings.rs
+++ b/src/bin/carawayrun/settings.rs
@@ -131,6 +131,7 @@
     }
 }
 
+#[expect(clippy::ptr_arg, reason = "the parser passes a reference to the value")]
 fn is_name(name: &String) -> bool {
     let known = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
     (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(known)
