--- a/src/carawayrun/traffic/gateway/completion.rs
+++ b/src/carawayrun/traffic/gateway/completion.rs
@@ -210,6 +210,7 @@
             method: "POST".into(),
             path: PATH.into(),
             content_type: "application/json".into(),
+            headers: Vec::new(),
             prefix: chat.prefix,
             body: chat.body(&version),
             fingerprint: Bytes::new(),
--- a/src/carawayrun/traffic/gateway/handler.rs
+++ b/src/carawayrun/traffic/gateway/handler.rs
@@ -202,6 +202,7 @@
         method,
         path,
         content_type: taken.head.content_type.clone(),
+        headers: taken.head.passed.clone(),
         prefix: 0,
         body,
         latency_ms: 1_000,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,22 @@
 //! Tests of the whole product.
+//!
+//! The modules that start real processes build a small world with
+//! `support::WorldBuilder`, let callers and operators work against it while
+//! faults strike, and check the history of what everyone saw.
 
+mod support;
+
+mod answers;
+mod billing;
 mod burn;
+mod commands;
+mod configuration;
+mod control;
+mod once;
+mod openapi;
+mod path;
 mod policy;
 mod resources;
+mod sessions;
+mod stopping;
 mod writing;
