--- a/src/carawayrun/http/server.rs
+++ b/src/carawayrun/http/server.rs
@@ -88,6 +88,8 @@
             HttpService::build()
                 .client_request_timeout(HEAD_TIMEOUT)
                 .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+                // Chunks of a stream must not wait for the peer to acknowledge.
+                .tcp_nodelay(true)
                 // A client that closes its side wants no answer any more.
                 .h1_allow_half_closed(false)
                 .h1(fn_service(move |request| {
