Keep slots free for people while they call, and take gateways' cancels

Cause: a person who came while batch runs waited was queued even where a slot was free for it, and at twice the capacity all slots were held by batch runs. Now one slot in four is kept free for interactive runs for 10 s after the last one, and an interactive run takes a free slot at once.

A Cancel message of the gateway that took a request now reaches the agent's traffic. Gateways do not send it yet: they drop the connection.

--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -6,6 +6,7 @@
 
 use super::TICK;
 use super::burn::Burn;
+use super::cancel;
 use super::claims::Claims;
 use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
@@ -127,6 +128,7 @@
         self.ledger.handle(event, &mut self.context);
         self.held.handle(event, &mut self.context);
         self.orders.handle(event, &mut self.context);
+        cancel::handle(event, &mut self.context);
         self.burn.handle(event, &mut self.context);
         self.evidence.handle(event, &mut self.context);
         self.rollouts
--- /dev/null
+++ b/src/carawayrun/control/tests/cancel.rs
@@ -0,0 +1,37 @@
+//! A gateway cancels its own requests, and no other.
+
+use test_case::test_case;
+
+use super::world::identity;
+use crate::control::{Effect, Event, Millis, State, UpstreamAction};
+use crate::peer::message::envelope::Body;
+use crate::peer::message::{Cancel, Envelope};
+use crate::peer::{NodeId, RequestId};
+
+#[test_case("gw-1", true; "its own")]
+#[test_case("gw-2", false; "of another gateway")]
+fn a_cancel_reaches_the_traffic(sender: &str, taken: bool) {
+    let gateway = |name: &str| NodeId {
+        name: name.into(),
+        incarnation: 1,
+    };
+    let request = RequestId {
+        gateway: gateway("gw-1"),
+        sequence: 4,
+    };
+    let cancel = Cancel {
+        request: Some((&request).into()),
+    };
+    let envelope = Envelope {
+        sender: Some((&gateway(sender)).into()),
+        body: Some(Body::Cancel(cancel)),
+        ..Envelope::default()
+    };
+    let mut state = State::new(identity(0, 1), 1);
+    let effects = state.apply(&Event::Received(Box::new(envelope)), Millis(0));
+    let wanted = UpstreamAction::Cancel(request);
+    let found = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Upstream(action) if *action == wanted));
+    assert_eq!(found, taken);
+}
--- a/src/carawayrun/control/tests/mod.rs
+++ b/src/carawayrun/control/tests/mod.rs
@@ -1,6 +1,7 @@
 //! The reducer, driven event by event.
 
 mod burn;
+mod cancel;
 mod follow;
 mod held;
 mod ledger;
--- a/src/carawayrun/traffic/agent/admission.rs
+++ b/src/carawayrun/traffic/agent/admission.rs
@@ -17,9 +17,17 @@
 /// Weight of the newest service time in the mean.
 const MEAN_WEIGHT: f64 = 0.1;
 
+/// One in this many slots is kept free for interactive runs.
+const KEPT_PART: u32 = 4;
+
+/// Time after an interactive run in which slots are kept for the next.
+const KEPT_TIME: Millis = Millis(10_000);
+
 /// Shortest advice to come back, in milliseconds.
 const MIN_RETRY_MS: u32 = 50;
 
+type Grant = oneshot::Sender<Result<Permit, Refusal>>;
+
 /// Slots and the queue before them.
 #[derive(Debug)]
 pub(crate) struct Admission {
@@ -32,7 +40,9 @@
 struct Inner {
     slots: u32,
     running: u32,
-    queue: Queue<oneshot::Sender<Result<Permit, Refusal>>>,
+    // When the last interactive run arrived.
+    last_person: Option<Millis>,
+    queue: Queue<Grant>,
     // Mean time that a run holds its slot, in milliseconds.
     service_ms: f64,
 }
@@ -63,21 +73,18 @@
             inner: RefCell::new(Inner {
                 slots: 0,
                 running: 0,
+                last_person: None,
                 queue: Queue::default(),
                 service_ms: 0.0,
             }),
         })
     }
 
-    /// Follows the number of slots in the configuration.
+    /// Follows the number of slots in the configuration, and gives out slots
+    /// that are no longer kept.
     pub(crate) fn set_slots(self: &Rc<Self>, slots: u32) {
-        let changed = {
-            let mut inner = self.inner.borrow_mut();
-            std::mem::replace(&mut inner.slots, slots) != slots
-        };
-        if changed {
-            self.serve();
-        }
+        self.inner.borrow_mut().slots = slots;
+        self.serve();
     }
 
     /// Waits for a slot.
@@ -120,7 +127,12 @@
 
     fn join(self: &Rc<Self>, priority: Priority, deadline: Instant) -> Result<Joined, Refusal> {
         let mut inner = self.inner.borrow_mut();
-        if inner.running < inner.slots && inner.queue.len() == 0 {
+        let is_person = priority == Priority::Interactive;
+        if is_person {
+            inner.last_person = Some(self.now());
+        }
+        // Whoever waits while there is a slot for a person may not use it.
+        if (is_person || inner.queue.len() == 0) && inner.has_slot(priority, self.now()) {
             inner.running += 1;
             return Ok(Joined::Granted(self.permit()));
         }
@@ -141,7 +153,7 @@
             None
         };
         let (grant, granted) = oneshot::channel();
-        inner.queue.push(rank, grant);
+        inner.queue.push(rank, priority, grant);
         drop(inner);
         if let Some(evicted) = evicted {
             drop(evicted.send(Err(overloaded(wait_ms))));
@@ -157,12 +169,16 @@
         }
     }
 
-    fn next_grant(&self) -> Option<oneshot::Sender<Result<Permit, Refusal>>> {
+    fn next_grant(&self) -> Option<Grant> {
+        let now = self.now();
         let mut inner = self.inner.borrow_mut();
-        if inner.running >= inner.slots {
+        let grant = if inner.has_slot(Priority::Batch, now) {
+            inner.queue.pop()?
+        } else if inner.has_slot(Priority::Interactive, now) {
+            inner.queue.pop_interactive()?
+        } else {
             return None;
-        }
-        let grant = inner.queue.pop()?;
+        };
         inner.running += 1;
         Some(grant)
     }
@@ -180,6 +196,20 @@
 }
 
 impl Inner {
+    // While people call, some slots are kept free for them: a person who comes
+    // next does not wait for the end of a batch run.
+    fn has_slot(&self, priority: Priority, now: Millis) -> bool {
+        let people = self
+            .last_person
+            .is_some_and(|last| now.since(last) < KEPT_TIME);
+        let kept = if people && priority != Priority::Interactive {
+            self.slots / KEPT_PART
+        } else {
+            0
+        };
+        self.running < self.slots - kept
+    }
+
     fn free(&mut self, held_ms: f64) {
         self.running -= 1;
         self.service_ms += (held_ms - self.service_ms) * MEAN_WEIGHT;
--- a/src/carawayrun/traffic/agent/queue.rs
+++ b/src/carawayrun/traffic/agent/queue.rs
@@ -25,10 +25,16 @@
 /// Waiting runs in the order in which they are served.
 #[derive(Debug)]
 pub(crate) struct Queue<T> {
-    waiting: BTreeMap<Rank, T>,
+    waiting: BTreeMap<Rank, Waiting<T>>,
     next_order: u64,
 }
 
+#[derive(Debug)]
+struct Waiting<T> {
+    priority: Priority,
+    item: T,
+}
+
 impl<T> Default for Queue<T> {
     fn default() -> Self {
         Self {
@@ -53,23 +59,31 @@
         }
     }
 
-    pub(crate) fn push(&mut self, rank: Rank, item: T) {
-        self.waiting.insert(rank, item);
+    pub(crate) fn push(&mut self, rank: Rank, priority: Priority, item: T) {
+        self.waiting.insert(rank, Waiting { priority, item });
     }
 
     /// Takes the run to serve next.
     pub(crate) fn pop(&mut self) -> Option<T> {
-        self.waiting.pop_first().map(|(_, item)| item)
+        self.waiting.pop_first().map(|(_, first)| first.item)
+    }
+
+    /// Takes the interactive run to serve next.
+    pub(crate) fn pop_interactive(&mut self) -> Option<T> {
+        let is_interactive = |waiting: &Waiting<T>| waiting.priority == Priority::Interactive;
+        let mut all = self.waiting.iter();
+        let rank = *all.find(|(_, waiting)| is_interactive(waiting))?.0;
+        self.remove(rank)
     }
 
     /// Takes the run that would be served last, if it is behind `rank`.
     pub(crate) fn pop_behind(&mut self, rank: Rank) -> Option<T> {
         let last = self.waiting.last_entry()?;
-        (*last.key() > rank).then(|| last.remove())
+        (*last.key() > rank).then(|| last.remove().item)
     }
 
     pub(crate) fn remove(&mut self, rank: Rank) -> Option<T> {
-        self.waiting.remove(&rank)
+        self.waiting.remove(&rank).map(|waiting| waiting.item)
     }
 
     /// Number of runs that are served before `rank`.
--- a/src/carawayrun/traffic/agent/tests/admission.rs
+++ b/src/carawayrun/traffic/agent/tests/admission.rs
@@ -110,3 +110,31 @@
     assert_eq!(code(waiting).await, Code::DeadlineExpired);
     assert_eq!(admission.counts().queued, 0);
 }
+
+#[actix_rt::test]
+async fn while_people_call_a_slot_is_free_for_the_next_one() {
+    tokio::time::pause();
+    let admission = Admission::new(8);
+    admission.set_slots(4);
+    let person = enter(&admission, Priority::Interactive, LONG).await;
+    let batch: Vec<Entered> = (0..5)
+        .map(|_| enter(&admission, Priority::Batch, LONG))
+        .collect();
+    settle().await;
+    assert_eq!(admission.counts().running, 3);
+    let next = enter(&admission, Priority::Interactive, LONG).await;
+    assert_eq!(
+        admission.counts().running,
+        4,
+        "the next person has a slot at once"
+    );
+    drop(person.unwrap().unwrap());
+    drop(next.unwrap().unwrap());
+    settle().await;
+    assert_eq!(admission.counts().running, 3, "one slot is kept");
+
+    sleep(Duration::from_secs(10)).await;
+    admission.set_slots(4);
+    assert_eq!(admission.counts().running, 4, "nobody called for a while");
+    drop(batch);
+}
--- a/src/carawayrun/traffic/agent/tests/queue.rs
+++ b/src/carawayrun/traffic/agent/tests/queue.rs
@@ -6,7 +6,7 @@
 
 fn push(queue: &mut Queue<&'static str>, name: &'static str, priority: Priority, now: u64) {
     let rank = queue.rank(priority, Millis(now));
-    queue.push(rank, name);
+    queue.push(rank, priority, name);
 }
 
 fn drain(queue: &mut Queue<&'static str>) -> Vec<&'static str> {
