Choose for urgent requests by free slots, counting own sends since the report

Touches the gateway's file by one line: Choice has a field `urgent`. Slots kept free of normal and batch work grew to a quarter and three eighths at the same time.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -94,6 +94,7 @@
             prefix: 77,
             budget_ms: 2_000,
             now_ms: 60_000,
+            urgent: true,
             tried: &[],
         };
         let pick = self
@@ -135,7 +136,8 @@
             upstream: key,
             data_centre: upstream.spec.data_centre.clone(),
             slots: upstream.spec.slots,
-            reported: (agent % 7) as u32,
+            running: (agent % 7) as u32,
+            queued: 0,
             wait_ms: 0,
             report_ms: 59_000,
             pools: versions.clone(),
--- a/crates/lab/src/experiment/queue.rs
+++ b/crates/lab/src/experiment/queue.rs
@@ -226,7 +226,7 @@
             if attempt > 0 && !self.gateways[job.gateway].budget.withdraw() {
                 break;
             }
-            let Some((index, spilled)) = self.choose(job.gateway, &tried) else {
+            let Some((index, spilled)) = self.choose(job.class, job.gateway, &tried) else {
                 break;
             };
             job.remote = if spilled { REMOTE } else { 0.0 };
@@ -240,7 +240,12 @@
         }
     }
 
-    fn choose(&mut self, gateway: usize, tried: &[UpstreamKey]) -> Option<(usize, bool)> {
+    fn choose(
+        &mut self,
+        class: usize,
+        gateway: usize,
+        tried: &[UpstreamKey],
+    ) -> Option<(usize, bool)> {
         let name = format!("dc{}", gateway % self.places);
         let choice = Choice {
             pool: self.pool,
@@ -248,6 +253,7 @@
             prefix: 0,
             budget_ms: self.setup.work.budget_ms,
             now_ms: (self.now * 1e3) as u64,
+            urgent: class == 0,
             tried,
         };
         let Gateway {
@@ -365,7 +371,8 @@
                 .data_centre
                 .clone(),
             slots: station.slots,
-            reported: station.running + station.waiting(),
+            running: station.running,
+            queued: station.waiting(),
             wait_ms: (wait * 1e3) as u32,
             report_ms: now_ms,
             pools: vec![self.pool],
--- a/src/carawayrun/policy/admission.rs
+++ b/src/carawayrun/policy/admission.rs
@@ -2,10 +2,10 @@
 
 use crate::resource::TaskClass;
 
-/// One in so many slots is kept free of normal work.
-const NORMAL_RESERVE: u32 = 8;
-/// One in so many slots is kept free of batch work.
-const BATCH_RESERVE: u32 = 4;
+/// Part of the slots that is kept free of normal work.
+const NORMAL_RESERVE: f64 = 0.25;
+/// Part of the slots that is kept free of batch work.
+const BATCH_RESERVE: f64 = 0.375;
 /// Queued interactive requests for each slot.
 const INTERACTIVE_QUEUE: u32 = 1;
 /// Queued normal requests for each slot.
@@ -19,11 +19,12 @@
 /// seldom waits for a slot. An idle upstream starts any class.
 pub fn may_start(class: TaskClass, running: u32, slots: u32) -> bool {
     let reserve = match class {
-        TaskClass::Interactive => 0,
-        TaskClass::Normal => slots.div_ceil(NORMAL_RESERVE),
-        TaskClass::Batch => slots.div_ceil(BATCH_RESERVE),
+        TaskClass::Interactive => 0.0,
+        TaskClass::Normal => NORMAL_RESERVE,
+        TaskClass::Batch => BATCH_RESERVE,
     };
-    running < slots.saturating_sub(reserve).max(1)
+    let kept = (f64::from(slots) * reserve).ceil() as u32;
+    running < slots.saturating_sub(kept).max(1)
 }
 
 /// Most requests of a class that wait before one upstream; more are refused.
--- a/src/carawayrun/policy/flight.rs
+++ b/src/carawayrun/policy/flight.rs
@@ -12,10 +12,13 @@
     entries: SecondaryMap<UpstreamKey, FlightEntry>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct FlightEntry {
     running: u32,
     since_ms: u64,
+    /// Own requests in flight when the load was last reported.
+    at_report: u32,
+    report_ms: u64,
 }
 
 impl Flight {
@@ -28,10 +31,11 @@
             .retain(|key, entry| entry.running > 0 || pools.contains(key));
         for upstream in pools.upstreams() {
             if let Some(entry) = self.entries.entry(upstream) {
-                entry.or_insert(FlightEntry {
-                    running: 0,
+                let entry = entry.or_insert(FlightEntry {
                     since_ms,
+                    ..FlightEntry::default()
                 });
+                entry.reported(pools.report_ms(upstream));
             }
         }
     }
@@ -39,11 +43,7 @@
     /// Tells that a request was sent.
     pub fn start(&mut self, upstream: UpstreamKey) {
         if let Some(entry) = self.entries.entry(upstream) {
-            let entry = entry.or_insert(FlightEntry {
-                running: 0,
-                since_ms: 0,
-            });
-            entry.running += 1;
+            entry.or_default().running += 1;
         }
     }
 
@@ -62,4 +62,20 @@
     pub(crate) fn since_ms(&self, upstream: UpstreamKey) -> u64 {
         self.entries.get(upstream).map_or(0, |entry| entry.since_ms)
     }
+
+    /// Own requests sent less those ended since the last report of load.
+    pub(crate) fn since_report(&self, upstream: UpstreamKey) -> f64 {
+        self.entries.get(upstream).map_or(0.0, |entry| {
+            f64::from(entry.running) - f64::from(entry.at_report)
+        })
+    }
+}
+
+impl FlightEntry {
+    fn reported(&mut self, report_ms: u64) {
+        if report_ms != self.report_ms {
+            self.report_ms = report_ms;
+            self.at_report = self.running;
+        }
+    }
 }
--- a/src/carawayrun/policy/pools.rs
+++ b/src/carawayrun/policy/pools.rs
@@ -18,11 +18,13 @@
 
 /// Random upstreams compared in a choice.
 const CHOICES: usize = 2;
+/// Random upstreams compared for a request that a person waits for.
+const URGENT_CHOICES: usize = 4;
 /// Random draws before ejected upstreams are accepted.
 const MOST_DRAWS: usize = 8;
 /// Load that a warm prefix is worth, as a share of an upstream's slots.
 const PREFIX_BONUS: f64 = 0.3;
-/// Load from which an upstream makes a request wait, as a share of its slots.
+/// Load above which an upstream makes a request wait, as a share of its slots.
 const FULL: f64 = 1.0;
 /// Load that another data centre has to be lower by, as a share of slots.
 const REMOTE_MARGIN: f64 = 0.25;
@@ -56,8 +58,10 @@
     pub data_centre: CompactString,
     /// Requests it runs at once.
     pub slots: u32,
-    /// Running and queued requests, as last reported.
-    pub reported: u32,
+    /// Requests in its slots, as last reported.
+    pub running: u32,
+    /// Requests that wait before it, as last reported.
+    pub queued: u32,
     /// Expected wait of a new request in milliseconds, as last reported.
     pub wait_ms: u32,
     /// When the load was reported, in milliseconds.
@@ -79,6 +83,8 @@
     pub budget_ms: u64,
     /// The time, in milliseconds.
     pub now_ms: u64,
+    /// True where a person waits: the request goes before those that are queued.
+    pub urgent: bool,
     /// Upstreams that were tried for this request.
     pub tried: &'a [UpstreamKey],
 }
@@ -107,7 +113,8 @@
 struct Member {
     agent: usize,
     slots: f64,
-    reported: f64,
+    running: f64,
+    queued: f64,
     wait_ms: u32,
     report_ms: u64,
 }
@@ -182,11 +189,19 @@
         self.members.keys()
     }
 
+    /// When an upstream last reported its load, in milliseconds.
+    pub(crate) fn report_ms(&self, upstream: UpstreamKey) -> u64 {
+        self.members
+            .get(upstream)
+            .map_or(0, |member| member.report_ms)
+    }
+
     fn add(&mut self, candidate: &Candidate) {
         let member = Member {
             agent: candidate.agent,
             slots: f64::from(candidate.slots.max(1)),
-            reported: f64::from(candidate.reported),
+            running: f64::from(candidate.running),
+            queued: f64::from(candidate.queued),
             wait_ms: candidate.wait_ms,
             report_ms: candidate.report_ms,
         };
@@ -226,6 +241,11 @@
             .home(self.choice.prefix)
             .and_then(|home| self.score(home))
             .map(with_bonus);
+        let wanted = if self.choice.urgent {
+            URGENT_CHOICES
+        } else {
+            CHOICES
+        };
         let mut drawn = 0;
         for _ in 0..MOST_DRAWS {
             let index = rng.random_range(0..place.upstreams.len());
@@ -234,7 +254,7 @@
             };
             drawn += usize::from(!scored.ejected);
             best = Some(better(best, scored));
-            if drawn == CHOICES {
+            if drawn == wanted {
                 return best;
             }
         }
@@ -243,7 +263,7 @@
 
     fn spill(&self, places: &[Place], near: Option<Scored>, rng: &mut impl Rng) -> Option<Scored> {
         let mut best = near.map(|near| Scored {
-            load: near.load - REMOTE_MARGIN,
+            load: near.load - REMOTE_MARGIN * f64::from(u8::from(near.load <= FULL)),
             ..near
         });
         for place in places {
@@ -259,7 +279,7 @@
 
     fn waits(&self, scored: &Scored) -> bool {
         let patience_ms = self.choice.budget_ms as f64 * WAIT_SHARE;
-        scored.ejected || scored.load >= FULL || scored.wait_ms > patience_ms
+        scored.ejected || scored.load > FULL || scored.wait_ms > patience_ms
     }
 
     // Every draw hit an upstream that was tried; look at all of them.
@@ -275,13 +295,22 @@
         let age_ms = self.choice.now_ms.saturating_sub(member.report_ms) as f64;
         let trust = (-age_ms / REPORT_AGE_MS).exp();
         let own = f64::from(self.flight.running(upstream));
-        let others = (member.reported - own).max(0.0);
-        let expected = trust.mul_add(others, own);
+        let queued = if self.choice.urgent {
+            0.0
+        } else {
+            member.queued
+        };
+        let reported = member.running + queued + self.flight.since_report(upstream);
+        let expected = trust * reported.max(0.0) + (1.0 - trust) * own;
         let slots = member.slots * self.ramp(upstream);
         Some(Scored {
             upstream,
             load: (expected + 1.0) / slots,
-            wait_ms: f64::from(member.wait_ms) * trust,
+            wait_ms: if self.choice.urgent {
+                0.0
+            } else {
+                f64::from(member.wait_ms) * trust
+            },
             ejected: self.ejection.is_ejected(upstream, self.choice.now_ms),
         })
     }
--- a/src/carawayrun/traffic/gateway/run.rs
+++ b/src/carawayrun/traffic/gateway/run.rs
@@ -144,6 +144,7 @@
         prefix: job.prefix,
         budget_ms: account.clock.left()?.as_millis() as u64,
         now_ms: worker.shared.now_ms(),
+        urgent: job.priority == Priority::Interactive,
         tried,
     };
     let pick = worker.shared.choose(&board.pools, &choice)?;
--- a/tests/testsuite/policy/pools.rs
+++ b/tests/testsuite/policy/pools.rs
@@ -19,6 +19,7 @@
         prefix: 0,
         budget_ms: 2_000,
         now_ms: 100,
+        urgent: false,
         tried,
     }
 }
