--- a/src/carawayrun/policy/pools.rs
+++ b/src/carawayrun/policy/pools.rs
@@ -19,9 +19,9 @@
 /// Random upstreams compared in a choice.
 const CHOICES: usize = 2;
 /// Random upstreams compared for a request that a person waits for.
-const URGENT_CHOICES: usize = 4;
+const URGENT_CHOICES: usize = 8;
 /// Random draws before ejected upstreams are accepted.
-const MOST_DRAWS: usize = 8;
+const MOST_DRAWS: usize = 12;
 /// Load that a warm prefix is worth, as a share of an upstream's slots.
 const PREFIX_BONUS: f64 = 0.3;
 /// Load above which an upstream makes a request wait, as a share of its slots.
