--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -57,7 +57,10 @@
         Command::Why(options) => why::exec(options, output),
         Command::Check(options) => check::exec(options, output),
         Command::Digest(options) => digest::exec(options, output),
-        Command::Settings(options) => settings::exec(options, output),
+        Command::Settings(_) => {
+            settings::exec(output);
+            Ok(())
+        }
         Command::Completions(options) => completions::exec(options, output),
     }
 }
--- a/src/bin/carawayrun/commands/settings.rs
+++ b/src/bin/carawayrun/commands/settings.rs
@@ -3,7 +3,6 @@
 use bpaf::Bpaf;
 
 use crate::cli;
-use crate::failure::Failure;
 use crate::output::Output;
 
 /// Prints the reference of all commands and flags as Markdown
@@ -11,8 +10,7 @@
 #[bpaf(command("settings"), hide, generate(cli))]
 pub(crate) struct Options {}
 
-pub(crate) fn exec(_options: &Options, output: &mut Output) -> Result<(), Failure> {
+pub(crate) fn exec(output: &mut Output) {
     output.print("# Settings\n\nWritten by `carawayrun settings`; do not edit.\n\n");
     output.print(&cli::cli().render_markdown("carawayrun"));
-    Ok(())
 }
--- a/src/bin/carawayrun/usage.rs
+++ b/src/bin/carawayrun/usage.rs
@@ -67,12 +67,11 @@
 
 /// The message for the first of our variables that the parser can't take.
 fn wrong_variable(args: &[String]) -> Option<String> {
-    let ours = env::vars().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
-    ours.filter_map(|(name, value)| {
+    let mut ours = env::vars().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
+    ours.find_map(|(name, value)| {
         let line = refusal_of(args, &name, &value)?;
         Some(placed(&name, &line))
     })
-    .next()
 }
 
 fn refusal_of(args: &[String], name: &str, value: &str) -> Option<String> {
--- a/src/carawayrun/ops/refusal.rs
+++ b/src/carawayrun/ops/refusal.rs
@@ -45,6 +45,17 @@
         Self::new(StatusCode::BAD_REQUEST, "malformed", message)
     }
 
+    /// Name of the counter of such refusals.
+    pub(super) fn counter(&self) -> &'static str {
+        match self.status {
+            StatusCode::UNAUTHORIZED => "operators.unknown_key",
+            StatusCode::CONFLICT => "operators.conflicts",
+            StatusCode::SERVICE_UNAVAILABLE => "operators.store_unavailable",
+            status if status.is_server_error() => "operators.failed",
+            _ => "operators.refused",
+        }
+    }
+
     pub(super) fn answer(&self) -> Response<BoxBody> {
         let body = ErrorBody {
             error: ErrorDetail::clone(&self.detail),
--- /dev/null
+++ b/src/carawayrun/ops/writes.rs
@@ -0,0 +1,146 @@
+//! Writes of the resource API.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use compact_str::format_compact;
+use serde_json::Value;
+
+use super::api::{ApplyBody, DeleteBody};
+use super::attempt::WriteAttempt;
+use super::clock::now_text;
+use super::handler::{Answer, Api, Call};
+use super::refusal::Refusal;
+use super::status::resource_view;
+use super::store::{self, Written};
+use crate::control::Event;
+use crate::http::json;
+use crate::resource::{Edit, Kind, Origin, Resource, WriteId, parse_resource};
+
+/// Longest time a write waits until its own gateway has it in force.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(2);
+
+/// Time between two looks whether it has.
+const IN_FORCE_LOOK: Duration = Duration::from_millis(5);
+
+impl Api {
+    pub(super) async fn put(&self, kind: Kind, name: &str, call: &Call) -> Answer {
+        let resource = parse_one(&call.body)?;
+        if resource.kind != kind || resource.metadata.name != name {
+            let found = format!("{}/{}", resource.kind, resource.metadata.name);
+            return Err(Refusal::malformed(format!(
+                "the body is {found} but the path says {kind}/{name}; make them the same"
+            )));
+        }
+        let edits = vec![Edit::Put(Box::new(resource))];
+        let status = match self.write(edits, false, call).await? {
+            Written::Done(change) if change.items.iter().all(|item| item.before.is_none()) => {
+                StatusCode::CREATED
+            }
+            _ => StatusCode::OK,
+        };
+        let view = self.handle.view();
+        let body = view
+            .config
+            .resource(kind, name)
+            .map(|resource| resource_view(&view, &self.since, resource));
+        Ok(json(status, &body))
+    }
+
+    pub(super) async fn delete(&self, edit: Edit, call: &Call) -> Answer {
+        let generation = match self.write(vec![edit], false, call).await? {
+            Written::Done(change) => change.generation,
+            Written::Unchanged(generation) => generation,
+        };
+        Ok(json(StatusCode::OK, &DeleteBody { generation }))
+    }
+
+    pub(super) async fn apply(&self, dry_run: bool, call: &Call) -> Answer {
+        let edits = parse_many(&call.body)?;
+        let body = match self.write(edits, dry_run, call).await? {
+            Written::Done(change) => ApplyBody {
+                generation: change.generation,
+                dry_run,
+                items: change.items,
+            },
+            Written::Unchanged(generation) => ApplyBody {
+                generation,
+                dry_run,
+                items: Vec::new(),
+            },
+        };
+        Ok(json(StatusCode::OK, &body))
+    }
+
+    async fn write(
+        &self,
+        edits: Vec<Edit>,
+        dry_run: bool,
+        call: &Call,
+    ) -> Result<Written, Refusal> {
+        let view = self.handle.view();
+        let number = self.writes.fetch_add(1, Ordering::Relaxed);
+        let origin = Origin {
+            write_id: WriteId(format_compact!("{}.{number}", view.node)),
+            author: call.author.clone(),
+            reason: call.reason.clone(),
+            time: now_text(),
+        };
+        let config = Arc::clone(&view.config);
+        let attempt = WriteAttempt::new(config, edits, origin, dry_run);
+        let written = store::write(&self.table, attempt).await?;
+        if let (Written::Done(change), false) = (&written, dry_run) {
+            tracing::info!(
+                name: "change.accepted",
+                generation = change.generation,
+                author = %change.author,
+                items = change.items.len(),
+                "accepted a change"
+            );
+            self.handle.post(Event::Accepted(change.clone()));
+            self.in_force(change.generation).await;
+        }
+        Ok(written)
+    }
+
+    /// Waits until this gateway has `generation` in force, so that an operator
+    /// reads what the operator has written.
+    async fn in_force(&self, generation: u64) {
+        let reached = async {
+            while self.handle.view().config.generation < generation {
+                actix_rt::time::sleep(IN_FORCE_LOOK).await;
+            }
+        };
+        // Where it takes longer, the answer says so by its status.
+        let _ = actix_rt::time::timeout(IN_FORCE_WAIT, reached).await;
+    }
+}
+
+fn parse_one(body: &[u8]) -> Result<Resource, Refusal> {
+    parse_resource(value(body)?, 1).map_err(|error| Refusal::malformed(error.to_string()))
+}
+
+/// Reads a JSON array of resources.
+fn parse_many(body: &[u8]) -> Result<Vec<Edit>, Refusal> {
+    let Value::Array(values) = value(body)? else {
+        return Err(Refusal::malformed(
+            "the body is not a JSON array of resources",
+        ));
+    };
+    let numbered = values.into_iter().enumerate();
+    numbered
+        .map(|(index, value)| {
+            let resource = parse_resource(value, index + 1);
+            resource
+                .map(|resource| Edit::Put(Box::new(resource)))
+                .map_err(|error| Refusal::malformed(error.to_string()))
+        })
+        .collect()
+}
+
+fn value(body: &[u8]) -> Result<Value, Refusal> {
+    serde_json::from_slice(body)
+        .map_err(|error| Refusal::malformed(format!("the body is not JSON: {error}")))
+}
--- a/src/carawayrun/report/burn.rs
+++ b/src/carawayrun/report/burn.rs
@@ -5,14 +5,12 @@
 //! windows together decide an alert, a long one that a blip does not trip and a
 //! short one that falls soon after the cause has gone.
 
-use std::collections::BTreeMap;
-
 use compact_str::CompactString;
 use jiff::Timestamp;
 use serde::{Deserialize, Serialize};
 
-use super::measure::Measure;
-use super::sums::{BUCKET_MS, BUCKETS_PER_HOUR, Count, HOUR_MS, HourRow};
+use super::counts::Counts;
+use super::sums::{BUCKET_MS, Count, HOUR_MS, HourRow};
 use crate::resource::{Config, Objective};
 
 /// Burn rate over an hour and five minutes that uses 2% of a 30-day budget in
@@ -62,7 +60,7 @@
         }
     }
 
-    fn length_ms(self) -> u64 {
+    pub(super) fn length_ms(self) -> u64 {
         match self {
             Self::FiveMinutes => BUCKET_MS,
             Self::HalfHour => HOUR_MS / 2,
@@ -213,7 +211,7 @@
 }
 
 /// Share of bad requests over the share that is allowed; zero without requests.
-fn rate(objective: &Objective, count: Count) -> f64 {
+pub(super) fn rate(objective: &Objective, count: Count) -> f64 {
     if count.total == 0 {
         return 0.0;
     }
@@ -235,90 +233,3 @@
         Alert::None
     }
 }
-
-/// Counts of one objective, by bucket and by part.
-struct Counts {
-    /// Number of the bucket that holds the time of the report.
-    now_bucket: u64,
-    entries: Vec<Entry>,
-}
-
-struct Entry {
-    /// Number of the bucket since the Unix epoch.
-    bucket: u64,
-    part: Part,
-    count: Count,
-}
-
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Part {
-    team: CompactString,
-    version: CompactString,
-}
-
-impl Counts {
-    fn of(objective: &Objective, rows: &[HourRow], now_ms: u64) -> Self {
-        let measure = Measure::of(objective).name;
-        let mut entries = Vec::new();
-        for row in rows {
-            let cells = row.cells.iter().filter(|cell| cell.measure == measure);
-            for cell in cells {
-                entries.extend(cell.buckets.iter().map(|bucket| Entry {
-                    bucket: row.hour * BUCKETS_PER_HOUR as u64 + bucket.bucket as u64,
-                    part: Part {
-                        team: cell.team.clone(),
-                        version: cell.version.clone(),
-                    },
-                    count: bucket.count,
-                }));
-            }
-        }
-        Self {
-            now_bucket: now_ms / BUCKET_MS,
-            entries,
-        }
-    }
-
-    /// Entries of the bucket that is being filled and of `length_ms` before it.
-    fn within(&self, length_ms: u64) -> impl Iterator<Item = &Entry> {
-        let first = self.now_bucket.saturating_sub(length_ms / BUCKET_MS);
-        self.entries
-            .iter()
-            .filter(move |entry| entry.bucket >= first)
-    }
-
-    fn last(&self, length_ms: u64) -> Count {
-        let mut sum = Count::default();
-        self.within(length_ms)
-            .for_each(|entry| sum.add(entry.count));
-        sum
-    }
-
-    fn parts(&self, objective: &Objective, length_ms: u64) -> Vec<PartBurn> {
-        let mut sums: BTreeMap<Part, Count> = BTreeMap::new();
-        for entry in self.within(length_ms) {
-            sums.entry(entry.part.clone()).or_default().add(entry.count);
-        }
-        let parts = sums.into_iter().map(|(part, count)| PartBurn {
-            team: part.team,
-            version: part.version,
-            count,
-            rate: rate(objective, count),
-        });
-        parts.collect()
-    }
-
-    fn series(&self, objective: &Objective) -> Vec<SeriesPoint> {
-        let length_ms = Window::SixHours.length_ms();
-        let mut sums: BTreeMap<u64, Count> = BTreeMap::new();
-        for entry in self.within(length_ms) {
-            sums.entry(entry.bucket).or_default().add(entry.count);
-        }
-        let first = self.now_bucket.saturating_sub(length_ms / BUCKET_MS);
-        let points = (first..=self.now_bucket).map(|bucket| SeriesPoint {
-            minutes_ago: (self.now_bucket - bucket) * BUCKET_MS / 60_000,
-            rate: rate(objective, sums.get(&bucket).copied().unwrap_or_default()),
-        });
-        points.collect()
-    }
-}
--- a/src/carawayrun/report/mod.rs
+++ b/src/carawayrun/report/mod.rs
@@ -6,6 +6,7 @@
 //! burns over short and long windows, and how much of it is left.
 
 mod burn;
+mod counts;
 mod html;
 mod measure;
 mod sums;
