--- a/src/bin/carawayrun/settings.rs
+++ b/src/bin/carawayrun/settings.rs
@@ -142,6 +142,7 @@
     given.or_else(|| std::env::var("CARAWAYRUN_PREVIOUS_KEY").ok())
 }
 
+#[expect(clippy::ptr_arg, reason = "the parser passes it so")]
 fn is_name(name: &String) -> bool {
     let known = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
     (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(known)
