--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod control;
 mod once;
 mod openapi;
+mod operating;
 mod path;
 mod policy;
 mod resources;
--- /dev/null
+++ b/tests/testsuite/operating.rs
@@ -0,0 +1,301 @@
+//! An operator's commands against running processes.
+
+use std::io::Write;
+use std::process::{Output, Stdio};
+
+use serde_json::{Value, json};
+use snapbox::{assert_data_eq, str};
+
+use crate::support::{Caller, LUZCENA_KEY, World, WorldBuilder, eventually, resource};
+
+/// What a command said.
+#[derive(Debug)]
+struct Said {
+    code: Option<i32>,
+    out: String,
+    err: String,
+}
+
+fn run(world: &World, args: &[&str]) -> Said {
+    run_with(world, args, "")
+}
+
+fn run_with(world: &World, args: &[&str], input: &str) -> Said {
+    let mut command = world.operator_command();
+    command.args(args);
+    command
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let mut child = command.spawn().expect("it starts");
+    let mut stdin = child.stdin.take().expect("it has a standard input");
+    // A command that does not read its input may have ended already.
+    let _ = stdin.write_all(input.as_bytes());
+    drop(stdin);
+    said(child.wait_with_output().expect("it ends"))
+}
+
+fn said(output: Output) -> Said {
+    Said {
+        code: output.status.code(),
+        out: String::from_utf8(output.stdout).expect("text"),
+        err: String::from_utf8(output.stderr).expect("text"),
+    }
+}
+
+fn version(price: u64, seen: u64) -> String {
+    let mut version = resource(
+        "Version",
+        "scene-v2",
+        &json!({
+            "model": "scene",
+            "service": "scene",
+            "price": {"prompt": price, "cached": 40, "completion": 1200},
+            "quality": {"plan": 0.9, "tweak": 0.9},
+            "latencyMs": 50,
+        }),
+    );
+    version["metadata"]["resourceVersion"] = json!(seen);
+    version.to_string()
+}
+
+async fn small_world(name: &'static str) -> World {
+    WorldBuilder::new(name).engines(1).start().await
+}
+
+#[actix_rt::test]
+async fn a_change_is_shown_then_made_then_seen() {
+    let world = small_world("operate-change").await;
+    let dry = run_with(&world, &["apply", "-f", "-", "--dry-run"], &version(500, 0));
+    assert_eq!(dry.code, Some(0), "{}", dry.err);
+    assert_data_eq!(
+        dry.out,
+        str![[r#"
+--- a/Version/scene-v2
++++ b/Version/scene-v2
+@@ -3,7 +3,7 @@
+   service: scene
+   phase: active
+   price:
+-    prompt: 400
++    prompt: 500
+     cached: 40
+     completion: 1200
+   quality:
+
+"#]]
+    );
+    assert_eq!(
+        dry.err,
+        " Would apply 1 changed, 0 unchanged, generation 2\n"
+    );
+
+    let made = run_with(
+        &world,
+        &["apply", "-f", "-", "--wait", "--reason", "dearer"],
+        &version(500, 0),
+    );
+    assert_eq!(made.code, Some(0), "{}", made.err);
+    assert!(
+        made.err.starts_with(
+            "  Configured Version/scene-v2\n     Applied 1 changed, 0 unchanged, generation 2\n"
+        ),
+        "{}",
+        made.err
+    );
+    assert!(
+        made.err.ends_with("    In force generation 2 everywhere\n"),
+        "{}",
+        made.err
+    );
+
+    let again = run_with(&world, &["apply", "-f", "-"], &version(500, 0));
+    assert_eq!(
+        again.err,
+        "     Applied 0 changed, 1 unchanged, generation 2\n"
+    );
+
+    let versions = run(&world, &["get", "versions"]);
+    assert_data_eq!(
+        versions.out,
+        str![[r#"
+NAME      CHANGED  IN FORCE  MODEL  SERVICE  PHASE   PRICE        SERVING
+scene-v1  1        4/4       scene  scene    active  100/10/300   Warm
+scene-v2  2        4/4       scene  scene    active  500/40/1200  Warm
+
+"#]]
+    );
+
+    let described = run(&world, &["describe", "version", "scene-v2"]);
+    assert_data_eq!(
+        described.out,
+        str![[r#"
+Version/scene-v2, changed in generation 2
+model: scene
+service: scene
+phase: active
+price:
+  prompt: 500
+  cached: 40
+  completion: 1200
+quality:
+  plan: 0.9
+  tweak: 0.9
+latencyMs: 50
+
+CONDITION  HOLDS  REASON      SINCE                     MESSAGE
+InForce    true   Everywhere  [..]  all live nodes have it in force
+Serving    true   Warm        [..]  warm at 1 upstreams
+
+GENERATION  TIME                      AUTHOR  ACTION      WHY
+2           [..]  tester  configured  dearer
+1           [..]  tester  created
+
+"#]]
+    );
+
+    let watched = run(&world, &["watch", "--from", "0", "--until", "2"]);
+    assert_data_eq!(
+        watched.out,
+        str![[r#"
+1 [..] by tester: created Service/scene, [..] and [..] more
+2 [..] by tester: configured Version/scene-v2 (dearer)
+
+"#]]
+    );
+}
+
+#[actix_rt::test]
+async fn refusals_say_what_to_do() {
+    let world = small_world("operate-refusals").await;
+    let made = run_with(&world, &["apply", "-f", "-"], &version(500, 1));
+    assert_eq!(made.code, Some(0), "{}", made.err);
+    let stale = run_with(&world, &["apply", "-f", "-"], &version(600, 1));
+    assert_eq!(stale.code, Some(1));
+    assert_eq!(
+        stale.err,
+        "error: Version/scene-v2 is at resource version 2, not 1; read it again and repeat the edit on that\n"
+    );
+    let named = run(&world, &["delete", "service", "home"]);
+    assert_eq!(named.code, Some(2));
+    assert!(
+        named
+            .err
+            .contains("Team/luzcena: spec.services: there is no Service `home`"),
+        "{}",
+        named.err
+    );
+    let missing = run(&world, &["get", "team", "nobody"]);
+    assert_eq!(
+        (missing.code, missing.err.as_str()),
+        (Some(1), "error: there is no Team `nobody`\n")
+    );
+
+    let mut other = world.operator_command();
+    other
+        .args(["status"])
+        .env("CARAWAYRUN_OPERATOR_KEY", "wrong");
+    let other = said(other.output().expect("it ends"));
+    assert_eq!(other.code, Some(1));
+    assert!(
+        other.err.starts_with("error: no operator has this key"),
+        "{}",
+        other.err
+    );
+}
+
+#[actix_rt::test]
+async fn a_request_is_explained_and_its_objective_reported() {
+    let world = small_world("operate-why").await;
+    let objective = resource(
+        "Objective",
+        "plans",
+        &json!({"service": "scene", "task": "plan", "indicator": "availability", "target": 0.9, "windowDays": 1}),
+    );
+    let applied = run_with(
+        &world,
+        &["apply", "-f", "-", "--wait"],
+        &objective.to_string(),
+    );
+    assert_eq!(applied.code, Some(0), "{}", applied.err);
+
+    let call = Caller::chat("scene", 2, false).header("x-carawayrun-task", "plan");
+    let answer = world.caller(1, LUZCENA_KEY).send(call).await;
+    assert!(answer.is_ok(), "{}", answer.body);
+    // The first server asked is gateway 0, which did not take the request.
+    let why = run(&world, &["why", &answer.request_id]);
+    assert_eq!(why.code, Some(0), "{}", why.err);
+    assert!(
+        why.out.contains("team luzcena, scene/plan, generation 2"),
+        "{}",
+        why.out
+    );
+    assert!(
+        why.out.contains(&format!("answered by {}", answer.version)),
+        "{}",
+        why.out
+    );
+
+    // Gateway 0 learns of it when gateway 1 has written its counts.
+    eventually("the request is in the report", || async {
+        let report = run(&world, &["report", "burn", "--output", "json"]);
+        let report: Value = serde_json::from_str(&report.out).expect("JSON");
+        report["objectives"][0]["budget"] == json!({"good": 1, "total": 1})
+    })
+    .await;
+    let report = run(&world, &["report", "burn"]);
+    assert_data_eq!(
+        report.out,
+        str![[r#"
+Burn at [..], generation 2
+
+plans: ok
+  90% of scene, plan, all teams do not fail over 1 days
+  budget left 100%, 0 bad of 1
+  burn rate 5m 0.00, 30m 0.00, 1h 0.00, 6h 0.00
+    luzcena scene-v1: rate 0.00, 0 bad of 1
+
+"#]]
+    );
+}
+
+#[actix_rt::test]
+async fn reads_go_on_while_the_store_is_down() {
+    let world = small_world("operate-outage").await;
+    world.table_faults(&json!({"down": true})).await;
+    let write = run_with(&world, &["apply", "-f", "-"], &version(500, 0));
+    assert_eq!(write.code, Some(1));
+    assert!(
+        write
+            .err
+            .starts_with("error: the table service is unavailable and nothing was changed: "),
+        "{}",
+        write.err
+    );
+    let read = run(&world, &["get", "services"]);
+    assert_data_eq!(
+        read.out,
+        str![[r#"
+NAME   CHANGED  IN FORCE  BACKEND  TASKS  ROUTES
+home   1        [..]       plain    0      2
+scene  1        [..]       engine   2      0
+
+"#]]
+    );
+    let report = run(&world, &["report", "burn"]);
+    assert!(report.out.contains("Partial: "), "{}", report.out);
+    world.table_faults(&json!({})).await;
+    let write = run_with(&world, &["apply", "-f", "-", "--wait"], &version(500, 0));
+    assert_eq!(write.code, Some(0), "{}", write.err);
+}
+
+#[actix_rt::test]
+async fn commands_go_to_the_next_gateway_where_one_is_gone() {
+    let mut world = small_world("operate-next").await;
+    world.gateways[0].kill();
+    let applied = run_with(&world, &["apply", "-f", "-"], &version(500, 0));
+    assert_eq!(applied.code, Some(0), "{}", applied.err);
+    assert!(applied.err.contains("generation 2"), "{}", applied.err);
+    let watched = run(&world, &["watch", "--from", "1", "--until", "2"]);
+    assert!(watched.out.starts_with("2 "), "{}", watched.out);
+}
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -325,6 +325,18 @@
         )
     }
 
+    /// An operator's command that may ask all gateways.
+    pub(crate) fn operator_command(&self) -> std::process::Command {
+        let urls: Vec<String> = (0..self.gateways.len())
+            .map(|number| self.operator_url(number))
+            .collect();
+        let mut command = std::process::Command::new(product());
+        command
+            .env("CARAWAYRUN_SERVER", urls.join(","))
+            .env("CARAWAYRUN_OPERATOR_KEY", OPERATOR_KEY);
+        command
+    }
+
     /// A caller of `gateway` with a team's key.
     pub(crate) fn caller(&self, gateway: usize, key: &str) -> Caller {
         Caller::new(
