Tell agents to cancel what no caller waits for

A bill with awaited attempts is an attempt given up; only engine runs are cancelled. Agents' reducer passes the cancel on to its traffic threads.

--- /dev/null
+++ b/src/carawayrun/control/cancel.rs
@@ -0,0 +1,67 @@
+//! Cancels of attempts that no caller waits for any more.
+//!
+//! A gateway that gives an attempt up, because its caller went away or another
+//! upstream answered, drops its connection to the agent. That may be noticed
+//! late, so the agent is told as well. Calls of plain services are not
+//! cancelled: half of such a call helps nobody.
+
+use compact_str::CompactString;
+
+use super::context::Context;
+use super::effect::{Effect, UpstreamAction};
+use super::event::{Bill, Event};
+use crate::peer::RequestId;
+use crate::peer::message::Cancel;
+use crate::peer::message::envelope::Body;
+use crate::resource::Backend;
+
+/// Tells agents of attempts given up, and agents' traffic threads of what they
+/// are told.
+pub(super) fn handle(event: &Event, context: &mut Context) {
+    match event {
+        Event::Billed(bill) if is_engine(bill, context) => tell(bill, context),
+        Event::Received(envelope) => {
+            if let Some(Body::Cancel(cancel)) = &envelope.body {
+                told(cancel, context);
+            }
+        }
+        _ => {}
+    }
+}
+
+fn is_engine(bill: &Bill, context: &Context) -> bool {
+    let service = context.config.services.by_name(&bill.service);
+    service.is_some_and(|service| service.spec.backend == Backend::Engine)
+}
+
+fn tell(bill: &Bill, context: &mut Context) {
+    let request = RequestId {
+        gateway: context.identity.node.clone(),
+        sequence: bill.sequence,
+    };
+    for awaited in &bill.awaited {
+        if let Some(addr) = agent_addr(&awaited.upstream, context) {
+            let body = Body::Cancel(Cancel {
+                request: Some((&request).into()),
+            });
+            context.send(&addr, body);
+        }
+    }
+}
+
+fn told(cancel: &Cancel, context: &mut Context) {
+    let request = cancel.request.as_ref().map(RequestId::try_from);
+    if let Some(Ok(request)) = request {
+        let action = UpstreamAction::Cancel(request);
+        context.out.push(Effect::Upstream(action));
+    }
+}
+
+fn agent_addr(upstream: &str, context: &Context) -> Option<CompactString> {
+    context
+        .members
+        .iter()
+        .map(|(_, member)| member)
+        .find(|member| member.upstream == upstream && member.is_present())
+        .map(|member| member.peer_addr.clone())
+}
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -5,6 +5,7 @@
 //! concern has a file of its own and is called from here in a fixed order.
 
 mod burn;
+mod cancel;
 mod candidates;
 mod claims;
 mod context;
--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -6,6 +6,7 @@
 
 use super::TICK;
 use super::burn::Burn;
+use super::cancel;
 use super::claims::Claims;
 use super::context::{Context, Life};
 use super::effect::{Effect, Effects};
@@ -125,6 +126,7 @@
         self.works.handle(event, &mut self.context);
         self.claims.handle(event, &mut self.context);
         self.ledger.handle(event, &mut self.context);
+        cancel::handle(event, &mut self.context);
         self.held.handle(event, &mut self.context);
         self.orders.handle(event, &mut self.context);
         self.burn.handle(event, &mut self.context);
--- a/src/carawayrun/control/tests/ledger.rs
+++ b/src/carawayrun/control/tests/ledger.rs
@@ -317,3 +317,27 @@
         awaited: Vec::new(),
     }
 }
+
+#[test]
+fn an_agent_is_told_to_cancel_what_nobody_waits_for() {
+    use crate::control::{Effect, UpstreamAction};
+    use crate::peer::RequestId as Id;
+    let mut billing = Billing::new(16);
+    let id = Id {
+        gateway: identity(0, 1).node,
+        sequence: 1,
+    };
+    let envelope = crate::peer::message::Envelope {
+        body: Some(crate::peer::message::envelope::Body::Cancel(
+            crate::peer::message::Cancel {
+                request: Some((&id).into()),
+            },
+        )),
+        ..Default::default()
+    };
+    let now = billing.world.now;
+    let agent = &mut billing.world.nodes[GATEWAYS].state;
+    let effects = agent.apply(&Event::Received(Box::new(envelope)), now);
+    let cancels = |effect: &Effect| matches!(effect, Effect::Upstream(UpstreamAction::Cancel(request)) if *request == id);
+    assert!(effects.iter().any(cancels));
+}
