--- a/src/carawayrun/control/cancel.rs
+++ b/src/carawayrun/control/cancel.rs
@@ -11,8 +11,8 @@
 use super::effect::{Effect, UpstreamAction};
 use super::event::{Bill, Event};
 use crate::peer::RequestId;
-use crate::peer::message::Cancel;
 use crate::peer::message::envelope::Body;
+use crate::peer::message::{Cancel, Envelope};
 use crate::resource::Backend;
 
 /// Tells agents of attempts given up, and agents' traffic threads of what they
@@ -22,7 +22,7 @@
         Event::Billed(bill) if is_engine(bill, context) => tell(bill, context),
         Event::Received(envelope) => {
             if let Some(Body::Cancel(cancel)) = &envelope.body {
-                told(cancel, context);
+                told(envelope, cancel, context);
             }
         }
         _ => {}
@@ -49,9 +49,15 @@
     }
 }
 
-fn told(cancel: &Cancel, context: &mut Context) {
-    let request = cancel.request.as_ref().map(RequestId::try_from);
-    if let Some(Ok(request)) = request {
+// Only the gateway that took the request may cancel it.
+fn told(envelope: &Envelope, cancel: &Cancel, context: &mut Context) {
+    let Some(request) = &cancel.request else {
+        return;
+    };
+    if request.gateway != envelope.sender {
+        return;
+    }
+    if let Ok(request) = RequestId::try_from(request) {
         let action = UpstreamAction::Cancel(request);
         context.out.push(Effect::Upstream(action));
     }
--- a/src/carawayrun/control/tests/ledger.rs
+++ b/src/carawayrun/control/tests/ledger.rs
@@ -328,6 +328,7 @@
         sequence: 1,
     };
     let envelope = crate::peer::message::Envelope {
+        sender: Some((&id.gateway).into()),
         body: Some(crate::peer::message::envelope::Body::Cancel(
             crate::peer::message::Cancel {
                 request: Some((&id).into()),
