--- a/src/carawayrun/control/claims/mod.rs
+++ b/src/carawayrun/control/claims/mod.rs
@@ -14,6 +14,8 @@
 //! from its owner, so an owner that was paused and wakes is still the only one.
 
 mod batch;
+mod claim;
+mod judge;
 mod row;
 
 #[cfg(test)]
@@ -23,6 +25,8 @@
 use rustc_hash::FxHashMap;
 
 use self::batch::{Batch, Write};
+use self::claim::{Claim, Step};
+use self::judge::judge;
 pub use self::row::{
     ClaimAnswer, ClaimCall, ClaimEnd, ClaimTicket, MAX_STORED_BYTES, StoredAnswer, StoredChunk,
 };
@@ -31,7 +35,6 @@
 use super::effect::{Concern, Effect, Ticket};
 use super::event::Event;
 use super::time::Millis;
-use crate::peer::NodeId;
 use crate::platform::table::{Row, TableAnswer, TableCall, TableError};
 
 /// Most claims that this life keeps in memory.
@@ -43,10 +46,6 @@
 /// Failed calls in a row after which new claims are refused without a call.
 const OUTAGE_FAILURES: u32 = 2;
 
-/// Time from the start of a process in which a life that it has not heard of
-/// may still be running.
-const MEMBERS_LEARNED: Millis = Millis(10_000);
-
 /// The concern.
 #[derive(Debug, Default)]
 pub(crate) struct Claims {
@@ -60,30 +59,6 @@
     failures: u32,
 }
 
-// What this life knows of one key that it has claimed or wants to.
-#[derive(Debug)]
-struct Claim {
-    ticket: ClaimTicket,
-    request: CompactString,
-    fingerprint: CompactString,
-    deadline: Millis,
-    // Version that the row is known or believed to have; zero for none.
-    version: u64,
-    // True where a lost write may have put it into the row.
-    doubtful: bool,
-    step: Step,
-}
-
-#[derive(Debug)]
-enum Step {
-    // The claim has to be written, and its request waits.
-    Wanted,
-    // The claim is held, and its request may run.
-    Held,
-    // The request has ended, and the end has to be written.
-    Ended(ClaimState),
-}
-
 impl Claims {
     pub(crate) fn handle(&mut self, event: &Event, context: &mut Context) {
         match event {
@@ -330,78 +305,3 @@
         self.failures = self.failures.saturating_add(1);
     }
 }
-
-// False where the life is over, or was not heard of for long.
-fn may_live(owner: &str, context: &Context) -> bool {
-    let Ok(owner) = owner.parse::<NodeId>() else {
-        return false;
-    };
-    let key = context.members.key(&owner.name);
-    match key.and_then(|key| context.members.get(key)) {
-        Some(member) => member.node.incarnation == owner.incarnation && member.is_present(),
-        None => context.now < MEMBERS_LEARNED,
-    }
-}
-
-fn judge(held: &ClaimRow, fingerprint: &str, context: &Context) -> ClaimAnswer {
-    if held.fingerprint != fingerprint {
-        return ClaimAnswer::Reused;
-    }
-    match &held.state {
-        ClaimState::Finished {
-            answer: Some(answer),
-        } => ClaimAnswer::Replay(answer.clone()),
-        ClaimState::Finished { answer: None } => ClaimAnswer::Finished,
-        ClaimState::Running if may_live(&held.owner, context) => ClaimAnswer::InProgress,
-        ClaimState::Running | ClaimState::Unknown | ClaimState::Released => {
-            ClaimAnswer::UnknownOutcome
-        }
-    }
-}
-
-impl Claim {
-    // True where the row has to be written.
-    fn is_due(&self) -> bool {
-        !matches!(self.step, Step::Held)
-    }
-
-    fn write(&self, key: &CompactString, owner: &CompactString) -> Option<Write> {
-        let state = match &self.step {
-            Step::Wanted => ClaimState::Running,
-            Step::Held => return None,
-            Step::Ended(state) => state.clone(),
-        };
-        let row = ClaimRow {
-            owner: owner.clone(),
-            request: self.request.clone(),
-            fingerprint: self.fingerprint.clone(),
-            state,
-        };
-        Some(Write {
-            key: key.clone(),
-            version: self.version,
-            row,
-        })
-    }
-
-    // Answers a second request with the key from memory.
-    fn answer_again(&self, fingerprint: &str) -> ClaimAnswer {
-        if self.fingerprint != fingerprint {
-            return ClaimAnswer::Reused;
-        }
-        match &self.step {
-            Step::Ended(ClaimState::Finished { answer }) => answer
-                .clone()
-                .map_or(ClaimAnswer::Finished, ClaimAnswer::Replay),
-            Step::Ended(ClaimState::Unknown) => ClaimAnswer::UnknownOutcome,
-            Step::Ended(ClaimState::Released) => ClaimAnswer::Unavailable,
-            _ => ClaimAnswer::InProgress,
-        }
-    }
-
-    fn give_up(&mut self, context: &mut Context) {
-        self.step = Step::Ended(ClaimState::Released);
-        let answer = ClaimAnswer::Unavailable;
-        context.out.push(Effect::Claimed(self.ticket, answer));
-    }
-}
--- a/src/carawayrun/control/claims/tests.rs
+++ b/src/carawayrun/control/claims/tests.rs
@@ -9,9 +9,10 @@
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
 
+use super::judge::MEMBERS_LEARNED;
 use super::*;
 use crate::control::{Identity, Role, State, TICK};
-use crate::peer::RequestId;
+use crate::peer::{NodeId, RequestId};
 use crate::platform::table::Transaction;
 
 const KEYS: u64 = 4;
--- a/src/carawayrun/traffic/agent/mod.rs
+++ b/src/carawayrun/traffic/agent/mod.rs
@@ -16,6 +16,7 @@
 mod frames;
 mod judge;
 mod ledger;
+mod not_ready;
 mod pulse;
 mod queue;
 mod refusal;
@@ -31,4 +32,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::server::{Agent, AgentSettings, spawn};
+pub use self::server::{Agent, AgentSettings, SpawnAgentError, spawn};
--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -7,15 +7,16 @@
 
 use super::admission::Permit;
 use super::cancel::Cancellable;
-use super::claim::{HeldClaim, NotClaimed, claim};
+use super::claim::{HeldClaim, claim};
 use super::exchange::{Outcome, Progress, exchange};
 use super::frames::{Failure, FrameWriter};
 use super::judge::{admitted, judge, still_admitted};
 use super::ledger::{Arrival, Dispatched, Queued, RunKey, RunTicket};
+use super::not_ready::{NotReady, answer, refuse};
 use super::refusal::Refusal;
 use super::usage;
 use super::worker::Worker;
-use crate::control::{ClaimEnd, Event, StoredAnswer};
+use crate::control::{ClaimEnd, Event};
 use crate::peer::RequestId;
 use crate::peer::message::{Ran, Run, Usage};
 use crate::resource::Backend;
@@ -58,29 +59,6 @@
     backend: Backend,
 }
 
-/// Why a run is not sent.
-enum NotReady {
-    Refused(Refusal),
-    Failed(Failure),
-    Replay(StoredAnswer),
-}
-
-impl From<Refusal> for NotReady {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused(refusal)
-    }
-}
-
-impl From<NotClaimed> for NotReady {
-    fn from(not_claimed: NotClaimed) -> Self {
-        match not_claimed {
-            NotClaimed::Refused(refusal) => Self::Refused(refusal),
-            NotClaimed::Failed(failure) => Self::Failed(failure),
-            NotClaimed::Replay(stored) => Self::Replay(stored),
-        }
-    }
-}
-
 // Records the arrival; only the first of an id goes on.
 fn arrive(worker: &Worker, run: &Run) -> Result<RunTicket<Queued>, NotReady> {
     let request = run.request.as_ref().map(RequestId::try_from);
@@ -265,35 +243,6 @@
     }
 }
 
-async fn answer(worker: &Worker, run: &Run, frames: FrameWriter, not_ready: NotReady) {
-    match not_ready {
-        NotReady::Refused(refusal) => refuse(worker, frames, refusal).await,
-        NotReady::Failed(failure) => frames.failed(failure, None, worker.load()).await,
-        NotReady::Replay(stored) => replay(worker, run, frames, stored).await,
-    }
-}
-
-async fn refuse(worker: &Worker, frames: FrameWriter, refusal: Refusal) {
-    let generation = worker.view().config.generation;
-    worker.handle.counters().count("agent.refused", 1);
-    frames.refused(refusal, generation, worker.load()).await;
-}
-
-// The answer of the first request with the key; it costs nothing.
-async fn replay(worker: &Worker, run: &Run, mut frames: FrameWriter, stored: StoredAnswer) {
-    frames
-        .started(stored.status, &stored.content_type, true)
-        .await;
-    for chunk in stored.chunks {
-        frames.chunk(chunk.0).await;
-    }
-    let free = Usage {
-        finished: true,
-        ..usage::running(run, &worker.upstream)
-    };
-    frames.end(free, worker.load()).await;
-}
-
 // Ends when the gateway has dropped the connection or sent a cancel.
 fn given_up<'a>(
     frames: &FrameWriter,
