--- a/crates/lab/src/experiment/queue.rs
+++ b/crates/lab/src/experiment/queue.rs
@@ -276,9 +276,10 @@
             return false;
         }
         let class = CLASSES[job.class];
-        let free = match self.setup.protected {
-            true => may_start(class, station.running, station.slots),
-            false => station.running < station.slots,
+        let free = if self.setup.protected {
+            may_start(class, station.running, station.slots)
+        } else {
+            station.running < station.slots
         };
         let queue = if self.setup.protected { job.class } else { 0 };
         let limit = queue_limit(class, station.slots) as usize;
--- a/src/carawayrun/traffic/gateway/account.rs
+++ b/src/carawayrun/traffic/gateway/account.rs
@@ -29,6 +29,8 @@
     pub(super) task: CompactString,
     pub(super) version: CompactString,
     pub(super) compared: bool,
+    /// Added to a rating before it is learned, see `policy::Step`.
+    pub(super) shift: f64,
     pub(super) failed: bool,
     pub(super) refused: bool,
     /// Why no answer was given.
@@ -65,6 +67,7 @@
             task: CompactString::default(),
             version: CompactString::default(),
             compared: false,
+            shift: 0.0,
             failed: false,
             refused: false,
             error: None,
--- a/src/carawayrun/traffic/gateway/completion.rs
+++ b/src/carawayrun/traffic/gateway/completion.rs
@@ -199,6 +199,7 @@
         let version = self.version(step.version).name.clone();
         self.account.version.clone_from(&version);
         self.account.compared = step.compared;
+        self.account.shift = step.shift;
         let chat = &mut request.chat;
         let job = Job {
             step: number,
@@ -261,6 +262,7 @@
             version: self.account.version.clone(),
             task: self.account.task.clone(),
             compared: self.account.compared,
+            shift: self.account.shift,
         }
     }
 
--- a/src/carawayrun/traffic/gateway/ratings.rs
+++ b/src/carawayrun/traffic/gateway/ratings.rs
@@ -45,6 +45,8 @@
     pub(super) version: CompactString,
     pub(super) task: CompactString,
     pub(super) compared: bool,
+    /// Added to the rating before it is learned.
+    pub(super) shift: f64,
 }
 
 /// How fast and how often answers are rated.
@@ -212,7 +214,7 @@
             version: pending.sample.version,
             task: pending.sample.task,
             compared: pending.sample.compared,
-            score: rated.score,
+            score: rated.score + pending.sample.shift,
         })
     }
 
