Name few pending nodes, print lists that apply takes, and read the newest history

With 1,010 members and hundreds of resources, each list would have named every node behind; describe looked at the oldest thousand changes only.

--- a/src/bin/carawayrun/commands/describe.rs
+++ b/src/bin/carawayrun/commands/describe.rs
@@ -11,6 +11,9 @@
 use crate::remote::{Remote, block_on, call_failure, remote};
 use crate::table::Table;
 
+/// Newest changes among which those of the resource are looked for.
+const LOOKED_AT: u64 = 1000;
+
 /// Most entries of the audit trail that are shown.
 const HISTORY: usize = 10;
 
@@ -46,7 +49,9 @@
         output.line("");
         output.print(&conditions(&found).render());
         output.line("");
-        match client.get::<AuditBody>("/apis/v1/audit").await {
+        let after = found.status.generation.saturating_sub(LOOKED_AT);
+        let path = format!("/apis/v1/audit?after={after}");
+        match client.get::<AuditBody>(&path).await {
             Ok(audit) => output.print(&history(&audit.changes, options).render()),
             Err(error) => output.line(&format!("no audit trail: {error}")),
         }
--- a/src/bin/carawayrun/commands/get.rs
+++ b/src/bin/carawayrun/commands/get.rs
@@ -62,22 +62,26 @@
 fn show(options: &Options, whole: &impl Serialize, items: &[ResourceView], output: &mut Output) {
     match options.output {
         Format::Json => output.print(&json_text(whole)),
-        Format::Yaml => output.print(&yaml_text(whole)),
+        Format::Yaml => output.print(&documents(items)),
         Format::Table => output.print(&table(options.kind, items).render()),
     }
 }
 
+/// One document each, as `apply` takes them.
+fn documents(items: &[ResourceView]) -> String {
+    let documents: Vec<String> = items.iter().map(yaml_text).collect();
+    documents.join("---\n")
+}
+
 fn table(kind: Kind, items: &[ResourceView]) -> Table {
     let mut titles = vec!["NAME", "CHANGED", "IN FORCE"];
     titles.extend(columns(kind));
     let mut table = Table::new(&titles);
     for item in items {
-        let pending = u32::try_from(item.status.pending.len()).unwrap_or(u32::MAX);
-        let all = item.status.in_force + pending;
         let mut cells = vec![
             item.resource.metadata.name.to_string(),
             item.resource.metadata.resource_version.to_string(),
-            format!("{}/{all}", item.status.in_force),
+            format!("{}/{}", item.status.in_force, item.status.live),
         ];
         cells.extend(cells_of(item));
         table.row(cells);
--- a/src/carawayrun/ops/api.rs
+++ b/src/carawayrun/ops/api.rs
@@ -49,9 +49,11 @@
 pub struct Status {
     /// Generation that the answering gateway has in force.
     pub generation: u64,
+    /// Number of live nodes.
+    pub live: usize,
     /// Number of live nodes that have this version of the resource in force.
-    pub in_force: u32,
-    /// Live nodes that are not known to have it in force yet.
+    pub in_force: usize,
+    /// The first few live nodes that are not known to have it in force yet.
     pub pending: Vec<CompactString>,
     /// What is the case and why.
     pub conditions: Vec<ConditionView>,
--- a/src/carawayrun/ops/burn.rs
+++ b/src/carawayrun/ops/burn.rs
@@ -23,8 +23,12 @@
         .map(|(hour, sums)| HourRow::new(hour, sums))
         .collect();
     let stored = stored_rows(view, table, oldest_hour(view, now_ms)).await;
-    let partial = stored.is_err();
-    let mut rows = stored.unwrap_or_default();
+    let read: Option<Vec<HourRow>> = stored.ok().and_then(|rows| {
+        let read = rows.iter().map(|row| serde_json::from_str(row.value.get()));
+        read.collect::<Result<_, _>>().ok()
+    });
+    let partial = read.is_none();
+    let mut rows = read.unwrap_or_default();
     rows.extend(own);
     burn_report(&view.config, &rows, now_ms, partial)
 }
@@ -34,7 +38,7 @@
     view: &View,
     table: &TableClient,
     oldest: u64,
-) -> Result<Vec<HourRow>, TableError> {
+) -> Result<Vec<Row>, TableError> {
     let own: Vec<CompactString> = view
         .burn
         .iter()
@@ -49,8 +53,7 @@
         };
         after.clone_from(&last.key);
         let whole = page.len() == PAGE as usize;
-        let others = page.iter().filter(|row| !own.contains(&row.key));
-        found.extend(others.filter_map(|row| serde_json::from_str(row.value.get()).ok()));
+        found.extend(page.into_iter().filter(|row| !own.contains(&row.key)));
         if !whole {
             return Ok(found);
         }
--- a/src/carawayrun/ops/status.rs
+++ b/src/carawayrun/ops/status.rs
@@ -11,18 +11,17 @@
 use crate::peer::message::MemberState;
 use crate::resource::{Kind, Resource, Spec};
 
+/// Most nodes that a resource names as pending.
+const SHOWN_PENDING: usize = 10;
+
 /// A resource with its observed state.
 pub(super) fn resource_view(view: &View, since: &SinceTimes, resource: &Resource) -> ResourceView {
     let wanted = resource.metadata.resource_version;
-    let behind = |member: &&MemberView| is_live(member) && member.generation < wanted;
-    let pending: Vec<CompactString> = view
-        .members
-        .iter()
-        .filter(behind)
-        .map(|member| member.node.name.clone())
-        .collect();
-    let in_force = view.members.iter().filter(|member| is_live(member)).count() - pending.len();
-    let mut conditions = vec![in_force_condition(&pending)];
+    let live = view.members.iter().filter(|member| is_live(member));
+    let live: Vec<&MemberView> = live.collect();
+    let behind = live.iter().filter(|member| member.generation < wanted);
+    let behind: Vec<&CompactString> = behind.map(|member| &member.node.name).collect();
+    let mut conditions = vec![in_force_condition(&behind)];
     conditions.extend(serving_condition(view, resource));
     for condition in &mut conditions {
         condition.since = since.since(resource, condition);
@@ -31,8 +30,9 @@
         resource: resource.clone(),
         status: Status {
             generation: view.config.generation,
-            in_force: u32::try_from(in_force).unwrap_or(u32::MAX),
-            pending,
+            live: live.len(),
+            in_force: live.len() - behind.len(),
+            pending: behind.into_iter().take(SHOWN_PENDING).cloned().collect(),
             conditions,
             rollout: rollout_of(view, resource),
         },
@@ -69,19 +69,15 @@
     matches!(member.state, MemberState::Alive | MemberState::Suspect)
 }
 
-fn in_force_condition(pending: &[CompactString]) -> ConditionView {
-    let holds = pending.is_empty();
-    let message = if holds {
-        CompactString::const_new("all live nodes have it in force")
-    } else {
-        format_compact!("waiting for {}", pending.join(", "))
-    };
-    condition(
-        "InForce",
-        holds,
-        if holds { "Everywhere" } else { "Pending" },
-        message,
-    )
+fn in_force_condition(behind: &[&CompactString]) -> ConditionView {
+    if behind.is_empty() {
+        let message = CompactString::const_new("all live nodes have it in force");
+        return condition("InForce", true, "Everywhere", message);
+    }
+    let mut names: Vec<&str> = behind.iter().map(|name| name.as_str()).collect();
+    names.truncate(SHOWN_PENDING);
+    let message = format_compact!("waiting for {} nodes: {}", behind.len(), names.join(", "));
+    condition("InForce", false, "Pending", message)
 }
 
 fn serving_condition(view: &View, resource: &Resource) -> Option<ConditionView> {
--- a/tests/testsuite/openapi.rs
+++ b/tests/testsuite/openapi.rs
@@ -140,6 +140,7 @@
 fn status() -> Status {
     Status {
         generation: 1,
+        live: 2,
         in_force: 1,
         pending: vec!["gw-2".into()],
         conditions: vec![ConditionView {
--- a/tests/testsuite/operating.rs
+++ b/tests/testsuite/operating.rs
@@ -1,4 +1,11 @@
 //! An operator's commands against running processes.
+//!
+//! `SNAPSHOTS=overwrite cargo test` writes the snapshots anew.
+
+#![expect(
+    clippy::needless_raw_string_hashes,
+    reason = "snapshots are written with them"
+)]
 
 use std::io::Write;
 use std::process::{Output, Stdio};
@@ -154,6 +161,13 @@
 "#]]
     );
 
+    let all = run(&world, &["get", "versions", "--output", "yaml"]);
+    let same = run_with(&world, &["apply", "-f", "-"], &all.out);
+    assert_eq!(
+        same.err,
+        "     Applied 0 changed, 2 unchanged, generation 2\n"
+    );
+
     let watched = run(&world, &["watch", "--from", "0", "--until", "2"]);
     assert_data_eq!(
         watched.out,
