--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -22,6 +22,9 @@
 pub mod why;
 mod writes;
 
+#[cfg(test)]
+mod tests;
+
 pub use self::attempt::{AttemptError, Next, WriteAttempt};
 pub use self::client::{Client, ClientError};
 pub use self::difference::{change_summary, item_difference, item_verb};
--- a/src/carawayrun/ops/status.rs
+++ b/src/carawayrun/ops/status.rs
@@ -9,7 +9,7 @@
 use super::since::SinceTimes;
 use crate::control::{Admission, AgentView, MemberView, Role, RolloutView, View};
 use crate::peer::message::MemberState;
-use crate::resource::{Kind, Resource, Spec};
+use crate::resource::{Kind, Phase, Resource, Spec};
 
 /// Most nodes that a resource names as pending.
 const SHOWN_PENDING: usize = 10;
@@ -83,19 +83,18 @@
 fn serving_condition(view: &View, resource: &Resource) -> Option<ConditionView> {
     let name = &resource.metadata.name;
     match &resource.spec {
-        Spec::Version(_) => Some(version_serving(view, name)),
+        Spec::Version(version) => Some(version_serving(view, name, version.phase)),
         Spec::Upstream(upstream) => Some(upstream_serving(view, name, upstream.drain)),
         _ => None,
     }
 }
 
-fn version_serving(view: &View, name: &CompactString) -> ConditionView {
-    let suspended = view
-        .config
-        .versions
-        .key(name)
-        .is_some_and(|key| view.suspended.contains(&key));
-    if suspended {
+fn version_serving(view: &View, name: &CompactString, phase: Phase) -> ConditionView {
+    if phase == Phase::Withdrawn {
+        return condition("Serving", false, "Withdrawn", "takes no new work".into());
+    }
+    let key = view.config.versions.key(name);
+    if key.is_some_and(|key| view.suspended.contains(&key)) {
         let message = CompactString::const_new("judged bad by a roll-out; takes no new work");
         return condition("Serving", false, "Suspended", message);
     }
@@ -105,12 +104,8 @@
     };
     let warm = view.agents.iter().filter(is_warm).count();
     let reason = if warm > 0 { "Warm" } else { "NotWarm" };
-    condition(
-        "Serving",
-        warm > 0,
-        reason,
-        format_compact!("warm at {warm} upstreams"),
-    )
+    let message = format_compact!("warm at {warm} upstreams");
+    condition("Serving", warm > 0, reason, message)
 }
 
 fn upstream_serving(view: &View, name: &CompactString, drain: bool) -> ConditionView {
