Pass an engine's refusal of a body on as the caller's error, and take content in parts

Cause: the openai package of PyPI (3.60.0) sends message content also as a list of parts. The engine stand-in refused it with 400, which the caller saw as 502 upstream_failed and would retry. Change: 400, 413 and 422 of an engine become malformed_body, not run, with the engine's reason; the stand-in reads parts.

--- a/crates/lab/src/engine/service.rs
+++ b/crates/lab/src/engine/service.rs
@@ -58,7 +58,33 @@
 
 #[derive(Debug, Deserialize)]
 struct Message {
-    content: String,
+    content: Content,
+}
+
+/// A message's content: a text, or parts of which the texts count.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<ContentPart>),
+}
+
+#[derive(Debug, Deserialize)]
+struct ContentPart {
+    #[serde(default)]
+    text: String,
+}
+
+impl Content {
+    fn words(&self) -> Vec<&str> {
+        match self {
+            Self::Text(text) => text.split_whitespace().collect(),
+            Self::Parts(parts) => parts
+                .iter()
+                .flat_map(|part| part.text.split_whitespace())
+                .collect(),
+        }
+    }
 }
 
 impl Service {
@@ -299,7 +325,7 @@
 fn prompt(chat: &ChatBody) -> impl Iterator<Item = &str> {
     chat.messages
         .iter()
-        .flat_map(|message| message.content.split_whitespace())
+        .flat_map(|message| message.content.words())
 }
 
 fn prefix_of(chat: &ChatBody) -> u64 {
--- a/src/carawayrun/traffic/agent/exchange.rs
+++ b/src/carawayrun/traffic/agent/exchange.rs
@@ -25,6 +25,9 @@
 /// Longest answer of an engine that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Longest reason of an engine that is passed on, in bytes.
+const MAX_REASON_BYTES: usize = 1024;
+
 /// Times that a cut stream is resumed.
 const MAX_RESUMES: u32 = 4;
 
@@ -119,6 +122,13 @@
             let message = format!("the engine did not take the request: {status}");
             return Outcome::NotBegun(Refusal::new(Code::NoUpstream, message));
         }
+        // The body is the caller's; another engine would refuse it too.
+        StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE
+        | StatusCode::UNPROCESSABLE_ENTITY => {
+            let message = format!("the engine refused the body: {}", reason(&mut answer).await);
+            return Outcome::NotBegun(Refusal::new(Code::MalformedBody, message));
+        }
         status => {
             let message = format!("the engine answered {status}");
             let failure = Failure::new(Code::UpstreamFailed, Ran::Yes, message);
@@ -136,6 +146,13 @@
     }
 }
 
+// What the engine says of a refusal, as far as it is short.
+async fn reason(answer: &mut Answer) -> String {
+    let body = answer.body().limit(MAX_REASON_BYTES).await;
+    let text = body.map(|body| String::from_utf8_lossy(&body).trim().to_owned());
+    text.unwrap_or_else(|_| answer.status().to_string())
+}
+
 #[derive(Deserialize)]
 struct WholeAnswer {
     id: String,
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -1,5 +1,6 @@
 //! A request of each kind is served from one end to the other.
 
+use serde_json::json;
 use test_case::test_case;
 
 use crate::support::{ASSOCIATION_KEY, Call, Caller, LUZCENA_KEY, Ran, WorldBuilder, eventually};
@@ -54,7 +55,15 @@
     let luzcena = world.caller(0, LUZCENA_KEY);
     let association = world.caller(0, ASSOCIATION_KEY);
     let stranger = world.caller(0, "no-such-key");
-    let cases: [(&Caller, Call, u16, &str); 8] = [
+    let engines_say =
+        json!({"model": "scene", "max_tokens": "many", "messages": [{"content": "hi"}]});
+    let cases: [(&Caller, Call, u16, &str); 9] = [
+        (
+            &luzcena,
+            Caller::post("/v1/chat/completions", &engines_say.to_string()),
+            400,
+            "malformed_body",
+        ),
         (
             &stranger,
             Caller::chat("scene", 2, false),
