--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -308,7 +308,9 @@
             code: error.code,
             ran: error.ran,
         },
-        _ => Outcome::Wrong {
+        // The caller can tell by the missing end; the client library does not
+        // tell a connection that broke from one that was closed.
+        _ => Outcome::Broken {
             message: format!("the stream of {} ended early without a word", expected.id),
         },
     }
