--- a/src/carawayrun/traffic/gateway/run.rs
+++ b/src/carawayrun/traffic/gateway/run.rs
@@ -321,16 +321,12 @@
             after_failure(job, Refusal::failed(&failed))
         }
         AttemptError::Lost(reason) => {
-            let ran = if job.idempotent {
-                Ran::Unknown
-            } else {
-                wire.settle(run).await
-            };
+            let ran = settled(job, wire, run).await;
             note_usage(account, job.step, target, None, ran);
             after_failure(job, Refusal::failure(Code::AnswerCut, reason, ran))
         }
         AttemptError::Expired => {
-            let ran = wire.settle(run).await;
+            let ran = settled(job, wire, run).await;
             note_usage(account, job.step, target, None, ran);
             Next::Stop(Refusal::failure(
                 Code::Timeout,
@@ -341,6 +337,14 @@
     }
 }
 
+// Only a call that may not be repeated is worth the question.
+async fn settled(job: &Job, wire: Wire<'_>, run: &Run) -> Ran {
+    if job.idempotent {
+        return Ran::Unknown;
+    }
+    wire.settle(run).await
+}
+
 fn note_usage(
     account: &mut Account,
     step: u32,
