Refuse early what would not end in time

Cause: a run was refused only where its wait alone was longer than the time left, so it could be started and cut by its deadline. The expected time in the slot now counts too.

The mean over runs of unlike length is a coarse estimate; an estimate per task is left.

--- a/src/carawayrun/traffic/agent/admission.rs
+++ b/src/carawayrun/traffic/agent/admission.rs
@@ -89,8 +89,8 @@
 
     /// Waits for a slot.
     ///
-    /// Refuses at once where the queue is full of runs that go first, or the
-    /// expected wait is longer than the time to the deadline.
+    /// Refuses at once where the queue is full of runs that go first, or where
+    /// it is not expected to end before the deadline.
     pub(crate) async fn enter(
         self: &Rc<Self>,
         priority: Priority,
@@ -139,7 +139,9 @@
         let rank = inner.queue.rank(priority, self.now());
         let wait_ms = inner.expected_wait(rank);
         let left = deadline.saturating_duration_since(Instant::now());
-        if Duration::from_millis(wait_ms.into()) > left {
+        // A run that would be cut by its deadline only takes another's slot.
+        let needed = Duration::from_millis(u64::from(wait_ms) + inner.service_ms as u64);
+        if needed > left {
             return Err(overloaded(wait_ms));
         }
         let evicted = if inner.queue.len() >= self.queue_limit {
