--- a/src/carawayrun/control/state.rs
+++ b/src/carawayrun/control/state.rs
@@ -126,9 +126,9 @@
         self.works.handle(event, &mut self.context);
         self.claims.handle(event, &mut self.context);
         self.ledger.handle(event, &mut self.context);
+        cancel::handle(event, &mut self.context);
         self.held.handle(event, &mut self.context);
         self.orders.handle(event, &mut self.context);
-        cancel::handle(event, &mut self.context);
         self.burn.handle(event, &mut self.context);
         self.evidence.handle(event, &mut self.context);
         self.rollouts
