--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -16,7 +16,7 @@
 
 mod group {
 
-    criterion::criterion_group!(benches, super::decision);
+    criterion::criterion_group!(benches, super::decision, super::build);
 }
 
 criterion_main!(group::benches);
@@ -36,6 +36,19 @@
     group.finish();
 }
 
+// What a new view costs each traffic thread.
+fn build(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("pools");
+    for upstreams in [10, 100, 600] {
+        let world = World::new(upstreams);
+        let candidates = candidates(&world.config);
+        group.bench_function(BenchmarkId::new("build", upstreams), |bencher| {
+            bencher.iter(|| Pools::build(black_box(candidates.iter().cloned())));
+        });
+    }
+    group.finish();
+}
+
 struct World {
     config: Config,
     estimates: Estimates,
--- a/src/carawayrun/policy/ring.rs
+++ b/src/carawayrun/policy/ring.rs
@@ -6,7 +6,7 @@
 use crate::resource::UpstreamKey;
 
 /// Points of each upstream on the ring of prefix homes.
-const RING_POINTS: u64 = 8;
+const RING_POINTS: u64 = 4;
 
 /// The members of a pool in one data centre, and which of them is home to a
 /// prompt prefix.
@@ -45,10 +45,7 @@
 impl Place {
     /// Adds a member; [`Place::seal`] follows the last one.
     pub(crate) fn add(&mut self, upstream: UpstreamKey) {
-        let Err(index) = self.upstreams.binary_search(&upstream) else {
-            return;
-        };
-        self.upstreams.insert(index, upstream);
+        self.upstreams.push(upstream);
         let id = upstream.data().as_ffi();
         self.ring.extend((0..RING_POINTS).map(|copy| RingPoint {
             point: mix(id ^ copy.rotate_left(48)),
@@ -56,8 +53,10 @@
         }));
     }
 
-    /// Makes the ring of prefix homes ready.
+    /// Puts members and prefix homes in order.
     pub(crate) fn seal(&mut self) {
+        self.upstreams.sort_unstable();
+        self.upstreams.dedup();
         self.ring.sort_unstable();
     }
 
