--- a/tests/testsuite/operating.rs
+++ b/tests/testsuite/operating.rs
@@ -111,7 +111,8 @@
         made.err
     );
     assert!(
-        made.err.ends_with("    In force generation 2 everywhere\n"),
+        made.err
+            .ends_with("    In force generation 2 at all 4 live nodes\n"),
         "{}",
         made.err
     );
