Keep a watch that worked over the restart of all servers

Before, an idle watch ended after as many lost connections as there were servers, however far apart, and a single server's restart ended it. With no retries the new test fails.

--- a/src/carawayrun/ops/client/watch.rs
+++ b/src/carawayrun/ops/client/watch.rs
@@ -13,6 +13,12 @@
 /// Longest silence on a watch; heartbeats come more often.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time between two connections of a watch that worked before.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Connections in a row that may bring nothing before such a watch gives up.
+const RETRIES: usize = 60;
+
 impl Client {
     /// Reads the lines of a watch after generation `from` until `take` says
     /// false; goes on at another server where a connection ends.
@@ -25,17 +31,26 @@
         mut from: u64,
         mut take: impl FnMut(WatchLine) -> bool,
     ) -> Result<(), ClientError> {
+        let mut seen_any = false;
         let mut failures = 0;
-        while failures < self.servers.len() {
+        while failures < self.allowed_failures(seen_any) {
             let index = self.current.get() % self.servers.len();
             let server = &self.servers[index];
-            let before = from;
-            match self.watch_one(server, &mut from, &mut take).await {
+            let mut lines = 0;
+            let mut counted = |line: WatchLine| {
+                lines += 1;
+                take(line)
+            };
+            match self.watch_one(server, &mut from, &mut counted).await {
                 Ok(true) => return Ok(()),
                 Err(error @ ClientError::Refused { .. }) => return Err(error),
                 Ok(false) | Err(_) => self.current.set(index + 1),
             }
-            failures = if from > before { 0 } else { failures + 1 };
+            seen_any |= lines > 0;
+            failures = if lines > 0 { 0 } else { failures + 1 };
+            if seen_any {
+                actix_rt::time::sleep(RETRY_PAUSE).await;
+            }
         }
         UnreachableSnafu {
             message: "the watch ended at each",
@@ -43,6 +58,16 @@
         .fail()
     }
 
+    /// A watch that worked outlives a restart of all servers; one that never
+    /// did asks each server once.
+    fn allowed_failures(&self, seen_any: bool) -> usize {
+        if seen_any {
+            self.servers.len().max(RETRIES)
+        } else {
+            self.servers.len()
+        }
+    }
+
     // Returns true where `take` had enough.
     async fn watch_one(
         &self,
--- a/tests/testsuite/operating.rs
+++ b/tests/testsuite/operating.rs
@@ -7,7 +7,7 @@
     reason = "snapshots are written with them"
 )]
 
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::process::{Output, Stdio};
 
 use serde_json::{Value, json};
@@ -314,3 +314,26 @@
     let watched = run(&world, &["watch", "--from", "1", "--until", "2"]);
     assert!(watched.out.starts_with("2 "), "{}", watched.out);
 }
+
+#[actix_rt::test]
+async fn a_watch_outlives_the_restart_of_its_only_gateway() {
+    let mut world = WorldBuilder::new("operate-watch")
+        .engines(1)
+        .gateways(1)
+        .start()
+        .await;
+    let mut command = world.operator_command();
+    command.args(["watch", "--from", "0", "--until", "2"]);
+    let mut watch = command.stdout(Stdio::piped()).spawn().expect("it starts");
+    let mut lines = BufReader::new(watch.stdout.take().expect("it is piped")).lines();
+    let mut next = || lines.next().expect("a line").expect("text");
+    assert!(next().starts_with("1 "));
+    world.gateways[0].kill();
+    world.start_gateway(0);
+    world.in_force(1).await;
+    let applied = run_with(&world, &["apply", "-f", "-"], &version(500, 0));
+    assert_eq!(applied.code, Some(0), "{}", applied.err);
+    assert!(next().starts_with("2 "));
+    let ended = watch.wait().expect("it ends");
+    assert_eq!(ended.code(), Some(0));
+}
