--- a/tests/testsuite/operating.rs
+++ b/tests/testsuite/operating.rs
@@ -9,6 +9,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::process::{Output, Stdio};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use snapbox::{assert_data_eq, str};
@@ -329,6 +330,8 @@
     let mut next = || lines.next().expect("a line").expect("text");
     assert!(next().starts_with("1 "));
     world.gateways[0].kill();
+    // Long enough for a watch that does not try again to end.
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
     world.start_gateway(0);
     world.in_force(1).await;
     let applied = run_with(&world, &["apply", "-f", "-"], &version(500, 0));
