--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -118,6 +118,13 @@
     }
 }
 
+impl Options {
+    /// Checks what the parser can't, without starting anything.
+    pub(crate) fn check(&self) -> Result<(), Failure> {
+        self.node.gateway().map(drop).map_err(Failure::usage)
+    }
+}
+
 /// Runs the process until it is told to stop.
 pub(crate) fn exec(options: &Options) -> Result<(), Failure> {
     actix_rt::System::new().block_on(serve(options))
@@ -175,9 +182,8 @@
         () = gateway.sealed() => true,
     };
     info!(name: "gateway.stopping", in_flight = gateway.in_flight(), sealed, "stopping");
-    handle.post(Event::Stop);
     let ended = tokio::select! {
-        ended = gateway.stop() => ended,
+        ended = stop(gateway, handle, sealed) => ended,
         () = signals.next() => gateway.cut(),
     };
     report(&ended);
@@ -191,6 +197,14 @@
     Ok(())
 }
 
+async fn stop(gateway: &Gateway, handle: &Handle, sealed: bool) -> Ended {
+    if !sealed {
+        gateway.leave().await;
+    }
+    handle.post(Event::Stop);
+    gateway.stop().await
+}
+
 fn report(ended: &Ended) {
     if ended.cut > 0 || ended.unbilled > 0 {
         warn!(
--- a/src/carawayrun/control/mod.rs
+++ b/src/carawayrun/control/mod.rs
@@ -5,16 +5,21 @@
 //! concern has a file of its own and is called from here in a fixed order.
 
 mod burn;
+mod cancel;
 mod candidates;
 mod claims;
 mod context;
 mod effect;
 mod event;
+mod evidence;
 mod follow;
 mod held;
+mod home;
 mod ledger;
 mod member;
 mod orders;
+mod rollout;
+mod share;
 mod state;
 mod time;
 mod view;
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -8,7 +8,9 @@
 mod attempt;
 mod burn;
 mod client;
+mod clock;
 mod difference;
+mod handler;
 mod operators;
 mod refusal;
 mod routes;
@@ -18,10 +20,15 @@
 mod store;
 mod watch;
 pub mod why;
+mod writes;
+
+#[cfg(test)]
+mod tests;
 
 pub use self::attempt::{AttemptError, Next, WriteAttempt};
 pub use self::client::{Client, ClientError};
 pub use self::difference::{change_summary, item_difference, item_verb};
+pub use self::handler::OPENAPI;
 pub use self::operators::{OperatorKey, Operators, ParseOperatorKeyError};
 pub use self::routes::{ROUTES, Route, RouteInfo};
-pub use self::server::{OPENAPI, Options, bind};
+pub use self::server::{Options, bind};
--- a/src/carawayrun/ops/status.rs
+++ b/src/carawayrun/ops/status.rs
@@ -9,20 +9,19 @@
 use super::since::SinceTimes;
 use crate::control::{Admission, AgentView, MemberView, Role, RolloutView, View};
 use crate::peer::message::MemberState;
-use crate::resource::{Kind, Resource, Spec};
+use crate::resource::{Kind, Phase, Resource, Spec};
+
+/// Most nodes that a resource names as pending.
+const SHOWN_PENDING: usize = 10;
 
 /// A resource with its observed state.
 pub(super) fn resource_view(view: &View, since: &SinceTimes, resource: &Resource) -> ResourceView {
     let wanted = resource.metadata.resource_version;
-    let behind = |member: &&MemberView| is_live(member) && member.generation < wanted;
-    let pending: Vec<CompactString> = view
-        .members
-        .iter()
-        .filter(behind)
-        .map(|member| member.node.name.clone())
-        .collect();
-    let in_force = view.members.iter().filter(|member| is_live(member)).count() - pending.len();
-    let mut conditions = vec![in_force_condition(&pending)];
+    let live = view.members.iter().filter(|member| is_live(member));
+    let live: Vec<&MemberView> = live.collect();
+    let behind = live.iter().filter(|member| member.generation < wanted);
+    let behind: Vec<&CompactString> = behind.map(|member| &member.node.name).collect();
+    let mut conditions = vec![in_force_condition(&behind)];
     conditions.extend(serving_condition(view, resource));
     for condition in &mut conditions {
         condition.since = since.since(resource, condition);
@@ -31,8 +30,9 @@
         resource: resource.clone(),
         status: Status {
             generation: view.config.generation,
-            in_force: u32::try_from(in_force).unwrap_or(u32::MAX),
-            pending,
+            live: live.len(),
+            in_force: live.len() - behind.len(),
+            pending: behind.into_iter().take(SHOWN_PENDING).cloned().collect(),
             conditions,
             rollout: rollout_of(view, resource),
         },
@@ -69,37 +69,32 @@
     matches!(member.state, MemberState::Alive | MemberState::Suspect)
 }
 
-fn in_force_condition(pending: &[CompactString]) -> ConditionView {
-    let holds = pending.is_empty();
-    let message = if holds {
-        CompactString::const_new("all live nodes have it in force")
-    } else {
-        format_compact!("waiting for {}", pending.join(", "))
-    };
-    condition(
-        "InForce",
-        holds,
-        if holds { "Everywhere" } else { "Pending" },
-        message,
-    )
+fn in_force_condition(behind: &[&CompactString]) -> ConditionView {
+    if behind.is_empty() {
+        let message = CompactString::const_new("all live nodes have it in force");
+        return condition("InForce", true, "Everywhere", message);
+    }
+    let mut names: Vec<&str> = behind.iter().map(|name| name.as_str()).collect();
+    names.truncate(SHOWN_PENDING);
+    let message = format_compact!("waiting for {} nodes: {}", behind.len(), names.join(", "));
+    condition("InForce", false, "Pending", message)
 }
 
 fn serving_condition(view: &View, resource: &Resource) -> Option<ConditionView> {
     let name = &resource.metadata.name;
     match &resource.spec {
-        Spec::Version(_) => Some(version_serving(view, name)),
+        Spec::Version(version) => Some(version_serving(view, name, version.phase)),
         Spec::Upstream(upstream) => Some(upstream_serving(view, name, upstream.drain)),
         _ => None,
     }
 }
 
-fn version_serving(view: &View, name: &CompactString) -> ConditionView {
-    let suspended = view
-        .config
-        .versions
-        .key(name)
-        .is_some_and(|key| view.suspended.contains(&key));
-    if suspended {
+fn version_serving(view: &View, name: &CompactString, phase: Phase) -> ConditionView {
+    if phase == Phase::Withdrawn {
+        return condition("Serving", false, "Withdrawn", "takes no new work".into());
+    }
+    let key = view.config.versions.key(name);
+    if key.is_some_and(|key| view.suspended.contains(&key)) {
         let message = CompactString::const_new("judged bad by a roll-out; takes no new work");
         return condition("Serving", false, "Suspended", message);
     }
@@ -109,12 +104,8 @@
     };
     let warm = view.agents.iter().filter(is_warm).count();
     let reason = if warm > 0 { "Warm" } else { "NotWarm" };
-    condition(
-        "Serving",
-        warm > 0,
-        reason,
-        format_compact!("warm at {warm} upstreams"),
-    )
+    let message = format_compact!("warm at {warm} upstreams");
+    condition("Serving", warm > 0, reason, message)
 }
 
 fn upstream_serving(view: &View, name: &CompactString, drain: bool) -> ConditionView {
--- a/src/carawayrun/traffic/agent/mod.rs
+++ b/src/carawayrun/traffic/agent/mod.rs
@@ -16,6 +16,8 @@
 mod frames;
 mod judge;
 mod ledger;
+mod not_ready;
+mod pulse;
 mod queue;
 mod refusal;
 mod run;
@@ -30,4 +32,4 @@
 #[cfg(test)]
 mod tests;
 
-pub use self::server::{Agent, AgentSettings, spawn};
+pub use self::server::{Agent, AgentSettings, SpawnAgentError, spawn};
