Let a crossed answer of the engine stand-in carry another request's text

Cause: with the agent's check of the engine's id taken out, the test of crossed answers still passed, since the stand-in crossed the id and not the text. Change: it crosses both; a refusal by 429 or 503 must also say when to come back.

--- a/crates/lab/src/engine/generation.rs
+++ b/crates/lab/src/engine/generation.rs
@@ -47,7 +47,7 @@
             "model": self.version,
             "choices": [{
                 "index": 0,
-                "message": {"role": "assistant", "content": self.tokens.concat()},
+                "message": {"role": "assistant", "content": shown(crossed, &self.tokens.concat())},
                 "finish_reason": "stop",
             }],
             "usage": self.usage(),
@@ -87,11 +87,12 @@
             return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
         }
         let crossed = faults.crossed && number >= half;
-        let chunk = self.chunk(number, self.shown_id(crossed));
+        let chunk = self.chunk(number, crossed);
         Some(Ok(Bytes::from(format!("id: {number}\ndata: {chunk}\n\n"))))
     }
 
-    fn chunk(&self, number: usize, id: &str) -> Value {
+    fn chunk(&self, number: usize, crossed: bool) -> Value {
+        let id = self.shown_id(crossed);
         let Some(token) = self.tokens.get(number) else {
             return json!({
                 "id": id,
@@ -108,7 +109,7 @@
             "model": self.version,
             "choices": [{
                 "index": 0,
-                "delta": {"content": token},
+                "delta": {"content": shown(crossed, token)},
                 "finish_reason": last.then_some("stop"),
             }],
         })
@@ -125,6 +126,11 @@
     }
 
     fn shown_id(&self, crossed: bool) -> &str {
-        if crossed { "another-request" } else { &self.id }
+        shown(crossed, &self.id)
     }
 }
+
+// A crossed answer carries the id and the text of another request.
+fn shown(crossed: bool, own: &str) -> &str {
+    if crossed { " another-request" } else { own }
+}
--- a/tests/testsuite/answers.rs
+++ b/tests/testsuite/answers.rs
@@ -52,6 +52,12 @@
     let mut whole = 0;
     for Exchange { mark, answer, .. } in exchanges {
         if answer.status != 200 {
+            let comes_back = !matches!(answer.status, 429 | 503) || answer.retry_after;
+            assert!(
+                comes_back,
+                "{mark}: not told when to come back: {}",
+                answer.body
+            );
             assert!(
                 !answer.code().is_empty(),
                 "{mark}: an error without a code: {}",
@@ -65,6 +71,7 @@
                 text.contains(&answer.request_id),
                 "{mark}: not its own: {text}"
             );
+            assert!(!text.contains("another-request"), "{mark}: crossed: {text}");
             assert_eq!(
                 text.split_whitespace().count() as u32,
                 2 + WORDS,
