--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod path;
 mod policy;
 mod resources;
+mod rollouts;
 mod sessions;
 mod stopping;
 mod writing;
