--- a/tests/testsuite/operating.rs
+++ b/tests/testsuite/operating.rs
@@ -7,8 +7,9 @@
     reason = "snapshots are written with them"
 )]
 
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::process::{Output, Stdio};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use snapbox::{assert_data_eq, str};
@@ -111,7 +112,8 @@
         made.err
     );
     assert!(
-        made.err.ends_with("    In force generation 2 everywhere\n"),
+        made.err
+            .ends_with("    In force generation 2 at all 4 live nodes\n"),
         "{}",
         made.err
     );
@@ -313,3 +315,28 @@
     let watched = run(&world, &["watch", "--from", "1", "--until", "2"]);
     assert!(watched.out.starts_with("2 "), "{}", watched.out);
 }
+
+#[actix_rt::test]
+async fn a_watch_outlives_the_restart_of_its_only_gateway() {
+    let mut world = WorldBuilder::new("operate-watch")
+        .engines(1)
+        .gateways(1)
+        .start()
+        .await;
+    let mut command = world.operator_command();
+    command.args(["watch", "--from", "0", "--until", "2"]);
+    let mut watch = command.stdout(Stdio::piped()).spawn().expect("it starts");
+    let mut lines = BufReader::new(watch.stdout.take().expect("it is piped")).lines();
+    let mut next = || lines.next().expect("a line").expect("text");
+    assert!(next().starts_with("1 "));
+    world.gateways[0].kill();
+    // Long enough for a watch that does not try again to end.
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    world.start_gateway(0);
+    world.in_force(1).await;
+    let applied = run_with(&world, &["apply", "-f", "-"], &version(500, 0));
+    assert_eq!(applied.code, Some(0), "{}", applied.err);
+    assert!(next().starts_with("2 "));
+    let ended = watch.wait().expect("it ends");
+    assert_eq!(ended.code(), Some(0));
+}
