Sharpen two reducer tests that passed with their mechanism off

Off and not noticed: forgiveness after a stall, and contact counted from the sending; both tests now force the moment and fail without it. Telling a wrongly dead member at its next ping still isn't noticed when off, as the exchange of digests does the same, only later.

--- a/src/carawayrun/control/tests/follow.rs
+++ b/src/carawayrun/control/tests/follow.rs
@@ -93,8 +93,9 @@
 #[test]
 fn what_arrived_during_a_freeze_does_not_count_as_contact() {
     let mut world = settled(7);
+    world.run_until("a poll is under way", |world| world.awaits_head(7));
     world.nodes[7].frozen = true;
-    world.run(Millis(30_000));
+    world.run(Millis(20_000));
     world.nodes[7].frozen = false;
     world.nodes[7].cut = true;
     world.run(Millis(200));
--- a/src/carawayrun/control/tests/member.rs
+++ b/src/carawayrun/control/tests/member.rs
@@ -65,12 +65,31 @@
     });
     world.run(Millis(20_000));
     world.nodes[3].frozen = false;
-    world.run_until("all trust it", |world| world.all_see(3, MemberState::Alive));
+    let took = world.run_until("all trust it", |world| world.all_see(3, MemberState::Alive));
+    assert!(took <= Millis(5_000), "a few seconds, not {took:?}");
     for about in [0, 1, 2, 4, 5, 6, 7] {
         assert_eq!(world.knows(3, about), MemberState::Alive, "n{about}");
     }
 }
 
+#[test]
+fn a_member_that_was_away_suspects_nobody_for_the_acks_it_missed() {
+    let mut world = joined(8, 12);
+    for _ in 0..20 {
+        world.run(Millis(100));
+        world.nodes[3].frozen = true;
+        world.nodes[3].cut = true;
+        world.run(Millis(900));
+        world.nodes[3].frozen = false;
+        world.nodes[3].cut = false;
+        world.run(Millis(100));
+        for about in [0, 1, 2, 4, 5, 6, 7] {
+            assert_eq!(world.knows(3, about), MemberState::Alive, "n{about}");
+        }
+        world.run(Millis(10_000));
+    }
+}
+
 #[test]
 fn leaving_reaches_all_before_anybody_could_suspect() {
     let mut world = joined(20, 8);
--- a/src/carawayrun/control/tests/world.rs
+++ b/src/carawayrun/control/tests/world.rs
@@ -12,7 +12,7 @@
 use serde_json::value::to_raw_value;
 
 use crate::control::{
-    Directory, Effect, Event, HostEntry, Identity, Millis, Role, State, TICK, Ticket, View,
+    Concern, Directory, Effect, Event, HostEntry, Identity, Millis, Role, State, TICK, Ticket, View,
 };
 use crate::peer::NodeId;
 use crate::peer::message::{Envelope, MemberState};
@@ -204,6 +204,13 @@
         others.all(|of| self.knows(of, about) == state)
     }
 
+    /// True while an answer about the configuration is on its way to a node.
+    pub(super) fn awaits_head(&self, index: usize) -> bool {
+        let is_answer = |event: &Event| matches!(event, Event::Stored(ticket, _) if ticket.concern == Concern::Config);
+        let mut mail = self.mail.iter();
+        mail.any(|mail| mail.to == index && is_answer(&mail.event))
+    }
+
     fn carry_out(&mut self, index: usize, effect: Effect) {
         match effect {
             Effect::Send(addr, envelope) => self.send(index, &addr, &envelope),
