Tell roll-outs' shares only when they change, and scale demand reports

The home of 410 gateways would send 410 messages a second; now each four seconds where nothing changes (worked out, not measured at that size).

--- a/src/carawayrun/control/rollout/mod.rs
+++ b/src/carawayrun/control/rollout/mod.rs
@@ -41,6 +41,9 @@
 /// Time between two judgements.
 const PERIOD: Millis = Millis(1_000);
 
+/// Longest time between two reports to the other gateways where nothing changes.
+const TELL_PERIOD: Millis = Millis(4_000);
+
 /// Age at which a share that was heard no longer sends work to a new version.
 const HEARD_AGE: Millis = Millis(10_000);
 
@@ -63,9 +66,17 @@
     fence: Option<u64>,
     write: Option<PendingWrite>,
     written: Millis,
+    told: Option<Told>,
     next: Millis,
 }
 
+// The last report to the other gateways.
+#[derive(Debug)]
+struct Told {
+    report: EvidenceReport,
+    time: Millis,
+}
+
 // What part of the old version's new work the new one gets.
 #[derive(Debug, Clone, Copy)]
 struct Share {
@@ -177,6 +188,7 @@
 
     fn leave(&mut self) {
         self.is_home = false;
+        self.told = None;
         self.fence = None;
         self.write = None;
         self.starts.clear();
@@ -452,7 +464,7 @@
         context.changed = true;
     }
 
-    fn tell(&self, context: &mut Context) {
+    fn tell(&mut self, context: &mut Context) {
         let rollouts = self.shares.iter().map(|(name, share)| RolloutShare {
             name: name.to_string(),
             share: share.part,
@@ -466,7 +478,15 @@
             suspended: self.suspended.keys().map(ToString::to_string).collect(),
             rollouts: rollouts.collect(),
         };
-        broadcast(&Body::Evidence(report), context);
+        let time = context.now;
+        let known = self
+            .told
+            .as_ref()
+            .is_some_and(|told| told.report == report && time.since(told.time) < TELL_PERIOD);
+        if !known {
+            broadcast(&Body::Evidence(report.clone()), context);
+            self.told = Some(Told { report, time });
+        }
     }
 }
 
--- a/src/carawayrun/control/share.rs
+++ b/src/carawayrun/control/share.rs
@@ -20,11 +20,14 @@
 use crate::peer::message::{self, Envelope, TeamDemand, TeamShare};
 use crate::resource::{Limits, TeamKey};
 
-/// Time between two reports of demand.
+/// Shortest time between two reports of demand.
 const PERIOD: Millis = Millis(1_000);
 
-/// Time that a granted share holds without another one.
-const TTL: Millis = Millis(5_000);
+/// Gateways for which the shortest period suffices; more report less often.
+const GATEWAYS: u64 = 32;
+
+/// Periods that a granted share holds without another one.
+const TTL_PERIODS: u64 = 5;
 
 /// Part of a limit that is divided evenly.
 const EVEN_PART: f64 = 0.2;
@@ -66,7 +69,7 @@
             Event::Answered(outcome) => self.count(outcome),
             Event::Received(envelope) => self.received(envelope, context),
             Event::Tick if context.identity.role == Role::Gateway && context.now >= self.next => {
-                self.next = context.now + PERIOD;
+                self.next = context.now + period(context);
                 self.tick(context);
             }
             _ => {}
@@ -107,7 +110,8 @@
     }
 
     fn tick(&mut self, context: &mut Context) {
-        self.update_demand(context);
+        let seconds = period(context).0 as f64 / 1_000.0;
+        self.update_demand(seconds, context);
         let mut remote: BTreeMap<CompactString, Vec<TeamDemand>> = BTreeMap::new();
         let mut own = message::Demand::default();
         for (team, rate) in &self.demand {
@@ -135,7 +139,7 @@
     }
 
     // Of all teams: a gateway without demand has to give its part up.
-    fn update_demand(&mut self, context: &Context) {
+    fn update_demand(&mut self, seconds: f64, context: &Context) {
         let counts = std::mem::take(&mut self.counts);
         let teams = &context.config.teams;
         self.demand.retain(|name, _| teams.key(name).is_some());
@@ -143,7 +147,7 @@
             self.demand.entry(team.name.clone()).or_default();
         }
         for (team, rate) in &mut self.demand {
-            let newest = f64::from(counts.get(team).copied().unwrap_or(0));
+            let newest = f64::from(counts.get(team).copied().unwrap_or(0)) / seconds;
             *rate += NEWEST_WEIGHT * (newest - *rate);
         }
     }
@@ -156,13 +160,14 @@
         context: &Context,
     ) -> message::Share {
         let count = gateways(context).count().max(1) as f64;
+        let ttl = ttl(context);
         let teams = demand.teams.iter().filter_map(|wanted| {
             let team = context.config.teams.by_name(&wanted.team)?;
             let asked = self.asked.entry(team.name.clone()).or_default();
             let time = context.now;
             let rate = wanted.rate;
             asked.insert(gateway.clone(), Asked { rate, time });
-            asked.retain(|_, asked| time.since(asked.time) < TTL);
+            asked.retain(|_, asked| time.since(asked.time) < ttl);
             let part = part(rate, asked, count);
             Some(TeamShare {
                 team: wanted.team.clone(),
@@ -172,7 +177,7 @@
         });
         message::Share {
             teams: teams.collect(),
-            ttl_ms: TTL.0 as u32,
+            ttl_ms: ttl.0 as u32,
         }
     }
 
@@ -191,6 +196,15 @@
     }
 }
 
+fn period(context: &Context) -> Millis {
+    let count = gateways(context).count() as u64;
+    Millis(PERIOD.0 * count.div_ceil(GATEWAYS).max(1))
+}
+
+fn ttl(context: &Context) -> Millis {
+    Millis(period(context).0 * TTL_PERIODS)
+}
+
 // The even part, and the rest by demand.
 fn part(rate: f64, asked: &BTreeMap<CompactString, Asked>, count: f64) -> f64 {
     let total: f64 = asked.values().map(|asked| asked.rate).sum();
