Check sessions while a roll-out's split is under way

Cause: with the token's version ignored the test still passed, since the new version had no traffic yet. Change: it waits until unpinned requests go to the new version.

--- a/tests/testsuite/sessions.rs
+++ b/tests/testsuite/sessions.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use test_case::test_case;
 
-use crate::support::{Answer, Caller, LUZCENA_KEY, World, WorldBuilder, resource};
+use crate::support::{Answer, Caller, LUZCENA_KEY, World, WorldBuilder, eventually, resource};
 
 #[test_case(true; "by the token of the answer")]
 #[test_case(false; "by the caller's own id")]
@@ -74,6 +74,15 @@
     );
     world.apply(&json!([rollout])).await;
     world.in_force(2).await;
+    // Only a split that is under way can tear a session from its version.
+    for gateway in 0..3 {
+        let caller = world.caller(gateway, LUZCENA_KEY);
+        eventually("the new version takes traffic", || async {
+            let answer = caller.send(Caller::chat("scene", 2, false)).await;
+            answer.version == "scene-v2"
+        })
+        .await;
+    }
 }
 
 async fn check(world: &World, sessions: &[Session]) {
