Don't take a connection that ended after the request for one that never was

Cause: awc calls a connection that ended before the head of the answer Connect(Disconnected), also where the request had been sent. The gateway took it for "not sent", so a call that may not be repeated could have been sent to a second upstream, and a refusal could have said ran: no wrongly. Found in a trial: with a gateway killed under load, 514 requests had 516 bills, as the load tool resent two for the same reason (each has its own id, none was billed twice). Now it is lost: settled with the agent first. The load tool resends only what was not sent.

--- a/crates/lab/src/load/call.rs
+++ b/crates/lab/src/load/call.rs
@@ -204,8 +204,9 @@
             let base = self.target(number + tried - 1);
             let sent = request(base).send_body(body.to_owned()).await;
             match sent {
-                Err(awc::error::SendRequestError::Connect(_))
-                    if tried < self.targets.len() as u64 =>
+                Err(awc::error::SendRequestError::Connect(error))
+                    if !matches!(error, awc::error::ConnectError::Disconnected)
+                        && tried < self.targets.len() as u64 =>
                 {
                     tried += 1;
                 }
--- a/src/carawayrun/traffic/gateway/attempt.rs
+++ b/src/carawayrun/traffic/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use actix_http::StatusCode;
 use actix_rt::time::timeout;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::StreamExt;
@@ -169,6 +169,11 @@
 
 fn send_error(error: SendRequestError) -> AttemptError {
     match error {
+        // The library's word for a connection that ended after the request was
+        // sent; the agent may have it.
+        SendRequestError::Connect(error @ ConnectError::Disconnected) => {
+            AttemptError::Lost(error.to_compact_string())
+        }
         SendRequestError::Connect(error) => AttemptError::NotSent(error.to_compact_string()),
         error => AttemptError::Lost(error.to_compact_string()),
     }
--- /dev/null
+++ b/src/carawayrun/traffic/gateway/tests/attempt.rs
@@ -0,0 +1,46 @@
+//! What is known of a run when its connection fails.
+
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+use crate::peer::Keys;
+use crate::peer::message::Run;
+use crate::traffic::gateway::attempt::{AttemptError, Wire};
+
+const LEFT: Duration = Duration::from_secs(30);
+
+async fn send(addr: &str) -> AttemptError {
+    let client = awc::Client::builder().disable_timeout().finish();
+    let keys = Keys::new(b"a key of the cluster", None).unwrap();
+    let wire = Wire {
+        client: &client,
+        keys: &keys,
+        addr,
+    };
+    match wire.send(&Run::default(), LEFT).await {
+        Ok(_) => panic!("there is no agent that could answer"),
+        Err(error) => error,
+    }
+}
+
+#[actix_rt::test]
+async fn a_run_whose_connection_ends_without_an_answer_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    actix_rt::spawn(async move {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let read = connection.read(&mut [0; 1024]).await.unwrap();
+        assert!(read > 0, "the run arrives");
+    });
+    assert!(matches!(send(&addr).await, AttemptError::Lost(_)));
+}
+
+#[actix_rt::test]
+async fn a_run_that_nobody_takes_has_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    assert!(matches!(send(&addr).await, AttemptError::NotSent(_)));
+}
--- a/src/carawayrun/traffic/gateway/tests/mod.rs
+++ b/src/carawayrun/traffic/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Reading requests, checking frames, session tokens.
 
+mod attempt;
 mod chat;
 mod frames;
 mod head;
