--- a/tests/testsuite/answers.rs
+++ b/tests/testsuite/answers.rs
@@ -39,6 +39,22 @@
     check_answers(&traffic.stop().await);
 }
 
+#[actix_rt::test]
+async fn no_answer_is_short_when_the_way_to_an_agent_is_cut() {
+    let world = WorldBuilder::new("answers-hop")
+        .engine_arg("--token-ms", "5")
+        .start()
+        .await;
+    let traffic = streams(&world);
+    for _ in 0..3 {
+        traffic.more_succeed(10).await;
+        world.relays[0].cut();
+        traffic.more_succeed(10).await;
+        world.relays[0].mend();
+    }
+    check_answers(&traffic.stop().await);
+}
+
 fn streams(world: &World) -> Traffic {
     let callers: Vec<Caller> = (0..6).map(|n| world.caller(n % 2, LUZCENA_KEY)).collect();
     Traffic::spawn(&callers, |_| {
--- a/tests/testsuite/once.rs
+++ b/tests/testsuite/once.rs
@@ -63,9 +63,10 @@
     LoseUpstreamAnswers,
     LoseTableAnswers,
     TableDown,
+    CutAgent,
 }
 
-const FAULTS: [Fault; 7] = [
+const FAULTS: [Fault; 8] = [
     Fault::KillAgent,
     Fault::KillGateway,
     Fault::FreezeAgent,
@@ -73,6 +74,7 @@
     Fault::LoseUpstreamAnswers,
     Fault::LoseTableAnswers,
     Fault::TableDown,
+    Fault::CutAgent,
 ];
 
 #[test_case(1)]
@@ -81,6 +83,8 @@
 #[test_case(4)]
 #[test_case(5)]
 #[test_case(6)]
+#[test_case(7)]
+#[test_case(8)]
 #[actix_rt::test]
 async fn switches_without_a_key_run_at_most_once(seed: u64) {
     let mut world = WorldBuilder::new("once").plains(2).start().await;
@@ -95,6 +99,8 @@
 #[test_case(14)]
 #[test_case(15)]
 #[test_case(16)]
+#[test_case(17)]
+#[test_case(18)]
 #[actix_rt::test]
 async fn switches_with_a_key_run_at_most_once_over_all_repeats(seed: u64) {
     let mut world = WorldBuilder::new("once-key").plains(2).start().await;
@@ -167,6 +173,7 @@
         }
         Fault::LoseTableAnswers => world.table_faults(&json!({"loseAnswers": lost})).await,
         Fault::TableDown => world.table_faults(&json!({"down": true})).await,
+        Fault::CutAgent => world.relays[plain].cut(),
     }
 }
 
@@ -177,6 +184,7 @@
         Fault::FreezeAgent => world.agents[plain].wake(),
         Fault::FreezeUpstream => world.upstream(plain).wake(),
         Fault::LoseUpstreamAnswers => {}
+        Fault::CutAgent => world.relays[plain].mend(),
         Fault::LoseTableAnswers | Fault::TableDown => world.table_faults(&json!({})).await,
     }
 }
--- a/tests/testsuite/support/relay.rs
+++ b/tests/testsuite/support/relay.rs
@@ -25,7 +25,11 @@
         let open = Rc::new(Cell::new(true));
         let (cuts, _) = watch::channel(0);
         let accepting = actix_rt::spawn(accept(listener, target, Rc::clone(&open), cuts.clone()));
-        Self { open, cuts, accepting }
+        Self {
+            open,
+            cuts,
+            accepting,
+        }
     }
 
     pub(crate) fn cut(&self) {
@@ -58,7 +62,9 @@
 }
 
 async fn pass(mut near: TcpStream, target: String, mut cuts: watch::Receiver<u64>) {
-    let Ok(mut far) = TcpStream::connect(target).await else { return };
+    let Ok(mut far) = TcpStream::connect(target).await else {
+        return;
+    };
     tokio::select! {
         _ = cuts.changed() => {}
         _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -10,6 +10,7 @@
 use super::caller::{Caller, read_json, send_json};
 use super::manifest::{self, LUZCENA_KEY, digest};
 use super::process::Process;
+use super::relay::Relay;
 
 /// Time after which a condition that never comes true fails its test.
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -99,6 +100,8 @@
     upstreams: Vec<Process>,
     pub(crate) gateways: Vec<Process>,
     pub(crate) agents: Vec<Process>,
+    /// Between the gateways and each agent.
+    pub(crate) relays: Vec<Relay>,
     /// Name and service of each upstream.
     slots: Vec<Slot>,
 }
@@ -124,6 +127,7 @@
 const FIRST_GATEWAY: usize = 10;
 const FIRST_AGENT: usize = 50;
 const FIRST_UPSTREAM: usize = 100;
+const FIRST_RELAY: usize = 150;
 const HTTP_PORT: u16 = 7000;
 const OPERATOR_PORT: u16 = 7001;
 const PEER_PORT: u16 = 7002;
@@ -150,6 +154,7 @@
             upstreams: Vec::new(),
             gateways: Vec::new(),
             agents: Vec::new(),
+            relays: Vec::new(),
             slots: Self::slots(builder),
         }
     }
@@ -186,16 +191,17 @@
                 .push(Process::spawn(&self.dir, kind, &lab(), &args));
             self.healthy(host).await;
         }
-        self.list_hosts().await;
+        self.list_hosts(None).await;
     }
 
-    async fn list_hosts(&self) {
+    /// Tells the host list all hosts, one of them as leaving.
+    pub(crate) async fn list_hosts(&self, leaving: Option<&str>) {
         let entry = |name: String, host: usize| {
             json!({
                 "name": name,
                 "dataCentre": data_centre(host),
                 "peerAddr": self.addr(host, PEER_PORT),
-                "leaving": false,
+                "leaving": leaving == Some(name.as_str()),
             })
         };
         let gateways = (0..4).map(|n| entry(format!("gw-{n}"), FIRST_GATEWAY + n));
@@ -234,6 +240,11 @@
     }
 
     async fn start_nodes(&mut self, builder: &WorldBuilder) {
+        for slot in &self.slots {
+            let listen = self.addr(FIRST_RELAY + slot.host, HTTP_PORT);
+            let target = self.addr(FIRST_AGENT + slot.host, HTTP_PORT);
+            self.relays.push(Relay::bind(&listen, target).await);
+        }
         for number in 0..builder.gateways {
             self.start_gateway(number);
         }
@@ -274,6 +285,10 @@
         );
         let mut args = vec!["agent".to_owned()];
         args.extend(self.common_args(&name, FIRST_AGENT + slot.host));
+        args.extend([
+            "--http-addr".to_owned(),
+            self.addr(FIRST_RELAY + slot.host, HTTP_PORT),
+        ]);
         args.extend(["--upstream".to_owned(), slot.upstream]);
         args.extend(["--upstream-url".to_owned(), upstream_url]);
         let process = Process::spawn(&self.dir, &name, &product(), &args);
