--- a/src/carawayrun/control/rollout/mod.rs
+++ b/src/carawayrun/control/rollout/mod.rs
@@ -14,6 +14,7 @@
 mod drift;
 mod edit;
 mod row;
+mod spread;
 
 use std::collections::BTreeMap;
 
@@ -22,18 +23,17 @@
 
 use self::drift::Drift;
 use self::row::{Entry, Saved};
+use self::spread::{Share, Told};
 use super::context::Context;
 use super::event::Event;
-use super::evidence::{Evidence, SUBJECT, broadcast};
+use super::evidence::{Evidence, SUBJECT};
 use super::home::{Home, home};
 use super::state::Role;
 use super::time::Millis;
-use super::view::{RolloutPhase, RolloutView};
+use super::view::RolloutPhase;
 use super::work::{WorkResult, Works};
-use crate::peer::message::envelope::Body;
-use crate::peer::message::{Envelope, EvidenceReport, RolloutShare};
 use crate::policy::{Arms, Judgement, Tally, Verdict, judge};
-use crate::resource::{Phase, Rollout, VersionKey};
+use crate::resource::{Phase, Rollout};
 
 /// Name of the work row.
 const WORK: &str = "rollouts";
@@ -41,12 +41,6 @@
 /// Time between two judgements.
 const PERIOD: Millis = Millis(1_000);
 
-/// Longest time between two reports to the other gateways where nothing changes.
-const TELL_PERIOD: Millis = Millis(4_000);
-
-/// Age at which a share that was heard no longer sends work to a new version.
-const HEARD_AGE: Millis = Millis(10_000);
-
 /// Longest time that the written exposure lags behind.
 const SAVE_PERIOD: Millis = Millis(30_000);
 
@@ -70,22 +64,6 @@
     next: Millis,
 }
 
-// The last report to the other gateways.
-#[derive(Debug)]
-struct Told {
-    report: EvidenceReport,
-    time: Millis,
-}
-
-// What part of the old version's new work the new one gets.
-#[derive(Debug, Clone, Copy)]
-struct Share {
-    part: f64,
-    phase: RolloutPhase,
-    /// When it was heard or judged.
-    time: Millis,
-}
-
 #[derive(Debug)]
 struct PendingWrite {
     number: u64,
@@ -112,60 +90,6 @@
         }
     }
 
-    /// The roll-outs for the view. A share that is no longer confirmed sends
-    /// no new work to an unproven version.
-    pub(super) fn views(&self, context: &Context) -> Vec<RolloutView> {
-        let rollouts = context.config.rollouts.iter();
-        rollouts
-            .filter_map(|(key, rollout)| {
-                let known = self.shares.get(&rollout.name)?;
-                let stale = context.now.since(known.time) > HEARD_AGE;
-                let unproven = known.phase != RolloutPhase::Complete;
-                let share = if stale && unproven { 0.0 } else { known.part };
-                Some(RolloutView {
-                    key,
-                    phase: known.phase,
-                    share,
-                })
-            })
-            .collect()
-    }
-
-    /// Versions that take no new work, whatever the configuration says.
-    pub(super) fn suspended(&self, context: &Context) -> Vec<VersionKey> {
-        let names = self.suspended.keys();
-        names
-            .filter_map(|name| context.config.versions.key(name))
-            .collect()
-    }
-
-    fn received(&mut self, envelope: &Envelope, context: &mut Context) {
-        let Some(Body::Evidence(report)) = &envelope.body else {
-            return;
-        };
-        if !report.merged || !report.sums.is_empty() {
-            return;
-        }
-        let heard = report
-            .suspended
-            .iter()
-            .map(|name| (name.as_str().into(), None));
-        let suspended: BTreeMap<CompactString, Option<u64>> = heard.collect();
-        context.urgent |= suspended
-            .keys()
-            .any(|name| !self.suspended.contains_key(name));
-        self.suspended = suspended;
-        for heard in &report.rollouts {
-            let share = Share {
-                part: heard.share,
-                phase: phase(heard),
-                time: context.now,
-            };
-            self.shares.insert(heard.name.as_str().into(), share);
-        }
-        context.changed = true;
-    }
-
     fn tick(&mut self, evidence: &Evidence, works: &mut Works, context: &mut Context) {
         if home(SUBJECT, context) != Some(Home::Here) {
             works.forget(WORK);
@@ -463,41 +387,6 @@
         self.saved.rollouts = write.saved.rollouts;
         context.changed = true;
     }
-
-    fn tell(&mut self, context: &mut Context) {
-        let rollouts = self.shares.iter().map(|(name, share)| RolloutShare {
-            name: name.to_string(),
-            share: share.part,
-            compared: matches!(share.phase, RolloutPhase::Running | RolloutPhase::Paused),
-            complete: share.phase == RolloutPhase::Complete,
-            withdrawn: share.phase == RolloutPhase::Withdrawn,
-        });
-        let report = EvidenceReport {
-            sums: Vec::new(),
-            merged: true,
-            suspended: self.suspended.keys().map(ToString::to_string).collect(),
-            rollouts: rollouts.collect(),
-        };
-        let time = context.now;
-        let known = self
-            .told
-            .as_ref()
-            .is_some_and(|told| told.report == report && time.since(told.time) < TELL_PERIOD);
-        if !known {
-            broadcast(&Body::Evidence(report.clone()), context);
-            self.told = Some(Told { report, time });
-        }
-    }
-}
-
-fn phase(heard: &RolloutShare) -> RolloutPhase {
-    if heard.withdrawn {
-        RolloutPhase::Withdrawn
-    } else if heard.complete {
-        RolloutPhase::Complete
-    } else {
-        RolloutPhase::Running
-    }
 }
 
 fn compared(version: &CompactString, evidence: &Evidence) -> Tally {
--- /dev/null
+++ b/src/carawayrun/control/rollout/spread.rs
@@ -0,0 +1,128 @@
+//! What the home of all roll-outs tells the other gateways, and what they take
+//! from it.
+
+use std::collections::BTreeMap;
+
+use compact_str::CompactString;
+
+use super::Rollouts;
+use crate::control::context::Context;
+use crate::control::evidence::broadcast;
+use crate::control::time::Millis;
+use crate::control::view::{RolloutPhase, RolloutView};
+use crate::peer::message::envelope::Body;
+use crate::peer::message::{Envelope, EvidenceReport, RolloutShare};
+use crate::resource::VersionKey;
+
+/// Longest time between two reports to the other gateways where nothing changes.
+const TELL_PERIOD: Millis = Millis(4_000);
+
+/// Age at which a share that was heard no longer sends work to a new version.
+const HEARD_AGE: Millis = Millis(10_000);
+
+/// The last report to the other gateways.
+#[derive(Debug)]
+pub(super) struct Told {
+    pub(super) report: EvidenceReport,
+    pub(super) time: Millis,
+}
+
+/// What part of the old version's new work the new one gets.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Share {
+    pub(super) part: f64,
+    pub(super) phase: RolloutPhase,
+    /// When it was heard or judged.
+    pub(super) time: Millis,
+}
+
+impl Rollouts {
+    /// The roll-outs for the view. A share that is no longer confirmed sends
+    /// no new work to an unproven version.
+    pub(in crate::control) fn views(&self, context: &Context) -> Vec<RolloutView> {
+        let rollouts = context.config.rollouts.iter();
+        rollouts
+            .filter_map(|(key, rollout)| {
+                let known = self.shares.get(&rollout.name)?;
+                let stale = context.now.since(known.time) > HEARD_AGE;
+                let unproven = known.phase != RolloutPhase::Complete;
+                let share = if stale && unproven { 0.0 } else { known.part };
+                Some(RolloutView {
+                    key,
+                    phase: known.phase,
+                    share,
+                })
+            })
+            .collect()
+    }
+
+    /// Versions that take no new work, whatever the configuration says.
+    pub(in crate::control) fn suspended(&self, context: &Context) -> Vec<VersionKey> {
+        let names = self.suspended.keys();
+        names
+            .filter_map(|name| context.config.versions.key(name))
+            .collect()
+    }
+
+    pub(super) fn received(&mut self, envelope: &Envelope, context: &mut Context) {
+        let Some(Body::Evidence(report)) = &envelope.body else {
+            return;
+        };
+        if !report.merged || !report.sums.is_empty() {
+            return;
+        }
+        let heard = report
+            .suspended
+            .iter()
+            .map(|name| (name.as_str().into(), None));
+        let suspended: BTreeMap<CompactString, Option<u64>> = heard.collect();
+        context.urgent |= suspended
+            .keys()
+            .any(|name| !self.suspended.contains_key(name));
+        self.suspended = suspended;
+        for heard in &report.rollouts {
+            let share = Share {
+                part: heard.share,
+                phase: phase(heard),
+                time: context.now,
+            };
+            self.shares.insert(heard.name.as_str().into(), share);
+        }
+        context.changed = true;
+    }
+
+    pub(super) fn tell(&mut self, context: &mut Context) {
+        let rollouts = self.shares.iter().map(|(name, share)| RolloutShare {
+            name: name.to_string(),
+            share: share.part,
+            compared: matches!(share.phase, RolloutPhase::Running | RolloutPhase::Paused),
+            complete: share.phase == RolloutPhase::Complete,
+            withdrawn: share.phase == RolloutPhase::Withdrawn,
+        });
+        let report = EvidenceReport {
+            sums: Vec::new(),
+            merged: true,
+            suspended: self.suspended.keys().map(ToString::to_string).collect(),
+            rollouts: rollouts.collect(),
+        };
+        let time = context.now;
+        let known = self
+            .told
+            .as_ref()
+            .is_some_and(|told| told.report == report && time.since(told.time) < TELL_PERIOD);
+        if !known {
+            broadcast(&Body::Evidence(report.clone()), context);
+            self.told = Some(Told { report, time });
+        }
+    }
+}
+
+fn phase(heard: &RolloutShare) -> RolloutPhase {
+    if heard.withdrawn {
+        RolloutPhase::Withdrawn
+    } else if heard.complete {
+        RolloutPhase::Complete
+    } else {
+        RolloutPhase::Running
+    }
+}
