--- a/src/carawayrun/http/mod.rs
+++ b/src/carawayrun/http/mod.rs
@@ -5,7 +5,9 @@
 //! in their handler, so sockets, workers and limits are set up here once.
 
 mod body;
+mod sent;
 mod server;
 
 pub use self::body::{ReadBodyError, json, json_text, read_body, stream, text};
+pub use self::sent::may_be_sent;
 pub use self::server::{Listener, ServerOptions, bind, serve};
--- a/src/carawayrun/ops/client/error.rs
+++ b/src/carawayrun/ops/client/error.rs
@@ -1,10 +1,11 @@
 //! Calls that did not succeed.
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use compact_str::{CompactString, ToCompactString};
 use snafu::Snafu;
 
+use crate::http::may_be_sent;
 use crate::ops::api::{ErrorBody, ErrorDetail};
 
 /// A call that did not succeed.
@@ -61,19 +62,12 @@
 
 pub(super) fn send_error(server: &CompactString, error: &SendRequestError) -> ClientError {
     let message = error.to_compact_string();
-    match error {
-        // Also said of a connection that ended after the request was sent.
-        SendRequestError::Connect(ConnectError::Disconnected) => ClientError::Lost {
-            server: server.clone(),
-            message,
-        },
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => ClientError::Unreachable {
-            message: format!("{server}: {message}").into(),
-        },
-        _ => ClientError::Lost {
-            server: server.clone(),
-            message,
-        },
+    if may_be_sent(error) {
+        let server = server.clone();
+        return ClientError::Lost { server, message };
+    }
+    ClientError::Unreachable {
+        message: format!("{server}: {message}").into(),
     }
 }
 
--- a/src/carawayrun/platform/call.rs
+++ b/src/carawayrun/platform/call.rs
@@ -2,13 +2,15 @@
 
 use std::time::Duration;
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
 use snafu::Snafu;
 
+use crate::http::may_be_sent;
+
 /// Time until a connection must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -110,15 +112,13 @@
     }
 }
 
-// Without a connection nothing was sent, so nothing took effect. All else may
-// have reached the service.
+// What was not sent took no effect.
 fn send_error(error: &SendRequestError) -> CallError {
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => lost(&error.to_string()),
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallError::Unavailable {
-            message: error.to_compact_string(),
-        },
-        _ => lost(&error.to_string()),
+    if may_be_sent(error) {
+        return lost(&error.to_string());
+    }
+    CallError::Unavailable {
+        message: error.to_compact_string(),
     }
 }
 
--- a/src/carawayrun/traffic/agent/upstream.rs
+++ b/src/carawayrun/traffic/agent/upstream.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use actix_http::{Payload, StatusCode};
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::http::Method;
 use awc::{Client, ClientRequest, ClientResponse, Connector};
 use compact_str::CompactString;
 use serde::Deserialize;
 
 use crate::control::{EngineOrder, OrderAction, OrderResult};
+use crate::http::may_be_sent;
 use crate::peer::message::{Priority, Run};
 
 /// Time until a connection must be open.
@@ -167,14 +168,12 @@
     }
 }
 
-// Without a connection nothing was sent, so nothing took effect. All else may
-// have reached the upstream.
 fn call_failure(error: &SendRequestError) -> CallFailure {
     let message = error.to_string();
-    match error {
-        SendRequestError::Connect(ConnectError::Disconnected) => CallFailure::Lost { message },
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallFailure::NotSent { message },
-        _ => CallFailure::Lost { message },
+    if may_be_sent(error) {
+        CallFailure::Lost { message }
+    } else {
+        CallFailure::NotSent { message }
     }
 }
 
--- a/src/carawayrun/traffic/gateway/attempt.rs
+++ b/src/carawayrun/traffic/gateway/attempt.rs
@@ -4,13 +4,14 @@
 
 use actix_http::StatusCode;
 use actix_rt::time::timeout;
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::StreamExt;
 use prost::Message;
 
 use super::frames::{FrameError, FrameReader};
+use crate::http::may_be_sent;
 use crate::peer::Keys;
 use crate::peer::message::frame::Part;
 use crate::peer::message::{End, Failed, Ran, Refused, Run, Settle, Settled, Started};
@@ -116,7 +117,7 @@
             .content_type("application/octet-stream")
             .send_body(self.keys.seal(payload))
             .await
-            .map_err(send_error)
+            .map_err(|error| send_error(&error))
     }
 }
 
@@ -167,14 +168,11 @@
     AttemptError::Lost(error.to_compact_string())
 }
 
-fn send_error(error: SendRequestError) -> AttemptError {
-    match error {
-        // The library's word for a connection that ended after the request was
-        // sent; the agent may have it.
-        SendRequestError::Connect(error @ ConnectError::Disconnected) => {
-            AttemptError::Lost(error.to_compact_string())
-        }
-        SendRequestError::Connect(error) => AttemptError::NotSent(error.to_compact_string()),
-        error => AttemptError::Lost(error.to_compact_string()),
+fn send_error(error: &SendRequestError) -> AttemptError {
+    let message = error.to_compact_string();
+    if may_be_sent(error) {
+        AttemptError::Lost(message)
+    } else {
+        AttemptError::NotSent(message)
     }
 }
