--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -5,7 +5,8 @@
 use crate::{engine, experiment, hosts, load, objects, pass, plain, rater, table};
 
 /// One stand-in or tool.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, generate(options))]
 pub(crate) enum Command {
     /// Model engine: chat completions, orders, cache events
--- a/crates/lab/src/engine/cache.rs
+++ b/crates/lab/src/engine/cache.rs
@@ -13,7 +13,8 @@
 const MAX_EVENTS: usize = 4096;
 
 /// A change of the cache.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct CacheEvent {
     number: u64,
     prefix: u64,
--- a/crates/lab/src/engine/load.rs
+++ b/crates/lab/src/engine/load.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 /// What `GET /v1/load` answers.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub(crate) struct LoadBody {
     pub(crate) running: usize,
     pub(crate) queued: usize,
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -19,7 +19,8 @@
 use crate::serve::run as serve;
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
--- a/crates/lab/src/engine/orders.rs
+++ b/crates/lab/src/engine/orders.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an order asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(crate) enum Action {
     Load,
@@ -11,7 +12,8 @@
 }
 
 /// An order as it arrives.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Order {
     pub(crate) fence: u64,
     pub(crate) action: Action,
--- a/crates/lab/src/engine/service.rs
+++ b/crates/lab/src/engine/service.rs
@@ -47,7 +47,8 @@
     load: RefCell<LaggingLoad>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ChatBody {
     model: String,
     messages: Vec<Message>,
@@ -56,20 +57,23 @@
     max_tokens: Option<usize>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Message {
     content: Content,
 }
 
 /// A message's content: a text, or parts of which the texts count.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(untagged)]
 enum Content {
     Text(String),
     Parts(Vec<ContentPart>),
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ContentPart {
     #[serde(default)]
     text: String,
--- a/crates/lab/src/engine/text.rs
+++ b/crates/lab/src/engine/text.rs
@@ -36,7 +36,8 @@
 }
 
 /// Usage as the engines report it.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct Usage {
     pub(crate) prompt_tokens: u64,
     pub(crate) completion_tokens: u64,
@@ -45,7 +46,8 @@
 }
 
 /// Part of the prompt that was in the cache.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct PromptDetails {
     pub(crate) cached_tokens: u64,
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -20,7 +20,8 @@
 use crate::command::Failure;
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Number of seeds, from one
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults of one stand-in; all off by default.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields, default)]
 pub(crate) struct Faults {
     /// Answers every call with 503 and does nothing.
--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -17,7 +17,8 @@
 use crate::serve::{common, read_json, run as serve};
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
--- a/crates/lab/src/load/class.rs
+++ b/crates/lab/src/load/class.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// A class of requests of the users' workloads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) enum Class {
     /// A long scene, streamed to an installer.
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -31,7 +31,8 @@
 const LAST_ANSWERS: Duration = Duration::from_secs(150);
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Gateway to send to, as `http://IP:PORT`; may be repeated
--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -40,7 +40,8 @@
 const MAX_LATENCY_US: u64 = 600_000_000;
 
 /// A run as programs read it.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct Summary {
     seconds: f64,
@@ -48,7 +49,8 @@
     classes: Vec<ClassSummary>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 struct ClassSummary {
     class: Class,
--- a/crates/lab/src/objects.rs
+++ b/crates/lab/src/objects.rs
@@ -20,7 +20,8 @@
 const PREFIX: &str = "/v1/objects/";
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
--- a/crates/lab/src/pass.rs
+++ b/crates/lab/src/pass.rs
@@ -22,7 +22,8 @@
 const DRAIN: Duration = Duration::from_secs(1);
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
--- a/crates/lab/src/plain.rs
+++ b/crates/lab/src/plain.rs
@@ -20,7 +20,8 @@
 const MAX_BODY: usize = 16 << 20;
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
@@ -51,14 +52,16 @@
 }
 
 /// Runs of each request id and of each `x-effect` header or `effect` query value.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize)]
 struct Effects {
     requests: BTreeMap<String, u32>,
     effects: BTreeMap<String, u32>,
 }
 
 /// What a call is answered with.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Done<'a> {
     id: &'a str,
     method: &'a str,
--- a/crates/lab/src/rater.rs
+++ b/crates/lab/src/rater.rs
@@ -29,7 +29,8 @@
 const PAGE: usize = 1_000;
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
@@ -108,7 +109,8 @@
     score: f64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Answer {
     id: String,
@@ -116,7 +118,8 @@
     task: String,
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Rating {
     number: u64,
@@ -124,7 +127,8 @@
     score: f64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Page {
     ratings: Vec<Rating>,
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -21,7 +21,8 @@
 const MAX_ROWS: usize = 10_000;
 
 /// Flags.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(options))]
 pub(crate) struct Options {
     /// Address to listen on
@@ -45,18 +46,21 @@
     writes: Cell<u64>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ReadBody {
     keys: Vec<CompactString>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct RowsBody {
     rows: Vec<Row>,
 }
 
 /// Calls served since the start, shown by `GET /counts`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Counts {
     reads: u64,
     writes: u64,
--- a/src/bin/carawayrun/cli.rs
+++ b/src/bin/carawayrun/cli.rs
@@ -8,7 +8,8 @@
 /// A model-aware router for versions and cascades
 ///
 /// Exit codes: 0 done, 1 failed, 2 wrong usage, settings or manifests.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(options, version, generate(cli))]
 pub(crate) struct Cli {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/agent.rs
+++ b/src/bin/carawayrun/commands/agent.rs
@@ -15,7 +15,8 @@
 ///
 /// SIGTERM or SIGINT drains it: it takes nothing new and ends when the runs in
 /// flight have ended, or after --drain-s. A second signal ends it at once.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("agent"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external(node_flags), map(Box::new))]
--- a/src/bin/carawayrun/commands/apply.rs
+++ b/src/bin/carawayrun/commands/apply.rs
@@ -24,7 +24,8 @@
 /// Examples:
 ///    carawayrun apply -f examples/luzcena.yaml --dry-run
 ///    carawayrun apply -f manifests/ --wait --reason "festival peak"
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("apply"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/check.rs
+++ b/src/bin/carawayrun/commands/check.rs
@@ -22,7 +22,8 @@
 /// Examples:
 ///    carawayrun check -f examples/luzcena.yaml
 ///    carawayrun check -- gateway --name gw-1 --data-centre ne-br-a
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("check"), generate(cli))]
 pub(crate) struct Options {
     /// Manifest, folder of manifests, or - for standard input; may be repeated
--- a/src/bin/carawayrun/commands/completions.rs
+++ b/src/bin/carawayrun/commands/completions.rs
@@ -56,7 +56,8 @@
 ///
 /// Example:
 ///    carawayrun completions bash > carawayrun.bash
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("completions"), generate(cli))]
 pub(crate) struct Options {
     /// bash, zsh, fish or elvish
--- a/src/bin/carawayrun/commands/delete.rs
+++ b/src/bin/carawayrun/commands/delete.rs
@@ -21,7 +21,8 @@
 ///
 /// Example:
 ///    carawayrun delete rollout scene-large-3 --wait
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("delete"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/describe.rs
+++ b/src/bin/carawayrun/commands/describe.rs
@@ -22,7 +22,8 @@
 ///
 /// Example:
 ///    carawayrun describe version scene-large-3
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("describe"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/digest.rs
+++ b/src/bin/carawayrun/commands/digest.rs
@@ -16,7 +16,8 @@
 ///
 /// Example:
 ///    printf %s "$KEY" | carawayrun digest
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("digest"), generate(cli))]
 pub(crate) struct Options {}
 
--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -21,7 +21,8 @@
 /// Runs an entry host's process: callers' HTTP and the operators' API
 ///
 /// The first SIGTERM or SIGINT stops it gracefully; the second one at once.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("gateway"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external(node_flags))]
--- a/src/bin/carawayrun/commands/get.rs
+++ b/src/bin/carawayrun/commands/get.rs
@@ -20,7 +20,8 @@
 /// Examples:
 ///    carawayrun get versions
 ///    carawayrun get team shops-north --output yaml
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("get"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -22,7 +22,8 @@
 use crate::output::Output;
 
 /// Commands:
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub(crate) enum Command {
     Gateway(#[bpaf(external(gateway::cli), map(Box::new))] Box<gateway::Options>),
     Agent(#[bpaf(external(agent::cli), map(Box::new))] Box<agent::Options>),
--- a/src/bin/carawayrun/commands/report.rs
+++ b/src/bin/carawayrun/commands/report.rs
@@ -35,7 +35,8 @@
 }
 
 /// Reports.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 enum Subject {
     /// Burn of each service-level objective and what is left of its error budget
     ///
@@ -65,7 +66,8 @@
 ///
 /// Example:
 ///    carawayrun report burn --output html > burn.html
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("report"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/rollout.rs
+++ b/src/bin/carawayrun/commands/rollout.rs
@@ -17,7 +17,8 @@
 /// Examples:
 ///    carawayrun rollout status scene-large-3
 ///    carawayrun rollout --reason "odd colours" undo scene-large-3
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("rollout"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
@@ -30,7 +31,8 @@
 }
 
 /// What to do with which roll-out.
-#[derive(Debug, Clone, PartialEq, Eq, Bpaf)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Bpaf)]
 enum Steering {
     /// Shows where a roll-out is
     #[bpaf(command("status"))]
--- a/src/bin/carawayrun/commands/settings.rs
+++ b/src/bin/carawayrun/commands/settings.rs
@@ -6,7 +6,8 @@
 use crate::output::Output;
 
 /// Prints the reference of all commands and flags as Markdown
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("settings"), hide, generate(cli))]
 pub(crate) struct Options {}
 
--- a/src/bin/carawayrun/commands/status.rs
+++ b/src/bin/carawayrun/commands/status.rs
@@ -15,7 +15,8 @@
 ///
 /// Example:
 ///    carawayrun status --output json
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("status"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/watch.rs
+++ b/src/bin/carawayrun/commands/watch.rs
@@ -17,7 +17,8 @@
 /// Examples:
 ///    carawayrun watch
 ///    carawayrun watch --from 0 --json
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("watch"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/commands/why.rs
+++ b/src/bin/carawayrun/commands/why.rs
@@ -18,7 +18,8 @@
 ///
 /// Example:
 ///    carawayrun why gw-1.651f0a3b2c1d4.42
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 #[bpaf(command("why"), generate(cli))]
 pub(crate) struct Options {
     #[bpaf(external)]
--- a/src/bin/carawayrun/logging.rs
+++ b/src/bin/carawayrun/logging.rs
@@ -33,7 +33,8 @@
 }
 
 /// Log settings, the same for all commands.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub(crate) struct Logging {
     /// Filter of log lines, such as info or carawayrun=debug
     #[bpaf(
--- a/src/bin/carawayrun/remote.rs
+++ b/src/bin/carawayrun/remote.rs
@@ -15,7 +15,8 @@
 const DEFAULT_SERVER: &str = "http://127.0.0.1:7001";
 
 /// Gateways to talk to; the operator's key comes from `CARAWAYRUN_OPERATOR_KEY`.
-#[derive(Debug, Clone, Bpaf)]
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
 pub(crate) struct Remote {
     /// Operators' URL of a gateway; several, divided by commas, are tried in turn
     #[bpaf(
--- a/src/bin/carawayrun/settings.rs
+++ b/src/bin/carawayrun/settings.rs
@@ -12,7 +12,8 @@
 const MAX_NAME_BYTES: usize = 63;
 
 /// Flags of a node; each may also be given by the environment.
-#[derive(Clone, Bpaf)]
+#[derive(Clone)]
+#[derive(Bpaf)]
 #[bpaf(generate(node_flags))]
 pub(crate) struct NodeFlags {
     /// Name of this node, unique among all
--- a/src/carawayrun/control/claims/row.rs
+++ b/src/carawayrun/control/claims/row.rs
@@ -67,7 +67,8 @@
 }
 
 /// The answer to a request that ran.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct StoredAnswer {
     /// HTTP status.
@@ -91,7 +92,8 @@
 }
 
 /// One part of a stored body; base64 in the row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct StoredChunk(pub Bytes);
 
@@ -110,7 +112,8 @@
 }
 
 /// State of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", tag = "state")]
 pub(super) enum ClaimState {
     /// Its owner may be running it.
@@ -125,7 +128,8 @@
 }
 
 /// A row of `claim/`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct ClaimRow {
     /// The agent's life that claimed it.
--- a/src/carawayrun/control/effect.rs
+++ b/src/carawayrun/control/effect.rs
@@ -82,7 +82,8 @@
 }
 
 /// What an order asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "camelCase")]
 pub enum OrderAction {
     /// Load the version.
--- a/src/carawayrun/control/event.rs
+++ b/src/carawayrun/control/event.rs
@@ -58,7 +58,8 @@
 }
 
 /// A host as the platform lists it; the list lags.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct HostEntry {
     /// Name of the node on it.
@@ -113,7 +114,8 @@
 
 /// What one request costs its team: one record whatever the number of attempts
 /// and cascade steps.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Bill {
     /// Sequence of the request within its gateway's life.
@@ -142,7 +144,8 @@
 }
 
 /// One attempt that ran.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct BillStep {
     /// Number of the cascade step.
--- a/src/carawayrun/control/follow/history.rs
+++ b/src/carawayrun/control/follow/history.rs
@@ -23,7 +23,8 @@
 const DIGEST_BYTES: usize = 32;
 
 /// The whole configuration at one generation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(in crate::control) struct Snapshot {
     pub(in crate::control) generation: u64,
@@ -31,7 +32,8 @@
 }
 
 /// Bytes that are no snapshot.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(in crate::control) enum SnapshotError {
     /// Too short to hold a checksum.
     #[snafu(display("the snapshot has no checksum"))]
--- a/src/carawayrun/control/ledger/row.rs
+++ b/src/carawayrun/control/ledger/row.rs
@@ -13,7 +13,8 @@
 pub(super) const PREFIX: &str = "ledger/";
 
 /// The ledger of one life of a gateway.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct LedgerRow {
     /// Requests that need no further bill.
--- a/src/carawayrun/control/ledger/sequences.rs
+++ b/src/carawayrun/control/ledger/sequences.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Consecutive numbers, both ends included.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Span {
     first: u64,
     last: u64,
@@ -12,7 +13,8 @@
 /// A set of request numbers: all up to a watermark, and spans above it.
 ///
 /// The gaps between spans are requests in flight, so the set stays small.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Sequences {
     watermark: u64,
     #[serde(default)]
--- a/src/carawayrun/control/orders.rs
+++ b/src/carawayrun/control/orders.rs
@@ -64,7 +64,8 @@
 }
 
 /// The row `work/upstream/<name>`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct OrderRow {
     holder: CompactString,
     fence: u64,
--- a/src/carawayrun/control/rollout/row.rs
+++ b/src/carawayrun/control/rollout/row.rs
@@ -11,7 +11,8 @@
 use crate::resource::Rollout;
 
 /// State of all roll-outs.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct Saved {
     pub(super) rollouts: BTreeMap<CompactString, Entry>,
@@ -20,7 +21,8 @@
 }
 
 /// State of one roll-out.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct Entry {
     pub(super) from: CompactString,
--- a/src/carawayrun/control/view.rs
+++ b/src/carawayrun/control/view.rs
@@ -122,7 +122,8 @@
 }
 
 /// State of a roll-out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum RolloutPhase {
     /// Traffic is split by `share`.
--- a/src/carawayrun/control/work/row.rs
+++ b/src/carawayrun/control/work/row.rs
@@ -7,7 +7,8 @@
 use crate::platform::table::{Condition, Put, Row, Transaction};
 
 /// Value of the row `work/<name>`.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct WorkRow {
     /// The life that holds it; empty where it was given up.
--- a/src/carawayrun/http/body.rs
+++ b/src/carawayrun/http/body.rs
@@ -11,7 +11,8 @@
 use snafu::{ResultExt, Snafu};
 
 /// A body that could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum ReadBodyError {
     /// Longer than allowed.
     #[snafu(display("the body is longer than {limit} bytes"))]
--- a/src/carawayrun/node/spawn.rs
+++ b/src/carawayrun/node/spawn.rs
@@ -27,7 +27,8 @@
 const RECEIVE_QUEUE: usize = 4096;
 
 /// A node that could not be started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SpawnError {
     /// The listener for peers could not be opened.
     #[snafu(display("{source}"))]
--- a/src/carawayrun/ops/api.rs
+++ b/src/carawayrun/ops/api.rs
@@ -8,14 +8,16 @@
 use crate::resource::{Change, ChangeItem, Resource};
 
 /// The error of any call.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What went wrong.
     pub error: ErrorDetail,
 }
 
 /// What went wrong.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct ErrorDetail {
     /// Stable code.
@@ -34,7 +36,8 @@
 }
 
 /// A resource with what became of it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ResourceView {
     /// Desired state.
     #[serde(flatten)]
@@ -44,7 +47,8 @@
 }
 
 /// Observed state of a resource.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Status {
     /// Generation that the answering gateway has in force.
@@ -63,7 +67,8 @@
 }
 
 /// One thing that is or is not the case.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct ConditionView {
     /// What: `InForce`, `Serving`.
@@ -79,7 +84,8 @@
 }
 
 /// State of a roll-out.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct RolloutStatus {
     /// Where it is.
@@ -89,7 +95,8 @@
 }
 
 /// All resources of a kind.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct ListBody {
     /// Generation to watch from.
@@ -99,7 +106,8 @@
 }
 
 /// The answer to a set of resources that was applied.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct ApplyBody {
     /// Generation with the change; with `dry_run`, the one it would have.
@@ -111,7 +119,8 @@
 }
 
 /// The answer to a deletion.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct DeleteBody {
     /// Generation with the deletion.
@@ -119,7 +128,8 @@
 }
 
 /// A part of the audit trail.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct AuditBody {
     /// Changes, oldest first.
@@ -127,7 +137,8 @@
 }
 
 /// One line of a watch.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", tag = "type")]
 pub enum WatchLine {
     /// The next change.
@@ -154,7 +165,8 @@
 }
 
 /// What a gateway knows of the system.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct StatusBody {
     /// The answering gateway.
@@ -174,7 +186,8 @@
 }
 
 /// A member of the system.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct MemberStatus {
     /// Name and life.
@@ -190,7 +203,8 @@
 }
 
 /// An agent.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct AgentStatus {
     /// Name and life.
@@ -212,7 +226,8 @@
 }
 
 /// A roll-out and its state.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct NamedRollout {
     /// Name of the resource.
--- a/src/carawayrun/ops/attempt.rs
+++ b/src/carawayrun/ops/attempt.rs
@@ -46,7 +46,8 @@
 }
 
 /// An attempt that did not succeed.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum AttemptError {
     /// A precondition failed, or the outcome would be no configuration.
     #[snafu(display("{error}"))]
--- a/src/carawayrun/ops/client/error.rs
+++ b/src/carawayrun/ops/client/error.rs
@@ -9,7 +9,8 @@
 use crate::ops::api::{ErrorBody, ErrorDetail};
 
 /// A call that did not succeed.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ClientError {
     /// No server could be reached; nothing was done.
--- a/src/carawayrun/ops/operators.rs
+++ b/src/carawayrun/ops/operators.rs
@@ -25,7 +25,8 @@
 }
 
 /// A text that is no operator's name and digest.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display(
     "`{text}` is not NAME=DIGEST with a digest of {DIGEST_DIGITS} hexadecimal digits; \
      `carawayrun digest` makes one from a key"
--- a/src/carawayrun/ops/store.rs
+++ b/src/carawayrun/ops/store.rs
@@ -26,7 +26,8 @@
 }
 
 /// Changes that could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(super) enum ReadChangesError {
     /// The call failed.
     #[snafu(display("{source}"))]
--- a/src/carawayrun/ops/why.rs
+++ b/src/carawayrun/ops/why.rs
@@ -11,7 +11,8 @@
 use crate::peer::RequestId;
 
 /// How one request was decided and what became of it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Decision {
     /// The request, as in `x-request-id`.
@@ -43,7 +44,8 @@
 }
 
 /// One attempt at an upstream.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Attempt {
     /// Number of the cascade step, from zero.
--- a/src/carawayrun/peer/auth.rs
+++ b/src/carawayrun/peer/auth.rs
@@ -27,14 +27,16 @@
 }
 
 /// A cluster key that can't be used.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("the cluster key has {length} bytes; give at least {MIN_KEY_BYTES}"))]
 pub struct KeyError {
     length: usize,
 }
 
 /// A sealed message that was not made with one of the keys.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum OpenError {
     /// Too short to hold an authentication code.
     #[snafu(display("{length} bytes are too short for an authentication code"))]
--- a/src/carawayrun/peer/codec.rs
+++ b/src/carawayrun/peer/codec.rs
@@ -30,14 +30,16 @@
 }
 
 /// An envelope that can't be sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("the message has {length} bytes, of at most {MAX_MESSAGE_BYTES}"))]
 pub struct EncodeError {
     length: usize,
 }
 
 /// Bytes that are no envelope of this cluster.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum DecodeError {
     /// Longer than any message.
     #[snafu(display("the message has {length} bytes, of at most {MAX_MESSAGE_BYTES}"))]
--- a/src/carawayrun/peer/id.rs
+++ b/src/carawayrun/peer/id.rs
@@ -43,7 +43,8 @@
 }
 
 /// A text that is not the name of a node's life or a request.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("`{text}` is not an id of the form NAME.INCARNATION[.SEQUENCE]"))]
 pub struct ParseIdError {
     text: CompactString,
--- a/src/carawayrun/peer/link.rs
+++ b/src/carawayrun/peer/link.rs
@@ -67,7 +67,8 @@
 pub type Receive = Box<dyn FnMut(Envelope) -> bool + Send>;
 
 /// A listener that could not be opened.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("can't listen for peers on {addr}: {source}; give a free address of this host"))]
 pub struct BindError {
     addr: SocketAddr,
--- a/src/carawayrun/platform/call.rs
+++ b/src/carawayrun/platform/call.rs
@@ -28,7 +28,8 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
 /// A call that got no usable answer.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum CallError {
     /// The service was not reached or said that it did not act.
     #[snafu(display("not applied: {message}"))]
--- a/src/carawayrun/platform/table.rs
+++ b/src/carawayrun/platform/table.rs
@@ -9,7 +9,8 @@
 use serde_json::value::RawValue;
 
 /// A row as the service holds it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Key; parts are divided by `/`.
     pub key: CompactString,
@@ -20,7 +21,8 @@
 }
 
 /// A row's version that must hold when a transaction commits.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Condition {
     /// Key of the row.
     pub key: CompactString,
@@ -29,7 +31,8 @@
 }
 
 /// A write of one row.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Put {
     /// Key of the row.
     pub key: CompactString,
@@ -38,7 +41,8 @@
 }
 
 /// Conditions and writes that take effect together.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Transaction {
     /// All must hold.
     pub conditions: Vec<Condition>,
@@ -81,7 +85,8 @@
 }
 
 /// A call that did not succeed.
-#[derive(Debug, Clone, snafu::Snafu)]
+#[derive(Debug, Clone)]
+#[derive(snafu::Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum TableError {
     /// A condition did not hold, so nothing was written.
--- a/src/carawayrun/policy/ask.rs
+++ b/src/carawayrun/policy/ask.rs
@@ -102,7 +102,8 @@
 }
 
 /// Why a request can't be planned.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum NoPlan {
     /// The team or the service no longer exists.
     #[snafu(display("team or service is gone from the configuration"))]
--- a/src/carawayrun/policy/judge.rs
+++ b/src/carawayrun/policy/judge.rs
@@ -35,7 +35,8 @@
 }
 
 /// Logarithms of e-values, one per stream.
-#[derive(Debug, Clone, Copy, PartialEq, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Evidence {
     /// From failures.
@@ -48,7 +49,8 @@
 
 /// What earlier steps of a roll-out have shown. The product of e-values of
 /// disjoint periods is an e-value, so their logarithms add up.
-#[derive(Debug, Clone, Copy, PartialEq, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Progress {
     /// Number of the current step, from zero.
--- a/src/carawayrun/report/burn.rs
+++ b/src/carawayrun/report/burn.rs
@@ -25,7 +25,8 @@
 
 /// A window that is looked at; it begins with a whole bucket, so it is up to
 /// five minutes longer than its name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Window {
     /// Five minutes.
     #[serde(rename = "5m")]
@@ -71,7 +72,8 @@
 }
 
 /// Whether somebody should look.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Alert {
     /// No.
@@ -83,7 +85,8 @@
 }
 
 /// Burn of all objectives.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct BurnReport {
     /// When it was made, RFC 3339.
@@ -98,7 +101,8 @@
 }
 
 /// Burn of one objective.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct ObjectiveBurn {
     /// Name of the resource.
@@ -120,7 +124,8 @@
 }
 
 /// Burn over one window.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct WindowBurn {
     /// The window.
     pub window: Window,
@@ -132,7 +137,8 @@
 }
 
 /// A team's and version's part.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PartBurn {
     /// Name of the team.
     pub team: CompactString,
@@ -146,7 +152,8 @@
 }
 
 /// Burn rate of one bucket.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct SeriesPoint {
     /// Minutes from the bucket's start to the report.
--- a/src/carawayrun/report/html.rs
+++ b/src/carawayrun/report/html.rs
@@ -27,7 +27,8 @@
 type Cause = Box<dyn std::error::Error + Send + Sync>;
 
 /// A plot that could not be drawn.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(display("can't draw the plot of `{name}`: {source}"))]
 pub struct DrawError {
     name: String,
--- a/src/carawayrun/report/sums.rs
+++ b/src/carawayrun/report/sums.rs
@@ -37,7 +37,8 @@
 }
 
 /// Good and all requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Count {
     /// Requests that met the objective.
     pub good: u64,
@@ -103,7 +104,8 @@
 }
 
 /// One gateway's hour as the table service keeps it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HourRow {
     /// Hours since the Unix epoch.
     pub hour: u64,
@@ -112,7 +114,8 @@
 }
 
 /// Counts of one cell in an hour.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CellRow {
     /// Name of the measure.
     pub measure: CompactString,
@@ -125,7 +128,8 @@
 }
 
 /// One bucket's count.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BucketRow {
     /// Number of the bucket in its hour.
     pub bucket: usize,
--- a/src/carawayrun/resource/change.rs
+++ b/src/carawayrun/resource/change.rs
@@ -8,11 +8,13 @@
 
 /// Identifies one attempt to write, so that a writer whose answer was lost can
 /// find out whether its write took effect.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct WriteId(pub CompactString);
 
 /// What a change did to one resource.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum ChangeAction {
     /// Created or replaced it.
@@ -22,7 +24,8 @@
 }
 
 /// The part of a change that touches one resource.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct ChangeItem {
     /// What was done.
@@ -40,7 +43,8 @@
 /// One accepted change: the step from `generation - 1` to `generation`.
 ///
 /// The rows of all changes are the audit trail.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Change {
     /// Generation this change leads to.
--- a/src/carawayrun/resource/manifest.rs
+++ b/src/carawayrun/resource/manifest.rs
@@ -12,7 +12,8 @@
 pub const API_VERSION: &str = "carawayrun/v1";
 
 /// A resource: kind, name and desired state.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Resource {
     /// Always [`API_VERSION`].
@@ -26,7 +27,8 @@
 }
 
 /// Name and bookkeeping of a resource.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Metadata {
     /// Name, unique within the kind.
@@ -57,7 +59,8 @@
 }
 
 /// A manifest that can't be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum ParseManifestError {
     /// Not YAML or JSON, or not the shape of a resource.
     #[snafu(display("document {document}: not a resource: {source}"))]
--- a/src/carawayrun/resource/rows.rs
+++ b/src/carawayrun/resource/rows.rs
@@ -18,7 +18,8 @@
 pub const RESOURCE_PREFIX: &str = "config/resource/";
 
 /// Value of the row of [`HEAD_KEY`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Head {
     /// The newest generation.
--- a/src/carawayrun/resource/spec.rs
+++ b/src/carawayrun/resource/spec.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The kinds of resources.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Kind {
     /// A customer with keys, permissions and limits.
     Team,
@@ -69,7 +70,8 @@
 }
 
 /// A text that names no kind.
-#[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 #[snafu(display(
     "unknown kind `{text}`; accepted are team, service, version, upstream, rollout and objective"
 ))]
@@ -78,7 +80,8 @@
 }
 
 /// The desired state of a resource of any kind.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 #[serde(untagged)]
 pub enum Spec {
     /// See [`Team`].
@@ -110,7 +113,8 @@
 }
 
 /// A team: who may call, what it may use and how much.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Team {
     /// SHA-256 digests of the team's keys, in hexadecimal.
@@ -130,7 +134,8 @@
 }
 
 /// Limits of a team, shared by all gateways.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields, default)]
 pub struct Limits {
     /// Requests a second.
@@ -152,7 +157,8 @@
 }
 
 /// Relative weights of latency, cost and exposure in the choice of a plan.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields, default)]
 pub struct Weights {
     /// Weight of expected latency.
@@ -174,7 +180,8 @@
 }
 
 /// What stands behind a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Backend {
     /// Model engines.
@@ -184,7 +191,8 @@
 }
 
 /// A pool of upstreams that serve the same calls.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Service {
     /// What stands behind it.
@@ -198,7 +206,8 @@
 }
 
 /// How urgent a task is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum TaskClass {
     /// A person waits for it.
@@ -210,7 +219,8 @@
 }
 
 /// A task of an engine service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Task {
     /// Name, as callers write it in `x-carawayrun-task`.
@@ -227,7 +237,8 @@
 }
 
 /// A call of a plain service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Route {
     /// HTTP method.
@@ -244,7 +255,8 @@
 }
 
 /// Whether a version takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Phase {
     /// Takes work.
@@ -257,7 +269,8 @@
 }
 
 /// Price of tokens, in millionths of the currency unit per 1,000 tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Price {
     /// Prompt tokens that were not in the cache.
@@ -270,7 +283,8 @@
 }
 
 /// One version of a model.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Version {
     /// Name of the model that callers ask for.
@@ -291,7 +305,8 @@
 }
 
 /// One back end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Upstream {
     /// Name of the service it serves.
@@ -312,7 +327,8 @@
 }
 
 /// A move of a model's traffic from one version to another.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Rollout {
     /// Model whose traffic moves.
@@ -336,7 +352,8 @@
 }
 
 /// What an objective measures.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Indicator {
     /// Requests that did not fail.
@@ -348,7 +365,8 @@
 }
 
 /// A service-level objective.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", deny_unknown_fields)]
 pub struct Objective {
     /// Service it holds for.
--- a/src/carawayrun/resource/write.rs
+++ b/src/carawayrun/resource/write.rs
@@ -57,7 +57,8 @@
 }
 
 /// Edits that can't be made.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum WriteError {
     /// Somebody else changed the resource.
--- a/src/carawayrun/traffic/agent/exchange.rs
+++ b/src/carawayrun/traffic/agent/exchange.rs
@@ -218,7 +218,8 @@
 }
 
 /// Why one connection of a stream ended early.
-#[derive(Debug, snafu::Snafu)]
+#[derive(Debug)]
+#[derive(snafu::Snafu)]
 enum Broken {
     #[snafu(display("{message}"))]
     Connection { message: String },
--- a/src/carawayrun/traffic/agent/server.rs
+++ b/src/carawayrun/traffic/agent/server.rs
@@ -57,7 +57,8 @@
 }
 
 /// An agent that could not be started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum SpawnAgentError {
     /// The listener could not be opened.
     #[snafu(display("can't listen on {addr}: {source}"))]
--- a/src/carawayrun/traffic/agent/sse.rs
+++ b/src/carawayrun/traffic/agent/sse.rs
@@ -15,7 +15,8 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// An event that is longer than accepted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, snafu::Snafu)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 #[snafu(display("an event is longer than {MAX_EVENT_BYTES} bytes"))]
 pub(crate) struct EventTooLong;
 
--- a/src/carawayrun/traffic/agent/upstream.rs
+++ b/src/carawayrun/traffic/agent/upstream.rs
@@ -31,7 +31,8 @@
 pub(crate) type Answer = ClientResponse<actix_http::encoding::Decoder<Payload>>;
 
 /// A call without an answer.
-#[derive(Debug, Clone, PartialEq, Eq, snafu::Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(snafu::Snafu)]
 pub(crate) enum CallFailure {
     /// Nothing was sent.
     #[snafu(display("the upstream was not reached: {message}"))]
@@ -42,7 +43,8 @@
 }
 
 /// Load as the engine reports it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub(crate) struct EngineLoad {
     pub(crate) versions: Vec<String>,
 }
--- a/src/carawayrun/traffic/agent/usage.rs
+++ b/src/carawayrun/traffic/agent/usage.rs
@@ -9,7 +9,8 @@
 const PRICED_TOKENS: u64 = 1000;
 
 /// Usage as engines write it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct EngineUsage {
     prompt_tokens: u64,
     completion_tokens: u64,
@@ -17,7 +18,8 @@
     prompt_tokens_details: PromptDetails,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct PromptDetails {
     #[serde(default)]
     cached_tokens: u64,
--- a/src/carawayrun/traffic/agent/whole.rs
+++ b/src/carawayrun/traffic/agent/whole.rs
@@ -11,7 +11,8 @@
 const DONE: &[u8] = b"[DONE]";
 
 /// What is wrong with an event.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 pub(crate) enum StreamFault {
     /// It belongs to another request.
     #[snafu(display("an event of request `{found}` came in the answer to `{wanted}`"))]
@@ -43,7 +44,8 @@
     tokens: Option<Tokens>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Chunk {
     id: String,
     usage: Option<EngineUsage>,
--- a/src/carawayrun/traffic/code.rs
+++ b/src/carawayrun/traffic/code.rs
@@ -98,7 +98,8 @@
 }
 
 /// A text that is not a stable code.
-#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display("unknown code `{text}`"))]
 pub struct UnknownCodeError {
     text: CompactString,
--- a/src/carawayrun/traffic/gateway/frames.rs
+++ b/src/carawayrun/traffic/gateway/frames.rs
@@ -19,7 +19,8 @@
 const MAX_PREFIX_BYTES: usize = 10;
 
 /// An answer that can't be trusted.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub(super) enum FrameError {
     #[snafu(display("a frame can't be decoded: {source}"))]
     Malformed { source: prost::DecodeError },
--- a/src/carawayrun/traffic/gateway/models.rs
+++ b/src/carawayrun/traffic/gateway/models.rs
@@ -13,13 +13,15 @@
 use crate::http::json;
 use crate::resource::{Config, Phase, TeamKey};
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ModelList {
     object: &'static str,
     data: Vec<Model>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Model {
     id: CompactString,
     object: &'static str,
--- a/src/carawayrun/traffic/gateway/refusal.rs
+++ b/src/carawayrun/traffic/gateway/refusal.rs
@@ -20,12 +20,14 @@
 }
 
 /// The error object of the chat completions protocol, with our fields added.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ErrorBody<'a> {
     error: ErrorObject<'a>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ErrorObject<'a> {
     message: &'a str,
     r#type: &'static str,
--- a/src/carawayrun/traffic/gateway/session.rs
+++ b/src/carawayrun/traffic/gateway/session.rs
@@ -20,7 +20,8 @@
 const DOMAIN: &[u8] = b"carawayrun session 1\n";
 
 /// What a session is bound to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Pin {
     /// Name of the team.
     pub(super) team: CompactString,
