--- a/tests/testsuite/policy/judge.rs
+++ b/tests/testsuite/policy/judge.rs
@@ -1,3 +1,5 @@
+//! The judgement of roll-outs: chances of wrong verdicts over many seeds.
+
 use carawayrun::policy::{
     Arms, DriftDetector, DriftVerdict, Judgement, Progress, Tally, Verdict, judge,
 };
--- a/tests/testsuite/policy/limits.rs
+++ b/tests/testsuite/policy/limits.rs
@@ -1,3 +1,5 @@
+//! Buckets never let through more than their limits.
+
 use carawayrun::policy::{Bucket, OverLimit, RetryBudget};
 use proptest::prelude::*;
 
--- a/tests/testsuite/policy/plan.rs
+++ b/tests/testsuite/policy/plan.rs
@@ -1,3 +1,5 @@
+//! Plans never name a version that may not be used, and explain themselves.
+
 use carawayrun::policy::{NoPlan, Reason, Split, plan};
 use carawayrun::resource::Phase;
 use proptest::prelude::*;
--- a/tests/testsuite/policy/pools.rs
+++ b/tests/testsuite/policy/pools.rs
@@ -1,3 +1,5 @@
+//! The choice of an upstream, and ejection that never empties a pool.
+
 use carawayrun::policy::{Choice, Ejection, Flight, Pool, Pools};
 use carawayrun::resource::UpstreamKey;
 use proptest::prelude::*;
