--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -3,7 +3,9 @@
 use serde_json::json;
 use test_case::test_case;
 
-use crate::support::{ASSOCIATION_KEY, Call, Caller, LUZCENA_KEY, Ran, WorldBuilder, eventually};
+use crate::support::{
+    ASSOCIATION_KEY, Call, Caller, LUZCENA_KEY, Ran, Traffic, WorldBuilder, eventually,
+};
 
 #[actix_rt::test]
 async fn each_kind_of_request_is_served_and_billed_once() {
@@ -152,3 +154,22 @@
         );
     }
 }
+
+#[actix_rt::test]
+async fn the_rest_serves_when_one_after_the_other_is_killed_under_load() {
+    let mut world = WorldBuilder::new("kill-all").start().await;
+    let callers = [world.caller(0, LUZCENA_KEY), world.caller(0, LUZCENA_KEY)];
+    let chats = Traffic::spawn(&callers, |_| Caller::chat("scene", 2, true));
+    let reads = Traffic::spawn(&callers, |_| Caller::get("/services/home/status"));
+    for victim in ["agent", "gateway", "table"] {
+        match victim {
+            "agent" => world.agents[0].kill(),
+            "gateway" => world.gateways[1].kill(),
+            _ => world.table().kill(),
+        }
+        chats.more_succeed(30).await;
+        reads.more_succeed(30).await;
+    }
+    chats.stop().await;
+    reads.stop().await;
+}
