--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -16,6 +16,7 @@
 
 use self::service::Service;
 use crate::command::Failure;
+use crate::faults::Faults;
 use crate::serve::run as serve;
 
 /// Flags.
@@ -26,6 +27,9 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
     /// Requests that run at once
     #[bpaf(argument("N"), fallback(4))]
     slots: usize,
@@ -51,14 +55,6 @@
     /// Version that is loaded from the start
     #[bpaf(argument("NAME"))]
     warm: Vec<String>,
-    /// Obeys orders that carry an old fencing number
-    ignore_fencing: bool,
-    /// Version that answers badly or fails
-    #[bpaf(argument("NAME"), fallback(String::new()))]
-    bad_version: String,
-    /// Share of the bad version's answers that fail, in 0..=1
-    #[bpaf(argument("SHARE"), fallback(0.0))]
-    bad_failures: f64,
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
--- a/crates/lab/src/engine/service.rs
+++ b/crates/lab/src/engine/service.rs
@@ -19,7 +19,7 @@
 use super::orders::{Action, Order, Orders};
 use super::slots::Slots;
 use super::text::{digest, tokens};
-use crate::faults::{FaultSwitch, Faults};
+use crate::faults::FaultSwitch;
 use crate::serve::{common, header_value, query_value, read_json};
 
 /// Tokens generated where the caller does not say.
@@ -93,13 +93,7 @@
 
 impl Service {
     pub(crate) fn new(options: &Options) -> Rc<Self> {
-        let faults = FaultSwitch::default();
-        faults.set(Faults {
-            ignore_fencing: options.ignore_fencing,
-            bad_version: options.bad_version.clone(),
-            bad_failures: options.bad_failures,
-            ..Faults::default()
-        });
+        let faults = FaultSwitch::new(&options.faults);
         let first = LoadBody {
             slots: options.slots,
             versions: options.warm.clone(),
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,14 @@
     pub(crate) bad_failures: f64,
 }
 
+impl FromStr for Faults {
+    type Err = serde_json::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        serde_json::from_str(text)
+    }
+}
+
 /// The faults of a running stand-in, changed by `PUT /faults`.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct FaultSwitch {
@@ -38,6 +47,13 @@
 }
 
 impl FaultSwitch {
+    /// A switch that shows `faults` from the start.
+    pub(crate) fn new(faults: &Faults) -> Self {
+        let switch = Self::default();
+        switch.set(faults.clone());
+        switch
+    }
+
     pub(crate) fn set(&self, faults: Faults) {
         *self.current.borrow_mut() = faults;
     }
--- a/crates/lab/src/hosts.rs
+++ b/crates/lab/src/hosts.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::command::Failure;
-use crate::faults::FaultSwitch;
+use crate::faults::{FaultSwitch, Faults};
 use crate::serve::{common, read_json, run as serve};
 
 /// Flags.
@@ -25,6 +25,9 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
     /// Time until a change of the list shows, in milliseconds
     #[bpaf(argument("MS"), fallback(0))]
     lag_ms: u64,
@@ -32,9 +35,11 @@
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
     let lag = Duration::from_millis(options.lag_ms);
+    let faults = options.faults.clone();
     serve(&options.listen, move || {
         let list = Rc::new(HostList {
             lag,
+            faults: FaultSwitch::new(&faults),
             ..HostList::default()
         });
         move |request| Rc::clone(&list).handle(request)
--- a/crates/lab/src/objects.rs
+++ b/crates/lab/src/objects.rs
@@ -11,7 +11,7 @@
 use carawayrun::http::{read_body, text};
 
 use crate::command::Failure;
-use crate::faults::FaultSwitch;
+use crate::faults::{FaultSwitch, Faults};
 use crate::serve::{common, lost, run as serve};
 
 /// Longest object, in bytes.
@@ -27,12 +27,18 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
-    let Options { listen } = options;
-    serve(listen, || {
-        let store = Rc::new(Store::default());
+    let Options { listen, faults } = options.clone();
+    serve(&listen, move || {
+        let store = Rc::new(Store {
+            faults: FaultSwitch::new(&faults),
+            ..Store::default()
+        });
         move |request| Rc::clone(&store).handle(request)
     })
 }
--- a/crates/lab/src/plain.rs
+++ b/crates/lab/src/plain.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::command::Failure;
-use crate::faults::FaultSwitch;
+use crate::faults::{FaultSwitch, Faults};
 use crate::serve::{common, header_value, lost, query_value, run as serve};
 
 /// Longest body that is read, in bytes.
@@ -27,6 +27,9 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
     /// Time that one call takes, in milliseconds
     #[bpaf(argument("MS"), fallback(1))]
     call_ms: u64,
@@ -34,10 +37,11 @@
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
     let call_time = Duration::from_millis(options.call_ms);
+    let faults = options.faults.clone();
     serve(&options.listen, move || {
         let service = Rc::new(Service {
             call_time,
-            faults: FaultSwitch::default(),
+            faults: FaultSwitch::new(&faults),
             effects: RefCell::default(),
         });
         move |request| Rc::clone(&service).handle(request)
--- a/crates/lab/src/rater.rs
+++ b/crates/lab/src/rater.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::Failure;
-use crate::faults::FaultSwitch;
+use crate::faults::{FaultSwitch, Faults};
 use crate::serve::{common, query_value, read_json, run as serve};
 
 /// Mean rating of a version and task without a flag.
@@ -36,6 +36,9 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
     /// True mean rating of a version on a task; may be given many times
     #[bpaf(argument("VERSION/TASK=SCORE"), many)]
     quality: Vec<TrueQuality>,
@@ -147,8 +150,8 @@
             qualities: qualities
                 .map(|quality| ((quality.version, quality.task), quality.score))
                 .collect(),
+            faults: FaultSwitch::new(&options.faults),
             options,
-            faults: FaultSwitch::default(),
             state: RefCell::new(state),
         }
     }
--- a/crates/lab/src/table.rs
+++ b/crates/lab/src/table.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::Failure;
-use crate::faults::FaultSwitch;
+use crate::faults::{FaultSwitch, Faults};
 use crate::serve::{common, lost, query_value, read_json, run as serve};
 
 /// Most rows of one list.
@@ -28,12 +28,18 @@
     /// Address to listen on
     #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
     listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
-    let Options { listen } = options;
-    serve(listen, || {
-        let service = Rc::new(Service::default());
+    let Options { listen, faults } = options.clone();
+    serve(&listen, move || {
+        let service = Rc::new(Service {
+            faults: FaultSwitch::new(&faults),
+            ..Service::default()
+        });
         move |request| Rc::clone(&service).handle(request)
     })
 }
