--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -5,6 +5,7 @@
 mod history;
 mod manifest;
 mod process;
+mod reach;
 mod relay;
 mod traffic;
 mod world;
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -6,9 +6,8 @@
 
 use serde_json::{Value, json};
 
-use super::bills::Bills;
-use super::caller::{Caller, read_json, send_json};
-use super::manifest::{self, LUZCENA_KEY, digest};
+use super::caller::{read_json, send_json};
+use super::manifest::{self, digest};
 use super::process::Process;
 use super::relay::Relay;
 
@@ -18,7 +17,7 @@
 /// Time between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(50);
 
-const OPERATOR_KEY: &str = "operator-key";
+pub(super) const OPERATOR_KEY: &str = "operator-key";
 const CLUSTER_KEY: &str = "0123456789abcdef0123456789abcdef";
 
 static WORLDS: AtomicU32 = AtomicU32::new(0);
@@ -96,14 +95,14 @@
     dir: PathBuf,
     net: String,
     node_args: Vec<String>,
-    platform: Vec<Process>,
+    pub(super) platform: Vec<Process>,
     upstreams: Vec<Process>,
     pub(crate) gateways: Vec<Process>,
     pub(crate) agents: Vec<Process>,
     /// Between the gateways and each agent.
     pub(crate) relays: Vec<Relay>,
     /// Name and service of each upstream.
-    slots: Vec<Slot>,
+    pub(super) slots: Vec<Slot>,
 }
 
 /// The place of one upstream and its agent.
@@ -120,16 +119,16 @@
     }
 }
 
-const TABLE: usize = 2;
+pub(super) const TABLE: usize = 2;
 const OBJECTS: usize = 3;
 const HOSTS: usize = 4;
 const RATER: usize = 5;
-const FIRST_GATEWAY: usize = 10;
+pub(super) const FIRST_GATEWAY: usize = 10;
 const FIRST_AGENT: usize = 50;
-const FIRST_UPSTREAM: usize = 100;
+pub(super) const FIRST_UPSTREAM: usize = 100;
 const FIRST_RELAY: usize = 150;
-const HTTP_PORT: u16 = 7000;
-const OPERATOR_PORT: u16 = 7001;
+pub(super) const HTTP_PORT: u16 = 7000;
+pub(super) const OPERATOR_PORT: u16 = 7001;
 const PEER_PORT: u16 = 7002;
 
 impl World {
@@ -171,7 +170,7 @@
         .collect()
     }
 
-    fn addr(&self, host: usize, port: u16) -> String {
+    pub(super) fn addr(&self, host: usize, port: u16) -> String {
         format!("{}.{host}:{port}", self.net)
     }
 
@@ -332,163 +331,6 @@
         .await;
     }
 
-    /// URL of a gateway's operators' listener.
-    pub(crate) fn operator_url(&self, gateway: usize) -> String {
-        format!(
-            "http://{}",
-            self.addr(FIRST_GATEWAY + gateway, OPERATOR_PORT)
-        )
-    }
-
-    /// An operator's command that may ask all gateways.
-    pub(crate) fn operator_command(&self) -> std::process::Command {
-        let urls: Vec<String> = (0..self.gateways.len())
-            .map(|number| self.operator_url(number))
-            .collect();
-        let mut command = std::process::Command::new(product());
-        command
-            .env("CARAWAYRUN_SERVER", urls.join(","))
-            .env("CARAWAYRUN_OPERATOR_KEY", OPERATOR_KEY);
-        command
-    }
-
-    /// A caller of `gateway` with a team's key.
-    pub(crate) fn caller(&self, gateway: usize, key: &str) -> Caller {
-        Caller::new(
-            &format!("http://{}", self.addr(FIRST_GATEWAY + gateway, HTTP_PORT)),
-            key,
-        )
-    }
-
-    /// Reads JSON from a gateway's operators' API; `Null` where it fails.
-    pub(crate) async fn operator_get(&self, gateway: usize, path: &str) -> Value {
-        read_json(
-            &format!("{}{path}", self.operator_url(gateway)),
-            OPERATOR_KEY,
-        )
-        .await
-    }
-
-    /// Sends JSON to a gateway's operators' API and returns the status.
-    pub(crate) async fn operator_send(
-        &self,
-        gateway: usize,
-        method: awc::http::Method,
-        path: &str,
-        body: &Value,
-    ) -> u16 {
-        send_json(
-            method,
-            &format!("{}{path}", self.operator_url(gateway)),
-            OPERATOR_KEY,
-            body,
-        )
-        .await
-    }
-
-    /// Applies a manifest through gateway 0.
-    pub(crate) async fn apply(&self, manifest: &Value) {
-        let status = self
-            .operator_send(0, awc::http::Method::POST, "/apis/v1/apply", manifest)
-            .await;
-        assert!((200..300).contains(&status), "apply answered {status}");
-    }
-
-    /// Waits until all live gateways have at least `generation` in force.
-    pub(crate) async fn in_force(&self, generation: u64) {
-        for number in 0..self.gateways.len() {
-            eventually("generation in force", || async {
-                let status = self.operator_get(number, "/apis/v1/status").await;
-                status["generation"]
-                    .as_u64()
-                    .is_some_and(|found| found >= generation)
-            })
-            .await;
-        }
-    }
-
-    /// Waits until each gateway knows all agents that run as open, with all
-    /// versions of their upstreams warm, and serves each service.
-    pub(crate) async fn agents_open(&self) {
-        for number in 0..self.gateways.len() {
-            eventually("all agents are open and warm", || async {
-                self.all_warm(&self.operator_get(number, "/apis/v1/status").await)
-            })
-            .await;
-            let caller = self.caller(number, LUZCENA_KEY);
-            eventually("a chat is served", || async {
-                caller.send(Caller::chat("scene", 2, false)).await.is_ok()
-            })
-            .await;
-            eventually("a status read is served", || async {
-                caller
-                    .send(Caller::get("/services/home/status"))
-                    .await
-                    .is_ok()
-            })
-            .await;
-        }
-    }
-
-    fn all_warm(&self, status: &Value) -> bool {
-        let agents = status["agents"].as_array().map_or(&[][..], Vec::as_slice);
-        self.slots.iter().all(|slot| {
-            let wanted = manifest::versions_of(slot).len();
-            agents.iter().any(|agent| {
-                let warm = agent["warm"].as_array().map_or(0, Vec::len);
-                agent["upstream"] == slot.upstream && agent["open"] == true && warm == wanted
-            })
-        })
-    }
-
-    /// Sets the faults of the table service.
-    pub(crate) async fn table_faults(&self, faults: &Value) {
-        self.faults(TABLE, faults).await;
-    }
-
-    /// Sets the faults of the upstream in slot `number`.
-    pub(crate) async fn upstream_faults(&self, number: usize, faults: &Value) {
-        self.faults(FIRST_UPSTREAM + number, faults).await;
-    }
-
-    async fn faults(&self, host: usize, faults: &Value) {
-        let url = format!("http://{}/faults", self.addr(host, HTTP_PORT));
-        assert_eq!(
-            send_json(awc::http::Method::PUT, &url, "", faults).await,
-            200,
-            "{url}"
-        );
-    }
-
-    /// Rows of the table service, by prefix.
-    pub(crate) async fn rows(&self, prefix: &str) -> Vec<Value> {
-        let url = format!(
-            "http://{}/v1/rows?prefix={prefix}",
-            self.addr(TABLE, HTTP_PORT)
-        );
-        let body = read_json(&url, "").await;
-        body["rows"].as_array().cloned().unwrap_or_default()
-    }
-
-    /// All bills in the table.
-    pub(crate) async fn bills(&self) -> Bills {
-        Bills::of_rows(&self.rows("bill/").await)
-    }
-
-    /// The process of the table service.
-    pub(crate) fn table(&mut self) -> &mut Process {
-        &mut self.platform[0]
-    }
-
-    /// How often each effect was run by the plain service in slot `number`.
-    pub(crate) async fn effects(&self, number: usize) -> Value {
-        let url = format!(
-            "http://{}/effects",
-            self.addr(FIRST_UPSTREAM + number, HTTP_PORT)
-        );
-        read_json(&url, "").await["effects"].take()
-    }
-
     /// Number of the first slot of a plain upstream.
     pub(crate) fn first_plain(&self) -> usize {
         self.slots
@@ -520,7 +362,7 @@
     format!("agent-{}", slot.upstream)
 }
 
-fn product() -> PathBuf {
+pub(super) fn product() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_carawayrun"))
 }
 
