--- a/src/bin/carawayrun/commands/get.rs
+++ b/src/bin/carawayrun/commands/get.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::failure::Failure;
-use crate::format::{Format, json_text, yaml_text};
+use crate::format::{Format, form, json_text, yaml_text};
 use crate::output::Output;
 use crate::remote::{Remote, block_on, call_failure, remote};
 use crate::table::Table;
@@ -26,14 +26,7 @@
 pub(crate) struct Options {
     #[bpaf(external)]
     remote: Remote,
-    /// Form: table, json or yaml
-    #[bpaf(
-        long("output"),
-        short('o'),
-        argument("FORM"),
-        fallback(Format::Table),
-        display_fallback
-    )]
+    #[bpaf(external(form))]
     output: Format,
     /// Kind of the resources
     #[bpaf(positional("KIND"))]
--- a/src/bin/carawayrun/format.rs
+++ b/src/bin/carawayrun/format.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
+use bpaf::{Parser, long};
 use serde::Serialize;
 
 /// How results are written.
@@ -41,6 +42,16 @@
     }
 }
 
+/// The flag by which a command is told its form of output.
+pub(crate) fn form() -> impl Parser<Format> {
+    long("output")
+        .short('o')
+        .help("Form: table, json or yaml")
+        .argument("FORM")
+        .fallback(Format::Table)
+        .display_fallback()
+}
+
 /// `value` as JSON for people, with a line end.
 pub(crate) fn json_text(value: &impl Serialize) -> String {
     let mut text = serde_json::to_string_pretty(value).expect("bodies can be written as JSON");
--- a/src/carawayrun/traffic/gateway/auth.rs
+++ b/src/carawayrun/traffic/gateway/auth.rs
@@ -1,13 +1,10 @@
 //! Which team a key belongs to.
 
-use std::fmt::Write;
-
 use compact_str::CompactString;
-use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
 use super::refusal::Refusal;
-use crate::resource::{Config, TeamKey};
+use crate::resource::{Config, TeamKey, key_digest};
 use crate::traffic::Code;
 
 /// The team that sent a request.
@@ -33,7 +30,7 @@
         )
         .retry_after(1_000));
     }
-    let digest = hex_digest(bearer);
+    let digest = key_digest(bearer);
     config
         .team_by_digest(&digest)
         .and_then(|key| Some((key, config.teams.get(key)?)))
@@ -59,11 +56,3 @@
     let known = known.to_ascii_lowercase();
     bool::from(known.as_bytes().ct_eq(digest.as_bytes()))
 }
-
-fn hex_digest(key: &str) -> CompactString {
-    let mut digits = CompactString::default();
-    for byte in Sha256::digest(key.as_bytes()) {
-        write!(digits, "{byte:02x}").expect("writing to a string does not fail");
-    }
-    digits
-}
