Read an answer without a length until its connection ends

Cause: actix-http takes an HTTP/1.1 answer without a length for one without a body. Ruled out: a reset that was read as a clean end; no such connection ever came to that branch.

Change: the connection reads such a body itself until the peer closes; a reset makes it incomplete. Tests of the wire, and of the pure parts; two of these failed at first and showed faults: the budget's first bucket was forgotten at once, and a later order for a service lost the row's version.

--- a/src/carawayrun/relay/budget.rs
+++ b/src/carawayrun/relay/budget.rs
@@ -83,12 +83,8 @@
 
     fn bucket(&mut self, now: Duration) -> &mut Bucket {
         let index = (now.as_nanos() / self.width.as_nanos().max(1)) as u64;
-        let oldest = index.saturating_sub(u64::from(BUCKETS));
-        while self
-            .buckets
-            .front()
-            .is_some_and(|first| first.index <= oldest)
-        {
+        let is_over = |first: &Bucket| first.index + u64::from(BUCKETS) <= index;
+        while self.buckets.front().is_some_and(is_over) {
             self.buckets.pop_front();
         }
         if self.buckets.back().is_none_or(|last| last.index < index) {
--- a/src/carawayrun/relay/control.rs
+++ b/src/carawayrun/relay/control.rs
@@ -286,11 +286,13 @@
             order = order.version,
             "roll-out ordered"
         );
+        // The row of an earlier order is replaced by this one's.
+        let row = known.and_then(|known| known.row.clone());
         let sums = self.outcomes.iter();
         let sums = sums.filter(|((service, _), _)| *service == order.service);
         let before = sums.map(|((_, version), seen)| (version.clone(), *seen));
         let rollout = Rollout {
-            row: None,
+            row,
             before: before.collect(),
             own: Comparison::default(),
             told: Comparison::default(),
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -38,6 +38,8 @@
 mod responder;
 pub mod rollout;
 mod serve;
+#[cfg(test)]
+mod tests;
 mod traffic;
 pub mod view;
 mod wire;
--- /dev/null
+++ b/src/carawayrun/relay/tests/events.rs
@@ -0,0 +1,40 @@
+use crate::relay::events::EventBuffer;
+
+#[test]
+fn only_whole_events_are_handed_out() {
+    let mut buffer = EventBuffer::default();
+    assert_eq!(buffer.push(b"id: 1\nda"), None);
+    assert_eq!(
+        buffer.push(b"ta: a\n\nid: 2\ndata").as_deref(),
+        Some(b"id: 1\ndata: a\n\n".as_slice())
+    );
+    assert!(buffer.is_within_event());
+    assert_eq!(buffer.last_id(), Some("1"));
+    assert_eq!(buffer.events(), 1);
+}
+
+#[test]
+fn a_boundary_may_lie_between_two_pieces() {
+    let mut buffer = EventBuffer::default();
+    assert_eq!(buffer.push(b"id: 1\r\n\r"), None);
+    assert!(buffer.push(b"\n").is_some());
+    assert!(!buffer.is_within_event());
+}
+
+#[test]
+fn several_events_are_handed_out_together() {
+    let mut buffer = EventBuffer::default();
+    let whole = buffer.push(b"id: 1\n\nid: 2\n\nid: 3\n").unwrap();
+    assert_eq!(&whole[..], b"id: 1\n\nid: 2\n\n");
+    assert_eq!(buffer.last_id(), Some("2"));
+    assert_eq!(buffer.events(), 2);
+}
+
+#[test]
+fn what_is_not_whole_is_not_joined_to_another_run() {
+    let mut buffer = EventBuffer::default();
+    buffer.push(b"id: 1\n\nid: 2\ndata: brok");
+    buffer.forget_partial();
+    let whole = buffer.push(b"id: 2\ndata: whole\n\n").unwrap();
+    assert_eq!(&whole[..], b"id: 2\ndata: whole\n\n");
+}
--- /dev/null
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -0,0 +1,8 @@
+//! Tests of the relay's parts.
+
+mod budget;
+mod control;
+mod events;
+mod placement;
+mod rollout;
+mod wire;
--- /dev/null
+++ b/src/carawayrun/relay/tests/wire.rs
@@ -0,0 +1,120 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::header::{HOST, HeaderValue};
+use actix_http::{RequestHead, ServiceConfig};
+use bytes::BytesMut;
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::relay::wire::Wire;
+
+const CONNECT: Duration = Duration::from_secs(5);
+
+// An upstream that answers each request on a connection with the next of
+// `answers`, then closes it; with a reset where `resets`.
+async fn upstream(answers: Vec<&'static [u8]>, resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        for answer in answers {
+            read_head(&mut stream).await;
+            stream.write_all(answer).await.unwrap();
+        }
+        if resets {
+            // What was written must arrive before the reset discards it.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            stream.set_zero_linger().unwrap();
+        }
+    });
+    addr
+}
+
+async fn read_head(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+}
+
+fn request() -> RequestHead {
+    let mut head = RequestHead::default();
+    head.headers.insert(HOST, HeaderValue::from_static("a"));
+    head
+}
+
+async fn body(wire: &mut Wire) -> Option<Vec<u8>> {
+    let mut whole = BytesMut::new();
+    loop {
+        match wire.chunk().await {
+            Ok(Some(piece)) => whole.extend_from_slice(&piece),
+            Ok(None) => return Some(whole.to_vec()),
+            Err(_) => return None,
+        }
+    }
+}
+
+async fn ask(answers: Vec<&'static [u8]>, resets: bool) -> (Wire, Option<Vec<u8>>) {
+    let addr = upstream(answers, resets).await;
+    let config = ServiceConfig::default();
+    let mut wire = Wire::connect(addr, CONNECT, &config).await.unwrap();
+    wire.start(request(), b"").unwrap();
+    wire.head().await.unwrap();
+    let body = body(&mut wire).await;
+    (wire, body)
+}
+
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", false, Some(b"four"); "a length that is reached")]
+#[test_case(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfour", false, None; "a length that is not reached")]
+#[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n", false, Some(b"four"); "chunks with their end")]
+#[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n", false, None; "chunks without their end")]
+#[test_case(b"HTTP/1.1 200 OK\r\n\r\nfour", false, Some(b"four"); "no length, closed")]
+#[test_case(b"HTTP/1.1 200 OK\r\n\r\nfour", true, None; "no length, reset")]
+#[test_case(b"HTTP/1.1 204 No Content\r\n\r\n", false, Some(b""); "no body")]
+#[actix_rt::test]
+async fn only_a_whole_body_ends_well(
+    answer: &'static [u8],
+    resets: bool,
+    expected: Option<&'static [u8]>,
+) {
+    let (_, body) = ask(vec![answer], resets).await;
+    assert_eq!(body.as_deref(), expected);
+}
+
+#[actix_rt::test]
+async fn a_second_answer_that_nobody_asked_for_spoils_the_connection() {
+    let twice = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfourHTTP/1.1 200 OK\r\n";
+    let (mut wire, body) = ask(vec![twice], false).await;
+    assert_eq!(body.as_deref(), Some(b"four".as_slice()));
+    assert!(!wire.is_reusable());
+}
+
+#[actix_rt::test]
+async fn a_connection_that_the_upstream_keeps_is_used_again() {
+    let answer: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    let (mut wire, _) = ask(vec![answer, answer], false).await;
+    assert!(wire.is_reusable());
+    wire.start(request(), b"").unwrap();
+    wire.head().await.unwrap();
+    assert_eq!(body(&mut wire).await.as_deref(), Some(b"a".as_slice()));
+}
+
+#[actix_rt::test]
+async fn a_connection_that_the_upstream_closes_is_not_used_again() {
+    let answer: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nConnection: close\r\n\r\na";
+    let (mut wire, _) = ask(vec![answer], false).await;
+    assert!(!wire.is_reusable());
+}
+
+#[actix_rt::test]
+async fn nothing_counts_as_written_before_the_first_byte_left() {
+    let addr = upstream(Vec::new(), false).await;
+    let config = ServiceConfig::default();
+    let mut wire = Wire::connect(addr, CONNECT, &config).await.unwrap();
+    wire.start(request(), b"").unwrap();
+    assert!(!wire.has_written());
+    assert!(wire.head().await.is_err());
+    assert!(wire.has_written());
+}
--- a/src/carawayrun/relay/wire.rs
+++ b/src/carawayrun/relay/wire.rs
@@ -12,7 +12,8 @@
 use actix_http::body::BodySize;
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
+use actix_http::header;
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
@@ -54,6 +55,8 @@
 enum Codec {
     Head(ClientCodec),
     Body(ClientPayloadCodec),
+    /// A body without a length, which ends with the connection.
+    UntilClose,
     Done,
 }
 
@@ -65,8 +68,9 @@
     received: BytesMut,
     unsent: BytesMut,
     has_written: bool,
-    ends_with_connection: bool,
     keeps_open: bool,
+    /// True where the request's method asks for a body.
+    wants_body: bool,
     idle_since: Instant,
 }
 
@@ -90,8 +94,8 @@
             received: BytesMut::new(),
             unsent: BytesMut::new(),
             has_written: false,
-            ends_with_connection: false,
             keeps_open: true,
+            wants_body: true,
             idle_since: Instant::now(),
         })
     }
@@ -100,6 +104,7 @@
     pub(crate) fn start(&mut self, head: RequestHead, body: &[u8]) -> Result<(), WireError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let has_no_body = body.is_empty() && matches!(head.method, Method::GET | Method::HEAD);
+        self.wants_body = head.method != Method::HEAD;
         let size = if has_no_body {
             BodySize::None
         } else {
@@ -133,7 +138,7 @@
                 if head.status.is_informational() {
                     continue;
                 }
-                self.begin_body();
+                self.begin_body(&head);
                 return Ok(head);
             }
             if self.pump().await.context(IoSnafu)? == 0 {
@@ -145,24 +150,27 @@
     /// Reads the next piece of the body; none at its end, when it is whole.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, WireError> {
         loop {
-            let Codec::Body(codec) = &mut self.codec else {
-                return Ok(None);
-            };
-            match codec.decode(&mut self.received).context(BodySnafu)? {
-                Some(Some(chunk)) => return Ok(Some(chunk)),
-                Some(None) => {
-                    self.end();
-                    return Ok(None);
+            match &mut self.codec {
+                Codec::Body(codec) => match codec.decode(&mut self.received).context(BodySnafu)? {
+                    Some(Some(chunk)) => return Ok(Some(chunk)),
+                    Some(None) => {
+                        self.end();
+                        return Ok(None);
+                    }
+                    None => {}
+                },
+                Codec::UntilClose if !self.received.is_empty() => {
+                    return Ok(Some(self.received.split().freeze()));
                 }
-                None => {}
+                Codec::UntilClose => {}
+                Codec::Head(_) | Codec::Done => return Ok(None),
             }
             if self.pump().await.context(IoSnafu)? > 0 {
                 continue;
             }
-            if !self.ends_with_connection {
+            if !matches!(self.codec, Codec::UntilClose) {
                 return ClosedSnafu.fail();
             }
-            self.keeps_open = false;
             self.end();
             return Ok(None);
         }
@@ -183,16 +191,19 @@
         read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn begin_body(&mut self) {
+    fn begin_body(&mut self, head: &ResponseHead) {
         let Codec::Head(codec) = std::mem::replace(&mut self.codec, Codec::Done) else {
             return;
         };
-        self.ends_with_connection = codec.message_type() == MessageType::Stream;
         self.keeps_open = codec.keep_alive();
-        if codec.message_type() == MessageType::None {
-            self.end();
-        } else {
+        if codec.message_type() == MessageType::Payload && has_framing(head) {
             self.codec = Codec::Body(codec.into_payload_codec());
+        } else if self.wants_body && may_have_body(head) && !has_framing(head) {
+            // The library takes such an answer of HTTP/1.1 for one without a body.
+            self.codec = Codec::UntilClose;
+            self.keeps_open = false;
+        } else {
+            self.end();
         }
     }
 
@@ -239,6 +250,15 @@
     }
 }
 
+fn has_framing(head: &ResponseHead) -> bool {
+    let headers = &head.headers;
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+fn may_have_body(head: &ResponseHead) -> bool {
+    head.status != StatusCode::NO_CONTENT && head.status != StatusCode::NOT_MODIFIED
+}
+
 /// Sets what keeps a silent connection from hanging.
 pub(super) fn tune(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
