Judge roll-outs on recent outcomes, remember withdrawn versions, keep sessions

Sessions under way when the second roll-out began were moved by their hash. Ruled out: two holders at once (each move was one compare-and-set).

Change: evidence against the well-known old rate, over all outcomes and over the last seconds; a gateway that has enough evidence stops at once, store or no store; rows carry withdrawn versions on; a gateway remembers its sessions' versions, and unknown ones stay on the old version for one session pause.

--- a/src/carawayrun/policy/binomial.rs
+++ b/src/carawayrun/policy/binomial.rs
@@ -45,6 +45,18 @@
     old.mixture() + new.mixture() - supremum(old, new, margin, null)
 }
 
+/// Logarithm of the e-value against the rate of `new` being at most `bound`.
+///
+/// The mixed likelihood over the one at the bound: a test martingale, valid
+/// whenever it is looked at. It spends nothing on an unknown old rate, so it
+/// decides on a fraction of the trials where the old rate is well known.
+pub(crate) fn log_evidence_above(new: Share, bound: f64) -> f64 {
+    if new.rate() <= bound {
+        return 0.0;
+    }
+    new.mixture() - new.likelihood(bound)
+}
+
 fn supremum(old: Share, new: Share, margin: f64, null: Null) -> f64 {
     let gap = new.rate() - old.rate() - margin;
     let inside = match null {
--- a/src/carawayrun/policy/judge.rs
+++ b/src/carawayrun/policy/judge.rs
@@ -5,7 +5,7 @@
 //! ratings. Each stream is a test that stays valid at any time of looking, so
 //! the judgement may be asked for as often as outcomes come in.
 
-use super::binomial::{Null, Share, log_evidence};
+use super::binomial::{Null, Share, log_evidence, log_evidence_above};
 use super::normal;
 use super::tally::Tally;
 use crate::resource::Rollout;
@@ -126,6 +126,19 @@
     }
 }
 
+/// True where `new` fails or is slow more often than `old` by more than
+/// `margin`; a version that is as good is called worse with a chance of about
+/// `error_rate`. The rates of `old` are taken as known: for versions that have
+/// long served most requests.
+pub fn is_worse(old: &Tally, new: &Tally, margin: f64, error_rate: f64) -> bool {
+    // Two streams of evidence share the chance of an error.
+    let threshold = (2.0 / error_rate.max(f64::MIN_POSITIVE)).ln();
+    let known = |share: Share| (share.events + 1.0) / (share.trials + 2.0);
+    [failed as fn(&Tally) -> Share, slow]
+        .into_iter()
+        .any(|share| log_evidence_above(share(new), known(share(old)) + margin) >= threshold)
+}
+
 fn verdict(
     arms: &Arms,
     rollout: &Rollout,
--- a/src/carawayrun/policy/mod.rs
+++ b/src/carawayrun/policy/mod.rs
@@ -14,6 +14,7 @@
 //! | [`Bucket`] | whether a team is within its limits |
 //! | [`RetryBudget`] | whether a retry is affordable |
 //! | [`judge`] | whether a roll-out goes on, waits or is withdrawn |
+//! | [`is_worse`] | whether a version is worse than one that is well known |
 //! | [`DriftDetector`] | whether a version turned bad without a roll-out |
 
 mod admission;
@@ -43,7 +44,7 @@
 pub use self::estimates::{Estimates, Quality};
 pub use self::explanation::{Explanation, Reason};
 pub use self::flight::Flight;
-pub use self::judge::{Arms, Evidence, Judgement, Progress, Verdict, judge};
+pub use self::judge::{Arms, Evidence, Judgement, Progress, Verdict, is_worse, judge};
 pub use self::plan::plan;
 pub use self::pools::{Candidate, Choice, Pick, Pool, Pools};
 pub use self::retry::RetryBudget;
--- a/src/carawayrun/relay/control.rs
+++ b/src/carawayrun/relay/control.rs
@@ -9,7 +9,7 @@
 use slotmap::SlotMap;
 
 use super::catalog::Catalog;
-use super::rollout::{self, Comparison, Order, Outcomes, RolloutRow};
+use super::rollout::{self, Comparison, Order, Outcomes, Phase, RolloutRow, Seen};
 use super::view::{RolloutView, Upstream, UpstreamKey, View};
 
 /// Time after an outage of the store in which registrations that lapsed
@@ -49,7 +49,7 @@
         /// Its order.
         order: u64,
         /// What it saw since the order.
-        seen: Comparison,
+        seen: Seen,
     },
     /// Own outcomes of all versions since the start.
     OutcomesSeen(Vec<(CompactString, CompactString, Outcomes)>),
@@ -74,7 +74,7 @@
         /// Its order.
         order: u64,
         /// What was seen since the order.
-        seen: Comparison,
+        seen: Seen,
     },
 }
 
@@ -83,11 +83,18 @@
     order: Order,
     /// The row in the store, with its version; none before it was read.
     row: Option<(RolloutRow, u64)>,
+    /// When the row of this order was first read.
+    begun_at: Duration,
     /// Own outcomes by version when the order was read.
     before: FxHashMap<CompactString, Outcomes>,
-    own: Comparison,
-    told: Comparison,
-    others: FxHashMap<CompactString, Comparison>,
+    own: Seen,
+    /// When the own outcomes were last taken in.
+    seen_at: Duration,
+    told: Seen,
+    others: FxHashMap<CompactString, Seen>,
+    /// True once the evidence seen here was enough to withdraw it, also before
+    /// the store knows.
+    is_bad: bool,
 }
 
 /// What a relay believes.
@@ -159,14 +166,14 @@
                 tracing::info!(away_ms = away.as_millis() as u64, "store reached again");
                 self.returned_at = Some(now);
             }
-            Event::RolloutRead(row, version) => self.rollout_read(row, version, &mut effects),
+            Event::RolloutRead(row, version) => self.rollout_read(row, version, now, &mut effects),
             Event::OutcomesRead {
                 node,
                 service,
                 order,
                 seen,
             } => self.outcomes_read(node, &service, order, seen),
-            Event::OutcomesSeen(outcomes) => self.outcomes_seen(outcomes),
+            Event::OutcomesSeen(outcomes) => self.outcomes_seen(outcomes, now),
             Event::Tick { store_now } => self.tick(now, store_now, &mut effects),
         }
         effects
@@ -293,10 +300,13 @@
         let before = sums.map(|((_, version), seen)| (version.clone(), *seen));
         let rollout = Rollout {
             row,
+            begun_at: Duration::ZERO,
             before: before.collect(),
-            own: Comparison::default(),
-            told: Comparison::default(),
+            own: Seen::default(),
+            seen_at: Duration::ZERO,
+            told: Seen::default(),
             others: FxHashMap::default(),
+            is_bad: false,
             order,
         };
         self.rollouts.insert(rollout.order.service.clone(), rollout);
@@ -310,7 +320,13 @@
         }
     }
 
-    fn rollout_read(&mut self, row: RolloutRow, version: u64, effects: &mut Vec<Effect>) {
+    fn rollout_read(
+        &mut self,
+        row: RolloutRow,
+        version: u64,
+        now: Duration,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(rollout) = self.rollouts.get_mut(&row.service) else {
             return;
         };
@@ -326,11 +342,14 @@
             order = row.order,
             "roll-out moved on"
         );
+        if rollout.current().is_none() {
+            rollout.begun_at = now;
+        }
         rollout.row = Some((row, version));
         self.publish(effects);
     }
 
-    fn outcomes_read(&mut self, node: CompactString, service: &str, order: u64, seen: Comparison) {
+    fn outcomes_read(&mut self, node: CompactString, service: &str, order: u64, seen: Seen) {
         if node == self.node {
             return;
         }
@@ -340,28 +359,19 @@
         }
     }
 
-    fn outcomes_seen(&mut self, outcomes: Vec<(CompactString, CompactString, Outcomes)>) {
+    fn outcomes_seen(
+        &mut self,
+        outcomes: Vec<(CompactString, CompactString, Outcomes)>,
+        now: Duration,
+    ) {
         for (service, version, seen) in outcomes {
             self.outcomes.insert((service, version), seen);
         }
         for rollout in self.rollouts.values_mut() {
-            rollout.own = Comparison::default();
-            for ((service, version), seen) in &self.outcomes {
-                if *service != rollout.order.service {
-                    continue;
-                }
-                let before = rollout.before.get(version).copied().unwrap_or_default();
-                let since = Outcomes {
-                    answered: seen.answered - before.answered,
-                    failed: seen.failed - before.failed,
-                    slow: seen.slow - before.slow,
-                };
-                if *version == rollout.order.to {
-                    rollout.own.new.add(&since);
-                } else {
-                    rollout.own.old.add(&since);
-                }
-            }
+            let all = rollout.compare(&self.outcomes);
+            let elapsed = now.saturating_sub(rollout.seen_at);
+            rollout.own.advance(all, elapsed);
+            rollout.seen_at = now;
         }
     }
 
@@ -378,9 +388,14 @@
         }
         self.publish_upstreams(effects);
         let turn = turn(&self.node);
+        let mut is_news = false;
         for rollout in self.rollouts.values_mut() {
+            is_news |= rollout.judge();
             effects.extend(rollout.tick(store_now, turn));
         }
+        if is_news {
+            self.publish(effects);
+        }
     }
 
     fn publish(&mut self, effects: &mut Vec<Effect>) {
@@ -412,15 +427,67 @@
     fn view(&self, exposure_share: f64) -> RolloutView {
         // Before the roll-out has begun the new version takes nothing.
         let phase = self.current().map(|(row, _)| row.phase);
+        let phase = phase.map(|phase| match phase {
+            Phase::Canary | Phase::Spread if self.is_bad => Phase::Reverted,
+            phase => phase,
+        });
         RolloutView {
             service: self.order.service.clone(),
             to: self.order.to.clone(),
             share: phase.map_or(0.0, |phase| rollout::share(phase, exposure_share)),
-            is_open: self.is_open(),
+            withdrawn: self.withdrawn(),
+            begun_at: self.begun_at,
+        }
+    }
+
+    fn withdrawn(&self) -> Vec<CompactString> {
+        let row = self.row.as_ref();
+        let mut versions = row.map(|(row, _)| row.all_withdrawn()).unwrap_or_default();
+        if self.current().is_none() {
+            versions.retain(|version| *version != self.order.to);
         }
+        let is_open = self.current().is_some_and(|(row, _)| row.phase.is_open());
+        if self.is_bad && is_open {
+            versions.push(self.order.to.clone());
+        }
+        versions
+    }
+
+    // Own outcomes since the order, by old and new version.
+    fn compare(
+        &self,
+        outcomes: &FxHashMap<(CompactString, CompactString), Outcomes>,
+    ) -> Comparison {
+        let mut all = Comparison::default();
+        for ((service, version), seen) in outcomes {
+            if *service != self.order.service {
+                continue;
+            }
+            let before = self.before.get(version).copied().unwrap_or_default();
+            let since = Outcomes {
+                answered: seen.answered - before.answered,
+                failed: seen.failed - before.failed,
+                slow: seen.slow - before.slow,
+            };
+            if *version == self.order.to {
+                all.new.add(&since);
+            } else {
+                all.old.add(&since);
+            }
+        }
+        all
+    }
+
+    // Withdraws a bad version at this gateway, whether or not the store is
+    // there; true where that is news.
+    fn judge(&mut self) -> bool {
+        let is_open = self.current().is_some_and(|(row, _)| row.phase.is_open());
+        let is_news = is_open && !self.is_bad && self.seen().is_bad();
+        self.is_bad |= is_news;
+        is_news
     }
 
-    fn seen(&self) -> Comparison {
+    fn seen(&self) -> Seen {
         let mut sum = self.own;
         for other in self.others.values() {
             sum.add(other);
@@ -435,7 +502,8 @@
             return effects;
         };
         let Some((row, _)) = self.current() else {
-            let row = rollout::begin(&self.order, now);
+            let before = self.row.as_ref().map(|(row, _)| row);
+            let row = rollout::begin(&self.order, before, now);
             return vec![Effect::MoveRollout(row, version)];
         };
         // The turns are apart, so that mostly one gateway writes; evidence
@@ -449,18 +517,18 @@
                 service = %row.service,
                 to = %row.to,
                 phase = ?phase,
-                new_answered = seen.new.answered,
-                new_failed = seen.new.failed,
-                new_slow = seen.new.slow,
-                old_answered = seen.old.answered,
-                old_failed = seen.old.failed,
-                old_slow = seen.old.slow,
+                new_answered = seen.all.new.answered,
+                new_failed = seen.all.new.failed,
+                new_slow = seen.all.new.slow,
+                old_answered = seen.all.old.answered,
+                old_failed = seen.all.old.failed,
+                old_slow = seen.all.old.slow,
                 gateways = self.others.len() + 1,
                 "roll-out is due to move on"
             );
             effects.push(Effect::MoveRollout(row, version));
         }
-        if self.is_open() && self.own.new != self.told.new {
+        if self.is_open() && self.own.all.new != self.told.all.new {
             self.told = self.own;
             effects.push(Effect::TellOutcomes {
                 service: self.order.service.clone(),
--- a/src/carawayrun/relay/exchange.rs
+++ b/src/carawayrun/relay/exchange.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::admission::{Admitted, Refusal};
+use super::boot_clock;
 use super::budget::Cause;
 use super::cascade;
 use super::catalog::{Catalog, Route, RouteKind};
@@ -19,6 +20,7 @@
 use super::message::{Answer, Ask, Claim};
 use super::report::{Report, Verdict};
 use super::responder::Responder;
+use super::sessions;
 use super::traffic::{Flight, Outcome, Traffic};
 use super::view::{Upstream, UpstreamKey, View};
 use super::wire::{Wire, WireError};
@@ -218,9 +220,18 @@
             let model = model.map_or("", |model| model.as_str());
             CompactString::from(format!("{} {model}", part.id))
         });
+        let session = self.ask.session.as_deref();
+        let pinned = session.and_then(|session| self.traffic.session_version(service, session));
+        let claim = sessions::Claim {
+            point: self.admitted.point,
+            has_session: session.is_some(),
+            pinned: pinned.as_deref(),
+            now: boot_clock::now(),
+            gap: self.traffic.settings.session_gap,
+        };
         let need = Need {
             service,
-            point: self.admitted.point,
+            claim,
             version: course.version.as_deref(),
             part,
             shared: f64::from(shared),
@@ -257,6 +268,11 @@
         }
         course.sends += 1;
         self.report.sent(&upstream);
+        if let Some(session) = &self.ask.session {
+            let service = &upstream.service;
+            self.traffic
+                .session_used(service, session, &upstream.version);
+        }
         let attempt = self
             .send(route, course, key, &upstream, wire, resume_after)
             .await;
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -11,6 +11,7 @@
 
 use super::health::Health;
 use super::placement::{Candidate, choose, rank};
+use super::sessions::{Claim, takes_new};
 use super::view::{RolloutView, Upstream, UpstreamKey, View};
 use super::wire::Wire;
 
@@ -28,8 +29,7 @@
 #[derive(Debug)]
 pub(super) struct Need<'a> {
     pub(super) service: &'a str,
-    /// Version arm: a point in 0..1 that is the same for a whole session.
-    pub(super) point: f64,
+    pub(super) claim: Claim<'a>,
     /// Version that must be kept, where a stream goes on.
     pub(super) version: Option<&'a str>,
     /// Shared part of the prompt, with the model that reads it.
@@ -183,25 +183,27 @@
             let keys = ready.iter().copied();
             keys.filter(|key| wanted(version(key))).collect()
         };
-        if let Some(kept) = need.version {
+        let rollout = rollouts.iter().find(|other| other.service == need.service);
+        let Some(rollout) = rollout else {
+            return ready.to_vec();
+        };
+        let is_withdrawn = |version: &str| rollout.withdrawn.iter().any(|bad| bad == version);
+        if let Some(kept) = need.version.filter(|kept| !is_withdrawn(kept)) {
             let same = of(&|version| version == kept);
             if !same.is_empty() {
                 return same;
             }
         }
-        let rollout = rollouts.iter().find(|other| other.service == need.service);
-        let Some(rollout) = rollout else {
-            return ready.to_vec();
-        };
-        let new = of(&|version| version == rollout.to);
-        let old = of(&|version| version != rollout.to);
+        let new = of(&|version| version == rollout.to && !is_withdrawn(version));
+        let old = of(&|version| version != rollout.to && !is_withdrawn(version));
         if rollout.share <= 0.0 {
             return old;
         }
-        let takes_new = need.point < rollout.share;
-        let has_old = self.by_service[need.service]
-            .iter()
-            .any(|key| version(key) != rollout.to.as_str());
+        let takes_new = takes_new(rollout, &need.claim);
+        let has_old = self.by_service[need.service].iter().any(|key| {
+            let version = version(key);
+            version != rollout.to && !is_withdrawn(version)
+        });
         match (takes_new && !new.is_empty(), has_old) {
             (true, _) => new,
             (false, true) => old,
--- a/src/carawayrun/relay/follow.rs
+++ b/src/carawayrun/relay/follow.rs
@@ -420,7 +420,7 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 struct OutcomesRow {
     order: u64,
-    seen: super::rollout::Comparison,
+    seen: super::rollout::Seen,
 }
 
 fn usable(row: &Row) -> Option<Upstream> {
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -38,6 +38,7 @@
 mod responder;
 pub mod rollout;
 mod serve;
+pub mod sessions;
 #[cfg(test)]
 mod tests;
 mod traffic;
--- a/src/carawayrun/relay/rollout.rs
+++ b/src/carawayrun/relay/rollout.rs
@@ -11,8 +11,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use crate::policy::{Arms, Progress, Tally, Verdict, judge};
-use crate::resource;
+use crate::policy::{Tally, is_worse};
 
 /// Part of the allowed exposure that the new version takes while it is tried;
 /// the rest is for what it takes between moving on and reverting.
@@ -27,11 +26,17 @@
 /// store can be settled before the time is over.
 const COMPLETE_AT: f64 = 0.9;
 
-/// Rise of the share of bad answers that makes a version bad.
-const TOLERANCE: f64 = 0.3;
+/// Rise of the share of bad answers that is tolerated: about what one upstream
+/// that fails by itself, among a dozen and a half, adds.
+const MARGIN: f64 = 0.05;
 
-/// Chance of reverting a good version.
-const ERROR_RATE: f64 = 0.001;
+/// Chance of reverting a good version: under one in a hundred, the project's
+/// own target.
+const ERROR_RATE: f64 = 0.01;
+
+/// Time in which half of the recent outcomes are forgotten: long enough for a
+/// dozen requests at a usual canary share.
+const HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// An operator's order to move a service to a version.
 #[derive(Debug, Clone, PartialEq)]
@@ -83,6 +88,21 @@
     pub started_ms: u64,
     /// How far it is.
     pub phase: Phase,
+    /// Versions that earlier orders brought and that were withdrawn; their
+    /// upstreams may still be there.
+    #[serde(default)]
+    pub withdrawn: Vec<CompactString>,
+}
+
+impl RolloutRow {
+    /// All versions that must get nothing.
+    pub fn all_withdrawn(&self) -> Vec<CompactString> {
+        let mut all = self.withdrawn.clone();
+        if self.phase == Phase::Reverted && !all.contains(&self.to) {
+            all.push(self.to.clone());
+        }
+        all
+    }
 }
 
 /// Outcomes of one version at one gateway since an order.
@@ -136,27 +156,55 @@
 
     /// True where the new version is worse than is tolerated.
     pub fn is_bad(&self) -> bool {
-        let arms = Arms {
-            old: self.old.tally(),
-            new: self.new.tally(),
-        };
-        let terms = resource::Rollout {
-            model: CompactString::default(),
-            from: CompactString::default(),
-            to: CompactString::default(),
-            steps: vec![1.0],
-            max_exposure: u64::MAX,
-            tolerance: TOLERANCE,
-            error_rate: ERROR_RATE,
-            paused: false,
+        is_worse(&self.old.tally(), &self.new.tally(), MARGIN, ERROR_RATE)
+    }
+}
+
+/// Outcomes since an order, and of its last seconds. A version that turns bad
+/// late hides behind its earlier answers in the former.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Seen {
+    /// Since the order.
+    pub all: Comparison,
+    /// The same, with older ones forgotten.
+    pub recent: Comparison,
+}
+
+impl Seen {
+    /// Adds another gateway's outcomes.
+    pub fn add(&mut self, other: &Self) {
+        self.all.add(&other.all);
+        self.recent.add(&other.recent);
+    }
+
+    /// Takes in what was seen since the order by now, `elapsed` after the last time.
+    pub fn advance(&mut self, all: Comparison, elapsed: Duration) {
+        let kept = 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let advance = |recent: &mut Outcomes, before: &Outcomes, now: &Outcomes| {
+            recent.answered = recent.answered * kept + now.answered - before.answered;
+            recent.failed = recent.failed * kept + now.failed - before.failed;
+            recent.slow = recent.slow * kept + now.slow - before.slow;
         };
-        judge(&arms, &terms, &Progress::default()).verdict == Verdict::Withdraw
+        advance(&mut self.recent.old, &self.all.old, &all.old);
+        advance(&mut self.recent.new, &self.all.new, &all.new);
+        self.all = all;
+    }
+
+    /// True where the new version is worse than is tolerated.
+    pub fn is_bad(&self) -> bool {
+        self.all.is_bad() || self.recent.is_bad()
     }
 }
 
-/// The row that begins a roll-out.
-pub fn begin(order: &Order, now: Duration) -> RolloutRow {
+/// The row that begins a roll-out after the one in `before`.
+pub fn begin(order: &Order, before: Option<&RolloutRow>, now: Duration) -> RolloutRow {
+    let mut withdrawn = before.map(RolloutRow::all_withdrawn).unwrap_or_default();
+    // An operator may bring a version again, repaired.
+    withdrawn.retain(|version| *version != order.to);
     RolloutRow {
+        withdrawn,
         service: order.service.clone(),
         to: order.to.clone(),
         order: order.version,
@@ -167,7 +215,7 @@
 
 /// The phase that is due; none where the roll-out stays as it is. `now` is on
 /// the store's clock.
-pub fn due(order: &Order, row: &RolloutRow, seen: &Comparison, now: Duration) -> Option<Phase> {
+pub fn due(order: &Order, row: &RolloutRow, seen: &Seen, now: Duration) -> Option<Phase> {
     if !row.phase.is_open() {
         return None;
     }
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -4,7 +4,7 @@
 
 use crate::relay::catalog::Catalog;
 use crate::relay::control::{Effect, Event, State};
-use crate::relay::rollout::{Comparison, Order, Outcomes, Phase, RolloutRow};
+use crate::relay::rollout::{Comparison, Order, Outcomes, Phase, RolloutRow, Seen};
 use crate::relay::view::Upstream;
 
 fn state() -> State {
@@ -165,17 +165,18 @@
     let mut state = state();
     let row = begin(&mut state);
     state.handle(Event::RolloutRead(row, 12), at(0));
-    let seen = Comparison {
+    let all = Comparison {
         old: Outcomes {
             answered: 90.0,
             ..Outcomes::default()
         },
         new: Outcomes {
             answered: 8.0,
-            failed: 5.0,
+            failed: 2.5,
             slow: 0.0,
         },
     };
+    let seen = Seen { all, recent: all };
     for node in ["edge-2", "edge-3", "edge-4", "edge-5"] {
         let before = tick(&mut state, 2_000);
         assert!(
@@ -197,6 +198,9 @@
         panic!("{effects:?}");
     };
     assert_eq!(row.phase, Phase::Reverted);
+    // It takes nothing here from now on, whether or not the store is reached.
+    assert!(share(&state).abs() < f64::EPSILON);
+    assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
 }
 
 #[test]
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -5,4 +5,5 @@
 mod events;
 mod placement;
 mod rollout;
+mod sessions;
 mod wire;
--- a/src/carawayrun/relay/tests/rollout.rs
+++ b/src/carawayrun/relay/tests/rollout.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use test_case::test_case;
 
-use crate::relay::rollout::{Comparison, Order, Outcomes, Phase, begin, due, share};
+use crate::relay::rollout::{Comparison, Order, Outcomes, Phase, Seen, begin, due, share};
 
 fn order() -> Order {
     Order {
@@ -22,11 +22,11 @@
     }
 }
 
-fn seen(new: Outcomes) -> Comparison {
-    Comparison {
-        old: outcomes(400.0, 8.0, 4.0),
-        new,
-    }
+fn seen(new: Outcomes) -> Seen {
+    let mut seen = Seen::default();
+    let old = outcomes(400.0, 8.0, 4.0);
+    seen.advance(Comparison { old, new }, Duration::ZERO);
+    seen
 }
 
 #[test_case(Phase::Canary, 5, None; "tried in the first half")]
@@ -38,7 +38,7 @@
 #[test_case(Phase::Reverted, 30, None; "nothing after a revert")]
 fn a_good_version_moves_on_by_time(phase: Phase, after_s: u64, expected: Option<Phase>) {
     let start = Duration::from_secs(100);
-    let mut row = begin(&order(), start);
+    let mut row = begin(&order(), None, start);
     row.phase = phase;
     let good = seen(outcomes(60.0, 1.0, 0.0));
     let now = start + Duration::from_secs(after_s);
@@ -49,7 +49,7 @@
 #[test_case(outcomes(40.0, 0.0, 24.0); "several times slower on half of them")]
 fn a_bad_version_is_reverted_in_either_phase(new: Outcomes) {
     let start = Duration::from_secs(100);
-    let mut row = begin(&order(), start);
+    let mut row = begin(&order(), None, start);
     for phase in [Phase::Canary, Phase::Spread] {
         row.phase = phase;
         assert_eq!(
@@ -61,7 +61,7 @@
 
 #[test]
 fn a_few_failures_revert_nothing() {
-    let row = begin(&order(), Duration::ZERO);
+    let row = begin(&order(), None, Duration::ZERO);
     let new = seen(outcomes(10.0, 2.0, 1.0));
     assert_eq!(due(&order(), &row, &new, Duration::from_secs(1)), None);
 }
@@ -72,3 +72,36 @@
     assert!((share(Phase::Spread, 0.15) - 1.0).abs() < f64::EPSILON);
     assert!(share(Phase::Reverted, 0.15).abs() < f64::EPSILON);
 }
+
+// Seen on mwlsa-lathe, mix day of seed 368863926483: it turned bad after 60
+// good answers, and all traffic was moved to it with a third of them failed.
+#[test]
+fn a_version_that_turns_bad_late_is_reverted_after_a_few_failures() {
+    let row = begin(&order(), None, Duration::ZERO);
+    let mut new = seen(outcomes(60.0, 1.0, 0.0));
+    let all = Comparison {
+        old: outcomes(700.0, 14.0, 7.0),
+        new: outcomes(84.0, 13.0, 2.0),
+    };
+    new.advance(all, Duration::from_secs(4));
+    let now = Duration::from_secs(8);
+    assert_eq!(due(&order(), &row, &new, now), Some(Phase::Reverted));
+}
+
+#[test]
+fn what_was_withdrawn_stays_so_under_a_later_order() {
+    let mut row = begin(&order(), None, Duration::ZERO);
+    row.phase = Phase::Reverted;
+    let mut next = order();
+    next.to = CompactString::from("v3");
+    let row = begin(&next, Some(&row), Duration::ZERO);
+    assert_eq!(row.all_withdrawn(), ["v2"]);
+}
+
+#[test]
+fn a_withdrawn_version_may_be_ordered_again() {
+    let mut row = begin(&order(), None, Duration::ZERO);
+    row.phase = Phase::Reverted;
+    let again = begin(&order(), Some(&row), Duration::ZERO);
+    assert!(again.all_withdrawn().is_empty());
+}
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -19,6 +19,7 @@
 use super::metrics::Metrics;
 use super::pace::Pace;
 use super::rollout::Outcomes;
+use super::sessions::Sessions;
 use super::view::{UpstreamKey, View};
 
 /// Outcomes by service and version, for the judgement of roll-outs.
@@ -37,6 +38,7 @@
     fleet: RefCell<Fleet>,
     budgets: RefCell<FxHashMap<CompactString, RepeatBudget>>,
     paces: RefCell<FxHashMap<(CompactString, CompactString), Pace>>,
+    sessions: RefCell<Sessions>,
     rng: RefCell<SmallRng>,
     started: Instant,
 }
@@ -48,7 +50,9 @@
         evidence: Evidence,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let sessions = RefCell::new(Sessions::new(settings.session_gap));
         Self {
+            sessions,
             settings,
             metrics,
             config: ServiceConfig::default(),
@@ -90,6 +94,19 @@
         self.rng.borrow_mut().random()
     }
 
+    /// The version that a session was on lately.
+    pub(super) fn session_version(&self, service: &str, session: &str) -> Option<CompactString> {
+        let sessions = self.sessions.borrow();
+        sessions.version(service, session, self.now()).cloned()
+    }
+
+    /// A session's request goes to a version.
+    pub(super) fn session_used(&self, service: &str, session: &str, version: &CompactString) {
+        let now = self.now();
+        let mut sessions = self.sessions.borrow_mut();
+        sessions.used(service, session, version, now);
+    }
+
     /// Counts the first send of a request to a service.
     pub(super) fn first_send(&self, service: &str) {
         self.budget(service, |budget, now| budget.first(now));
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -45,8 +45,11 @@
     pub to: CompactString,
     /// Share of sessions and of other requests that the new version takes.
     pub share: f64,
-    /// True while the outcome is open.
-    pub is_open: bool,
+    /// Versions that must get nothing.
+    pub withdrawn: Vec<CompactString>,
+    /// When this gateway saw it begin, on the boot clock. Sessions that it does
+    /// not know may be older.
+    pub begun_at: Duration,
 }
 
 /// Everything the data path needs to know, at one moment.
