Share load and kept sessions between gateways

Cause: engines had some requests wait for seconds behind a prompt of tens of thousands of tokens while others answered in 20 ms: only the gateway that sent the prompt knew of it. Ruled out: saturation (spread of first events on one engine 16 ms to 3 s at the same time).

Change: gateways send each other their requests and reading time per upstream, and sessions to keep, as datagrams a few times a second; placement counts in milliseconds of reading, learned per model. The pace of streams was measured at their end and is now at their first byte.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -498,6 +498,34 @@
     #[prost(enumeration = "Ran", tag = "1")]
     pub ran: i32,
 }
+/// What a relay has under way at the upstreams, as a datagram to every other
+/// relay. The newest report of a node replaces the ones before.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RelayReport {
+    #[prost(message, optional, tag = "1")]
+    pub node: ::core::option::Option<Node>,
+    /// Counts the reports of one incarnation; older ones are dropped.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub loads: ::prost::alloc::vec::Vec<UpstreamLoad>,
+    /// Hashes of sessions under way on an old version that would begin on the new
+    /// one of a roll-out that is tried; the others leave them where they are.
+    #[prost(fixed32, repeated, tag = "4")]
+    pub kept_sessions: ::prost::alloc::vec::Vec<u32>,
+}
+/// Requests of one relay at one upstream; absent where there are none.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamLoad {
+    /// Hash of the name of its registration.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Time that the upstream needs to read the prompts that wait there.
+    #[prost(uint32, tag = "3")]
+    pub backlog_ms: u32,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Role {
--- a/src/carawayrun/platform/rollout.rs
+++ b/src/carawayrun/platform/rollout.rs
@@ -75,11 +75,10 @@
     }
 }
 
-/// The transaction that replaces a row that only this gateway writes, among the
-/// rows of roll-outs.
-pub fn note(key: &str, value: &impl Serialize) -> Transaction {
+/// The transaction that replaces a row that only this gateway writes.
+pub fn note(table: Keyspace, key: &str, value: &impl Serialize) -> Transaction {
     Transaction {
-        puts: vec![put(qualified(Keyspace::Rollouts, key), value)],
+        puts: vec![put(qualified(table, key), value)],
         ..Transaction::default()
     }
 }
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -50,6 +50,8 @@
     node_name: CompactString,
     ip: std::net::IpAddr,
     zone: CompactString,
+    /// First and last port for traffic between hosts.
+    port_range: [u16; 2],
     listen: Listen,
     limits: Limits,
     bounds: Bounds,
@@ -173,6 +175,7 @@
         listen: file.listen.frontend,
         ready_listen: file.listen.readiness,
         metrics_listen: SocketAddr::new(file.ip, metrics_port),
+        peer_listen: SocketAddr::new(file.ip, file.port_range[0]),
         store: file.platform.address,
         grace: Duration::from_secs_f64(bounds.grace_s),
         revocation_limit: millis(bounds.revoke_ms),
--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -40,6 +40,8 @@
     Status,
     /// Roll-outs under way, the program's own.
     Rollouts,
+    /// Where gateways take reports, the program's own.
+    Gateways,
 }
 
 impl Keyspace {
@@ -49,6 +51,7 @@
             Self::Registrations => "servers",
             Self::Status => "status",
             Self::Rollouts => "rollouts",
+            Self::Gateways => "gateways",
         }
     }
 }
@@ -239,7 +242,7 @@
 
 fn split(key: &str) -> (&'static str, &str) {
     let (table, key) = key.split_once('/').unwrap_or(("", key));
-    let known = [Keyspace::Status, Keyspace::Rollouts];
+    let known = [Keyspace::Status, Keyspace::Rollouts, Keyspace::Gateways];
     let table = known.iter().find(|known| known.table() == table);
     (table.map_or("", |known| known.table()), key)
 }
--- a/src/carawayrun/relay/cascade.rs
+++ b/src/carawayrun/relay/cascade.rs
@@ -8,7 +8,7 @@
 
 /// Confidence below which an answer is dropped, of 100. The quality of answers
 /// still rises at it while the use of the largest model is under a half.
-const GATE: f64 = 60.0;
+const GATE: f64 = 56.0;
 
 /// The model to begin with.
 pub fn first(models: &[CompactString]) -> Option<&CompactString> {
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -230,6 +230,7 @@
         let head = request.head();
         let Inbound { ask, headers } = platform::inbound(head);
         let mut report = Report::new(ask.id.clone(), received);
+        report.session = ask.session.clone().unwrap_or_default();
         let admitted = self.admit(head, &ask, &mut report);
         let is_last = self.traffic.draining.get().is_some() || !self.codec.keep_alive();
         let mut responder = Responder::new(&mut self.writer, &mut self.codec, is_last);
--- a/src/carawayrun/relay/control.rs
+++ b/src/carawayrun/relay/control.rs
@@ -1,6 +1,7 @@
 //! The reducer of a relay: what the store says goes in, what to publish and to
 //! write comes out. It does no I/O and reads no clock.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -53,6 +54,8 @@
     },
     /// Own outcomes of all versions since the start.
     OutcomesSeen(Vec<(CompactString, CompactString, Outcomes)>),
+    /// Where the other gateways take reports was read.
+    GatewaysRead(Vec<SocketAddr>),
     /// Time passed.
     Tick {
         /// The store's clock, where it is known.
@@ -174,6 +177,12 @@
                 seen,
             } => self.outcomes_read(node, &service, order, seen),
             Event::OutcomesSeen(outcomes) => self.outcomes_seen(outcomes, now),
+            Event::GatewaysRead(peers) => {
+                if self.view.peers != peers {
+                    self.view.peers = peers;
+                    self.publish(&mut effects);
+                }
+            }
             Event::Tick { store_now } => self.tick(now, store_now, &mut effects),
         }
         effects
--- a/src/carawayrun/relay/exchange.rs
+++ b/src/carawayrun/relay/exchange.rs
@@ -17,7 +17,7 @@
 use super::catalog::{Catalog, Route, RouteKind};
 use super::events::EventBuffer;
 use super::fleet::Need;
-use super::message::{Answer, Ask, Claim};
+use super::message::{Answer, Ask, Claim, Prefix};
 use super::report::{Report, Verdict};
 use super::responder::Responder;
 use super::sessions;
@@ -92,7 +92,8 @@
     answer: Answer,
     /// Counts the attempt until the answer has ended.
     _flight: Flight,
-    sent: Instant,
+    /// Time from the send to the head of the answer.
+    first: Duration,
 }
 
 /// An upstream's own failure, kept until it is clear that nothing better comes.
@@ -197,6 +198,17 @@
         }
     }
 
+    fn model<'c>(&'c self, course: &'c Course) -> &'c str {
+        let model = course.model.as_ref().or(self.ask.model.as_ref());
+        model.map_or("", |model| model.as_str())
+    }
+
+    // Parts of the prompt that other requests may have in common with it.
+    fn shared_parts(&self) -> &[Prefix] {
+        let parts = &self.ask.prefixes;
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
     fn may_go_on(&self, route: &Route, course: &Course) -> bool {
         let repeatable = !course.may_have_run || route.kind.is_repeatable();
         repeatable
@@ -212,20 +224,19 @@
         course: &Course,
         service: &str,
     ) -> Option<UpstreamKey> {
-        let model = course.model.as_ref().or(self.ask.model.as_ref());
-        let parts = &self.ask.prefixes;
-        let shared_parts = &parts[..parts.len().saturating_sub(1)];
+        let model = self.model(course);
+        let shared_parts = self.shared_parts();
         let shared: u32 = shared_parts.iter().map(|part| part.tokens).sum();
-        let part = shared_parts.last().map(|part| {
-            let model = model.map_or("", |model| model.as_str());
-            CompactString::from(format!("{} {model}", part.id))
-        });
+        let shared_ms = self.traffic.reading_ms(service, model, f64::from(shared));
+        let part = shared_parts.last();
+        let part = part.map(|part| CompactString::from(format!("{} {model}", part.id)));
         let session = self.ask.session.as_deref();
         let pinned = session.and_then(|session| self.traffic.session_version(service, session));
         let claim = sessions::Claim {
             point: self.admitted.point,
             has_session: session.is_some(),
             pinned: pinned.as_deref(),
+            is_kept: session.is_some_and(|session| self.traffic.is_session_kept(service, session)),
             now: boot_clock::now(),
             gap: self.traffic.settings.session_gap,
         };
@@ -234,7 +245,7 @@
             claim,
             version: course.version.as_deref(),
             part,
-            shared: f64::from(shared),
+            shared_ms,
             excluded: &course.excluded,
             may_be_paused: route.kind != RouteKind::Once || course.sends == 0,
         };
@@ -271,7 +282,7 @@
         if let Some(session) = &self.ask.session {
             let service = &upstream.service;
             self.traffic
-                .session_used(service, session, &upstream.version);
+                .session_used(service, session, &upstream.version, self.admitted.point);
         }
         let attempt = self
             .send(route, course, key, &upstream, wire, resume_after)
@@ -339,7 +350,9 @@
         if wire.start(head, &self.body).is_err() {
             return Attempt::NotSent;
         }
-        let backlog = f64::from(self.ask.prompt_tokens);
+        let tokens = f64::from(self.ask.prompt_tokens);
+        let model = self.model(course);
+        let backlog = self.traffic.reading_ms(&upstream.service, model, tokens);
         let mut flight = Flight::start(self.traffic, key, backlog);
         let patience = self.patience(route, course);
         let head = match timeout(patience, wire.head()).await {
@@ -374,7 +387,7 @@
             head,
             answer,
             _flight: flight,
-            sent,
+            first: sent.elapsed(),
         }))
     }
 
@@ -420,14 +433,14 @@
     }
 
     fn note(&self, upstream: &Upstream, course: &Course, failed: bool, first: Option<Duration>) {
-        let model = course.model.as_ref().or(self.ask.model.as_ref());
         self.traffic.note_outcome(&Outcome {
             service: &upstream.service,
-            model: model.map_or("", |model| model.as_str()),
+            model: self.model(course),
             version: &upstream.version,
             failed,
             first,
             tokens: self.ask.prompt_tokens,
+            unread: self.ask.prefixes.last().map_or(0, |part| part.tokens),
         });
     }
 
@@ -449,12 +462,7 @@
             return None;
         }
         if is_success && let Some(model) = self.better_model(route, course, &answered) {
-            self.note(
-                &answered.upstream,
-                course,
-                false,
-                Some(answered.sent.elapsed()),
-            );
+            self.note(&answered.upstream, course, false, Some(answered.first));
             self.succeeded(&answered);
             self.traffic.metrics.cascades.inc();
             course.model = Some(model);
@@ -520,11 +528,11 @@
             upstream,
             wire,
             head,
-            sent,
+            first,
             ..
         } = answered;
         let is_failure = head.status.is_server_error();
-        self.note(&upstream, course, is_failure, Some(sent.elapsed()));
+        self.note(&upstream, course, is_failure, Some(first));
         let view = self.traffic.view();
         self.traffic.fleet(&view, |fleet, _| {
             if let Some(health) = fleet.health(key) {
@@ -577,12 +585,7 @@
                 .await;
             match end {
                 StreamEnd::Whole => {
-                    self.note(
-                        &current.upstream,
-                        course,
-                        false,
-                        Some(current.sent.elapsed()),
-                    );
+                    self.note(&current.upstream, course, false, Some(current.first));
                     let written = if responder.has_started() {
                         responder.end().await
                     } else {
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -10,10 +10,12 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use super::health::Health;
+use super::loads::{PeerLoads, digest};
 use super::placement::{Candidate, choose, rank};
 use super::sessions::{Claim, takes_new};
 use super::view::{RolloutView, Upstream, UpstreamKey, View};
 use super::wire::Wire;
+use crate::peer::message::UpstreamLoad;
 
 /// Idle connections kept to one upstream.
 const MAX_IDLE: usize = 12;
@@ -34,8 +36,8 @@
     pub(super) version: Option<&'a str>,
     /// Shared part of the prompt, with the model that reads it.
     pub(super) part: Option<CompactString>,
-    /// Tokens of the prompt that its home has read.
-    pub(super) shared: f64,
+    /// Time to read the parts that its home has read, in milliseconds.
+    pub(super) shared_ms: f64,
     pub(super) excluded: &'a [UpstreamKey],
     /// True where a paused upstream is better than none.
     pub(super) may_be_paused: bool,
@@ -47,12 +49,16 @@
     upstreams: Arc<SlotMap<UpstreamKey, Upstream>>,
     entries: SecondaryMap<UpstreamKey, Entry>,
     by_service: FxHashMap<CompactString, Vec<UpstreamKey>>,
+    /// What the other gateways have under way.
+    pub(super) peers: PeerLoads,
 }
 
 #[derive(Default)]
 struct Entry {
     running: u32,
-    backlog: f64,
+    backlog_ms: f64,
+    /// Key of the upstream in reports.
+    digest: u32,
     health: Health,
     idle: Vec<Wire>,
 }
@@ -71,7 +77,7 @@
             let keys = self.by_service.entry(upstream.service.clone());
             keys.or_default().push(key);
             if let Some(entry) = self.entries.entry(key) {
-                entry.or_default();
+                entry.or_default().digest = digest(&upstream.name);
             }
         }
     }
@@ -106,7 +112,7 @@
             .iter()
             .map(|key| self.candidate(*key, need, data_centre))
             .collect();
-        let index = choose(&candidates, need.shared, || rng.random())?;
+        let index = choose(&candidates, need.shared_ms, || rng.random())?;
         Some(keys[index])
     }
 
@@ -136,16 +142,27 @@
         }
     }
 
+    /// Own load at the upstreams that have any.
+    pub(super) fn loads(&self) -> Vec<UpstreamLoad> {
+        let busy = self.entries.values().filter(|entry| entry.running > 0);
+        let loads = busy.map(|entry| UpstreamLoad {
+            upstream: entry.digest,
+            running: entry.running,
+            backlog_ms: entry.backlog_ms.round() as u32,
+        });
+        loads.collect()
+    }
+
     pub(super) fn started(&mut self, key: UpstreamKey, backlog: f64) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.running += 1;
-            entry.backlog += backlog;
+            entry.backlog_ms += backlog;
         }
     }
 
     pub(super) fn was_read(&mut self, key: UpstreamKey, backlog: f64) {
         if let Some(entry) = self.entries.get_mut(key) {
-            entry.backlog = (entry.backlog - backlog).max(0.0);
+            entry.backlog_ms = (entry.backlog_ms - backlog).max(0.0);
         }
     }
 
@@ -214,11 +231,12 @@
     fn candidate(&self, key: UpstreamKey, need: &Need<'_>, data_centre: &str) -> Candidate {
         let upstream = &self.upstreams[key];
         let entry = &self.entries[key];
+        let others = self.peers.at(entry.digest);
         let part = need.part.as_ref();
         Candidate {
-            running: entry.running,
+            running: entry.running + others.running,
             slots: upstream.slots,
-            backlog: entry.backlog,
+            backlog_ms: entry.backlog_ms + others.backlog_ms,
             failing: entry.health.failing(),
             rank: part.map_or(0, |part| rank(part, &upstream.name)),
             is_near: upstream.data_centre == data_centre,
--- a/src/carawayrun/relay/follow.rs
+++ b/src/carawayrun/relay/follow.rs
@@ -1,6 +1,7 @@
 //! The control thread: follows the store and feeds the reducer.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use super::traffic::Evidence;
 use super::view::{Upstream, View};
 use crate::platform::{self, Keyspace, StoreClient};
+use crate::store::CallError;
 use crate::store::feed::{Change, FeedError};
 use crate::store::table::{Row, TableError, Transaction};
 
@@ -44,6 +46,17 @@
 /// How often the reducer sees the time.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Time between two readings of where the other gateways take reports. Those
+/// that are already known to each other need none.
+const GATEWAYS_PACE: Duration = Duration::from_secs(10);
+
+/// Time until the second reading: at a common start the first one comes before
+/// the others have written their row.
+const GATEWAYS_FIRST: Duration = Duration::from_millis(1_500);
+
+/// Age at which a gateway's row counts no more.
+const GATEWAY_LIFE: Duration = Duration::from_secs(30);
+
 /// Shortest time between two reports of a gateway's own outcomes.
 const TELL_PACE: Duration = Duration::from_millis(1_500);
 
@@ -84,6 +97,7 @@
     actix_rt::spawn(Rc::clone(&control).follow_orders());
     actix_rt::spawn(Rc::clone(&control).follow_registrations());
     actix_rt::spawn(Rc::clone(&control).follow_rollouts());
+    actix_rt::spawn(Rc::clone(&control).follow_gateways());
     control.ticks().await;
 }
 
@@ -262,6 +276,59 @@
         }
     }
 
+    async fn follow_gateways(self: Rc<Self>) {
+        let mut pause = GATEWAYS_FIRST;
+        loop {
+            self.write_gateway().await;
+            if let Err(error) = self.read_gateways().await {
+                self.call_failed(&error.to_string()).await;
+            }
+            sleep(pause).await;
+            pause = GATEWAYS_PACE;
+        }
+    }
+
+    // The row says when it was written, so that those of hosts that are gone
+    // can be told; before the store's clock is known there is none.
+    async fn write_gateway(&self) {
+        let Some(now) = self.store_now() else {
+            return;
+        };
+        let row = GatewayRow {
+            address: self.settings.peer_listen,
+            written_ms: now.as_millis() as u64,
+        };
+        let node = &self.settings.node;
+        self.tell(&platform::note(Keyspace::Gateways, node, &row))
+            .await;
+    }
+
+    async fn read_gateways(&self) -> Result<(), CallError> {
+        let snapshot = self.store.snapshot(Keyspace::Gateways).await?;
+        self.answered(snapshot.now);
+        let rows = snapshot.rows.iter().filter_map(|row| {
+            serde_json::from_str::<GatewayRow>(row.value.get())
+                .inspect_err(
+                    |error| tracing::warn!(%error, key = %row.key, "gateway's row not readable"),
+                )
+                .ok()
+        });
+        let is_alive = |row: &GatewayRow| {
+            snapshot
+                .now
+                .saturating_sub(Duration::from_millis(row.written_ms))
+                < GATEWAY_LIFE
+        };
+        let peers = rows.filter(is_alive).map(|row| row.address).collect();
+        self.handle(Event::GatewaysRead(peers));
+        Ok(())
+    }
+
+    fn store_now(&self) -> Option<Duration> {
+        let clock = *self.store_clock.borrow();
+        clock.map(|(then, at)| then + at.elapsed())
+    }
+
     fn rollout_row(&self, row: &Row) {
         let text = row.value.get();
         if let Some((service, node)) = row.key.split_once('/') {
@@ -288,8 +355,7 @@
         loop {
             sleep(TICK).await;
             self.look_at_outcomes();
-            let clock = *self.store_clock.borrow();
-            let store_now = clock.map(|(then, at)| then + at.elapsed());
+            let store_now = self.store_now();
             let effects = self.reduce(Event::Tick { store_now });
             for effect in effects {
                 self.carry_out(effect).await;
@@ -326,7 +392,8 @@
                     *self.told_at.borrow_mut() = Some(Instant::now());
                     let key = format!("{service}/{}", self.settings.node);
                     let row = OutcomesRow { order, seen };
-                    self.tell(&platform::note(&key, &row)).await;
+                    self.tell(&platform::note(Keyspace::Rollouts, &key, &row))
+                        .await;
                 }
             }
         }
@@ -352,7 +419,7 @@
     async fn tell(&self, writes: &Transaction) {
         self.metrics.store_calls.inc();
         if let Err(error) = self.store.commit(writes).await {
-            tracing::info!(%error, "outcomes not told; the next report replaces them");
+            tracing::info!(%error, "own row not written; the next one replaces it");
         }
     }
 
@@ -423,6 +490,13 @@
     seen: super::rollout::Seen,
 }
 
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct GatewayRow {
+    address: SocketAddr,
+    written_ms: u64,
+}
+
 fn usable(row: &Row) -> Option<Upstream> {
     platform::upstream(row)
         .inspect_err(
--- /dev/null
+++ b/src/carawayrun/relay/gossip.rs
@@ -0,0 +1,111 @@
+//! Reports of load between gateways, as datagrams.
+//!
+//! A lost datagram is replaced by the next one within a fraction of a second,
+//! so a connection with its queues, as nng keeps them, would only deliver old
+//! reports late.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::boot_clock;
+use super::traffic::Traffic;
+use crate::peer::message::{Node, RelayReport};
+
+/// Longest time between two reports.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time between two reports for each gateway that gets them, so that the
+/// messages of each gateway stay the same however many there are.
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(6);
+
+/// Longest datagram: what fits without fragments on usual links.
+const MAX_BYTES: usize = 1_400;
+
+/// Time after which a gateway that sends nothing gets no more reports.
+const PEER_LIFE: Duration = Duration::from_secs(10);
+
+/// Peers of a gateway: those of the store, and those that it heard from.
+#[derive(Debug, Default)]
+pub(super) struct Peers {
+    heard: BTreeMap<SocketAddr, Instant>,
+}
+
+impl Peers {
+    fn heard_from(&mut self, addr: SocketAddr) {
+        self.heard.insert(addr, Instant::now());
+    }
+
+    fn all(&mut self, listed: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
+        self.heard.retain(|_, heard| heard.elapsed() < PEER_LIFE);
+        let mut all: Vec<SocketAddr> = self.heard.keys().copied().collect();
+        all.extend(listed.iter().filter(|addr| !self.heard.contains_key(addr)));
+        all.retain(|addr| *addr != own);
+        all
+    }
+}
+
+/// Reports own load and takes in the others' until the process ends.
+pub(super) fn start(socket: std::net::UdpSocket, traffic: &Rc<Traffic>) -> io::Result<()> {
+    socket.set_nonblocking(true)?;
+    let socket = Rc::new(UdpSocket::from_std(socket)?);
+    actix_rt::spawn(receive(Rc::clone(&socket), Rc::clone(traffic)));
+    actix_rt::spawn(report(socket, Rc::clone(traffic)));
+    Ok(())
+}
+
+async fn receive(socket: Rc<UdpSocket>, traffic: Rc<Traffic>) {
+    let mut buffer = [0; MAX_BYTES * 2];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match RelayReport::decode(&buffer[..length]) {
+                Ok(report) => {
+                    traffic.peers.borrow_mut().heard_from(from);
+                    traffic.peer_report(&report);
+                }
+                Err(error) => tracing::debug!(%from, %error, "report not readable"),
+            },
+            Err(error) => {
+                tracing::debug!(%error, "no report received");
+                sleep(LONGEST_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn report(socket: Rc<UdpSocket>, traffic: Rc<Traffic>) {
+    let node = Node {
+        name: traffic.settings.node.to_string(),
+        incarnation: boot_clock::now().as_nanos() as u64,
+    };
+    let own = traffic.settings.peer_listen;
+    let mut number = 0;
+    loop {
+        number += 1;
+        let view = traffic.view();
+        let report = RelayReport {
+            node: Some(node.clone()),
+            number,
+            loads: traffic.own_loads(),
+            kept_sessions: traffic.kept_sessions(&view),
+        };
+        let bytes = report.encode_to_vec();
+        let peers = traffic.peers.borrow_mut().all(&view.peers, own);
+        for peer in &peers {
+            // A full link drops reports; the next one comes soon.
+            if let Err(error) = socket.try_send_to(&bytes, *peer) {
+                tracing::debug!(%peer, %error, "report not sent");
+            }
+        }
+        let shortest = INTERVAL_PER_PEER * peers.len().max(1) as u32;
+        sleep(shortest.min(LONGEST_INTERVAL)).await;
+        let changed = traffic.load_changed.notified();
+        let _ = timeout(LONGEST_INTERVAL.saturating_sub(shortest), changed).await;
+    }
+}
--- /dev/null
+++ b/src/carawayrun/relay/loads.rs
@@ -0,0 +1,112 @@
+//! What the other gateways have under way at the upstreams.
+//!
+//! Load pattern: a prompt of tens of thousands of tokens keeps an engine busy
+//! for seconds, and only the gateway that sent it knows. Gateways report their
+//! own load to each other several times a second; a report that is too old is
+//! left out, so a gateway that is cut off does not count for ever.
+
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use compact_str::CompactString;
+use rustc_hash::{FxHashMap, FxHasher};
+
+use crate::peer::message::{RelayReport, UpstreamLoad};
+
+/// Age at which a report counts no more: several times the slowest interval.
+const REPORT_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Load at one upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Time to read the prompts that wait there, in milliseconds.
+    pub backlog_ms: f64,
+}
+
+#[derive(Debug)]
+struct Report {
+    incarnation: u64,
+    number: u64,
+    received: Duration,
+    loads: FxHashMap<u32, Load>,
+}
+
+/// The newest report of each other gateway; times are on the caller's clock.
+#[derive(Debug, Default)]
+pub struct PeerLoads {
+    reports: FxHashMap<CompactString, Report>,
+    sums: FxHashMap<u32, Load>,
+}
+
+/// The key of an upstream in reports.
+pub fn digest(upstream: &str) -> u32 {
+    let mut hasher = FxHasher::default();
+    upstream.hash(&mut hasher);
+    (hasher.finish() >> 32) as u32
+}
+
+impl PeerLoads {
+    /// Takes in a report; one that is older than what is known changes nothing.
+    pub fn receive(&mut self, report: &RelayReport, now: Duration) {
+        let Some(node) = &report.node else {
+            return;
+        };
+        let name = CompactString::from(node.name.as_str());
+        let known = self.reports.get(&name);
+        let order = (node.incarnation, report.number);
+        if known.is_some_and(|known| (known.incarnation, known.number) >= order) {
+            return;
+        }
+        let loads = report.loads.iter().map(|load| (load.upstream, read(load)));
+        let report = Report {
+            incarnation: node.incarnation,
+            number: report.number,
+            received: now,
+            loads: loads.collect(),
+        };
+        self.reports.insert(name, report);
+        self.sum(now);
+    }
+
+    /// Drops reports that are too old.
+    pub fn expire(&mut self, now: Duration) {
+        let is_old = |report: &Report| now.saturating_sub(report.received) > REPORT_LIFE;
+        if self.reports.values().any(is_old) {
+            self.reports.retain(|_, report| !is_old(report));
+            self.sum(now);
+        }
+    }
+
+    /// What all other gateways have under way at an upstream.
+    pub fn at(&self, upstream: u32) -> Load {
+        self.sums.get(&upstream).copied().unwrap_or_default()
+    }
+
+    /// Gateways that reported lately.
+    pub fn gateways(&self) -> usize {
+        self.reports.len()
+    }
+
+    fn sum(&mut self, now: Duration) {
+        self.sums.clear();
+        for report in self.reports.values() {
+            if now.saturating_sub(report.received) > REPORT_LIFE {
+                continue;
+            }
+            for (upstream, load) in &report.loads {
+                let sum = self.sums.entry(*upstream).or_default();
+                sum.running += load.running;
+                sum.backlog_ms += load.backlog_ms;
+            }
+        }
+    }
+}
+
+fn read(load: &UpstreamLoad) -> Load {
+    Load {
+        running: load.running,
+        backlog_ms: f64::from(load.backlog_ms),
+    }
+}
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -28,7 +28,9 @@
 mod exchange;
 mod fleet;
 mod follow;
+mod gossip;
 pub mod health;
+pub mod loads;
 pub mod message;
 mod metrics;
 mod pace;
@@ -65,6 +67,8 @@
     pub ready_listen: SocketAddr,
     /// Where metrics are read.
     pub metrics_listen: SocketAddr,
+    /// Where reports of the other gateways come in.
+    pub peer_listen: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
     /// Time from SIGTERM until the process is killed.
--- a/src/carawayrun/relay/pace.rs
+++ b/src/carawayrun/relay/pace.rs
@@ -1,4 +1,4 @@
-//! How long the first byte of an answer usually takes.
+//! How long upstreams usually take to the first byte of an answer.
 
 use std::time::Duration;
 
@@ -18,11 +18,22 @@
 /// of a busy processor are of this size.
 const LEAST_SLOW_MS: f64 = 40.0;
 
-/// Moving average of the time to the first byte for each prompt token.
+/// Prompts from this length on tell how fast an idle upstream reads.
+const LONG_PROMPT: u32 = 1_500;
+
+/// How much the fastest reading seen is forgotten with each long prompt.
+const FLOOR_RISE: f64 = 1.02;
+
+/// Reading speed before any long prompt was answered, in milliseconds a token:
+/// of a large model on current accelerators.
+const FIRST_FLOOR: f64 = 0.03;
+
+/// Times to the first byte for each prompt token, of one model.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Pace {
     answers: u32,
     ms_per_token: f64,
+    floor: Option<f64>,
 }
 
 impl Pace {
@@ -43,4 +54,21 @@
         self.ms_per_token += weight * (bounded - self.ms_per_token);
         is_slow
     }
+
+    /// Takes note of how long `tokens` took that were surely not cached.
+    pub(super) fn read(&mut self, first: Duration, tokens: u32) {
+        if tokens < LONG_PROMPT {
+            return;
+        }
+        let pace = first.as_secs_f64() * 1_000.0 / f64::from(tokens);
+        let floor = self
+            .floor
+            .map_or(pace, |floor| pace.min(floor * FLOOR_RISE));
+        self.floor = Some(floor);
+    }
+
+    /// Time that an idle upstream needs to read `tokens`, in milliseconds.
+    pub(super) fn reading_ms(&self, tokens: f64) -> f64 {
+        tokens * self.floor.unwrap_or(FIRST_FLOOR)
+    }
 }
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -13,25 +13,27 @@
 /// Engines that keep a shared part warm; two, so that one may fail or fill up.
 const COPIES: usize = 2;
 
-/// Load of one request that generates, in prompt tokens: the steps that all
-/// requests of a batch share get longer by about this much reading.
-const RUNNING_TOKENS: f64 = 300.0;
+/// Delay that one request that generates adds, in milliseconds: a step of a
+/// batch with it instead of without it.
+const RUNNING_MS: f64 = 3.0;
 
-/// Load that a full share of failures counts as, in prompt tokens.
-const FAILING_TOKENS: f64 = 50_000.0;
+/// Delay that a full share of failures counts as, in milliseconds: about a
+/// failed attempt and the one after it.
+const FAILING_MS: f64 = 1_000.0;
 
-/// Advantage of an upstream in the same data centre, in prompt tokens.
-const NEAR_TOKENS: f64 = 60.0;
+/// Advantage of an upstream in the same data centre, in milliseconds: a round
+/// trip between data centres.
+const NEAR_MS: f64 = 2.5;
 
 /// An upstream that may run the request.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Candidate {
-    /// Own requests that run there.
+    /// Requests of all gateways that run there.
     pub running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Prompt tokens of own requests that it has not finished reading.
-    pub backlog: f64,
+    /// Time to read the prompts that wait there, in milliseconds.
+    pub backlog_ms: f64,
     /// Share of recent attempts that failed, 0 to 1.
     pub failing: f64,
     /// Rank of it for the shared part; the greatest are its home.
@@ -49,25 +51,29 @@
     hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ hasher.finish().rotate_left(32)
 }
 
-/// Chooses the candidate with the least expected delay. `shared` is the length
-/// of the part that its home need not read again, in tokens; `noise` in 0..1
+/// Chooses the candidate with the least expected delay. `shared_ms` is the time
+/// to read the part that its home need not read again; `noise` in 0..1
 /// breaks ties, so that gateways with the same knowledge don't all agree.
 pub fn choose(
     candidates: &[Candidate],
-    shared: f64,
+    shared_ms: f64,
     mut noise: impl FnMut() -> f64,
 ) -> Option<usize> {
     let home = home_rank(candidates);
     let cost = |candidate: &Candidate, noise: f64| {
         let running = f64::from(candidate.running);
         let fill = running / f64::from(candidate.slots.max(1));
-        let read_again = if candidate.rank >= home { 0.0 } else { shared };
-        let near = if candidate.is_near { NEAR_TOKENS } else { 0.0 };
-        candidate.backlog
-            + running * RUNNING_TOKENS * (1.0 + fill)
-            + candidate.failing * FAILING_TOKENS
+        let read_again = if candidate.rank >= home {
+            0.0
+        } else {
+            shared_ms
+        };
+        let near = if candidate.is_near { NEAR_MS } else { 0.0 };
+        candidate.backlog_ms
+            + running * RUNNING_MS * (1.0 + fill)
+            + candidate.failing * FAILING_MS
             + read_again
-            + noise * NEAR_TOKENS
+            + noise * NEAR_MS
             - near
     };
     let mut best: Option<(usize, f64)> = None;
--- a/src/carawayrun/relay/report.rs
+++ b/src/carawayrun/relay/report.rs
@@ -38,6 +38,7 @@
 pub(super) struct Report {
     pub(super) id: CompactString,
     pub(super) route: CompactString,
+    pub(super) session: CompactString,
     pub(super) catalog_version: u64,
     pub(super) confirmed_age: Duration,
     received: Instant,
@@ -55,6 +56,7 @@
         Self {
             id,
             route: CompactString::default(),
+            session: CompactString::default(),
             catalog_version: 0,
             confirmed_age: Duration::ZERO,
             received,
@@ -103,7 +105,7 @@
             return;
         }
         tracing::info!(
-            request = %self.id,
+            request = %self.id, session = %self.session,
             route = %self.route,
             config = self.catalog_version,
             config_age_ms = self.confirmed_age.as_millis() as u64,
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -1,7 +1,7 @@
 //! Starting and stopping a relay.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use super::metrics::Metrics;
 use super::traffic::{Evidence, Traffic};
 use super::view::View;
-use super::{client, follow, probe};
+use super::{client, follow, gossip, probe};
 
 /// Time of a drain in which new clients may still be sent here: two misses of
 /// the balancer, a second apart, and what a client needs to connect.
@@ -60,6 +60,9 @@
     let clients = listen("clients", settings.listen)?;
     let prober = listen("readiness", settings.ready_listen)?;
     let scraper = listen("metrics", settings.metrics_listen)?;
+    let what = "reports";
+    let addr = settings.peer_listen;
+    let reports = UdpSocket::bind(addr).context(BindSnafu { what, addr })?;
     let view = Arc::new(ArcSwap::from_pointee(View::default()));
     let evidence = Evidence::default();
     let metrics = Arc::new(Metrics::new());
@@ -69,6 +72,8 @@
     let traffic = Rc::new(Traffic::new(settings, view, evidence, metrics));
     probe::serve_readiness(prober, Rc::clone(&traffic)).context(BindSnafu { what, addr })?;
     probe::serve_metrics(scraper, Rc::clone(&traffic)).context(BindSnafu { what, addr })?;
+    let (what, addr) = ("reports", traffic.settings.peer_listen);
+    gossip::start(reports, &traffic).context(BindSnafu { what, addr })?;
     actix_rt::spawn(accept(clients, Rc::clone(&traffic)));
     let node = &traffic.settings.node;
     tracing::info!(%node, listen = %traffic.settings.listen, "relay started");
--- /dev/null
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use crate::peer::message::{Node, RelayReport, UpstreamLoad};
+use crate::relay::loads::{PeerLoads, digest};
+
+fn report(node: &str, incarnation: u64, number: u64, loads: &[(&str, u32, u32)]) -> RelayReport {
+    let loads = loads
+        .iter()
+        .map(|(upstream, running, backlog_ms)| UpstreamLoad {
+            upstream: digest(upstream),
+            running: *running,
+            backlog_ms: *backlog_ms,
+        });
+    RelayReport {
+        node: Some(Node {
+            name: node.into(),
+            incarnation,
+        }),
+        number,
+        loads: loads.collect(),
+        kept_sessions: Vec::new(),
+    }
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn the_loads_of_all_gateways_add_up() {
+    let mut peers = PeerLoads::default();
+    peers.receive(&report("a", 1, 1, &[("i-1", 2, 100)]), at(0));
+    peers.receive(&report("b", 1, 1, &[("i-1", 1, 50), ("i-2", 1, 0)]), at(10));
+    let load = peers.at(digest("i-1"));
+    assert_eq!((load.running, load.backlog_ms as u32), (3, 150));
+    assert_eq!(peers.at(digest("i-3")).running, 0);
+}
+
+#[test]
+fn the_newest_report_of_a_gateway_replaces_the_others() {
+    let mut peers = PeerLoads::default();
+    peers.receive(&report("a", 1, 2, &[("i-1", 2, 100)]), at(0));
+    peers.receive(&report("a", 1, 1, &[("i-1", 9, 900)]), at(5));
+    assert_eq!(peers.at(digest("i-1")).running, 2);
+    peers.receive(&report("a", 2, 1, &[]), at(10));
+    assert_eq!(peers.at(digest("i-1")).running, 0);
+}
+
+#[test]
+fn a_gateway_that_is_cut_off_counts_no_more_after_a_while() {
+    let mut peers = PeerLoads::default();
+    peers.receive(&report("a", 1, 1, &[("i-1", 2, 100)]), at(0));
+    peers.expire(at(1_000));
+    assert_eq!(peers.gateways(), 1);
+    peers.expire(at(2_000));
+    assert_eq!((peers.gateways(), peers.at(digest("i-1")).running), (0, 0));
+}
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod control;
 mod events;
+mod loads;
 mod placement;
 mod rollout;
 mod sessions;
--- a/src/carawayrun/relay/tests/placement.rs
+++ b/src/carawayrun/relay/tests/placement.rs
@@ -14,16 +14,16 @@
 
 #[test]
 fn requests_with_a_part_go_where_it_was_read() {
-    let first = choose(&engines("plan"), 5_000.0, || 0.5).unwrap();
+    let first = choose(&engines("plan"), 150.0, || 0.5).unwrap();
     for _ in 0..10 {
-        assert_eq!(choose(&engines("plan"), 5_000.0, || 0.5), Some(first));
+        assert_eq!(choose(&engines("plan"), 150.0, || 0.5), Some(first));
     }
 }
 
 #[test]
 fn parts_are_spread_over_the_engines() {
     let homes: std::collections::BTreeSet<usize> = (0..200)
-        .filter_map(|part| choose(&engines(&format!("part-{part}")), 5_000.0, || 0.5))
+        .filter_map(|part| choose(&engines(&format!("part-{part}")), 150.0, || 0.5))
         .collect();
     assert!(
         homes.len() >= 16,
@@ -38,9 +38,9 @@
     let mut engines = engines("hot");
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..200 {
-        let index = choose(&engines, 2_000.0, || 0.5).unwrap();
+        let index = choose(&engines, 60.0, || 0.5).unwrap();
         engines[index].running += 1;
-        engines[index].backlog += 800.0;
+        engines[index].backlog_ms += 20.0;
         used.insert(index);
     }
     assert!(
@@ -54,9 +54,9 @@
 #[test]
 fn an_upstream_that_fails_is_left_to_the_last() {
     let mut engines = engines("a");
-    let home = choose(&engines, 5_000.0, || 0.5).unwrap();
+    let home = choose(&engines, 150.0, || 0.5).unwrap();
     engines[home].failing = 0.5;
-    assert_ne!(choose(&engines, 5_000.0, || 0.5), Some(home));
+    assert_ne!(choose(&engines, 150.0, || 0.5), Some(home));
 }
 
 #[test]
--- a/src/carawayrun/relay/tests/sessions.rs
+++ b/src/carawayrun/relay/tests/sessions.rs
@@ -23,6 +23,7 @@
         point,
         has_session: true,
         pinned,
+        is_kept: false,
         now: Duration::from_secs(now_s),
         gap: GAP,
     }
@@ -60,7 +61,7 @@
 fn a_session_is_forgotten_after_its_pause() {
     let mut sessions = Sessions::new(GAP);
     let version = CompactString::from("v1");
-    sessions.used("engines", "s", &version, Duration::from_secs(1));
+    sessions.used("engines", "s", &version, 0.5, Duration::from_secs(1));
     assert_eq!(
         sessions.version("engines", "s", Duration::from_secs(6)),
         Some(&version)
@@ -78,7 +79,45 @@
     let version = CompactString::from("v1");
     for n in 0..20_000_u64 {
         let session = format!("s{n}");
-        sessions.used("engines", &session, &version, Duration::from_millis(n * 10));
+        sessions.used(
+            "engines",
+            &session,
+            &version,
+            0.5,
+            Duration::from_millis(n * 10),
+        );
     }
     assert!(sessions.len() < 10_000, "{} sessions", sessions.len());
 }
+
+// Seen on luzcena-ne, quiet-1: a session's requests come in at several gateways.
+#[test]
+fn a_session_that_another_gateway_has_stays_on_the_old_version() {
+    let now = Duration::from_secs(106);
+    let version = CompactString::from("v1");
+    let mut here = Sessions::new(GAP);
+    let mut there = Sessions::new(GAP);
+    there.used("engines", "s", &version, 0.01, now);
+    there.used("engines", "t", &version, 0.9, now);
+    let kept = there.kept("v2", now);
+    assert_eq!(
+        kept.len(),
+        1,
+        "only those that a canary would take are told"
+    );
+    here.keep(&kept, now);
+    let mut claim = claim(0.01, None, 106);
+    assert!(takes_new(&rollout(0.075), &claim));
+    claim.is_kept = here.is_kept("engines", "s", now);
+    assert!(!takes_new(&rollout(0.075), &claim));
+    assert!(!here.is_kept("engines", "s", now + GAP * 3));
+}
+
+#[test]
+fn sessions_on_the_new_version_are_not_kept_from_it() {
+    let now = Duration::from_secs(106);
+    let mut sessions = Sessions::new(GAP);
+    let version = CompactString::from("v2");
+    sessions.used("engines", "s", &version, 0.01, now);
+    assert!(sessions.kept("v2", now).is_empty());
+}
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -11,16 +11,19 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rustc_hash::FxHashMap;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::RelaySettings;
 use super::budget::{Cause, RepeatBudget};
 use super::fleet::Fleet;
+use super::gossip::Peers;
 use super::metrics::Metrics;
 use super::pace::Pace;
 use super::rollout::Outcomes;
 use super::sessions::Sessions;
 use super::view::{UpstreamKey, View};
+use crate::peer::message::{RelayReport, UpstreamLoad};
 
 /// Outcomes by service and version, for the judgement of roll-outs.
 pub(super) type Evidence = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
@@ -33,6 +36,9 @@
     pub(super) draining: Cell<Option<Instant>>,
     /// Requests that were read and not answered.
     pub(super) active: Cell<usize>,
+    /// Told whenever the own load changes.
+    pub(super) load_changed: Notify,
+    pub(super) peers: RefCell<Peers>,
     view: Arc<ArcSwap<View>>,
     evidence: Evidence,
     fleet: RefCell<Fleet>,
@@ -58,6 +64,8 @@
             config: ServiceConfig::default(),
             draining: Cell::new(None),
             active: Cell::new(0),
+            load_changed: Notify::new(),
+            peers: RefCell::default(),
             view,
             evidence,
             fleet: RefCell::default(),
@@ -101,10 +109,31 @@
     }
 
     /// A session's request goes to a version.
-    pub(super) fn session_used(&self, service: &str, session: &str, version: &CompactString) {
+    pub(super) fn session_used(
+        &self,
+        service: &str,
+        session: &str,
+        version: &CompactString,
+        point: f64,
+    ) {
         let now = self.now();
         let mut sessions = self.sessions.borrow_mut();
-        sessions.used(service, session, version, now);
+        sessions.used(service, session, version, point, now);
+    }
+
+    /// True where another gateway keeps a session on an old version.
+    pub(super) fn is_session_kept(&self, service: &str, session: &str) -> bool {
+        let sessions = self.sessions.borrow();
+        sessions.is_kept(service, session, self.now())
+    }
+
+    /// Sessions to keep on an old version while a roll-out is tried.
+    pub(super) fn kept_sessions(&self, view: &View) -> Vec<u32> {
+        let mut sessions = self.sessions.borrow_mut();
+        let tried = view.rollouts.iter().filter(|rollout| rollout.is_tried());
+        tried
+            .flat_map(|rollout| sessions.kept(&rollout.to, self.now()))
+            .collect()
     }
 
     /// Counts the first send of a request to a service.
@@ -131,13 +160,37 @@
         f(budget, now)
     }
 
+    /// Own load at the upstreams that have any; drops reports that are too old.
+    pub(super) fn own_loads(&self) -> Vec<UpstreamLoad> {
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.peers.expire(self.now());
+        fleet.loads()
+    }
+
+    /// Takes in another gateway's load.
+    pub(super) fn peer_report(&self, report: &RelayReport) {
+        let now = self.now();
+        self.fleet.borrow_mut().peers.receive(report, now);
+        self.sessions.borrow_mut().keep(&report.kept_sessions, now);
+    }
+
+    /// Time that an idle upstream needs to read `tokens` with a model, in
+    /// milliseconds.
+    pub(super) fn reading_ms(&self, service: &str, model: &str, tokens: f64) -> f64 {
+        let paces = self.paces.borrow();
+        let pace = paces.get(&(service.into(), model.into()));
+        pace.copied().unwrap_or_default().reading_ms(tokens)
+    }
+
     /// Takes note of how an attempt at a version ended; `first` is the time to
     /// its first byte and `tokens` the length of its prompt.
     pub(super) fn note_outcome(&self, outcome: &Outcome<'_>) {
         let slow = outcome.first.is_some_and(|first| {
             let mut paces = self.paces.borrow_mut();
             let key = (outcome.service.into(), outcome.model.into());
-            paces.entry(key).or_default().observe(first, outcome.tokens)
+            let pace = paces.entry(key).or_default();
+            pace.read(first, outcome.unread);
+            pace.observe(first, outcome.tokens)
         });
         let key = (outcome.service.into(), outcome.version.into());
         let mut evidence = self.evidence.lock().expect("no holder of the lock panics");
@@ -158,6 +211,8 @@
     pub(super) failed: bool,
     pub(super) first: Option<Duration>,
     pub(super) tokens: u32,
+    /// Tokens of the prompt that no upstream can have cached.
+    pub(super) unread: u32,
 }
 
 /// An attempt under way at an upstream; ends it when dropped, so that a client
@@ -171,6 +226,7 @@
 impl Flight {
     pub(super) fn start(traffic: &Rc<Traffic>, key: UpstreamKey, backlog: f64) -> Self {
         traffic.fleet.borrow_mut().started(key, backlog);
+        traffic.load_changed.notify_one();
         Self {
             traffic: Rc::clone(traffic),
             key,
@@ -182,6 +238,7 @@
     pub(super) fn was_read(&mut self) {
         let backlog = std::mem::take(&mut self.backlog);
         self.traffic.fleet.borrow_mut().was_read(self.key, backlog);
+        self.traffic.load_changed.notify_one();
     }
 }
 
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -52,6 +52,13 @@
     pub begun_at: Duration,
 }
 
+impl RolloutView {
+    /// True while a part of the traffic goes to the new version.
+    pub fn is_tried(&self) -> bool {
+        self.share > 0.0 && self.share < 1.0
+    }
+}
+
 /// Everything the data path needs to know, at one moment.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -61,6 +68,8 @@
     pub upstreams: Arc<SlotMap<UpstreamKey, Upstream>>,
     /// Roll-outs, open ones and those whose outcome still binds.
     pub rollouts: Vec<RolloutView>,
+    /// Where the other gateways take reports.
+    pub peers: Vec<SocketAddr>,
     /// Moment on the boot clock at which the configuration was known to be the
     /// newest one.
     pub confirmed_at: Duration,
