Let requests wait for a starting gateway, tell outcomes by datagram

Outcomes of roll-outs and eager reading of registrations made half of the calls to the store.

Change: everything that decides where a request goes is read at start, and a request waits up to 250 ms for it; outcomes travel with the load reports; registrations are read twice in the time in which a leaving upstream must be left alone.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -513,6 +513,38 @@
     /// one of a roll-out that is tried; the others leave them where they are.
     #[prost(fixed32, repeated, tag = "4")]
     pub kept_sessions: ::prost::alloc::vec::Vec<u32>,
+    /// Of the roll-outs whose outcome is open.
+    #[prost(message, repeated, tag = "5")]
+    pub outcomes: ::prost::alloc::vec::Vec<RolloutOutcomes>,
+}
+/// What one relay saw of a roll-out.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutOutcomes {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Version of the order's row.
+    #[prost(uint64, tag = "2")]
+    pub order: u64,
+    /// Since the order.
+    #[prost(message, optional, tag = "3")]
+    pub old: ::core::option::Option<Outcomes>,
+    #[prost(message, optional, tag = "4")]
+    pub new: ::core::option::Option<Outcomes>,
+    /// The same, with older ones forgotten.
+    #[prost(message, optional, tag = "5")]
+    pub recent_old: ::core::option::Option<Outcomes>,
+    #[prost(message, optional, tag = "6")]
+    pub recent_new: ::core::option::Option<Outcomes>,
+}
+/// Weights after forgetting, so not whole.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct Outcomes {
+    #[prost(float, tag = "1")]
+    pub answered: f32,
+    #[prost(float, tag = "2")]
+    pub failed: f32,
+    #[prost(float, tag = "3")]
+    pub slow: f32,
 }
 /// Requests of one relay at one upstream; absent where there are none.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -74,6 +74,7 @@
 #[derive(Deserialize)]
 struct Bounds {
     grace_s: f64,
+    drain_ms: f64,
     revoke_ms: f64,
     contact_ms: f64,
     /// Absent where no roll-outs are made.
@@ -136,6 +137,7 @@
         (!file.node_name.is_empty(), "node_name", "given"),
         (!file.zone.is_empty(), "zone", "given"),
         (bounds.grace_s > 0.0, "bounds.grace_s", SECONDS),
+        (bounds.drain_ms > 0.0, "bounds.drain_ms", SECONDS),
         (bounds.revoke_ms > 0.0, "bounds.revoke_ms", SECONDS),
         (bounds.contact_ms > 0.0, "bounds.contact_ms", SECONDS),
         (
@@ -178,6 +180,7 @@
         peer_listen: SocketAddr::new(file.ip, file.port_range[0]),
         store: file.platform.address,
         grace: Duration::from_secs_f64(bounds.grace_s),
+        drain_limit: millis(bounds.drain_ms),
         revocation_limit: millis(bounds.revoke_ms),
         contact: millis(bounds.contact_ms),
         exposure_share: bounds.exposure_share,
--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -93,7 +93,8 @@
     revocation_limit: Duration,
     rng: &mut SmallRng,
 ) -> Result<Admitted, Refusal> {
-    let catalog = view.catalog.as_ref().ok_or(Refusal::NotReady)?;
+    let catalog = view.catalog.as_ref().filter(|_| view.is_synced);
+    let catalog = catalog.ok_or(Refusal::NotReady)?;
     let key = catalog.find(host, path).ok_or(Refusal::NoRoute)?;
     let route = catalog.route(key);
     let is_open = route.public || catalog.teams.is_empty();
@@ -125,7 +126,7 @@
 /// be refused; `now` is on the boot clock.
 pub(crate) fn is_current(view: &View, now: Duration, revocation_limit: Duration) -> bool {
     let age = now.saturating_sub(view.confirmed_at);
-    view.catalog.is_some() && age < revocation_limit.mul_f64(REVOCATION_PART)
+    view.is_synced && age < revocation_limit.mul_f64(REVOCATION_PART)
 }
 
 // The target whose share of the weights holds `point`.
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -38,6 +38,10 @@
 /// the balancer needs two misses, a second apart, to send clients elsewhere.
 const IDLE_DRAIN: Duration = Duration::from_millis(2_500);
 
+/// Time that a request may wait for a process that has just started to learn
+/// where it goes: several round trips to the store.
+const SYNC_LIMIT: Duration = Duration::from_millis(250);
+
 /// Room made for each read.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -231,7 +235,7 @@
         let Inbound { ask, headers } = platform::inbound(head);
         let mut report = Report::new(ask.id.clone(), received);
         report.session = ask.session.clone().unwrap_or_default();
-        let admitted = self.admit(head, &ask, &mut report);
+        let admitted = self.admit(head, &ask, &mut report).await;
         let is_last = self.traffic.draining.get().is_some() || !self.codec.keep_alive();
         let mut responder = Responder::new(&mut self.writer, &mut self.codec, is_last);
         let served = async {
@@ -269,13 +273,13 @@
         keeps && !is_last
     }
 
-    fn admit(
+    async fn admit(
         &self,
         head: &RequestHead,
         ask: &super::message::Ask,
         report: &mut Report,
     ) -> Result<Admitted, Refusal> {
-        let view = self.traffic.view();
+        let view = self.traffic.synced_view(SYNC_LIMIT).await;
         let now = boot_clock::now();
         report.confirmed_age = now.saturating_sub(view.confirmed_at);
         let host = head.headers.get(header::HOST);
--- a/src/carawayrun/relay/control.rs
+++ b/src/carawayrun/relay/control.rs
@@ -11,7 +11,7 @@
 
 use super::catalog::Catalog;
 use super::rollout::{self, Comparison, Order, Outcomes, Phase, RolloutRow, Seen};
-use super::view::{RolloutView, Upstream, UpstreamKey, View};
+use super::view::{OutcomesView, RolloutView, Upstream, UpstreamKey, View};
 
 /// Time after an outage of the store in which registrations that lapsed
 /// meanwhile may still come back.
@@ -45,13 +45,11 @@
     OutcomesRead {
         /// The gateway.
         node: CompactString,
-        /// The service.
-        service: CompactString,
-        /// Its order.
-        order: u64,
-        /// What it saw since the order.
-        seen: Seen,
+        /// What it saw.
+        told: OutcomesView,
     },
+    /// All rows of roll-outs were read.
+    RolloutsSynced,
     /// Own outcomes of all versions since the start.
     OutcomesSeen(Vec<(CompactString, CompactString, Outcomes)>),
     /// Where the other gateways take reports was read.
@@ -70,15 +68,6 @@
     Publish,
     /// Move a roll-out on where its row is still at this version.
     MoveRollout(RolloutRow, u64),
-    /// Tell the others what was seen of a roll-out.
-    TellOutcomes {
-        /// The service.
-        service: CompactString,
-        /// Its order.
-        order: u64,
-        /// What was seen since the order.
-        seen: Seen,
-    },
 }
 
 #[derive(Debug)]
@@ -93,7 +82,6 @@
     own: Seen,
     /// When the own outcomes were last taken in.
     seen_at: Duration,
-    told: Seen,
     others: FxHashMap<CompactString, Seen>,
     /// True once the evidence seen here was enough to withdraw it, also before
     /// the store knows.
@@ -103,7 +91,7 @@
 /// What a relay believes.
 #[derive(Debug)]
 pub struct State {
-    node: CompactString,
+    turn: Duration,
     exposure_share: f64,
     catalog: Option<Arc<Catalog>>,
     upstreams: SlotMap<UpstreamKey, Upstream>,
@@ -114,14 +102,16 @@
     rollouts: FxHashMap<CompactString, Rollout>,
     outcomes: FxHashMap<(CompactString, CompactString), Outcomes>,
     confirmed_at: Duration,
+    registrations_synced: bool,
+    rollouts_synced: bool,
     view: View,
 }
 
 impl State {
     /// Knows nothing yet.
-    pub fn new(node: CompactString, exposure_share: f64) -> Self {
+    pub fn new(node: &str, exposure_share: f64) -> Self {
         Self {
-            node,
+            turn: turn(node),
             exposure_share,
             catalog: None,
             upstreams: SlotMap::with_key(),
@@ -131,6 +121,8 @@
             rollouts: FxHashMap::default(),
             outcomes: FxHashMap::default(),
             confirmed_at: Duration::ZERO,
+            registrations_synced: false,
+            rollouts_synced: false,
             view: View::default(),
         }
     }
@@ -163,20 +155,21 @@
             }
             Event::RegistrationsRead(upstreams) => {
                 self.registrations_read(upstreams, now);
+                self.registrations_synced = true;
                 self.publish_upstreams(&mut effects);
+                self.publish(&mut effects);
             }
             Event::StoreReturned(away) => {
                 tracing::info!(away_ms = away.as_millis() as u64, "store reached again");
                 self.returned_at = Some(now);
             }
             Event::RolloutRead(row, version) => self.rollout_read(row, version, now, &mut effects),
-            Event::OutcomesRead {
-                node,
-                service,
-                order,
-                seen,
-            } => self.outcomes_read(node, &service, order, seen),
-            Event::OutcomesSeen(outcomes) => self.outcomes_seen(outcomes, now),
+            Event::OutcomesRead { node, told } => self.outcomes_read(node, &told),
+            Event::RolloutsSynced => {
+                self.rollouts_synced = true;
+                self.publish(&mut effects);
+            }
+            Event::OutcomesSeen(outcomes) => self.outcomes_seen(outcomes, now, &mut effects),
             Event::GatewaysRead(peers) => {
                 if self.view.peers != peers {
                     self.view.peers = peers;
@@ -313,7 +306,6 @@
             before: before.collect(),
             own: Seen::default(),
             seen_at: Duration::ZERO,
-            told: Seen::default(),
             others: FxHashMap::default(),
             is_bad: false,
             order,
@@ -358,13 +350,10 @@
         self.publish(effects);
     }
 
-    fn outcomes_read(&mut self, node: CompactString, service: &str, order: u64, seen: Seen) {
-        if node == self.node {
-            return;
-        }
-        let rollout = self.rollouts.get_mut(service);
-        if let Some(rollout) = rollout.filter(|rollout| rollout.order.version == order) {
-            rollout.others.insert(node, seen);
+    fn outcomes_read(&mut self, node: CompactString, told: &OutcomesView) {
+        let rollout = self.rollouts.get_mut(&told.service);
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order.version == told.order) {
+            rollout.others.insert(node, told.seen);
         }
     }
 
@@ -372,6 +361,7 @@
         &mut self,
         outcomes: Vec<(CompactString, CompactString, Outcomes)>,
         now: Duration,
+        effects: &mut Vec<Effect>,
     ) {
         for (service, version, seen) in outcomes {
             self.outcomes.insert((service, version), seen);
@@ -382,6 +372,7 @@
             rollout.own.advance(all, elapsed);
             rollout.seen_at = now;
         }
+        self.publish(effects);
     }
 
     fn tick(&mut self, now: Duration, store_now: Option<Duration>, effects: &mut Vec<Effect>) {
@@ -396,7 +387,7 @@
             self.remove(&name);
         }
         self.publish_upstreams(effects);
-        let turn = turn(&self.node);
+        let turn = self.turn;
         let mut is_news = false;
         for rollout in self.rollouts.values_mut() {
             is_news |= rollout.judge();
@@ -410,6 +401,10 @@
     fn publish(&mut self, effects: &mut Vec<Effect>) {
         self.view.catalog.clone_from(&self.catalog);
         self.view.confirmed_at = self.confirmed_at;
+        self.view.is_synced =
+            self.catalog.is_some() && self.registrations_synced && self.rollouts_synced;
+        let open = self.rollouts.values().filter(|rollout| rollout.is_open());
+        self.view.outcomes = open.map(Rollout::outcomes).collect();
         let share = self.exposure_share;
         self.view.rollouts = self
             .rollouts
@@ -462,6 +457,14 @@
         versions
     }
 
+    fn outcomes(&self) -> OutcomesView {
+        OutcomesView {
+            service: self.order.service.clone(),
+            order: self.order.version,
+            seen: self.own,
+        }
+    }
+
     // Own outcomes since the order, by old and new version.
     fn compare(
         &self,
@@ -537,14 +540,6 @@
             );
             effects.push(Effect::MoveRollout(row, version));
         }
-        if self.is_open() && self.own.all.new != self.told.all.new {
-            self.told = self.own;
-            effects.push(Effect::TellOutcomes {
-                service: self.order.service.clone(),
-                order: self.order.version,
-                seen: self.own,
-            });
-        }
         effects
     }
 }
--- a/src/carawayrun/relay/follow.rs
+++ b/src/carawayrun/relay/follow.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -15,10 +14,9 @@
 use super::RelaySettings;
 use super::boot_clock;
 use super::control::{Effect, Event, State};
-use super::metrics::Metrics;
 use super::rollout::RolloutRow;
-use super::traffic::Evidence;
-use super::view::{Upstream, View};
+use super::traffic::Shared;
+use super::view::Upstream;
 use crate::platform::{self, Keyspace, StoreClient};
 use crate::store::CallError;
 use crate::store::feed::{Change, FeedError};
@@ -28,14 +26,17 @@
 /// configuration, so this is also how often it is confirmed.
 const FEED_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Shortest time between two calls for registrations: each upstream writes one
-/// every second or so, and most change nothing. A third of the time in which a
-/// leaving upstream must be left alone.
-const REGISTRATIONS_PACE: Duration = Duration::from_millis(700);
+/// Parts of the time in which a leaving upstream must be left alone between two
+/// calls for registrations. Each upstream writes one every second or so, and
+/// most change nothing, so a call for each write would bring little.
+const REGISTRATIONS_PER_DRAIN: u32 = 2;
 
 /// Shortest time between two calls for the rows of roll-outs.
 const ROLLOUTS_PACE: Duration = Duration::from_millis(900);
 
+/// Longest wait of a feed for the rows of roll-outs.
+const ROLLOUTS_WAIT: Duration = Duration::from_millis(2_500);
+
 /// Pause after a failed call, and how much of it is random: all gateways find
 /// the store away at the same moment.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -57,41 +58,27 @@
 /// Age at which a gateway's row counts no more.
 const GATEWAY_LIFE: Duration = Duration::from_secs(30);
 
-/// Shortest time between two reports of a gateway's own outcomes.
-const TELL_PACE: Duration = Duration::from_millis(1_500);
-
 /// Everything on the control thread; its tasks share it.
 pub(super) struct Control {
     settings: RelaySettings,
     store: StoreClient,
     state: RefCell<State>,
-    view: Arc<ArcSwap<View>>,
-    evidence: Evidence,
-    metrics: Arc<Metrics>,
+    shared: Shared,
     /// The store's clock as last read, and when.
     store_clock: RefCell<Option<(Duration, Instant)>>,
     answered_at: RefCell<Instant>,
-    told_at: RefCell<Option<Instant>>,
     rng: RefCell<SmallRng>,
 }
 
 /// Follows the store until the process ends.
-pub(super) async fn run(
-    settings: RelaySettings,
-    view: Arc<ArcSwap<View>>,
-    evidence: Evidence,
-    metrics: Arc<Metrics>,
-) {
+pub(super) async fn run(settings: RelaySettings, shared: Shared) {
     let control = Rc::new(Control {
         store: StoreClient::new(settings.store),
-        state: RefCell::new(State::new(settings.node.clone(), settings.exposure_share)),
+        state: RefCell::new(State::new(&settings.node, settings.exposure_share)),
         settings,
-        view,
-        evidence,
-        metrics,
+        shared,
         store_clock: RefCell::default(),
         answered_at: RefCell::new(Instant::now()),
-        told_at: RefCell::default(),
         rng: RefCell::new(SmallRng::from_os_rng()),
     });
     actix_rt::spawn(Rc::clone(&control).follow_orders());
@@ -193,7 +180,7 @@
                         self.registration_changed(change);
                     }
                     version = Some(feed.version.max(after));
-                    sleep_until(begun + REGISTRATIONS_PACE).await;
+                    sleep_until(begun + self.settings.drain_limit / REGISTRATIONS_PER_DRAIN).await;
                 }
                 Err(error) => version = self.feed_failed(&error, after).await,
             }
@@ -228,7 +215,12 @@
 
     // Rows of roll-outs matter only while the outcome of one is open.
     async fn follow_rollouts(self: Rc<Self>) {
-        let mut version = None;
+        // Also those that are over tell which version serves.
+        let mut version = self.read_rollouts().await;
+        while version.is_none() {
+            version = self.read_rollouts().await;
+        }
+        self.handle(Event::RolloutsSynced);
         loop {
             if !self.state.borrow().has_open_rollout() {
                 version = None;
@@ -242,7 +234,7 @@
             };
             match self
                 .store
-                .changes(Keyspace::Rollouts, after, FEED_WAIT)
+                .changes(Keyspace::Rollouts, after, ROLLOUTS_WAIT)
                 .await
             {
                 Ok(feed) => {
@@ -331,20 +323,6 @@
 
     fn rollout_row(&self, row: &Row) {
         let text = row.value.get();
-        if let Some((service, node)) = row.key.split_once('/') {
-            match serde_json::from_str::<OutcomesRow>(text) {
-                Ok(told) => self.handle(Event::OutcomesRead {
-                    node: node.into(),
-                    service: service.into(),
-                    order: told.order,
-                    seen: told.seen,
-                }),
-                Err(error) => {
-                    tracing::warn!(%error, key = %row.key, "outcomes not readable; ignored")
-                }
-            }
-            return;
-        }
         match serde_json::from_str::<RolloutRow>(text) {
             Ok(rollout) => self.handle(Event::RolloutRead(rollout, row.version)),
             Err(error) => tracing::warn!(%error, key = %row.key, "roll-out not readable; ignored"),
@@ -367,42 +345,38 @@
         if !self.state.borrow().has_open_rollout() {
             return;
         }
-        let evidence = self.evidence.lock().expect("no holder of the lock panics");
+        let evidence = self
+            .shared
+            .evidence
+            .lock()
+            .expect("no holder of the lock panics");
         let sums = evidence.iter();
         let sums = sums.map(|((service, version), seen)| (service.clone(), version.clone(), *seen));
         let sums = sums.collect();
         drop(evidence);
         self.handle(Event::OutcomesSeen(sums));
+        let mut told = self
+            .shared
+            .told
+            .lock()
+            .expect("no holder of the lock panics");
+        let told = std::mem::take(&mut *told);
+        for (node, told) in told {
+            self.handle(Event::OutcomesRead { node, told });
+        }
     }
 
     async fn carry_out(&self, effect: Effect) {
         match effect {
             Effect::Publish => self.publish(),
             Effect::MoveRollout(row, version) => self.move_rollout(row, version).await,
-            Effect::TellOutcomes {
-                service,
-                order,
-                seen,
-            } => {
-                let told = self
-                    .told_at
-                    .borrow()
-                    .is_some_and(|at| at.elapsed() < TELL_PACE);
-                if !told {
-                    *self.told_at.borrow_mut() = Some(Instant::now());
-                    let key = format!("{service}/{}", self.settings.node);
-                    let row = OutcomesRow { order, seen };
-                    self.tell(&platform::note(Keyspace::Rollouts, &key, &row))
-                        .await;
-                }
-            }
         }
     }
 
     async fn move_rollout(&self, row: RolloutRow, version: u64) {
         match self.store.commit(&platform::status(&row, version)).await {
             Ok(()) => {
-                self.metrics.store_calls.inc();
+                self.shared.metrics.store_calls.inc();
                 tracing::info!(service = %row.service, phase = ?row.phase, from_version = version, "roll-out moved on by this gateway");
             }
             Err(TableError::Conflict { .. }) => {
@@ -417,7 +391,7 @@
     }
 
     async fn tell(&self, writes: &Transaction) {
-        self.metrics.store_calls.inc();
+        self.shared.metrics.store_calls.inc();
         if let Err(error) = self.store.commit(writes).await {
             tracing::info!(%error, "own row not written; the next one replaces it");
         }
@@ -439,13 +413,17 @@
     fn publish(&self) {
         let view = self.state.borrow().view();
         let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
-        self.metrics.config_version.set(version as i64);
-        self.metrics.upstreams.set(view.upstreams.len() as i64);
-        self.view.store(Arc::new(view));
+        self.shared.metrics.config_version.set(version as i64);
+        self.shared
+            .metrics
+            .upstreams
+            .set(view.upstreams.len() as i64);
+        self.shared.view.store(Arc::new(view));
+        self.shared.published.notify_waiters();
     }
 
     fn answered(&self, store_now: Duration) {
-        self.metrics.store_calls.inc();
+        self.shared.metrics.store_calls.inc();
         *self.store_clock.borrow_mut() = Some((store_now, Instant::now()));
         let before = self.answered_at.replace(Instant::now());
         let away = before.elapsed();
@@ -469,10 +447,10 @@
     }
 
     async fn call_failed(&self, error: &str) {
-        self.metrics.store_calls.inc();
-        self.metrics.store_failures.inc();
+        self.shared.metrics.store_calls.inc();
+        self.shared.metrics.store_failures.inc();
         let away = self.answered_at.borrow().elapsed();
-        if self.metrics.lines.take(true) {
+        if self.shared.metrics.lines.take(true) {
             tracing::warn!(
                 error,
                 away_ms = away.as_millis() as u64,
@@ -484,12 +462,6 @@
     }
 }
 
-#[derive(serde::Serialize, serde::Deserialize)]
-struct OutcomesRow {
-    order: u64,
-    seen: super::rollout::Seen,
-}
-
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct GatewayRow {
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -15,8 +15,10 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::boot_clock;
+use super::rollout::{Comparison, Outcomes, Seen};
 use super::traffic::Traffic;
-use crate::peer::message::{Node, RelayReport};
+use super::view::OutcomesView;
+use crate::peer::message::{self, Node, RelayReport, RolloutOutcomes};
 
 /// Longest time between two reports.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
@@ -94,6 +96,7 @@
             number,
             loads: traffic.own_loads(),
             kept_sessions: traffic.kept_sessions(&view),
+            outcomes: view.outcomes.iter().map(outcomes).collect(),
         };
         let bytes = report.encode_to_vec();
         let peers = traffic.peers.borrow_mut().all(&view.peers, own);
@@ -109,3 +112,49 @@
         let _ = timeout(LONGEST_INTERVAL.saturating_sub(shortest), changed).await;
     }
 }
+
+fn outcomes(view: &OutcomesView) -> RolloutOutcomes {
+    let wire = |outcomes: &Outcomes| {
+        Some(message::Outcomes {
+            answered: outcomes.answered as f32,
+            failed: outcomes.failed as f32,
+            slow: outcomes.slow as f32,
+        })
+    };
+    let seen = &view.seen;
+    RolloutOutcomes {
+        service: view.service.to_string(),
+        order: view.order,
+        old: wire(&seen.all.old),
+        new: wire(&seen.all.new),
+        recent_old: wire(&seen.recent.old),
+        recent_new: wire(&seen.recent.new),
+    }
+}
+
+/// What another gateway saw of a roll-out.
+pub(super) fn read_outcomes(told: &RolloutOutcomes) -> OutcomesView {
+    let read = |outcomes: &Option<message::Outcomes>| {
+        outcomes
+            .as_ref()
+            .map_or_else(Outcomes::default, |told| Outcomes {
+                answered: f64::from(told.answered),
+                failed: f64::from(told.failed),
+                slow: f64::from(told.slow),
+            })
+    };
+    OutcomesView {
+        service: told.service.as_str().into(),
+        order: told.order,
+        seen: Seen {
+            all: Comparison {
+                old: read(&told.old),
+                new: read(&told.new),
+            },
+            recent: Comparison {
+                old: read(&told.recent_old),
+                new: read(&told.recent_new),
+            },
+        },
+    }
+}
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -49,8 +49,8 @@
     registry: Registry,
 }
 
-impl Metrics {
-    pub(crate) fn new() -> Self {
+impl Default for Metrics {
+    fn default() -> Self {
         let mut registry = Registry::with_prefix("carawayrun");
         // 1 ms to about 30 s.
         let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 16));
@@ -121,7 +121,9 @@
         metrics.registry = registry;
         metrics
     }
+}
 
+impl Metrics {
     pub(super) fn request(
         &self,
         outcome: &'static str,
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -73,6 +73,8 @@
     pub store: SocketAddr,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
+    /// Time after which a leaving upstream must get no new work.
+    pub drain_limit: Duration,
     /// Time after which a withdrawn API key must be refused, whatever happens.
     pub revocation_limit: Duration,
     /// Time after a disturbance in which bounds need not hold.
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -3,17 +3,13 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep};
 
 use super::RelaySettings;
-use super::metrics::Metrics;
-use super::traffic::{Evidence, Traffic};
-use super::view::View;
+use super::traffic::{Shared, Traffic};
 use super::{client, follow, gossip, probe};
 
 /// Time of a drain in which new clients may still be sent here: two misses of
@@ -63,13 +59,11 @@
     let what = "reports";
     let addr = settings.peer_listen;
     let reports = UdpSocket::bind(addr).context(BindSnafu { what, addr })?;
-    let view = Arc::new(ArcSwap::from_pointee(View::default()));
-    let evidence = Evidence::default();
-    let metrics = Arc::new(Metrics::new());
-    spawn_control(&settings, &view, &evidence, &metrics);
+    let shared = Shared::default();
+    spawn_control(&settings, &shared);
     let what = "readiness";
     let addr = settings.ready_listen;
-    let traffic = Rc::new(Traffic::new(settings, view, evidence, metrics));
+    let traffic = Rc::new(Traffic::new(settings, shared));
     probe::serve_readiness(prober, Rc::clone(&traffic)).context(BindSnafu { what, addr })?;
     probe::serve_metrics(scraper, Rc::clone(&traffic)).context(BindSnafu { what, addr })?;
     let (what, addr) = ("reports", traffic.settings.peer_listen);
@@ -111,21 +105,12 @@
     }
 }
 
-fn spawn_control(
-    settings: &RelaySettings,
-    view: &Arc<ArcSwap<View>>,
-    evidence: &Evidence,
-    metrics: &Arc<Metrics>,
-) {
+fn spawn_control(settings: &RelaySettings, shared: &Shared) {
     let settings = settings.clone();
-    let view = Arc::clone(view);
-    let evidence = Arc::clone(evidence);
-    let metrics = Arc::clone(metrics);
+    let shared = shared.clone();
     std::thread::Builder::new()
         .name("control".into())
-        .spawn(move || {
-            actix_rt::System::new().block_on(follow::run(settings, view, evidence, metrics));
-        })
+        .spawn(move || actix_rt::System::new().block_on(follow::run(settings, shared)))
         .expect("the system can start a thread");
 }
 
--- a/src/carawayrun/relay/sessions.rs
+++ b/src/carawayrun/relay/sessions.rs
@@ -19,7 +19,7 @@
 const CANARY_POINT: f64 = 0.2;
 
 /// Most sessions that are told to the other gateways.
-const MOST_TOLD: usize = 200;
+const MOST_TOLD: usize = 120;
 
 /// Versions of the sessions that were served lately; times are on the caller's
 /// clock.
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -5,10 +5,10 @@
 use crate::relay::catalog::Catalog;
 use crate::relay::control::{Effect, Event, State};
 use crate::relay::rollout::{Comparison, Order, Outcomes, Phase, RolloutRow, Seen};
-use crate::relay::view::Upstream;
+use crate::relay::view::{OutcomesView, Upstream};
 
 fn state() -> State {
-    State::new(CompactString::from("edge-1"), 0.15)
+    State::new("edge-1", 0.15)
 }
 
 fn at(ms: u64) -> Duration {
@@ -186,9 +186,11 @@
         state.handle(
             Event::OutcomesRead {
                 node: node.into(),
-                service: "engines".into(),
-                order: 3,
-                seen,
+                told: OutcomesView {
+                    service: "engines".into(),
+                    order: 3,
+                    seen,
+                },
             },
             at(0),
         );
@@ -219,6 +221,17 @@
     assert_eq!(tick(&mut state, 1_200), []);
 }
 
+#[test]
+fn it_is_synced_once_everything_was_read_that_decides_where_requests_go() {
+    let mut state = state();
+    configured(&mut state, 1);
+    assert!(!state.view().is_synced);
+    state.handle(Event::RegistrationsRead(Vec::new()), at(0));
+    assert!(!state.view().is_synced);
+    state.handle(Event::RolloutsSynced, at(0));
+    assert!(state.view().is_synced);
+}
+
 #[test]
 fn a_later_order_for_the_service_begins_anew() {
     let mut state = state();
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -19,6 +19,7 @@
         number,
         loads: loads.collect(),
         kept_sessions: Vec::new(),
+        outcomes: Vec::new(),
     }
 }
 
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -12,22 +12,37 @@
 use rand::rngs::SmallRng;
 use rustc_hash::FxHashMap;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::RelaySettings;
 use super::budget::{Cause, RepeatBudget};
 use super::fleet::Fleet;
 use super::gossip::Peers;
+use super::gossip::read_outcomes;
 use super::metrics::Metrics;
 use super::pace::Pace;
 use super::rollout::Outcomes;
 use super::sessions::Sessions;
-use super::view::{UpstreamKey, View};
+use super::view::{OutcomesView, UpstreamKey, View};
 use crate::peer::message::{RelayReport, UpstreamLoad};
 
 /// Outcomes by service and version, for the judgement of roll-outs.
 pub(super) type Evidence = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
 
+/// What other gateways told of roll-outs, the newest of each.
+pub(super) type Told = Arc<Mutex<FxHashMap<CompactString, OutcomesView>>>;
+
+/// What the two threads of a relay have in common.
+#[derive(Clone, Default)]
+pub(super) struct Shared {
+    pub(super) view: Arc<ArcSwap<View>>,
+    pub(super) evidence: Evidence,
+    pub(super) told: Told,
+    /// Told whenever there is a newer view.
+    pub(super) published: Arc<Notify>,
+    pub(super) metrics: Arc<Metrics>,
+}
+
 /// State of the traffic thread.
 pub(super) struct Traffic {
     pub(super) settings: RelaySettings,
@@ -39,8 +54,7 @@
     /// Told whenever the own load changes.
     pub(super) load_changed: Notify,
     pub(super) peers: RefCell<Peers>,
-    view: Arc<ArcSwap<View>>,
-    evidence: Evidence,
+    shared: Shared,
     fleet: RefCell<Fleet>,
     budgets: RefCell<FxHashMap<CompactString, RepeatBudget>>,
     paces: RefCell<FxHashMap<(CompactString, CompactString), Pace>>,
@@ -50,24 +64,18 @@
 }
 
 impl Traffic {
-    pub(super) fn new(
-        settings: RelaySettings,
-        view: Arc<ArcSwap<View>>,
-        evidence: Evidence,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub(super) fn new(settings: RelaySettings, shared: Shared) -> Self {
         let sessions = RefCell::new(Sessions::new(settings.session_gap));
         Self {
             sessions,
             settings,
-            metrics,
+            metrics: Arc::clone(&shared.metrics),
             config: ServiceConfig::default(),
             draining: Cell::new(None),
             active: Cell::new(0),
             load_changed: Notify::new(),
             peers: RefCell::default(),
-            view,
-            evidence,
+            shared,
             fleet: RefCell::default(),
             budgets: RefCell::default(),
             paces: RefCell::default(),
@@ -77,7 +85,23 @@
     }
 
     pub(super) fn view(&self) -> Arc<View> {
-        self.view.load_full()
+        self.shared.view.load_full()
+    }
+
+    /// The view, once it is known where requests go; after `limit` in any case.
+    ///
+    /// Load pattern: all gateways start at once while clients try again. A
+    /// request that waits some milliseconds for the store spares its client a
+    /// refusal and the time until it comes back.
+    pub(super) async fn synced_view(&self, limit: Duration) -> Arc<View> {
+        let until = Instant::now() + limit;
+        loop {
+            let published = self.shared.published.notified();
+            let view = self.view();
+            if view.is_synced || timeout_at(until, published).await.is_err() {
+                return view;
+            }
+        }
     }
 
     /// Time since the start.
@@ -172,6 +196,16 @@
         let now = self.now();
         self.fleet.borrow_mut().peers.receive(report, now);
         self.sessions.borrow_mut().keep(&report.kept_sessions, now);
+        if let Some(node) = &report.node {
+            let mut told = self
+                .shared
+                .told
+                .lock()
+                .expect("no holder of the lock panics");
+            for outcomes in &report.outcomes {
+                told.insert(node.name.as_str().into(), read_outcomes(outcomes));
+            }
+        }
     }
 
     /// Time that an idle upstream needs to read `tokens` with a model, in
@@ -193,7 +227,11 @@
             pace.observe(first, outcome.tokens)
         });
         let key = (outcome.service.into(), outcome.version.into());
-        let mut evidence = self.evidence.lock().expect("no holder of the lock panics");
+        let mut evidence = self
+            .shared
+            .evidence
+            .lock()
+            .expect("no holder of the lock panics");
         let sums = evidence.entry(key).or_default();
         sums.add(&Outcomes {
             answered: 1.0,
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::catalog::Catalog;
+use super::rollout::Seen;
 
 new_key_type! {
     /// An upstream's incarnation; a restart under the same name gets a new key.
@@ -59,6 +60,17 @@
     }
 }
 
+/// What this gateway saw of a roll-out whose outcome is open.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OutcomesView {
+    /// Service whose traffic moves.
+    pub service: CompactString,
+    /// Version of the order's row.
+    pub order: u64,
+    /// What was seen.
+    pub seen: Seen,
+}
+
 /// Everything the data path needs to know, at one moment.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -68,6 +80,10 @@
     pub upstreams: Arc<SlotMap<UpstreamKey, Upstream>>,
     /// Roll-outs, open ones and those whose outcome still binds.
     pub rollouts: Vec<RolloutView>,
+    /// What the other gateways are told of open roll-outs.
+    pub outcomes: Vec<OutcomesView>,
+    /// True once everything was read that decides where a request goes.
+    pub is_synced: bool,
     /// Where the other gateways take reports.
     pub peers: Vec<SocketAddr>,
     /// Moment on the boot clock at which the configuration was known to be the
