Rank requests at engines by team, then by route

Cause: every team has a rank, and it replaced the route's, so engines took short questions and long plans as equally urgent. Ruled out: placement (late short questions on engines with the least backlog known).

Change: the urgency is the team's rank times three plus the route's.

--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -20,6 +20,9 @@
 /// Greatest urgency number that engines know.
 const LEAST_URGENT: u8 = 9;
 
+/// Ranks of routes that engines can tell apart within one rank of teams.
+const ROUTE_RANKS: u8 = 3;
+
 /// A request that may be served.
 #[derive(Debug, Clone)]
 pub(crate) struct Admitted {
@@ -110,8 +113,8 @@
     };
     let has_engine = |service| catalog.service(service).engine.is_some();
     let service = target(&route.targets, rng.random());
-    let priority = team.and_then(|team| catalog.team(team).priority);
-    let urgency = priority.unwrap_or(route.priority).min(LEAST_URGENT);
+    let team_rank = team.and_then(|team| catalog.team(team).priority);
+    let urgency = urgency(team_rank, route.priority);
     Ok(Admitted {
         catalog: Arc::clone(catalog),
         route: key,
@@ -122,6 +125,13 @@
     })
 }
 
+/// The urgency at an engine: by the team's rank first, then by the route's.
+fn urgency(team_rank: Option<u8>, route_rank: u8) -> u8 {
+    let route_rank = route_rank.min(ROUTE_RANKS - 1);
+    let rank = team_rank.unwrap_or(0).saturating_mul(ROUTE_RANKS);
+    rank.saturating_add(route_rank).min(LEAST_URGENT)
+}
+
 /// True while keys that were withdrawn since the last confirmation need not yet
 /// be refused; `now` is on the boot clock.
 pub(crate) fn is_current(view: &View, now: Duration, revocation_limit: Duration) -> bool {
