Let one gateway read a table and confirm it to the others

Cause: each gateway asked the store for the same changes: 15 to 20 calls a second for six gateways, growing with their number.

Change: the gateway with the least name reads and tells a digest of the rows and the store's time; others with the same rows have them confirmed as of that time, those with other rows read at once, and the next one takes over within a second when confirmations stop. Ages are kept on the store's clock, read through the boot clock, so neither a frozen host nor a delayed datagram makes old knowledge look new. A lease was ruled out: two readers cost calls only.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -516,6 +516,19 @@
     /// Of the roll-outs whose outcome is open.
     #[prost(message, repeated, tag = "5")]
     pub outcomes: ::prost::alloc::vec::Vec<RolloutOutcomes>,
+    /// What it read itself of the store's tables, and when.
+    #[prost(message, repeated, tag = "6")]
+    pub reads: ::prost::alloc::vec::Vec<TableRead>,
+}
+/// What a relay knew of a table at a moment of the store's clock.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TableRead {
+    #[prost(uint32, tag = "1")]
+    pub table: u32,
+    #[prost(uint64, tag = "2")]
+    pub at_ms: u64,
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
 }
 /// What one relay saw of a roll-out.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/carawayrun/relay/control.rs
+++ b/src/carawayrun/relay/control.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 
 use super::catalog::Catalog;
+use super::readers::Confirmation;
 use super::rollout::{self, Comparison, Order, Outcomes, Phase, RolloutRow, Seen};
 use super::view::{OutcomesView, RolloutView, Upstream, UpstreamKey, View};
 
@@ -52,6 +53,8 @@
     RolloutsSynced,
     /// Own outcomes of all versions since the start.
     OutcomesSeen(Vec<(CompactString, CompactString, Outcomes)>),
+    /// This gateway read a table of the store, by number.
+    TableRead(u32, Confirmation),
     /// Where the other gateways take reports was read.
     GatewaysRead(Vec<SocketAddr>),
     /// Time passed.
@@ -170,6 +173,11 @@
                 self.publish(&mut effects);
             }
             Event::OutcomesSeen(outcomes) => self.outcomes_seen(outcomes, now, &mut effects),
+            Event::TableRead(table, confirmation) => {
+                self.view.reads.retain(|(other, _)| *other != table);
+                self.view.reads.push((table, confirmation));
+                self.publish(&mut effects);
+            }
             Event::GatewaysRead(peers) => {
                 if self.view.peers != peers {
                     self.view.peers = peers;
--- /dev/null
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -0,0 +1,229 @@
+//! The control thread: follows the store and feeds the reducer.
+
+mod gateways;
+mod orders;
+mod registrations;
+mod rollouts;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+use super::RelaySettings;
+use super::boot_clock;
+use super::control::{Effect, Event, State};
+use super::readers::{Confirmation, Followed, Turn};
+use super::store_clock::StoreClock;
+use super::traffic::{News, Shared};
+use crate::platform::StoreClient;
+use crate::store::feed::FeedError;
+
+/// Time for which a confirmation counts beyond the reader's usual interval: the
+/// delay of its call and of the reports.
+const CONFIRMATION_SLACK: Duration = Duration::from_millis(350);
+
+/// Mean pause after a failed call; it varies by a half, as all gateways find
+/// the store away at the same moment.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Gap between two confirmations of the registrations after which the store
+/// counts as having been away: two beats of an upstream.
+const AWAY_AFTER: Duration = Duration::from_millis(2_400);
+
+/// A table that the gateways follow together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Table {
+    Orders,
+    Registrations,
+    Rollouts,
+}
+
+impl Table {
+    /// By their numbers in reports.
+    const ALL: [Self; 3] = [Self::Orders, Self::Registrations, Self::Rollouts];
+}
+
+/// Everything on the control thread; its tasks share it.
+struct Control {
+    settings: RelaySettings,
+    store: StoreClient,
+    state: RefCell<State>,
+    shared: Shared,
+    store_clock: RefCell<StoreClock>,
+    tables: RefCell<[Followed; Table::ALL.len()]>,
+    /// Told whenever the other gateways told something.
+    news: Notify,
+    /// As of when registrations are known, on the boot clock.
+    registrations_at: Cell<Duration>,
+    rng: RefCell<SmallRng>,
+}
+
+/// Follows the store until the process ends.
+pub(super) async fn run(settings: RelaySettings, shared: Shared) {
+    let control = Rc::new(Control {
+        store: StoreClient::new(settings.store),
+        state: RefCell::new(State::new(&settings.node, settings.exposure_share)),
+        settings,
+        shared,
+        store_clock: RefCell::default(),
+        tables: RefCell::default(),
+        news: Notify::new(),
+        registrations_at: Cell::default(),
+        rng: RefCell::new(SmallRng::from_os_rng()),
+    });
+    actix_rt::spawn(Rc::clone(&control).listen());
+    actix_rt::spawn(Rc::clone(&control).follow_orders());
+    actix_rt::spawn(Rc::clone(&control).follow_registrations());
+    actix_rt::spawn(Rc::clone(&control).follow_rollouts());
+    actix_rt::spawn(Rc::clone(&control).follow_gateways());
+    control.ticks().await;
+}
+
+impl Control {
+    // Takes in what the other gateways tell.
+    async fn listen(self: Rc<Self>) {
+        loop {
+            self.shared.heard.notified().await;
+            for (node, news) in self.shared.take_news() {
+                self.hear(&node, news);
+            }
+            self.news.notify_waiters();
+        }
+    }
+
+    fn hear(&self, node: &str, news: News) {
+        for told in news.outcomes {
+            let node = node.into();
+            self.handle(Event::OutcomesRead { node, told });
+        }
+        for read in news.reads {
+            let Some(table) = Table::ALL.get(read.table as usize) else {
+                continue;
+            };
+            let told = Confirmation {
+                at: Duration::from_millis(read.at_ms),
+                digest: read.digest,
+            };
+            self.table(*table, |followed| followed.heard(node, told));
+            self.confirm(*table);
+        }
+    }
+
+    // Waits until it is up to this gateway to read a table.
+    async fn turn(&self, table: Table, interval: Duration) {
+        let fresh = interval + CONFIRMATION_SLACK;
+        loop {
+            let news = self.news.notified();
+            let turn = self.store_now().map_or(Turn::Read, |now| {
+                let node = self.settings.node.as_str();
+                self.table(table, |followed| followed.turn(node, now, fresh))
+            });
+            let Turn::Wait(wait) = turn else {
+                return;
+            };
+            // Looks again in either case.
+            let _ = timeout(wait, news).await;
+        }
+    }
+
+    fn table<T>(&self, table: Table, f: impl FnOnce(&mut Followed) -> T) -> T {
+        f(&mut self.tables.borrow_mut()[table as usize])
+    }
+
+    // A table was read as of the store's time `at`.
+    fn table_read(&self, table: Table, at: Duration) {
+        let own = self.table(table, |followed| {
+            followed.read(at);
+            followed.own()
+        });
+        if let Some(own) = own {
+            self.handle(Event::TableRead(table as u32, own));
+        }
+        self.confirm(table);
+    }
+
+    // Passes on as of when a table is known.
+    fn confirm(&self, table: Table) {
+        let at = self.table(table, |followed| followed.confirmed_at());
+        let Some(at) = at.and_then(|at| self.store_clock.borrow().boot_time(at)) else {
+            return;
+        };
+        match table {
+            Table::Orders => self.handle(Event::Confirmed(at)),
+            Table::Registrations => {
+                let before = self.registrations_at.replace(at);
+                let away = at.saturating_sub(before);
+                if !before.is_zero() && away > AWAY_AFTER {
+                    self.handle(Event::StoreReturned(away));
+                }
+            }
+            Table::Rollouts => {}
+        }
+    }
+
+    fn store_now(&self) -> Option<Duration> {
+        self.store_clock.borrow().now(boot_clock::now())
+    }
+
+    // Events outside of ticks have no effect but a newer view.
+    fn handle(&self, event: Event) {
+        for effect in self.reduce(event) {
+            if effect == Effect::Publish {
+                self.publish();
+            }
+        }
+    }
+
+    fn reduce(&self, event: Event) -> Vec<Effect> {
+        self.state.borrow_mut().handle(event, boot_clock::now())
+    }
+
+    fn publish(&self) {
+        let view = self.state.borrow().view();
+        let metrics = &self.shared.metrics;
+        let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        metrics.config_version.set(version as i64);
+        metrics.upstreams.set(view.upstreams.len() as i64);
+        self.shared.view.store(Arc::new(view));
+        self.shared.published.notify_waiters();
+    }
+
+    // The store answered at its time `store_now`.
+    fn answered(&self, store_now: Duration) {
+        self.shared.metrics.store_calls.inc();
+        let mut clock = self.store_clock.borrow_mut();
+        clock.observe(store_now, boot_clock::now());
+    }
+
+    // The version from which to go on; none where all rows must be read again.
+    async fn feed_failed(&self, error: &FeedError, after: u64) -> Option<u64> {
+        match error {
+            FeedError::HistoryDropped => {
+                tracing::info!(after, "store dropped its history; all rows are read again");
+                None
+            }
+            FeedError::Call { source } => {
+                self.call_failed(&source.to_string()).await;
+                Some(after)
+            }
+        }
+    }
+
+    async fn call_failed(&self, error: &str) {
+        self.shared.metrics.store_calls.inc();
+        self.shared.metrics.store_failures.inc();
+        let age = boot_clock::now().saturating_sub(self.registrations_at.get());
+        if self.shared.metrics.lines.take(true) {
+            let registrations_age_ms = age.as_millis() as u64;
+            tracing::warn!(error, registrations_age_ms, "store did not answer");
+        }
+        let random: f64 = self.rng.borrow_mut().random();
+        sleep(RETRY_PAUSE.mul_f64(0.5 + random)).await;
+    }
+}
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -15,10 +15,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::boot_clock;
+use super::readers::Confirmation;
 use super::rollout::{Comparison, Outcomes, Seen};
 use super::traffic::Traffic;
 use super::view::OutcomesView;
-use crate::peer::message::{self, Node, RelayReport, RolloutOutcomes};
+use crate::peer::message::{self, Node, RelayReport, RolloutOutcomes, TableRead};
 
 /// Longest time between two reports.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(250);
@@ -97,6 +98,7 @@
             loads: traffic.own_loads(),
             kept_sessions: traffic.kept_sessions(&view),
             outcomes: view.outcomes.iter().map(outcomes).collect(),
+            reads: view.reads.iter().map(read).collect(),
         };
         let bytes = report.encode_to_vec();
         let peers = traffic.peers.borrow_mut().all(&view.peers, own);
@@ -113,6 +115,15 @@
     }
 }
 
+fn read(read: &(u32, Confirmation)) -> TableRead {
+    let (table, confirmation) = read;
+    TableRead {
+        table: *table,
+        at_ms: confirmation.at.as_millis() as u64,
+        digest: confirmation.digest,
+    }
+}
+
 fn outcomes(view: &OutcomesView) -> RolloutOutcomes {
     let wire = |outcomes: &Outcomes| {
         Some(message::Outcomes {
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -36,11 +36,13 @@
 mod pace;
 pub mod placement;
 mod probe;
+pub mod readers;
 mod report;
 mod responder;
 pub mod rollout;
 mod serve;
 pub mod sessions;
+pub mod store_clock;
 #[cfg(test)]
 mod tests;
 mod traffic;
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -20,6 +20,7 @@
         loads: loads.collect(),
         kept_sessions: Vec::new(),
         outcomes: Vec::new(),
+        reads: Vec::new(),
     }
 }
 
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod loads;
 mod placement;
+mod readers;
 mod rollout;
 mod sessions;
 mod wire;
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -24,13 +24,20 @@
 use super::rollout::Outcomes;
 use super::sessions::Sessions;
 use super::view::{OutcomesView, UpstreamKey, View};
-use crate::peer::message::{RelayReport, UpstreamLoad};
+use crate::peer::message::{RelayReport, TableRead, UpstreamLoad};
 
 /// Outcomes by service and version, for the judgement of roll-outs.
 pub(super) type Evidence = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
 
-/// What other gateways told of roll-outs, the newest of each.
-pub(super) type Told = Arc<Mutex<FxHashMap<CompactString, OutcomesView>>>;
+/// What another gateway told the control thread.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(super) struct News {
+    pub(super) outcomes: Vec<OutcomesView>,
+    pub(super) reads: Vec<TableRead>,
+}
+
+/// The newest from each other gateway that the control thread has not taken in.
+pub(super) type Told = Arc<Mutex<FxHashMap<CompactString, News>>>;
 
 /// What the two threads of a relay have in common.
 #[derive(Clone, Default)]
@@ -40,9 +47,27 @@
     pub(super) told: Told,
     /// Told whenever there is a newer view.
     pub(super) published: Arc<Notify>,
+    /// Told whenever there is news in `told`.
+    pub(super) heard: Arc<Notify>,
     pub(super) metrics: Arc<Metrics>,
 }
 
+impl Shared {
+    /// Outcomes of all services and versions since the start.
+    pub(super) fn outcomes(&self) -> Vec<(CompactString, CompactString, Outcomes)> {
+        let evidence = self.evidence.lock().expect("no holder of the lock panics");
+        let sums = evidence.iter();
+        sums.map(|((service, version), seen)| (service.clone(), version.clone(), *seen))
+            .collect()
+    }
+
+    /// Takes what the other gateways told since the last time.
+    pub(super) fn take_news(&self) -> FxHashMap<CompactString, News> {
+        let mut told = self.told.lock().expect("no holder of the lock panics");
+        std::mem::take(&mut *told)
+    }
+}
+
 /// State of the traffic thread.
 pub(super) struct Traffic {
     pub(super) settings: RelaySettings,
@@ -59,6 +84,7 @@
     budgets: RefCell<FxHashMap<CompactString, RepeatBudget>>,
     paces: RefCell<FxHashMap<(CompactString, CompactString), Pace>>,
     sessions: RefCell<Sessions>,
+    last_news: RefCell<FxHashMap<CompactString, News>>,
     rng: RefCell<SmallRng>,
     started: Instant,
 }
@@ -68,6 +94,7 @@
         let sessions = RefCell::new(Sessions::new(settings.session_gap));
         Self {
             sessions,
+            last_news: RefCell::default(),
             settings,
             metrics: Arc::clone(&shared.metrics),
             config: ServiceConfig::default(),
@@ -197,15 +224,30 @@
         self.fleet.borrow_mut().peers.receive(report, now);
         self.sessions.borrow_mut().keep(&report.kept_sessions, now);
         if let Some(node) = &report.node {
-            let mut told = self
-                .shared
-                .told
-                .lock()
-                .expect("no holder of the lock panics");
-            for outcomes in &report.outcomes {
-                told.insert(node.name.as_str().into(), read_outcomes(outcomes));
-            }
+            let news = News {
+                outcomes: report.outcomes.iter().map(read_outcomes).collect(),
+                reads: report.reads.clone(),
+            };
+            self.tell(&node.name, news);
+        }
+    }
+
+    // Wakes the control thread for what is new only.
+    fn tell(&self, node: &str, news: News) {
+        let mut last_news = self.last_news.borrow_mut();
+        let last = last_news.entry(node.into()).or_default();
+        if *last == news {
+            return;
         }
+        last.clone_from(&news);
+        let mut told = self
+            .shared
+            .told
+            .lock()
+            .expect("no holder of the lock panics");
+        told.insert(node.into(), news);
+        drop(told);
+        self.shared.heard.notify_one();
     }
 
     /// Time that an idle upstream needs to read `tokens` with a model, in
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::catalog::Catalog;
+use super::readers::Confirmation;
 use super::rollout::Seen;
 
 new_key_type! {
@@ -16,7 +17,7 @@
 }
 
 /// An upstream as it registered itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Upstream {
     /// Name of the registration.
     pub name: CompactString,
@@ -80,6 +81,8 @@
     pub upstreams: Arc<SlotMap<UpstreamKey, Upstream>>,
     /// Roll-outs, open ones and those whose outcome still binds.
     pub rollouts: Vec<RolloutView>,
+    /// What this gateway read of the store's tables itself.
+    pub reads: Vec<(u32, Confirmation)>,
     /// What the other gateways are told of open roll-outs.
     pub outcomes: Vec<OutcomesView>,
     /// True once everything was read that decides where a request goes.
