Weigh reading a part again, bound the log queue, write gateways' rows seldom

Cause: a part's home was left for 25 ms of backlog, and the part was read again by another engine; the log queue's default took 5 MB in each process; rows of gateways were read every 10 s though gateways know each other from reports.

--- a/src/bin/carawayrun/logging.rs
+++ b/src/bin/carawayrun/logging.rs
@@ -3,11 +3,11 @@
 //! Lines are handed to a thread that writes them; where it can't keep up they
 //! are dropped, so that a slow reader never holds requests up.
 
-use std::io::{self, IsTerminal};
+use std::io::{self, IsTerminal, Write};
 use std::str::FromStr;
 
 use bpaf::Bpaf;
-use tracing_appender::non_blocking::WorkerGuard;
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::failure::Failure;
@@ -15,6 +15,10 @@
 /// Changes of state of our own, and trouble of the libraries.
 const DEFAULT_FILTER: &str = "warn,carawayrun=info";
 
+/// Lines that may wait for the thread that writes them; more are dropped. The
+/// library's own default takes megabytes in every process.
+const WAITING_LINES: usize = 2_048;
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LogFormat {
@@ -101,14 +105,8 @@
         ))
     })?;
     let (is_terminal, (writer, guard)) = match settings.output {
-        LogOutput::Stdout => (
-            io::stdout().is_terminal(),
-            tracing_appender::non_blocking(io::stdout()),
-        ),
-        LogOutput::Stderr => (
-            io::stderr().is_terminal(),
-            tracing_appender::non_blocking(io::stderr()),
-        ),
+        LogOutput::Stdout => (io::stdout().is_terminal(), writer(io::stdout())),
+        LogOutput::Stderr => (io::stderr().is_terminal(), writer(io::stderr())),
     };
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
@@ -120,3 +118,10 @@
     }
     Ok(guard)
 }
+
+fn writer(output: impl Write + Send + 'static) -> (NonBlocking, WorkerGuard) {
+    NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .finish(output)
+}
--- a/src/carawayrun/relay/follow/gateways.rs
+++ b/src/carawayrun/relay/follow/gateways.rs
@@ -13,14 +13,14 @@
 use crate::store::CallError;
 
 /// Time between two readings. Gateways that know of each other need none.
-const PACE: Duration = Duration::from_secs(10);
+const PACE: Duration = Duration::from_secs(30);
 
 /// Time until the second reading: at a common start the first one comes before
 /// the others have written their row.
 const FIRST_PACE: Duration = Duration::from_millis(1_500);
 
 /// Age at which a gateway's row counts no more.
-const LIFE: Duration = Duration::from_secs(30);
+const LIFE: Duration = Duration::from_secs(90);
 
 /// A gateway's row.
 #[derive(Debug)]
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -13,6 +13,10 @@
 /// Engines that keep a shared part warm; two, so that one may fail or fill up.
 const COPIES: usize = 2;
 
+/// Weight of the time to read a part again: it also delays the requests behind
+/// and takes the place of another part in the KV cache.
+const READ_AGAIN: f64 = 6.0;
+
 /// Delay that one request that generates adds, in milliseconds: a step of a
 /// batch with it instead of without it.
 const RUNNING_MS: f64 = 3.0;
@@ -66,7 +70,7 @@
         let read_again = if candidate.rank >= home {
             0.0
         } else {
-            shared_ms
+            shared_ms * READ_AGAIN
         };
         let near = if candidate.is_near { NEAR_MS } else { 0.0 };
         candidate.backlog_ms
