Look at few engines per decision, keep answers in hand, ask silent engines

Change: a decision looks at the part's home and a few others, the fewer the more gateways; a doubtful answer stands where a better one would be late; an engine that is silent is asked whether it has the request; retries of store calls are shared among the gateways that are alive; connections are kept as long as upstreams say.

--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -22,6 +22,7 @@
 const CONFIDENCE: HeaderName = HeaderName::from_static("x-carawayrun-confidence");
 const SEAL: HeaderName = HeaderName::from_static("x-carawayrun-response-seal");
 const SESSION: HeaderName = HeaderName::from_static("session");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
 /// Headers that only this program may set towards an upstream.
@@ -49,7 +50,7 @@
     header::UPGRADE,
     header::PROXY_AUTHORIZATION,
     header::EXPECT,
-    HeaderName::from_static("keep-alive"),
+    KEEP_ALIVE,
 ];
 
 /// Start of the credentials in `Authorization`.
@@ -210,10 +211,18 @@
         is_sealed: headers.contains_key(SEAL),
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
         confidence: text(&CONFIDENCE).and_then(|value| value.parse().ok()),
+        keeps_idle: text(&KEEP_ALIVE).and_then(keep_alive),
         body_length: text(&header::CONTENT_LENGTH).and_then(|value| value.parse().ok()),
     }
 }
 
+// The time of `timeout=SECONDS`.
+fn keep_alive(text: &str) -> Option<Duration> {
+    let mut fields = text.split(',');
+    let seconds = fields.find_map(|field| field.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
 /// Headers of an upstream's answer that are passed on.
 pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
     let mut kept = HeaderMap::with_capacity(headers.len());
--- a/src/carawayrun/platform/mod.rs
+++ b/src/carawayrun/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod config;
 mod headers;
+mod report;
 mod rollout;
 mod servers;
 mod settings;
@@ -15,6 +16,7 @@
 pub use self::headers::{
     Inbound, Outbound, answer, answer_headers, inbound, outbound, refusal_headers,
 };
+pub use self::report::{read_report, report_request};
 pub(crate) use self::rollout::ordered_service;
 pub use self::rollout::{note, order, status};
 pub use self::servers::{RegistrationError, upstream};
--- a/src/carawayrun/relay/exchange.rs
+++ b/src/carawayrun/relay/exchange.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
-use actix_http::{RequestHead, ResponseHead, StatusCode};
+use actix_http::{RequestHead, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
+use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::admission::{Admitted, Refusal};
@@ -17,7 +18,7 @@
 use super::catalog::{Catalog, Route, RouteKind};
 use super::events::EventBuffer;
 use super::fleet::Need;
-use super::message::{Answer, Ask, Claim, Prefix};
+use super::message::{Answer, Ask, Claim, EngineReport, Prefix};
 use super::report::{Report, Verdict};
 use super::responder::Responder;
 use super::sessions;
@@ -49,6 +50,12 @@
 /// upstream is tried.
 const REPEAT_AFTER_OBJECTIVES: u32 = 3;
 
+/// Times that an engine is asked whether it has a request in its queue.
+const MAX_ASKED: u32 = 3;
+
+/// Time for an engine to tell its load: it needs no slot for that.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Least time left with which a request is sent at all.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
 
@@ -355,9 +362,17 @@
         let backlog = self.traffic.reading_ms(&upstream.service, model, tokens);
         let mut flight = Flight::start(self.traffic, key, backlog);
         let patience = self.patience(route, course);
-        let head = match timeout(patience, wire.head()).await {
-            Ok(Ok(head)) => head,
-            Ok(Err(error)) => {
+        let mut asked = 0;
+        let answered = loop {
+            match timeout(patience, wire.head()).await {
+                Ok(answered) => break Some(answered),
+                Err(_) if asked < MAX_ASKED && self.still_has(upstream, route).await => asked += 1,
+                Err(_) => break None,
+            }
+        };
+        let head = match answered {
+            Some(Ok(head)) => head,
+            Some(Err(error)) => {
                 let has_written = wire.has_written();
                 tracing::info!(request = %self.ask.id, upstream = %upstream.name, %error, has_written, "no answer");
                 return if has_written {
@@ -366,8 +381,8 @@
                     Attempt::NotSent
                 };
             }
-            Err(_) => {
-                tracing::info!(request = %self.ask.id, upstream = %upstream.name, waited_ms = patience.as_millis(), "upstream silent");
+            None => {
+                tracing::info!(request = %self.ask.id, upstream = %upstream.name, waited_ms = sent.elapsed().as_millis() as u64, asked, "upstream silent");
                 return Attempt::Silent;
             }
         };
@@ -380,6 +395,9 @@
             tracing::warn!(request = %self.ask.id, upstream = %upstream.name, "answer to another request; connection dropped");
             return Attempt::Lost;
         }
+        if let Some(limit) = answer.keeps_idle {
+            wire.keep_for(limit);
+        }
         Attempt::Answered(Box::new(Answered {
             key,
             upstream: upstream.clone(),
@@ -391,6 +409,20 @@
         }))
     }
 
+    // Asks an engine that is silent whether it has the request in its queue. To
+    // send it elsewhere then would only add to the load, at the end of another one.
+    async fn still_has(&self, upstream: &Upstream, route: &Route) -> bool {
+        if !route.kind.is_stream() {
+            return false;
+        }
+        let config = &self.traffic.config;
+        let report = timeout(REPORT_TIMEOUT, ask_report(upstream, config)).await;
+        self.traffic.metrics.reports.inc();
+        let has = matches!(&report, Ok(Ok(report)) if report.may_have(&self.ask.id));
+        tracing::info!(request = %self.ask.id, upstream = %upstream.name, has, ?report, "silent upstream asked");
+        has
+    }
+
     // How long the head of an answer may take before another upstream is tried;
     // the whole time where it can't be tried again.
     fn patience(&self, route: &Route, course: &Course) -> Duration {
@@ -482,7 +514,17 @@
         answered: &Answered,
     ) -> Option<CompactString> {
         let model = course.model.as_ref()?;
-        let next = cascade::next(&route.models, model, answered.answer.confidence)?;
+        let largest = route.models.last()?;
+        let expected = self.traffic.expected_first(
+            &answered.upstream.service,
+            largest,
+            self.ask.prompt_tokens,
+        );
+        let doubt = cascade::Doubt {
+            confidence: answered.answer.confidence,
+            is_timely: self.received.elapsed() + expected <= route.objective,
+        };
+        let next = cascade::next(&route.models, model, doubt)?;
         if course.runs >= route.max_attempts {
             return None;
         }
@@ -763,12 +805,36 @@
     }
 }
 
+/// An upstream's report that was not to be had.
+#[derive(Debug)]
+#[derive(Snafu)]
+enum ReportError {
+    #[snafu(display("{source}"))]
+    Wire { source: WireError },
+    #[snafu(display("report not readable: {source}"))]
+    Unreadable { source: serde_json::Error },
+}
+
 enum StreamEnd {
     Whole,
     ClientGone,
     Broken(&'static str),
 }
 
+async fn ask_report(
+    upstream: &Upstream,
+    config: &ServiceConfig,
+) -> Result<EngineReport, ReportError> {
+    let mut wire = Wire::connect(upstream.addr, CONNECT_TIMEOUT, config)
+        .await
+        .context(WireSnafu)?;
+    let head = platform::report_request(upstream);
+    wire.start(head, b"").context(WireSnafu)?;
+    wire.head().await.context(WireSnafu)?;
+    let body = read_whole(&mut wire).await.context(WireSnafu)?;
+    platform::read_report(&body).context(UnreadableSnafu)
+}
+
 async fn read_whole(wire: &mut Wire) -> Result<Bytes, WireError> {
     let mut whole = BytesMut::new();
     while let Some(piece) = wire.chunk().await? {
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -11,7 +11,7 @@
 
 use super::health::Health;
 use super::loads::{PeerLoads, digest};
-use super::placement::{Candidate, choose, rank};
+use super::placement::{Candidate, choose, rank, sample};
 use super::sessions::{Claim, takes_new};
 use super::view::{RolloutView, Upstream, UpstreamKey, View};
 use super::wire::Wire;
@@ -20,11 +20,8 @@
 /// Idle connections kept to one upstream.
 const MAX_IDLE: usize = 12;
 
-/// Idle time after which a connection is not used again. Upstreams close idle
-/// connections after some seconds, and a request that crosses that is lost.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(2_500);
-
-/// The same for requests that run at most once: those can't be sent again.
+/// Idle time after which a connection is not used for requests that run at most
+/// once: these can't be sent again where the upstream closes it meanwhile.
 const MAX_IDLE_TIME_ONCE: Duration = Duration::from_millis(700);
 
 /// What a request needs of its upstream.
@@ -112,20 +109,18 @@
             .iter()
             .map(|key| self.candidate(*key, need, data_centre))
             .collect();
-        let index = choose(&candidates, need.shared_ms, || rng.random())?;
-        Some(keys[index])
+        let gateways = self.peers.gateways() + 1;
+        let looked_at = sample(&candidates, gateways, || rng.random());
+        let index = choose(&looked_at, need.shared_ms, || rng.random())?;
+        Some(keys[looked_at[index].index])
     }
 
     /// Takes an idle connection that may still be used.
     pub(super) fn connection(&mut self, key: UpstreamKey, is_once: bool) -> Option<Wire> {
-        let longest = if is_once {
-            MAX_IDLE_TIME_ONCE
-        } else {
-            MAX_IDLE_TIME
-        };
         let entry = self.entries.get_mut(key)?;
         while let Some(mut wire) = entry.idle.pop() {
-            if wire.idle() < longest && wire.is_reusable() {
+            let is_fresh = !is_once || wire.idle() < MAX_IDLE_TIME_ONCE;
+            if is_fresh && !wire.left().is_zero() && wire.is_reusable() {
                 return Some(wire);
             }
         }
@@ -234,6 +229,7 @@
         let others = self.peers.at(entry.digest);
         let part = need.part.as_ref();
         Candidate {
+            index: 0,
             running: entry.running + others.running,
             slots: upstream.slots,
             backlog_ms: entry.backlog_ms + others.backlog_ms,
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -28,9 +29,14 @@
 /// delay of its call and of the reports.
 const CONFIRMATION_SLACK: Duration = Duration::from_millis(350);
 
-/// Mean pause after a failed call; it varies by a half, as all gateways find
-/// the store away at the same moment.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Mean pause after a failed call, for each gateway that is alive: together they
+/// ask as often, however many there are, and the first one that gets an answer
+/// tells the others. It varies by a half, as all find the store away at once.
+const RETRY_PAUSE: Duration = Duration::from_millis(120);
+
+/// Bounds of that mean pause: the store's return must be seen within its time.
+const RETRY_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(250), Duration::from_millis(1_500));
 
 /// Gap between two confirmations of the registrations after which the store
 /// counts as having been away: two beats of an upstream.
@@ -223,7 +229,9 @@
             let registrations_age_ms = age.as_millis() as u64;
             tracing::warn!(error, registrations_age_ms, "store did not answer");
         }
+        let gateways = self.shared.gateways.load(Ordering::Relaxed) + 1;
+        let pause = (RETRY_PAUSE * gateways).clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1);
         let random: f64 = self.rng.borrow_mut().random();
-        sleep(RETRY_PAUSE.mul_f64(0.5 + random)).await;
+        sleep(pause.mul_f64(0.5 + random)).await;
     }
 }
--- a/src/carawayrun/relay/message.rs
+++ b/src/carawayrun/relay/message.rs
@@ -47,6 +47,23 @@
     MayHaveRun,
 }
 
+/// What an engine says of its own load.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Requests that wait to be admitted.
+    pub queued: u32,
+    /// Requests that were admitted.
+    pub runs: Vec<CompactString>,
+}
+
+impl EngineReport {
+    /// True where the engine may have the request, so that its silence is that
+    /// of a queue. Those that wait are only counted.
+    pub fn may_have(&self, id: &str) -> bool {
+        self.queued > 0 || self.runs.iter().any(|run| run == id)
+    }
+}
+
 /// What the data path reads from the head of an upstream's answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -60,6 +77,8 @@
     pub is_encoded: bool,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<f64>,
+    /// Time for which the upstream keeps an idle connection, where it says so.
+    pub keeps_idle: Option<Duration>,
     /// Length of the body, where it is given.
     pub body_length: Option<u64>,
 }
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -38,6 +38,7 @@
     pub(crate) connections: Counter,
     pub(crate) cascades: Counter,
     pub(crate) resumes: Counter,
+    pub(crate) reports: Counter,
     pub(crate) store_calls: Counter,
     pub(crate) store_failures: Counter,
     pub(crate) config_version: Gauge,
@@ -58,6 +59,7 @@
             connections: Counter::default(),
             cascades: Counter::default(),
             resumes: Counter::default(),
+            reports: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             config_version: Gauge::default(),
@@ -86,6 +88,11 @@
             "Streams that went on elsewhere",
             &metrics.resumes,
         );
+        add(
+            "silent_upstreams_asked",
+            "Reports asked of upstreams that were silent",
+            &metrics.reports,
+        );
         add("store_calls", "Calls to the store", &metrics.store_calls);
         add(
             "store_failures",
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -21,6 +21,17 @@
 /// batch with it instead of without it.
 const RUNNING_MS: f64 = 3.0;
 
+/// Delay that each request beyond its slots adds to an upstream, in
+/// milliseconds: the rest of a short answer's time over the slots.
+const QUEUED_MS: f64 = 50.0;
+
+/// Upstreams that the gateways look at together for one decision, in multiples
+/// of the upstreams: each is looked at by two.
+const LOOKED_AT: f64 = 2.0;
+
+/// Upstreams that one decision looks at besides the home, on average.
+const LEAST_LOOKED_AT: f64 = 3.0;
+
 /// Delay that a full share of failures counts as, in milliseconds: about a
 /// failed attempt and the one after it.
 const FAILING_MS: f64 = 1_000.0;
@@ -32,6 +43,8 @@
 /// An upstream that may run the request.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Candidate {
+    /// Its place among all candidates; set by [`sample`].
+    pub index: usize,
     /// Requests of all gateways that run there.
     pub running: u32,
     /// Requests that it runs at once.
@@ -55,6 +68,41 @@
     hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ hasher.finish().rotate_left(32)
 }
 
+/// The candidates that one decision looks at: the home of the part, and others
+/// at random.
+///
+/// Load pattern: between two reports all gateways see the same idle engine, and
+/// would all send there. Each looks at other engines, the fewer the more
+/// gateways there are, so that an idle one gets a few requests in that time.
+pub fn sample(
+    candidates: &[Candidate],
+    gateways: usize,
+    mut random: impl FnMut() -> f64,
+) -> Vec<Candidate> {
+    let home = home_rank(candidates);
+    let others = LOOKED_AT * candidates.len() as f64 / gateways.max(1) as f64;
+    let chance = others.max(LEAST_LOOKED_AT) / candidates.len().max(1) as f64;
+    let mut looked_at = Vec::with_capacity(candidates.len());
+    for (index, candidate) in candidates.iter().enumerate() {
+        let is_home = candidate.rank > 0 && candidate.rank >= home;
+        if is_home || random() < chance {
+            looked_at.push(Candidate {
+                index,
+                ..*candidate
+            });
+        }
+    }
+    if looked_at.is_empty() && !candidates.is_empty() {
+        let index = (random() * candidates.len() as f64) as usize;
+        let index = index.min(candidates.len() - 1);
+        looked_at.push(Candidate {
+            index,
+            ..candidates[index]
+        });
+    }
+    looked_at
+}
+
 /// Chooses the candidate with the least expected delay. `shared_ms` is the time
 /// to read the part that its home need not read again; `noise` in 0..1
 /// breaks ties, so that gateways with the same knowledge don't all agree.
@@ -67,6 +115,7 @@
     let cost = |candidate: &Candidate, noise: f64| {
         let running = f64::from(candidate.running);
         let fill = running / f64::from(candidate.slots.max(1));
+        let queued = (running + 1.0 - f64::from(candidate.slots)).max(0.0);
         let read_again = if candidate.rank >= home {
             0.0
         } else {
@@ -75,6 +124,7 @@
         let near = if candidate.is_near { NEAR_MS } else { 0.0 };
         candidate.backlog_ms
             + running * RUNNING_MS * (1.0 + fill)
+            + queued * QUEUED_MS
             + candidate.failing * FAILING_MS
             + read_again
             + noise * NEAR_MS
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay's parts.
 
 mod budget;
+mod cascade;
 mod control;
 mod events;
 mod loads;
--- a/src/carawayrun/relay/tests/placement.rs
+++ b/src/carawayrun/relay/tests/placement.rs
@@ -1,4 +1,7 @@
-use crate::relay::placement::{Candidate, choose, rank};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::relay::placement::{Candidate, choose, rank, sample};
 
 fn engine(name: &str, part: &str) -> Candidate {
     Candidate {
@@ -63,3 +66,48 @@
 fn without_candidates_there_is_no_choice() {
     assert_eq!(choose(&[], 0.0, || 0.5), None);
 }
+
+// Twenty-seven gateways decide on the same reports: the one idle engine of
+// forty-nine must not get all of their requests.
+#[test]
+fn many_gateways_do_not_all_choose_the_idle_engine() {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut engines: Vec<Candidate> = (0..49).map(|n| engine(&format!("i-{n}"), "a")).collect();
+    for engine in &mut engines {
+        engine.rank = 0;
+        engine.backlog_ms = 200.0;
+    }
+    engines[13].backlog_ms = 0.0;
+    let mut chosen = 0;
+    for _ in 0..27 {
+        let looked_at = sample(&engines, 27, || rng.random());
+        let index = choose(&looked_at, 0.0, || rng.random()).unwrap();
+        chosen += u32::from(looked_at[index].index == 13);
+    }
+    assert!((1..=6).contains(&chosen), "{chosen} of 27 chose it");
+}
+
+#[test]
+fn a_gateway_alone_looks_at_all() {
+    let looked_at = sample(&engines("a"), 1, || 0.99);
+    assert_eq!(looked_at.len(), 18);
+}
+
+#[test]
+fn the_home_of_a_part_is_always_looked_at() {
+    let engines = engines("a");
+    let looked_at = sample(&engines, 100, || 0.99);
+    let best = engines.iter().map(|engine| engine.rank).max().unwrap();
+    assert!(looked_at.iter().any(|engine| engine.rank == best));
+}
+
+#[test]
+fn an_upstream_without_a_free_slot_is_avoided() {
+    let mut pair = vec![engine("i-1", "a"), engine("i-2", "a")];
+    pair[0].slots = 6;
+    pair[1].slots = 6;
+    pair[0].running = 6;
+    pair[1].running = 5;
+    pair[1].backlog_ms = 30.0;
+    assert_eq!(choose(&pair, 0.0, || 0.5), Some(1));
+}
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -49,6 +50,8 @@
     pub(super) published: Arc<Notify>,
     /// Told whenever there is news in `told`.
     pub(super) heard: Arc<Notify>,
+    /// Other gateways that reported lately.
+    pub(super) gateways: Arc<AtomicU32>,
     pub(super) metrics: Arc<Metrics>,
 }
 
@@ -215,6 +218,8 @@
     pub(super) fn own_loads(&self) -> Vec<UpstreamLoad> {
         let mut fleet = self.fleet.borrow_mut();
         fleet.peers.expire(self.now());
+        let gateways = fleet.peers.gateways() as u32;
+        self.shared.gateways.store(gateways, Ordering::Relaxed);
         fleet.loads()
     }
 
@@ -258,6 +263,13 @@
         pace.copied().unwrap_or_default().reading_ms(tokens)
     }
 
+    /// Time to the first byte that is expected of a model at the present load.
+    pub(super) fn expected_first(&self, service: &str, model: &str, tokens: u32) -> Duration {
+        let paces = self.paces.borrow();
+        let pace = paces.get(&(service.into(), model.into()));
+        pace.map_or(Duration::ZERO, |pace| pace.expected(tokens))
+    }
+
     /// Takes note of how an attempt at a version ended; `first` is the time to
     /// its first byte and `tokens` the length of its prompt.
     pub(super) fn note_outcome(&self, outcome: &Outcome<'_>) {
--- a/src/carawayrun/relay/wire.rs
+++ b/src/carawayrun/relay/wire.rs
@@ -32,6 +32,17 @@
 /// Time between two such questions.
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
 
+/// Time for which an idle connection is kept where the peer says nothing: most
+/// servers keep one for some seconds.
+const UNKNOWN_IDLE: Duration = Duration::from_millis(2_500);
+
+/// Time before the peer's own limit at which a connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Longest time for which an idle connection is kept; its silent end would not
+/// be noticed before it is used.
+const LONGEST_IDLE: Duration = Duration::from_secs(8);
+
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -72,6 +83,8 @@
     /// True where the request's method asks for a body.
     wants_body: bool,
     idle_since: Instant,
+    /// Time for which the peer keeps the connection when it is idle.
+    idle_limit: Duration,
 }
 
 impl Wire {
@@ -97,6 +110,7 @@
             keeps_open: true,
             wants_body: true,
             idle_since: Instant::now(),
+            idle_limit: UNKNOWN_IDLE,
         })
     }
 
@@ -124,6 +138,17 @@
         self.has_written
     }
 
+    /// The peer keeps the connection for `limit` when it is idle.
+    pub(crate) fn keep_for(&mut self, limit: Duration) {
+        self.idle_limit = limit.saturating_sub(IDLE_MARGIN).min(LONGEST_IDLE);
+    }
+
+    /// Time for which it may still be used; the peer closes idle connections,
+    /// and a request that crosses that is lost.
+    pub(crate) fn left(&self) -> Duration {
+        self.idle_limit.saturating_sub(self.idle_since.elapsed())
+    }
+
     /// Time since the last answer ended.
     pub(crate) fn idle(&self) -> Duration {
         self.idle_since.elapsed()
