--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -187,7 +187,7 @@
         Ok(Changes {
             version: body.ver,
             now: Duration::from_millis(body.now_ms),
-            changes: body.rows.into_iter().filter_map(change).collect(),
+            changes: body.rows.into_iter().map(change).collect(),
         })
     }
 
@@ -196,6 +196,10 @@
     /// # Errors
     ///
     /// [`TableError`], which tells a call that took no effect from one that may have.
+    ///
+    /// # Panics
+    ///
+    /// Where the transaction can't be written as JSON, which its types exclude.
     pub async fn commit(&self, writes: &Transaction) -> Result<(), TableError> {
         let body = serde_json::to_vec(&wire(writes)).expect("transactions can be written as JSON");
         let url = format!("{}/v1/rows-tx", self.base);
@@ -283,13 +287,13 @@
     format!("{}\0", row.key)
 }
 
-fn change(wire: WireRow) -> Option<Change> {
+fn change(wire: WireRow) -> Change {
     if wire.deleted {
-        return Some(Change::Deleted(wire.key));
+        return Change::Deleted(wire.key);
     }
     // A row that can't be read names nothing to use, as if it were gone.
     let key = wire.key.clone();
-    Some(row(wire).map_or(Change::Deleted(key), Change::Put))
+    row(wire).map_or(Change::Deleted(key), Change::Put)
 }
 
 fn row(wire: WireRow) -> Option<Row> {
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -309,5 +309,5 @@
             Ok(_) => {}
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
--- a/src/carawayrun/relay/exchange.rs
+++ b/src/carawayrun/relay/exchange.rs
@@ -199,7 +199,7 @@
                 }
             }
             course.excluded.push(key);
-            if !self.may_go_on(route, course) {
+            if !Self::may_go_on(route, course) {
                 return self.give_up(course, responder).await;
             }
         }
@@ -216,7 +216,7 @@
         &parts[..parts.len().saturating_sub(1)]
     }
 
-    fn may_go_on(&self, route: &Route, course: &Course) -> bool {
+    fn may_go_on(route: &Route, course: &Course) -> bool {
         let repeatable = !course.may_have_run || route.kind.is_repeatable();
         repeatable
             && course.runs < route.max_attempts
@@ -711,7 +711,7 @@
         let after = events.last_id().map(CompactString::from).or(asked);
         loop {
             let may_resume = route.kind == RouteKind::Stream { resumable: true };
-            if !may_resume || !self.may_go_on(route, course) {
+            if !may_resume || !Self::may_go_on(route, course) {
                 return Err(self.cut(course, responder).await);
             }
             let catalog = Arc::clone(&self.admitted.catalog);
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -216,10 +216,10 @@
             let version = version(key);
             version != rollout.to && !is_withdrawn(version)
         });
-        match (takes_new && !new.is_empty(), has_old) {
-            (true, _) => new,
-            (false, true) => old,
-            (false, false) => new,
+        if has_old && (!takes_new || new.is_empty()) {
+            old
+        } else {
+            new
         }
     }
 
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    /// All metrics, in the OpenMetrics text format.
+    /// All metrics, in the text format of `OpenMetrics`.
     pub(super) fn text(&self) -> String {
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/src/carawayrun/relay/readers.rs
+++ b/src/carawayrun/relay/readers.rs
@@ -101,7 +101,7 @@
             .take_while(|(name, _)| name.as_str() < node);
         let reader = before.map(|(_, told)| told.at + fresh).max();
         match reader {
-            Some(until) if until > now => Turn::Wait(until - now),
+            Some(until) if until > now => Turn::Wait(until.saturating_sub(now)),
             _ => Turn::Read,
         }
     }
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -124,7 +124,7 @@
 fn begin(state: &mut State) -> RolloutRow {
     state.handle(Event::Ordered(order(3)), at(0));
     let effects = tick(state, 1_000);
-    let [Effect::MoveRollout(row, 0)] = &effects[..] else {
+    let [Effect::MoveRollout(row, 0)] = &*effects else {
         panic!("{effects:?}");
     };
     row.clone()
@@ -196,7 +196,7 @@
         );
     }
     let effects = tick(&mut state, 2_000);
-    let [Effect::MoveRollout(row, 12)] = &effects[..] else {
+    let [Effect::MoveRollout(row, 12)] = &*effects else {
         panic!("{effects:?}");
     };
     assert_eq!(row.phase, Phase::Reverted);
@@ -240,7 +240,7 @@
     state.handle(Event::RolloutRead(row, 12), at(0));
     state.handle(Event::Ordered(order(20)), at(0));
     let effects = tick(&mut state, 9_000);
-    let [Effect::MoveRollout(next, 12)] = &effects[..] else {
+    let [Effect::MoveRollout(next, 12)] = &*effects else {
         panic!("{effects:?}");
     };
     assert_eq!((next.order, next.phase), (20, Phase::Canary));
