Drive the relay with stand-ins of the users' platform

One was wrong at first: with two upstreams that each lose an answer there was none left for the retry; it has three now.

--- a/crates/lab/src/command.rs
+++ b/crates/lab/src/command.rs
@@ -2,7 +2,9 @@
 
 use bpaf::Bpaf;
 
-use crate::{engine, experiment, hosts, load, objects, pass, plain, rater, table};
+use crate::{
+    engine, experiment, hosts, load, metadata, objects, pass, plain, rater, runner, table,
+};
 
 /// One stand-in or tool.
 #[derive(Debug, Clone)]
@@ -21,6 +23,9 @@
     /// Sends a mixed load to gateways and reports what came back
     #[bpaf(command)]
     Load(#[bpaf(external(load::options))] load::Options),
+    /// Metadata store of the users' platform
+    #[bpaf(command)]
+    Metadata(#[bpaf(external(metadata::options))] metadata::Options),
     /// Object store
     #[bpaf(command)]
     Objects(#[bpaf(external(objects::options))] objects::Options),
@@ -33,6 +38,9 @@
     /// Rates answers
     #[bpaf(command)]
     Rater(#[bpaf(external(rater::options))] rater::Options),
+    /// Runner of the users' platform
+    #[bpaf(command)]
+    Runner(#[bpaf(external(runner::options))] runner::Options),
     /// Transactional table service
     #[bpaf(command)]
     Table(#[bpaf(external(table::options))] table::Options),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,10 +10,12 @@
 mod faults;
 mod hosts;
 mod load;
+mod metadata;
 mod objects;
 mod pass;
 mod plain;
 mod rater;
+mod runner;
 mod serve;
 mod table;
 
@@ -32,10 +34,12 @@
         Command::Experiment(options) => experiment::run(&options),
         Command::Hosts(options) => hosts::run(&options),
         Command::Load(options) => load::run(&options),
+        Command::Metadata(options) => metadata::run(&options),
         Command::Objects(options) => objects::run(&options),
         Command::Pass(options) => pass::run(&options),
         Command::Plain(options) => plain::run(&options),
         Command::Rater(options) => rater::run(&options),
+        Command::Runner(options) => runner::run(&options),
         Command::Table(options) => table::run(&options),
     };
     match result {
--- /dev/null
+++ b/crates/lab/src/metadata.rs
@@ -0,0 +1,255 @@
+//! The users' platform's metadata store: tables of rows, with a feed.
+//!
+//! Beside its own calls it takes `PUT /rows/TABLE/KEY` and `DELETE` of the same
+//! from tests, for what operators and upstreams write, and `POST /drop-history`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bpaf::Bpaf;
+use carawayrun::http::{json, read_body, text};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::command::Failure;
+use crate::faults::{FaultSwitch, Faults};
+use crate::serve::{common, lost, query_value, read_json, run as serve};
+
+/// Longest value of a row, in bytes.
+const MAX_VALUE: usize = 64 << 10;
+
+/// Flags.
+#[derive(Debug, Clone)]
+#[derive(Bpaf)]
+#[bpaf(generate(options))]
+pub(crate) struct Options {
+    /// Address to listen on
+    #[bpaf(argument("ADDR"), fallback(String::from("127.0.0.1:0")))]
+    listen: String,
+    /// Faults from the start, as the JSON of `PUT /faults`
+    #[bpaf(argument("JSON"), fallback(Faults::default()))]
+    faults: Faults,
+}
+
+pub(crate) fn run(options: &Options) -> Result<(), Failure> {
+    let Options { listen, faults } = options.clone();
+    serve(&listen, move || {
+        let service = Rc::new(Service {
+            faults: FaultSwitch::new(&faults),
+            rows: RefCell::default(),
+            history: RefCell::default(),
+            oldest: Cell::default(),
+            version: Cell::default(),
+            calls: Cell::default(),
+            changed: Notify::new(),
+            started: Instant::now(),
+        });
+        move |request| Rc::clone(&service).handle(request)
+    })
+}
+
+struct Service {
+    faults: FaultSwitch,
+    rows: RefCell<BTreeMap<(String, String), Row>>,
+    history: RefCell<Vec<Row>>,
+    /// Version up to which the history was dropped.
+    oldest: Cell<u64>,
+    version: Cell<u64>,
+    calls: Cell<u64>,
+    changed: Notify,
+    started: Instant,
+}
+
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+struct Row {
+    table: String,
+    part: &'static str,
+    key: String,
+    value: String,
+    ver: u64,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    deleted: bool,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Answer {
+    rows: Vec<Row>,
+    has_more: bool,
+    ver: u64,
+    now_ms: u64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    expected_rev: Vec<Expected>,
+    #[serde(default)]
+    puts: Vec<Put>,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Expected {
+    table: String,
+    key: String,
+    ver: u64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Put {
+    table: String,
+    key: String,
+    value: String,
+}
+
+impl Service {
+    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if request.path().starts_with("/rows/") {
+            return self.write_for_test(&mut request).await;
+        }
+        if let Some(answer) = common(&mut request, &self.faults).await {
+            return answer;
+        }
+        match (request.method(), request.path()) {
+            (&Method::POST, "/v1/rows-tx") => self.transact(&mut request).await,
+            (&Method::GET, "/v1/rows-get") => self.list(&request),
+            (&Method::GET, "/v1/rows-feed") => self.feed(&request).await,
+            (&Method::GET, "/calls") => json(StatusCode::OK, &self.calls.get()),
+            (&Method::POST, "/drop-history") => {
+                self.oldest.set(self.version.get() + 1);
+                self.changed.notify_waiters();
+                text(StatusCode::OK, "dropped\n")
+            }
+            _ => text(StatusCode::NOT_FOUND, "no such call\n"),
+        }
+    }
+
+    async fn write_for_test(&self, request: &mut Request) -> Response<BoxBody> {
+        let path = request.path().to_owned();
+        let Some((table, key)) = path["/rows/".len()..].split_once('/') else {
+            return text(StatusCode::NOT_FOUND, "give /rows/TABLE/KEY\n");
+        };
+        let body = match read_body(request.take_payload(), MAX_VALUE).await {
+            Ok(body) => body,
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        let value = STANDARD.encode(&body);
+        let deleted = request.method() == Method::DELETE;
+        let version = self.next_version();
+        self.write(table, key, value, version, deleted);
+        self.changed.notify_waiters();
+        json(StatusCode::OK, &version)
+    }
+
+    async fn transact(&self, request: &mut Request) -> Response<BoxBody> {
+        self.calls.set(self.calls.get() + 1);
+        let transaction: Transaction = match read_json(request).await {
+            Ok(transaction) => transaction,
+            Err(answer) => return answer,
+        };
+        let rows = self.rows.borrow();
+        let known = |table: &str, key: &str| rows.get(&(table.to_owned(), key.to_owned()));
+        let holds = transaction.expected_rev.iter().all(|expected| {
+            let row = known(&expected.table, &expected.key);
+            row.map_or(0, |row| row.ver) == expected.ver
+        });
+        if !holds {
+            let current = transaction.expected_rev.iter();
+            let current = current.filter_map(|expected| known(&expected.table, &expected.key));
+            let current = current.cloned().collect();
+            return json(StatusCode::PRECONDITION_FAILED, &self.answer(current));
+        }
+        drop(rows);
+        let version = self.next_version();
+        for put in transaction.puts {
+            self.write(&put.table, &put.key, put.value, version, false);
+        }
+        self.changed.notify_waiters();
+        if self.faults.take_lost_answer() {
+            return lost();
+        }
+        json(StatusCode::OK, &self.answer(Vec::new()))
+    }
+
+    fn list(&self, request: &Request) -> Response<BoxBody> {
+        self.calls.set(self.calls.get() + 1);
+        let table = query_value(request, "table").unwrap_or_default();
+        let from = query_value(request, "from").unwrap_or_default();
+        let rows = self.rows.borrow();
+        let rows = rows.values();
+        let rows = rows.filter(|row| row.table == table && row.key >= from);
+        json(StatusCode::OK, &self.answer(rows.cloned().collect()))
+    }
+
+    async fn feed(&self, request: &Request) -> Response<BoxBody> {
+        self.calls.set(self.calls.get() + 1);
+        let table = query_value(request, "table").unwrap_or_default();
+        let number = |name| query_value(request, name).and_then(|text| text.parse().ok());
+        let after: u64 = number("after").unwrap_or_default();
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+        let until = actix_rt::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            if after < self.oldest.get() {
+                return text(StatusCode::GONE, "history dropped\n");
+            }
+            let rows = self.changes(&table, after);
+            let waited = rows.is_empty() && {
+                let limit = until.saturating_duration_since(actix_rt::time::Instant::now());
+                actix_rt::time::timeout(limit, changed).await.is_ok()
+            };
+            if !waited {
+                return json(StatusCode::OK, &self.answer(rows));
+            }
+        }
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Row> {
+        let history = self.history.borrow();
+        let rows = history.iter();
+        let rows = rows.filter(|row| row.table == table && row.ver > after);
+        rows.cloned().collect()
+    }
+
+    fn write(&self, table: &str, key: &str, value: String, ver: u64, deleted: bool) {
+        let row = Row {
+            table: table.into(),
+            part: "",
+            key: key.into(),
+            value,
+            ver,
+            deleted,
+        };
+        let place = (row.table.clone(), row.key.clone());
+        if deleted {
+            self.rows.borrow_mut().remove(&place);
+        } else {
+            self.rows.borrow_mut().insert(place, row.clone());
+        }
+        self.history.borrow_mut().push(row);
+    }
+
+    fn next_version(&self) -> u64 {
+        self.version.set(self.version.get() + 1);
+        self.version.get()
+    }
+
+    fn answer(&self, rows: Vec<Row>) -> Answer {
+        Answer {
+            rows,
+            has_more: false,
+            ver: self.version.get(),
+            now_ms: self.started.elapsed().as_millis() as u64,
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod openapi;
 mod operating;
 mod path;
+mod platform;
 mod policy;
 mod resources;
 mod rollouts;
--- /dev/null
+++ b/tests/testsuite/platform.rs
@@ -0,0 +1,234 @@
+//! A relay on the users' platform, as separate processes.
+
+use awc::http::{Method, StatusCode};
+use serde_json::json;
+
+use crate::support::platform::{API_KEY, PlatformWorld, config};
+
+async fn world(name: &str) -> PlatformWorld {
+    let mut world = PlatformWorld::start(name).await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    world.runner("app-1", "app", &[]).await;
+    world.runner("llm-1", "llm", &[]).await;
+    world.until_ready().await;
+    world
+}
+
+fn events() -> String {
+    let events = (1..=8).map(|n| format!("id: {n}\ndata: word {n}\n\n"));
+    events.collect()
+}
+
+#[actix_rt::test]
+async fn nothing_is_ready_before_a_configuration_is_known() {
+    let world = PlatformWorld::start("unready").await;
+    assert!(!world.is_ready().await);
+}
+
+#[actix_rt::test]
+async fn a_request_passes_whole_with_the_teams_name_in_place_of_its_key() {
+    let world = world("whole").await;
+    let request = world
+        .request(Method::POST, "/switch/scene", "req-1")
+        .insert_header(("x-carawayrun-tenant", "forged"))
+        .insert_header(("x-carawayrun-hold", "forged"))
+        .insert_header(("kv-from", "forged"));
+    let reply = world.send(request, "on").await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.body.as_deref(), Some("app-1 ran req-1\n"));
+    let runs = world.runs(0, "req-1").await;
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0]["tenant"], "shops");
+    assert_eq!(runs[0]["body"], "on");
+    assert_eq!(runs[0]["forged"], json!([]));
+}
+
+#[actix_rt::test]
+async fn a_wrong_key_and_an_unknown_path_are_refused() {
+    let world = world("refused").await;
+    let request = world
+        .request(Method::GET, "/read/a", "req-1")
+        .insert_header(("authorization", "Token nobody"));
+    assert_eq!(
+        world.send(request, "").await.status,
+        StatusCode::UNAUTHORIZED
+    );
+    let request = world.request(Method::GET, "/nowhere", "req-2");
+    assert_eq!(world.send(request, "").await.status, StatusCode::NOT_FOUND);
+}
+
+#[actix_rt::test]
+async fn a_call_that_may_have_run_is_not_sent_again() {
+    let mut world = world("once").await;
+    world.runner("app-2", "app", &[]).await;
+    world.until_ready().await;
+    let lose = json!({"loseAnswers": 1});
+    world.faults(&world.runner_url(0), &lose).await;
+    world.faults(&world.runner_url(2), &lose).await;
+    let request = world.request(Method::POST, "/switch/scene", "req-1");
+    let reply = world.send(request, "on").await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    let runs = world.runs(0, "req-1").await.len() + world.runs(2, "req-1").await.len();
+    assert_eq!(runs, 1);
+}
+
+#[actix_rt::test]
+async fn a_read_whose_answers_are_lost_is_sent_again() {
+    let mut world = world("again").await;
+    world.runner("app-2", "app", &[]).await;
+    world.runner("app-3", "app", &[]).await;
+    world.until_ready().await;
+    // Two of the three lose it, and a third attempt is allowed.
+    for index in [0, 2] {
+        let lose = json!({"loseAnswers": 1});
+        world.faults(&world.runner_url(index), &lose).await;
+    }
+    assert_eq!(world.read("req-1").await, StatusCode::OK);
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_elsewhere_after_the_last_whole_event() {
+    let mut world = world("resume").await;
+    world.runner("llm-2", "llm", &[]).await;
+    let cut = json!({"cutStreams": 1});
+    world.faults(&world.runner_url(1), &cut).await;
+    world.faults(&world.runner_url(2), &cut).await;
+    world.runner("llm-3", "llm", &[]).await;
+    world.until_ready().await;
+    let request = world.request(Method::POST, "/stream/plan", "req-1");
+    let reply = world.send(request, "plan").await;
+    assert_eq!(reply.body, Some(events()));
+}
+
+#[actix_rt::test]
+async fn a_doubtful_answer_is_dropped_for_the_larger_models() {
+    let mut world = PlatformWorld::start("cascade").await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    let doubts = ["--confidence", "10"];
+    world.runner("llm-1", "llm", &doubts).await;
+    world.runner("llm-2", "llm", &doubts).await;
+    world.until_ready().await;
+    let request = world.request(Method::POST, "/stream/plan", "req-1");
+    assert_eq!(world.send(request, "plan").await.body, Some(events()));
+    let mut models = Vec::new();
+    for index in 0..2 {
+        for run in world.runs(index, "req-1").await {
+            models.push(run["model"].as_str().unwrap_or_default().to_owned());
+        }
+    }
+    models.sort();
+    assert_eq!(models, ["large", "small"]);
+}
+
+#[actix_rt::test]
+async fn an_answer_to_another_request_is_not_delivered() {
+    let world = world("crossed").await;
+    world
+        .faults(&world.runner_url(0), &json!({"crossAnswers": 1}))
+        .await;
+    let request = world.request(Method::POST, "/switch/scene", "req-1");
+    let reply = world.send(request, "on").await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+}
+
+#[actix_rt::test]
+async fn an_address_that_another_upstream_took_over_runs_nothing() {
+    let world = world("reused").await;
+    // The registration names an upstream that is gone; app-1 has its address.
+    world.register("app-0", "app", 10).await;
+    for number in 0..8 {
+        let id = format!("req-{number}");
+        let request = world.request(Method::POST, "/switch/scene", &id);
+        let reply = world.send(request, "on").await;
+        assert_eq!(reply.status, StatusCode::OK);
+        assert_eq!(world.runs(0, &id).await.len(), 1);
+    }
+}
+
+#[actix_rt::test]
+async fn a_newer_configuration_is_in_force_also_after_the_history_was_dropped() {
+    let world = world("config").await;
+    world.post_store("/drop-history").await;
+    world.put("op", "config", &config(9, &["key-two"])).await;
+    world
+        .until(async |world| world.read("req-1").await == StatusCode::UNAUTHORIZED)
+        .await;
+    // An older one that is written later changes nothing.
+    world.put("op", "config", &config(7, &[API_KEY])).await;
+    let request = world
+        .request(Method::GET, "/read/a", "req-2")
+        .insert_header(("authorization", "Token key-two"));
+    assert_eq!(world.send(request, "").await.status, StatusCode::OK);
+}
+
+#[actix_rt::test]
+async fn a_store_that_is_down_stops_keys_in_time_and_is_found_again() {
+    let world = world("outage").await;
+    let store = world.store_url("");
+    world.faults(&store, &json!({"down": true})).await;
+    let request = world.request(Method::GET, "/read/a", "req-1");
+    assert_eq!(world.send(request, "").await.status, StatusCode::OK);
+    world
+        .until(async |world| world.read("req-2").await == StatusCode::SERVICE_UNAVAILABLE)
+        .await;
+    assert!(!world.is_ready().await);
+    let request = world.request(Method::GET, "/read/a", "req-3");
+    assert!(world.send(request, "").await.retry_after.is_some());
+    world.faults(&store, &json!({"down": false})).await;
+    world.until_ready().await;
+    let request = world.request(Method::GET, "/read/a", "req-4");
+    assert_eq!(world.send(request, "").await.status, StatusCode::OK);
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_is_gone_costs_a_read_nothing() {
+    let mut world = world("gone").await;
+    world.runner("app-2", "app", &[]).await;
+    world.until_ready().await;
+    world.stop_runner(0);
+    for number in 0..6 {
+        let request = world.request(Method::GET, "/read/a", &format!("req-{number}"));
+        assert_eq!(world.send(request, "").await.status, StatusCode::OK);
+    }
+}
+
+#[actix_rt::test]
+async fn the_metrics_tell_what_was_served() {
+    let world = world("metrics").await;
+    assert_eq!(world.read("req-1").await, StatusCode::OK);
+    let metrics = world.metrics().await;
+    let counted = "carawayrun_requests_total{outcome=\"answered\",status=\"200\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+    assert!(metrics.contains("carawayrun_config_version 5"), "{metrics}");
+    assert!(
+        metrics.contains("carawayrun_request_seconds_count 1"),
+        "{metrics}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_registration_that_is_not_usable_hides_no_other() {
+    let world = world("bad-row").await;
+    world.put("servers", "broken", &json!({"service": 7})).await;
+    world.put("servers", "odd", &json!("text")).await;
+    let request = world.request(Method::GET, "/read/a", "req-1");
+    assert_eq!(world.send(request, "").await.status, StatusCode::OK);
+}
+
+#[actix_rt::test]
+async fn a_relay_that_is_told_to_stop_says_so_first_and_ends_well() {
+    let mut world = world("stop").await;
+    world.relay().terminate();
+    world.until(async |world| !world.is_ready().await).await;
+    let request = world.request(Method::GET, "/read/a", "req-1");
+    assert_eq!(world.send(request, "").await.status, StatusCode::OK);
+    let begun = std::time::Instant::now();
+    while !world.relay().ended() {
+        assert!(
+            begun.elapsed().as_secs() < 8,
+            "the relay goes on after its grace"
+        );
+        actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(world.relay().exit_code(), Some(0));
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod history;
 mod manifest;
+pub(crate) mod platform;
 mod process;
 mod reach;
 mod relay;
--- /dev/null
+++ b/tests/testsuite/support/platform.rs
@@ -0,0 +1,274 @@
+//! A small world on the users' platform: its store, runners and one relay, as
+//! separate processes on loopback addresses of their own.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use awc::{Client, ClientRequest};
+use serde_json::{Value, json};
+
+use super::process::Process;
+
+/// Worlds of this process, each with addresses of its own.
+static WORLDS: AtomicU16 = AtomicU16::new(1);
+
+/// Time within which a condition must come to hold.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+
+pub(crate) const API_KEY: &str = "key-one";
+
+pub(crate) struct PlatformWorld {
+    dir: PathBuf,
+    /// First three numbers of its addresses.
+    net: String,
+    client: Client,
+    relay: Option<Process>,
+    _store: Process,
+    runners: Vec<Process>,
+}
+
+/// A client's answer, whole.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    /// None where the connection ended before its end.
+    pub(crate) body: Option<String>,
+    pub(crate) retry_after: Option<f64>,
+}
+
+impl PlatformWorld {
+    /// Starts the store and the relay; no configuration is there yet.
+    pub(crate) async fn start(name: &str) -> Self {
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id() % 250;
+        let net = format!("127.{}.{process}", 100 + number);
+        let dir = std::env::temp_dir().join(format!("carawayrun-{name}-{process}-{number}"));
+        std::fs::create_dir_all(&dir).expect("the world's folder can be made");
+        let store = lab(
+            &dir,
+            "store",
+            &["metadata", "--listen", &format!("{net}.1:7000")],
+        );
+        let client = Client::builder()
+            .timeout(PATIENCE)
+            .disable_redirects()
+            .finish();
+        let mut world = Self {
+            dir,
+            net,
+            client,
+            relay: None,
+            _store: store,
+            runners: Vec::new(),
+        };
+        let health = world.store_url("/health");
+        world
+            .until(async |world| world.answers(&health).await)
+            .await;
+        world.start_relay();
+        world
+    }
+
+    pub(crate) fn start_relay(&mut self) {
+        let path = self.dir.join("node.toml");
+        std::fs::write(&path, self.settings()).expect("settings can be written");
+        let args = ["relay", "--settings", &path.to_string_lossy()].map(String::from);
+        let program = Path::new(env!("CARGO_BIN_EXE_carawayrun"));
+        self.relay = Some(Process::spawn(&self.dir, "relay", program, &args));
+    }
+
+    pub(crate) fn relay(&mut self) -> &mut Process {
+        self.relay.as_mut().expect("the relay was started")
+    }
+
+    /// Starts a runner and registers it.
+    pub(crate) async fn runner(&mut self, id: &str, service: &str, more: &[&str]) {
+        let host = 10 + self.runners.len();
+        let addr = format!("{}.{host}:7000", self.net);
+        let mut args = vec!["runner", "--listen", &addr, "--id", id];
+        args.extend(more);
+        self.runners.push(lab(&self.dir, id, &args));
+        let health = format!("http://{addr}/health");
+        self.until(async |world| world.answers(&health).await).await;
+        self.register(id, service, host).await;
+    }
+
+    pub(crate) async fn register(&self, id: &str, service: &str, host: usize) {
+        let row = json!({
+            "service": service,
+            "address": format!("{}.{host}:7000", self.net),
+            "zone": "a", "version": "v1", "batch_slots": 8, "state": "ready",
+            "warmup_left_ms": 0, "sequence": 1, "born": 1_700_000_000_000_u64,
+        });
+        self.put("servers", id, &row).await;
+    }
+
+    pub(crate) fn stop_runner(&mut self, index: usize) {
+        self.runners[index].kill();
+    }
+
+    pub(crate) async fn put(&self, table: &str, key: &str, value: &Value) {
+        let url = self.store_url(&format!("/rows/{table}/{key}"));
+        let body = value.to_string();
+        let sent = self.client.put(url).send_body(body).await;
+        sent.expect("the store takes a row");
+    }
+
+    pub(crate) async fn post_store(&self, path: &str) {
+        let sent = self.client.post(self.store_url(path)).send().await;
+        sent.expect("the store takes a call");
+    }
+
+    pub(crate) async fn faults(&self, url: &str, faults: &Value) {
+        let sent = self.client.put(format!("{url}/faults"));
+        let sent = sent.send_body(faults.to_string()).await;
+        sent.expect("a stand-in takes its faults");
+    }
+
+    pub(crate) fn runner_url(&self, index: usize) -> String {
+        format!("http://{}.{}:7000", self.net, 10 + index)
+    }
+
+    pub(crate) fn store_url(&self, path: &str) -> String {
+        format!("http://{}.1:7000{path}", self.net)
+    }
+
+    /// Runs of a request id at a runner.
+    pub(crate) async fn runs(&self, index: usize, id: &str) -> Vec<Value> {
+        let url = format!("{}/effects", self.runner_url(index));
+        let mut answer = self.client.get(url).send().await.expect("a runner answers");
+        let body = answer.body().await.expect("its answer is whole");
+        let effects: Value = serde_json::from_slice(&body).expect("its answer is JSON");
+        effects[id].as_array().cloned().unwrap_or_default()
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        self.answers(&format!("http://{}.2:7002/v1/ready", self.net))
+            .await
+    }
+
+    /// Waits until the relay is ready and knows all registered runners.
+    pub(crate) async fn until_ready(&self) {
+        let line = format!("carawayrun_upstreams {}\n", self.runners.len());
+        self.until(async |world| world.is_ready().await && world.metrics().await.contains(&line))
+            .await;
+    }
+
+    /// The relay's metrics; empty where it is not there.
+    pub(crate) async fn metrics(&self) -> String {
+        let url = format!("http://{}.2:9464/metrics", self.net);
+        let Ok(mut answer) = self.client.get(url).send().await else {
+            return String::new();
+        };
+        let body = answer.body().await.unwrap_or_default();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
+    /// A client's request to the relay.
+    pub(crate) fn request(&self, method: Method, path: &str, id: &str) -> ClientRequest {
+        self.client
+            .request(method, format!("http://{}.2:7001{path}", self.net))
+            .insert_header(("host", "shop.example"))
+            .insert_header(("x-carawayrun-request-id", id))
+            .insert_header(("x-carawayrun-deadline-ms", "8000"))
+            .insert_header(("authorization", format!("Token {API_KEY}")))
+    }
+
+    pub(crate) async fn send(&self, request: ClientRequest, body: &'static str) -> Reply {
+        let mut answer = request.send_body(body).await.expect("the relay answers");
+        let retry_after = answer.headers().get("retry-after");
+        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+        let body = answer.body().await.ok();
+        Reply {
+            status: answer.status(),
+            body: body.map(|body| String::from_utf8_lossy(&body).into_owned()),
+            retry_after,
+        }
+    }
+
+    /// The status of an idempotent request.
+    pub(crate) async fn read(&self, id: &str) -> StatusCode {
+        let request = self.request(Method::GET, "/read/a", id);
+        self.send(request, "").await.status
+    }
+
+    /// Waits until `holds`, for a bounded time.
+    pub(crate) async fn until(&self, holds: impl AsyncFn(&Self) -> bool) {
+        let begun = std::time::Instant::now();
+        while !holds(self).await {
+            assert!(
+                begun.elapsed() < PATIENCE,
+                "a condition did not come to hold"
+            );
+            actix_rt::time::sleep(LOOK).await;
+        }
+    }
+
+    async fn answers(&self, url: &str) -> bool {
+        let answer = self.client.get(url).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    fn settings(&self) -> String {
+        let net = &self.net;
+        format!(
+            "node_name = \"edge-1\"\nip = \"{net}.2\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
+             new_field = \"ignored\"\n\
+             [listen]\nfrontend = \"{net}.2:7001\"\nreadiness = \"{net}.2:7002\"\n\
+             [limits]\nmax_fds = 4096\n\
+             [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
+             retry_ratio = 0.9\nretry_slack = 600\nretry_window_s = 10\n\
+             exposure_share = 0.15\nsession_s = 5\n\
+             [platform]\naddress = \"{net}.1:7000\"\n"
+        )
+    }
+}
+
+/// A configuration with a plain service `app` and an engine service `llm`.
+pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "hostname": "shop.example", "prefix": prefix, "route_type": kind,
+            "timeout_ms": 6000, "objective_ms": 1000, "priority": 1, "service": service,
+            "max_attempts": 3, "public": false, "stream_resume": true,
+        })
+    };
+    let mut stream = route("stream", "/stream/", "streaming", "llm");
+    stream["sizes"] = json!(["small", "large"]);
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "/read/", "safe", "app"),
+            route("switch", "/switch/", "unsafe", "app"),
+            stream,
+        ],
+        "services": [
+            {"name": "app", "health_path": "/health", "max_connections": 10},
+            {"name": "llm", "health_path": "/health", "max_connections": 10, "engine": {
+                "batch_slots": 8, "kv_capacity": 1000,
+                "models": [{"name": "small", "cost": 0.1}, {"name": "large", "cost": 1.0}],
+            }},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "shops", "api_keys": keys, "priority": 1}],
+    })
+}
+
+fn lab(dir: &Path, name: &str, args: &[&str]) -> Process {
+    let program = Path::new(env!("CARGO_BIN_EXE_carawayrun")).with_file_name("carawayrun-lab");
+    let args: Vec<String> = args.iter().copied().map(String::from).collect();
+    Process::spawn(dir, name, &program, &args)
+}
+
+impl Drop for PlatformWorld {
+    fn drop(&mut self) {
+        // What is left behind matters to nobody.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
