Take over changed settings, and divide the exchange and the reducer

The settings file is read again at SIGHUP and when it changes without one; bounds take effect at once, a mistake leaves those before in force. Behaviour of requests is as before.

--- a/src/bin/carawayrun/commands/relay.rs
+++ b/src/bin/carawayrun/commands/relay.rs
@@ -1,14 +1,19 @@
 //! `carawayrun relay`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
 
 use bpaf::Bpaf;
-use carawayrun::platform::{self, SETTINGS_VARIABLE};
-use carawayrun::relay::{self, RelaySettings};
+use carawayrun::platform;
+use carawayrun::relay::{self, Relay, RelaySettings};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::failure::Failure;
 
+/// How often the settings file is looked at: a change must be in force within
+/// seconds also where no signal tells of it.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
 /// Runs a gateway that reaches upstreams directly, on the users' platform
 ///
 /// The settings file is the one that the platform writes. SIGTERM or SIGINT
@@ -40,7 +45,6 @@
 }
 
 pub(crate) fn exec(options: &Options) -> Result<(), Failure> {
-    debug_assert_eq!(SETTINGS_VARIABLE, "CARAWAYRUN_SETTINGS");
     let settings = options.load()?;
     actix_rt::System::new().block_on(serve(options, settings))
 }
@@ -50,11 +54,20 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(Failure::failed)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Failure::failed)?;
     let relay = relay::bind(settings).map_err(Failure::failed)?;
+    let mut look = tokio::time::interval(LOOK_EVERY);
+    let mut seen = modified(&options.path);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(options),
+            _ = hangup.recv() => reload(options, &relay),
+            _ = look.tick() => {
+                let now = modified(&options.path);
+                if now != seen {
+                    seen = now;
+                    reload(options, &relay);
+                }
+            }
         }
     }
     let cut = relay.drain().await;
@@ -66,11 +79,17 @@
     )))
 }
 
-// Bounds are read at start; a changed file is checked, so that an operator sees
-// a mistake before the next start.
-fn reload(options: &Options) {
+fn reload(options: &Options, relay: &Relay) {
     match options.load() {
-        Ok(_) => tracing::info!("settings read again; changes take effect at the next start"),
+        Ok(settings) => relay.reload(settings),
         Err(error) => tracing::error!(%error, "settings not usable; those before stay in force"),
     }
 }
+
+// The platform may change the file without a signal.
+fn modified(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path)
+        .and_then(|metadata| metadata.modified())
+        .inspect_err(|error| tracing::warn!(%error, "settings file not found"))
+        .ok()
+}
--- a/src/carawayrun/platform/mod.rs
+++ b/src/carawayrun/platform/mod.rs
@@ -20,5 +20,5 @@
 pub(crate) use self::rollout::ordered_service;
 pub use self::rollout::{note, order, status};
 pub use self::servers::{RegistrationError, upstream};
-pub use self::settings::{SETTINGS_VARIABLE, SettingsError, load};
+pub use self::settings::{SettingsError, load};
 pub use self::store::{Keyspace, StoreClient};
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -10,9 +10,6 @@
 
 use crate::relay::RelaySettings;
 
-/// Environment variable that holds the path of the settings file.
-pub const SETTINGS_VARIABLE: &str = "CARAWAYRUN_SETTINGS";
-
 /// A settings file that can't be used.
 #[derive(Debug)]
 #[derive(Snafu)]
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -286,7 +286,7 @@
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
         let name = host.split(':').next().unwrap_or_default();
         let host = CompactString::from(name.to_ascii_lowercase());
-        let limit = self.traffic.settings.revocation_limit;
+        let limit = self.traffic.settings().revocation_limit;
         let admitted = self.traffic.fleet(&view, |_, rng| {
             admit(&view, ask, &host, head.uri.path(), now, limit, rng)
         })?;
--- a/src/carawayrun/relay/control.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -1,6 +1,8 @@
 //! The reducer of a relay: what the store says goes in, what to publish and to
 //! write comes out. It does no I/O and reads no clock.
 
+mod rollout;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,10 +11,11 @@
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
+use self::rollout::Rollout;
 use super::catalog::Catalog;
 use super::readers::Confirmation;
-use super::rollout::{self, Comparison, Order, Outcomes, Phase, RolloutRow, Seen};
-use super::view::{OutcomesView, RolloutView, Upstream, UpstreamKey, View};
+use super::rollout::{Order, Outcomes, RolloutRow, Seen};
+use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 
 /// Time after an outage of the store in which registrations that lapsed
 /// meanwhile may still come back.
@@ -62,6 +65,13 @@
     TableRead(u32, Confirmation),
     /// Where the other gateways take reports was read.
     GatewaysRead(Vec<SocketAddr>),
+    /// The bounds of the settings, which may have changed.
+    Bounded {
+        /// Share of a service's requests that a bad version may get.
+        exposure_share: f64,
+        /// Time after which a leaving upstream must get no new work.
+        drain_limit: Duration,
+    },
     /// Time passed.
     Tick {
         /// The store's clock, where it is known.
@@ -78,24 +88,6 @@
     MoveRollout(RolloutRow, u64),
 }
 
-#[derive(Debug)]
-struct Rollout {
-    order: Order,
-    /// The row in the store, with its version; none before it was read.
-    row: Option<(RolloutRow, u64)>,
-    /// When the row of this order was first read.
-    begun_at: Duration,
-    /// Own outcomes by version when the order was read.
-    before: FxHashMap<CompactString, Outcomes>,
-    own: Seen,
-    /// When the own outcomes were last taken in.
-    seen_at: Duration,
-    others: FxHashMap<CompactString, Seen>,
-    /// True once the evidence seen here was enough to withdraw it, also before
-    /// the store knows.
-    is_bad: bool,
-}
-
 /// What a relay believes.
 #[derive(Debug)]
 pub struct State {
@@ -191,6 +183,13 @@
                     self.publish(&mut effects);
                 }
             }
+            Event::Bounded {
+                exposure_share,
+                drain_limit,
+            } => {
+                self.exposure_share = exposure_share;
+                self.drain_limit = drain_limit;
+            }
             Event::Tick { store_now } => self.tick(now, store_now, &mut effects),
         }
         effects
@@ -433,133 +432,6 @@
     }
 }
 
-impl Rollout {
-    fn current(&self) -> Option<&(RolloutRow, u64)> {
-        self.row
-            .as_ref()
-            .filter(|(row, _)| row.order == self.order.version)
-    }
-
-    fn is_open(&self) -> bool {
-        self.current().is_none_or(|(row, _)| row.phase.is_open())
-    }
-
-    fn view(&self, exposure_share: f64) -> RolloutView {
-        // Before the roll-out has begun the new version takes nothing.
-        let phase = self.current().map(|(row, _)| row.phase);
-        let phase = phase.map(|phase| match phase {
-            Phase::Canary | Phase::Spread if self.is_bad => Phase::Reverted,
-            phase => phase,
-        });
-        RolloutView {
-            service: self.order.service.clone(),
-            to: self.order.to.clone(),
-            share: phase.map_or(0.0, |phase| rollout::share(phase, exposure_share)),
-            withdrawn: self.withdrawn(),
-            begun_at: self.begun_at,
-        }
-    }
-
-    fn withdrawn(&self) -> Vec<CompactString> {
-        let row = self.row.as_ref();
-        let mut versions = row.map(|(row, _)| row.all_withdrawn()).unwrap_or_default();
-        if self.current().is_none() {
-            versions.retain(|version| *version != self.order.to);
-        }
-        let is_open = self.current().is_some_and(|(row, _)| row.phase.is_open());
-        if self.is_bad && is_open {
-            versions.push(self.order.to.clone());
-        }
-        versions
-    }
-
-    fn outcomes(&self) -> OutcomesView {
-        OutcomesView {
-            service: self.order.service.clone(),
-            order: self.order.version,
-            seen: self.own,
-        }
-    }
-
-    // Own outcomes since the order, by old and new version.
-    fn compare(
-        &self,
-        outcomes: &FxHashMap<(CompactString, CompactString), Outcomes>,
-    ) -> Comparison {
-        let mut all = Comparison::default();
-        for ((service, version), seen) in outcomes {
-            if *service != self.order.service {
-                continue;
-            }
-            let before = self.before.get(version).copied().unwrap_or_default();
-            let since = Outcomes {
-                answered: seen.answered - before.answered,
-                failed: seen.failed - before.failed,
-                slow: seen.slow - before.slow,
-            };
-            if *version == self.order.to {
-                all.new.add(&since);
-            } else {
-                all.old.add(&since);
-            }
-        }
-        all
-    }
-
-    // Withdraws a bad version at this gateway, whether or not the store is
-    // there; true where that is news.
-    fn judge(&mut self) -> bool {
-        let is_open = self.current().is_some_and(|(row, _)| row.phase.is_open());
-        let is_news = is_open && !self.is_bad && self.seen().is_bad();
-        self.is_bad |= is_news;
-        is_news
-    }
-
-    fn seen(&self) -> Seen {
-        let mut sum = self.own;
-        for other in self.others.values() {
-            sum.add(other);
-        }
-        sum
-    }
-
-    fn tick(&mut self, store_now: Option<Duration>, turn: Duration) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let version = self.row.as_ref().map_or(0, |(_, version)| *version);
-        let Some(now) = store_now else {
-            return effects;
-        };
-        let Some((row, _)) = self.current() else {
-            let before = self.row.as_ref().map(|(row, _)| row);
-            let row = rollout::begin(&self.order, before, now);
-            return vec![Effect::MoveRollout(row, version)];
-        };
-        // The turns are apart, so that mostly one gateway writes; evidence
-        // against a version is acted on at once.
-        let seen = self.seen();
-        let phase = rollout::due(&self.order, row, &seen, now.saturating_sub(turn));
-        if let Some(phase) = phase {
-            let mut row = row.clone();
-            row.phase = phase;
-            tracing::info!(
-                service = %row.service,
-                to = %row.to,
-                phase = ?phase,
-                new_answered = seen.all.new.answered,
-                new_failed = seen.all.new.failed,
-                new_slow = seen.all.new.slow,
-                old_answered = seen.all.old.answered,
-                old_failed = seen.all.old.failed,
-                old_slow = seen.all.old.slow,
-                gateways = self.others.len() + 1,
-                "roll-out is due to move on"
-            );
-            effects.push(Effect::MoveRollout(row, version));
-        }
-        effects
-    }
-}
-
 // A gateway's turn: a delay that differs between gateways.
 fn turn(node: &str) -> Duration {
     let sum = node.bytes().fold(7_u32, |sum, byte| {
--- /dev/null
+++ b/src/carawayrun/relay/exchange/silence.rs
@@ -0,0 +1,59 @@
+//! Whether an engine that is silent still has a request.
+
+use std::time::Duration;
+
+use actix_http::ServiceConfig;
+use snafu::{ResultExt, Snafu};
+use tokio::time::timeout;
+
+use super::Exchange;
+use super::answer::read_whole;
+use super::attempt::CONNECT_TIMEOUT;
+use crate::platform;
+use crate::relay::catalog::Route;
+use crate::relay::message::EngineReport;
+use crate::relay::view::Upstream;
+use crate::relay::wire::{Wire, WireError};
+
+/// Time for an engine to tell its load: it needs no slot for that.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// An upstream's report that was not to be had.
+#[derive(Debug)]
+#[derive(Snafu)]
+enum ReportError {
+    #[snafu(display("{source}"))]
+    Wire { source: WireError },
+    #[snafu(display("report not readable: {source}"))]
+    Unreadable { source: serde_json::Error },
+}
+
+impl Exchange<'_> {
+    // Asks an engine that is silent whether it has the request in its queue. To
+    // send it elsewhere then would only add to the load, at the end of another one.
+    pub(super) async fn still_has(&self, upstream: &Upstream, route: &Route) -> bool {
+        if !route.kind.is_stream() {
+            return false;
+        }
+        let config = &self.traffic.config;
+        let report = timeout(REPORT_TIMEOUT, ask_report(upstream, config)).await;
+        self.traffic.metrics.reports.inc();
+        let has = matches!(&report, Ok(Ok(report)) if report.may_have(&self.ask.id));
+        tracing::info!(request = %self.ask.id, upstream = %upstream.name, has, ?report, "silent upstream asked");
+        has
+    }
+}
+
+async fn ask_report(
+    upstream: &Upstream,
+    config: &ServiceConfig,
+) -> Result<EngineReport, ReportError> {
+    let mut wire = Wire::connect(upstream.addr, CONNECT_TIMEOUT, config)
+        .await
+        .context(WireSnafu)?;
+    let head = platform::report_request(upstream);
+    wire.start(head, b"").context(WireSnafu)?;
+    wire.head().await.context(WireSnafu)?;
+    let body = read_whole(&mut wire).await.context(WireSnafu)?;
+    platform::read_report(&body).context(UnreadableSnafu)
+}
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -57,7 +57,7 @@
 
 /// Everything on the control thread; its tasks share it.
 struct Control {
-    settings: RelaySettings,
+    settings: Arc<RelaySettings>,
     store: StoreClient,
     state: RefCell<State>,
     shared: Shared,
@@ -71,7 +71,8 @@
 }
 
 /// Follows the store until the process ends.
-pub(super) async fn run(settings: RelaySettings, shared: Shared) {
+pub(super) async fn run(shared: Shared) {
+    let settings = shared.settings.load_full();
     let control = Rc::new(Control {
         store: StoreClient::new(settings.store),
         state: RefCell::new(State::new(
--- a/src/carawayrun/relay/follow/registrations.rs
+++ b/src/carawayrun/relay/follow/registrations.rs
@@ -24,9 +24,10 @@
 
 impl Control {
     pub(super) async fn follow_registrations(self: Rc<Self>) {
-        let pace = self.settings.drain_limit.div_f64(READS_PER_DRAIN);
         let mut version = None;
         loop {
+            let drain_limit = self.shared.settings.load().drain_limit;
+            let pace = drain_limit.div_f64(READS_PER_DRAIN);
             let Some(after) = version else {
                 version = self.read_registrations().await;
                 continue;
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -95,6 +95,11 @@
             if self.state.borrow().has_open_rollout() {
                 self.handle(Event::OutcomesSeen(self.shared.outcomes()));
             }
+            let settings = self.shared.settings.load_full();
+            self.handle(Event::Bounded {
+                exposure_share: settings.exposure_share,
+                drain_limit: settings.drain_limit,
+            });
             let store_now = self.store_now();
             for effect in self.reduce(Event::Tick { store_now }) {
                 match effect {
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -84,10 +84,10 @@
 
 async fn report(socket: Rc<UdpSocket>, traffic: Rc<Traffic>) {
     let node = Node {
-        name: traffic.settings.node.to_string(),
+        name: traffic.settings().node.to_string(),
         incarnation: boot_clock::now().as_nanos() as u64,
     };
-    let own = traffic.settings.peer_listen;
+    let own = traffic.settings().peer_listen;
     let mut number = 0;
     loop {
         number += 1;
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -57,7 +57,7 @@
 pub use self::serve::{BindError, Relay, bind};
 
 /// How a relay is set up.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct RelaySettings {
     /// Name of the host.
     pub node: CompactString,
@@ -94,3 +94,16 @@
     /// Descriptors that the process may have open.
     pub max_descriptors: u32,
 }
+
+impl RelaySettings {
+    // What can't change while the process runs.
+    fn addresses(&self) -> [SocketAddr; 5] {
+        [
+            self.listen,
+            self.ready_listen,
+            self.metrics_listen,
+            self.peer_listen,
+            self.store,
+        ]
+    }
+}
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -25,7 +25,7 @@
 /// True where the balancer may send clients here.
 pub(super) fn is_ready(traffic: &Traffic) -> bool {
     let view = traffic.view();
-    let limit = traffic.settings.revocation_limit.mul_f64(READY_PART);
+    let limit = traffic.settings().revocation_limit.mul_f64(READY_PART);
     traffic.draining.get().is_none()
         && !view.upstreams.is_empty()
         && is_current(&view, boot_clock::now(), limit)
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -59,22 +59,28 @@
     let what = "reports";
     let addr = settings.peer_listen;
     let reports = UdpSocket::bind(addr).context(BindSnafu { what, addr })?;
-    let shared = Shared::default();
-    spawn_control(&settings, &shared);
+    let shared = Shared::new(settings);
+    spawn_control(&shared);
     let what = "readiness";
-    let addr = settings.ready_listen;
-    let traffic = Rc::new(Traffic::new(settings, shared));
+    let traffic = Rc::new(Traffic::new(shared));
+    let addr = traffic.settings().ready_listen;
     probe::serve_readiness(prober, Rc::clone(&traffic)).context(BindSnafu { what, addr })?;
     probe::serve_metrics(scraper, Rc::clone(&traffic)).context(BindSnafu { what, addr })?;
-    let (what, addr) = ("reports", traffic.settings.peer_listen);
+    let (what, addr) = ("reports", traffic.settings().peer_listen);
     gossip::start(reports, &traffic).context(BindSnafu { what, addr })?;
     actix_rt::spawn(accept(clients, Rc::clone(&traffic)));
-    let node = &traffic.settings.node;
-    tracing::info!(%node, listen = %traffic.settings.listen, "relay started");
+    let settings = traffic.settings();
+    tracing::info!(node = %settings.node, listen = %settings.listen, "relay started");
     Ok(Relay { traffic })
 }
 
 impl Relay {
+    /// Takes over changed settings. Bounds take effect at once; an address needs
+    /// a restart, which is logged.
+    pub fn reload(&self, settings: RelaySettings) {
+        self.traffic.reload(settings);
+    }
+
     /// Stops: says that it is not ready, ends what is under way, and returns
     /// when nothing is left or the grace is over. Returns the requests cut off.
     pub async fn drain(&self) -> usize {
@@ -82,7 +88,7 @@
         let traffic = &self.traffic;
         traffic.draining.set(Some(begun));
         tracing::info!(active = traffic.active.get(), "relay drains");
-        let limit = traffic.settings.grace.saturating_sub(EXIT_MARGIN);
+        let limit = traffic.settings().grace.saturating_sub(EXIT_MARGIN);
         loop {
             sleep(DRAIN_CHECK).await;
             let is_done = begun.elapsed() >= DRAIN_ACCEPTS && traffic.active.get() == 0;
@@ -100,17 +106,16 @@
 impl std::fmt::Debug for Relay {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Relay")
-            .field("settings", &self.traffic.settings)
+            .field("settings", &self.traffic.settings())
             .finish_non_exhaustive()
     }
 }
 
-fn spawn_control(settings: &RelaySettings, shared: &Shared) {
-    let settings = settings.clone();
+fn spawn_control(shared: &Shared) {
     let shared = shared.clone();
     std::thread::Builder::new()
         .name("control".into())
-        .spawn(move || actix_rt::System::new().block_on(follow::run(settings, shared)))
+        .spawn(move || actix_rt::System::new().block_on(follow::run(shared)))
         .expect("the system can start a thread");
 }
 
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -41,8 +41,9 @@
 pub(super) type Told = Arc<Mutex<FxHashMap<CompactString, News>>>;
 
 /// What the two threads of a relay have in common.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct Shared {
+    pub(super) settings: Arc<ArcSwap<RelaySettings>>,
     pub(super) view: Arc<ArcSwap<View>>,
     pub(super) evidence: Evidence,
     pub(super) told: Told,
@@ -56,6 +57,19 @@
 }
 
 impl Shared {
+    pub(super) fn new(settings: RelaySettings) -> Self {
+        Self {
+            settings: Arc::new(ArcSwap::from_pointee(settings)),
+            view: Arc::default(),
+            evidence: Arc::default(),
+            told: Arc::default(),
+            published: Arc::default(),
+            heard: Arc::default(),
+            gateways: Arc::default(),
+            metrics: Arc::default(),
+        }
+    }
+
     /// Outcomes of all services and versions since the start.
     pub(super) fn outcomes(&self) -> Vec<(CompactString, CompactString, Outcomes)> {
         let evidence = self.evidence.lock().expect("no holder of the lock panics");
@@ -73,7 +87,6 @@
 
 /// State of the traffic thread.
 pub(super) struct Traffic {
-    pub(super) settings: RelaySettings,
     pub(super) metrics: Arc<Metrics>,
     pub(super) config: ServiceConfig,
     pub(super) draining: Cell<Option<Instant>>,
@@ -93,12 +106,12 @@
 }
 
 impl Traffic {
-    pub(super) fn new(settings: RelaySettings, shared: Shared) -> Self {
-        let sessions = RefCell::new(Sessions::new(settings.session_gap));
+    pub(super) fn new(shared: Shared) -> Self {
+        let session_gap = shared.settings.load().session_gap;
+        let sessions = RefCell::new(Sessions::new(session_gap));
         Self {
             sessions,
             last_news: RefCell::default(),
-            settings,
             metrics: Arc::clone(&shared.metrics),
             config: ServiceConfig::default(),
             draining: Cell::new(None),
@@ -114,6 +127,26 @@
         }
     }
 
+    /// The settings in force.
+    pub(super) fn settings(&self) -> Arc<RelaySettings> {
+        self.shared.settings.load_full()
+    }
+
+    /// Takes over changed settings; addresses stay as they are until a restart.
+    pub(super) fn reload(&self, settings: RelaySettings) {
+        let before = self.settings();
+        if settings == *before {
+            return;
+        }
+        let needs_restart = settings.addresses() != before.addresses();
+        tracing::info!(
+            needs_restart,
+            "settings changed; bounds take effect at once"
+        );
+        self.budgets.borrow_mut().clear();
+        self.shared.settings.store(Arc::new(settings));
+    }
+
     pub(super) fn view(&self) -> Arc<View> {
         self.shared.view.load_full()
     }
@@ -203,7 +236,7 @@
     fn budget<T>(&self, service: &str, f: impl FnOnce(&mut RepeatBudget, Duration) -> T) -> T {
         let now = self.now();
         let mut budgets = self.budgets.borrow_mut();
-        let settings = &self.settings;
+        let settings = self.settings();
         let budget = budgets.entry(service.into()).or_insert_with(|| {
             RepeatBudget::new(
                 settings.retry_ratio,
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -232,3 +232,16 @@
     }
     assert_eq!(world.relay().exit_code(), Some(0));
 }
+
+#[actix_rt::test]
+async fn changed_settings_are_taken_over_with_and_without_a_signal() {
+    let mut world = world("settings").await;
+    world.change_settings("revoke_ms = 5000", "revoke_ms = 6000");
+    world.until_logged("settings changed").await;
+    world.change_settings("grace_s = 8", "grace_s = 0");
+    world.relay().hang_up();
+    world
+        .until_logged("bounds.grace_s` must be more than zero")
+        .await;
+    assert_eq!(world.read("req-1").await, StatusCode::OK);
+}
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -82,6 +82,23 @@
         self.relay = Some(Process::spawn(&self.dir, "relay", program, &args));
     }
 
+    pub(crate) fn change_settings(&self, from: &str, to: &str) {
+        let path = self.dir.join("node.toml");
+        let text = std::fs::read_to_string(&path).expect("settings can be read");
+        assert!(text.contains(from), "{text}");
+        std::fs::write(&path, text.replace(from, to)).expect("settings can be written");
+    }
+
+    /// Waits until the relay has logged a text.
+    pub(crate) async fn until_logged(&self, text: &str) {
+        let path = self.dir.join("relay.log");
+        self.until(async |_| {
+            let log = std::fs::read_to_string(&path).unwrap_or_default();
+            log.contains(text)
+        })
+        .await;
+    }
+
     pub(crate) fn relay(&mut self) -> &mut Process {
         self.relay.as_mut().expect("the relay was started")
     }
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -43,6 +43,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells it that its settings changed.
+    pub(crate) fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops its threads until [`Process::wake`].
     pub(crate) fn freeze(&self) {
         self.signal(Signal::STOP);
