Wait for a slow answer where there is no other upstream

Ruled out: a dead upstream (its next requests were answered).

Change: before an upstream counts as silent, there must be another one to try. The test fails before.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -133,6 +133,7 @@
         let answered = loop {
             match timeout(patience, wire.head()).await {
                 Ok(answered) => break Some(answered),
+                Err(_) if !self.has_alternative(route, course, key, upstream) => {}
                 Err(_) if asked < MAX_ASKED && self.still_has(upstream, route).await => asked += 1,
                 Err(_) => break None,
             }
@@ -176,6 +177,21 @@
         }))
     }
 
+    // Without another upstream to try, a late answer is better than none.
+    fn has_alternative(
+        &self,
+        route: &Route,
+        course: &Course,
+        key: UpstreamKey,
+        upstream: &Upstream,
+    ) -> bool {
+        let mut excluded = course.excluded.clone();
+        excluded.push(key);
+        let view = self.traffic.view();
+        let next = self.pick(&view, route, course, &excluded, &upstream.service);
+        next.is_some()
+    }
+
     // How long the head of an answer may take before another upstream is tried;
     // the whole time where it can't be tried again.
     fn patience(&self, route: &Route, course: &Course) -> Duration {
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -150,7 +150,7 @@
                 return self.give_up(course, responder).await;
             }
             let view = self.traffic.view();
-            let Some(key) = self.pick(&view, route, course, service) else {
+            let Some(key) = self.pick(&view, route, course, &course.excluded, service) else {
                 return self.give_up(course, responder).await;
             };
             let is_paid = course.sends == 0 || std::mem::take(&mut course.is_paid);
@@ -206,6 +206,7 @@
         view: &View,
         route: &Route,
         course: &Course,
+        excluded: &[UpstreamKey],
         service: &str,
     ) -> Option<UpstreamKey> {
         let model = self.model(course);
@@ -230,7 +231,7 @@
             version: course.version.as_deref(),
             part,
             shared_ms,
-            excluded: &course.excluded,
+            excluded,
             may_be_paused: route.kind != RouteKind::Once || course.sends == 0,
         };
         let now = self.traffic.now();
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -145,7 +145,7 @@
             let catalog = Arc::clone(&self.admitted.catalog);
             let service = self.service(&catalog);
             let view = self.traffic.view();
-            let Some(key) = self.pick(&view, route, course, service) else {
+            let Some(key) = self.pick(&view, route, course, &course.excluded, service) else {
                 return Err(self.cut(course, responder).await);
             };
             if !self.traffic.may_repeat(service, Cause::Failure) {
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -180,6 +180,17 @@
     assert_eq!(world.send(request, "").await.status, StatusCode::OK);
 }
 
+// Seen in the recorded day of mwlsa-lathe: requests failed after three
+// objectives though the only upstream answered a little later.
+#[actix_rt::test]
+async fn a_slow_answer_is_waited_for_where_there_is_no_other_upstream() {
+    let world = world("slow").await;
+    let slow = json!({"slowMs": 3500});
+    world.faults(&world.runner_url(0), &slow).await;
+    assert_eq!(world.read("req-1").await, StatusCode::OK);
+    assert_eq!(world.runs(0, "req-1").await.len(), 1);
+}
+
 #[actix_rt::test]
 async fn an_upstream_that_is_gone_costs_a_read_nothing() {
     let mut world = world("gone").await;
