Test the translation, bound clients' connections, drop what is not used

The adapter's reading of requests, answers, registrations, configurations and settings is tested by itself. Clients' connections take six tenths of the descriptors at most; more wait in the backlog. A stream goes on only with an answer that is the upstream's own (it was not looked at before). Settings and fields of the catalog that nothing read are gone.

--- a/src/carawayrun/platform/config.rs
+++ b/src/carawayrun/platform/config.rs
@@ -8,7 +8,7 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::relay::catalog::{
-    Catalog, Engine, Limits, Route, RouteKind, Service, ServiceKey, Target, Team, TeamKey,
+    Catalog, Limits, Route, RouteKind, Service, ServiceKey, Target, Team, TeamKey,
 };
 use crate::store::table::Row;
 
@@ -84,24 +84,8 @@
 #[derive(Deserialize)]
 struct WireService {
     name: CompactString,
-    #[serde(default)]
-    max_connections: u32,
-    engine: Option<WireEngine>,
-}
-
-#[derive(Deserialize)]
-struct WireEngine {
-    #[serde(default)]
-    kv_capacity: u64,
-    #[serde(default)]
-    models: Vec<WireModel>,
-}
-
-#[derive(Deserialize)]
-struct WireModel {
-    name: CompactString,
-    #[serde(default)]
-    cost: f64,
+    /// Present where its runners are model engines.
+    engine: Option<serde::de::IgnoredAny>,
 }
 
 #[derive(Deserialize)]
@@ -209,15 +193,7 @@
 fn service(wire: WireService) -> Service {
     Service {
         name: wire.name,
-        max_connections: wire.max_connections,
-        engine: wire.engine.map(|engine| Engine {
-            kv_tokens: engine.kv_capacity,
-            model_costs: engine
-                .models
-                .into_iter()
-                .map(|model| (model.name, model.cost))
-                .collect(),
-        }),
+        has_engines: wire.engine.is_some(),
     }
 }
 
--- a/src/carawayrun/platform/mod.rs
+++ b/src/carawayrun/platform/mod.rs
@@ -11,6 +11,8 @@
 mod servers;
 mod settings;
 mod store;
+#[cfg(test)]
+mod tests;
 
 pub use self::config::{ConfigError, catalog};
 pub use self::headers::{
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -73,7 +73,6 @@
     grace_s: f64,
     drain_ms: f64,
     revoke_ms: f64,
-    contact_ms: f64,
     /// Absent where no roll-outs are made.
     #[serde(default = "default_exposure")]
     exposure_share: f64,
@@ -136,7 +135,6 @@
         (bounds.grace_s > 0.0, "bounds.grace_s", SECONDS),
         (bounds.drain_ms > 0.0, "bounds.drain_ms", SECONDS),
         (bounds.revoke_ms > 0.0, "bounds.revoke_ms", SECONDS),
-        (bounds.contact_ms > 0.0, "bounds.contact_ms", SECONDS),
         (
             bounds.retry_window_s > 0.0,
             "bounds.retry_window_s",
@@ -179,7 +177,6 @@
         grace: Duration::from_secs_f64(bounds.grace_s),
         drain_limit: millis(bounds.drain_ms),
         revocation_limit: millis(bounds.revoke_ms),
-        contact: millis(bounds.contact_ms),
         exposure_share: bounds.exposure_share,
         retry_ratio: bounds.retry_ratio,
         retry_slack: bounds.retry_slack,
--- /dev/null
+++ b/src/carawayrun/platform/tests.rs
@@ -0,0 +1,188 @@
+//! Tests of the translation.
+
+use std::time::Duration;
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+use serde_json::json;
+use test_case::test_case;
+
+use super::{Outbound, answer, catalog, inbound, load, order, outbound, upstream};
+use crate::relay::catalog::RouteKind;
+use crate::relay::message::Claim;
+use crate::store::table::Row;
+
+fn row(key: &str, value: &serde_json::Value) -> Row {
+    Row {
+        key: key.into(),
+        version: 3,
+        value: serde_json::value::to_raw_value(value).unwrap(),
+    }
+}
+
+fn request(headers: &[(&'static str, &'static str)]) -> RequestHead {
+    let mut head = RequestHead::default();
+    for (name, value) in headers {
+        let name = HeaderName::from_static(name);
+        head.headers.append(name, HeaderValue::from_static(value));
+    }
+    head
+}
+
+#[test]
+fn a_request_is_read() {
+    let head = request(&[
+        ("x-carawayrun-request-id", "r-1"),
+        ("authorization", "Token key"),
+        ("x-carawayrun-deadline-ms", "2500"),
+        ("x-carawayrun-token-count", "1460,80"),
+        (
+            "x-carawayrun-prompt-prefix",
+            "5c1e:800,91bd:410, broken,e440:250",
+        ),
+    ]);
+    let ask = inbound(&head).ask;
+    assert_eq!(ask.id, "r-1");
+    assert_eq!(ask.api_key.as_deref(), Some("key"));
+    assert_eq!(ask.deadline, Some(Duration::from_millis(2_500)));
+    assert_eq!((ask.prompt_tokens, ask.output_tokens), (1_460, 80));
+    let parts: Vec<_> = ask.prefixes.iter().map(|part| part.tokens).collect();
+    assert_eq!(parts, [800, 410, 250]);
+}
+
+#[test_case("x-carawayrun-tenant"; "the team")]
+#[test_case("x-carawayrun-hold"; "a reservation")]
+#[test_case("x-carawayrun-pin-ms"; "a pin")]
+#[test_case("x-carawayrun-kv-backup"; "a backup")]
+#[test_case("kv-from"; "another run's memory")]
+#[test_case("kv-fetch"; "another engine's memory")]
+#[test_case("x-carawayrun-expect-instance"; "an upstream")]
+#[test_case("authorization"; "the key")]
+#[test_case("connection"; "a header of one connection")]
+#[test_case("x-private"; "a header that Connection names")]
+fn what_a_client_may_not_set_is_not_passed_on(name: &'static str) {
+    let head = request(&[(name, "x-private"), ("connection", "close, x-private")]);
+    assert!(inbound(&head).headers.get(name).is_none());
+}
+
+#[test]
+fn a_client_cannot_take_the_request_id_away() {
+    let head = request(&[
+        ("x-carawayrun-request-id", "r-1"),
+        ("connection", "x-carawayrun-request-id"),
+    ]);
+    assert!(
+        inbound(&head)
+            .headers
+            .contains_key("x-carawayrun-request-id")
+    );
+}
+
+#[test]
+fn what_the_gateway_sets_replaces_what_came() {
+    let head = request(&[("x-carawayrun-model", "*"), ("last-event-id", "2")]);
+    let set = Outbound {
+        upstream: "i-1",
+        team: Some("shops"),
+        left: Duration::from_micros(1_500),
+        model: Some("small"),
+        urgency: Some(4),
+        resume_after: Some("7"),
+    };
+    let passed = outbound(&head, &inbound(&head).headers, &set);
+    let text = |name| passed.headers.get(name).unwrap().to_str().unwrap();
+    assert_eq!(text("x-carawayrun-expect-instance"), "i-1");
+    assert_eq!(text("x-carawayrun-tenant"), "shops");
+    assert_eq!(text("x-carawayrun-deadline-ms"), "1");
+    assert_eq!(text("x-carawayrun-model"), "small");
+    assert_eq!(text("x-carawayrun-request-priority"), "4");
+    assert_eq!(text("last-event-id"), "7");
+}
+
+#[test_case(503, Some("x-carawayrun-not-executed"), Claim::NotRun; "its own word")]
+#[test_case(421, None, Claim::NotRun; "another upstream")]
+#[test_case(503, None, Claim::MayHaveRun; "a failure without a word")]
+#[test_case(200, None, Claim::MayHaveRun; "a success")]
+fn whether_a_request_ran(status: u16, header: Option<&'static str>, expected: Claim) {
+    let mut head = ResponseHead::new(StatusCode::from_u16(status).unwrap());
+    if let Some(name) = header {
+        let name = HeaderName::from_static(name);
+        head.headers.insert(name, HeaderValue::from_static("1"));
+    }
+    assert_eq!(answer(&head).claim, expected);
+}
+
+#[test_case(&json!({"service": "a"}); "fields are missing")]
+#[test_case(&json!({"service": 7, "address": "10.0.0.1:80", "zone": "a", "version": "v1", "batch_slots": 4, "state": "ready"}); "a field of another type")]
+#[test_case(&json!({"service": "a", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "batch_slots": 4, "state": "odd"}); "an unknown state")]
+#[test_case(&json!("text"); "not an object")]
+fn a_registration_that_is_not_usable_names_nobody(value: &serde_json::Value) {
+    let read = upstream(&row("i-1", value));
+    let error = read.unwrap_err().to_string();
+    assert!(error.contains("i-1"), "{error}");
+}
+
+#[test]
+fn a_configuration_is_read() {
+    let value = json!({
+        "version": 7, "later": true,
+        "routes": [
+            {"name": "long", "hostname": "A.example", "prefix": "/a/b/", "route_type": "streaming",
+             "stream_resume": true, "timeout_ms": 100, "service": "s"},
+            {"name": "short", "hostname": "a.example", "prefix": "/a/", "route_type": "new-kind",
+             "timeout_ms": 100, "backends": [{"service": "s", "weight": 0}, {"service": "t", "weight": 5}]},
+        ],
+        "services": [{"name": "s", "engine": {}}, {"name": "t"}],
+        "limits": {"max_header_bytes": 1, "max_body_bytes": 2, "header_timeout_ms": 3, "idle_timeout_ms": 4},
+        "tenants": [{"name": "team", "api_keys": ["k1", "k2"], "priority": 2}],
+    });
+    let catalog = catalog(&row("config", &value)).unwrap().unwrap();
+    let long = catalog.find("a.example", "/a/b/c").unwrap();
+    let short = catalog.find("a.example", "/a/c").unwrap();
+    assert_eq!(catalog.route(long).name, "long");
+    assert_eq!(
+        catalog.route(long).kind,
+        RouteKind::Stream { resumable: true }
+    );
+    // What may be repeated must be said.
+    assert_eq!(catalog.route(short).kind, RouteKind::Once);
+    assert_eq!(catalog.find("a.example", "/b/"), None);
+    assert_eq!(catalog.team(catalog.api_keys["k2"]).name, "team");
+    assert!(catalog.services[0].has_engines);
+}
+
+#[test]
+fn a_route_without_a_known_service_makes_a_configuration_unusable() {
+    let value = json!({
+        "version": 7, "services": [],
+        "routes": [{"name": "lost", "hostname": "a", "prefix": "/", "route_type": "safe",
+                    "timeout_ms": 1, "service": "nobody"}],
+        "limits": {"max_header_bytes": 1, "max_body_bytes": 2, "header_timeout_ms": 3, "idle_timeout_ms": 4},
+    });
+    let error = catalog(&row("config", &value)).unwrap().unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "configuration 7: route lost names no known service"
+    );
+}
+
+#[test]
+fn an_order_is_told_apart_by_its_rows_version() {
+    let value = json!({"service": "s", "to": "v2", "duration_s": 12});
+    let order = order(&row("rollout/s", &value)).unwrap().unwrap();
+    assert_eq!((order.version, order.limit), (3, Duration::from_secs(12)));
+    assert!(super::order(&row("config", &value)).is_none());
+}
+
+#[test_case("", "missing field `node_name`"; "nothing")]
+#[test_case("node_name = 7", "invalid type"; "another type")]
+#[test_case("node_name = ", "settings file"; "not TOML")]
+fn a_mistake_in_the_settings_is_named(text: &str, expected: &str) {
+    let name = format!("carawayrun-settings-{}-{}", std::process::id(), text.len());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).unwrap();
+    let error = load(&path, 9464).unwrap_err().to_string();
+    std::fs::remove_file(&path).unwrap();
+    assert!(error.contains(expected), "{error}");
+    assert!(error.contains("carawayrun-settings"), "{error}");
+}
--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -111,7 +111,7 @@
         let team = catalog.api_keys.get(api_key).copied();
         Some(team.ok_or(Refusal::NoTeam)?)
     };
-    let has_engine = |service| catalog.service(service).engine.is_some();
+    let has_engines = |service| catalog.service(service).has_engines;
     let service = target(&route.targets, rng.random());
     let team_rank = team.and_then(|team| catalog.team(team).priority);
     let urgency = urgency(team_rank, route.priority);
@@ -121,7 +121,7 @@
         service,
         team,
         point: point(ask),
-        urgency: has_engine(service).then_some(urgency),
+        urgency: has_engines(service).then_some(urgency),
     })
 }
 
--- a/src/carawayrun/relay/catalog.rs
+++ b/src/carawayrun/relay/catalog.rs
@@ -111,19 +111,8 @@
 pub struct Service {
     /// Name under which its upstreams register.
     pub name: CompactString,
-    /// Most connections that one upstream accepts from all callers.
-    pub max_connections: u32,
-    /// Present where its upstreams are model engines.
-    pub engine: Option<Engine>,
-}
-
-/// What all model engines of a service share.
-#[derive(Debug, Clone)]
-pub struct Engine {
-    /// Tokens that fit into the KV cache.
-    pub kv_tokens: u64,
-    /// Price of 1,000 generated tokens, by model.
-    pub model_costs: FxHashMap<CompactString, f64>,
+    /// True where its upstreams are model engines.
+    pub has_engines: bool,
 }
 
 /// A team, with what its keys allow.
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -29,7 +29,7 @@
         course.may_have_run = true;
         self.report.upstream_status(answered.head.status);
         let is_success = answered.head.status.is_success();
-        if is_success && (!answered.answer.is_sealed || answered.answer.is_encoded) {
+        if is_success && !answered.is_genuine() {
             self.note(&answered.upstream, course, true, None);
             self.report.note("answer is not the upstream's own");
             return None;
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -68,6 +68,7 @@
     Silent,
 }
 
+/// An answer whose head was read and whose body has not.
 struct Answered {
     key: UpstreamKey,
     upstream: Upstream,
@@ -80,6 +81,13 @@
     first: Duration,
 }
 
+impl Answered {
+    /// True for a success that is the upstream's own, as it was asked for.
+    fn is_genuine(&self) -> bool {
+        self.head.status.is_success() && self.answer.is_sealed && !self.answer.is_encoded
+    }
+}
+
 /// An upstream's own failure, kept until it is clear that nothing better comes.
 struct Failure {
     status: StatusCode,
@@ -87,17 +95,25 @@
     body: Bytes,
 }
 
+/// How far a request has come over all its attempts.
 #[derive(Default)]
 struct Course {
+    /// Upstreams that were tried.
     excluded: Vec<UpstreamKey>,
+    /// Attempts that reached an upstream.
     sends: u32,
+    /// Those that ran or may have run.
     runs: u32,
+    /// Attempts that ended before anything was sent.
     unsent: u32,
+    /// Attempts that an upstream refused without running them.
     refused: u32,
     may_have_run: bool,
     /// True where the next send was taken from the budget already.
     is_paid: bool,
+    /// Model to name, where the route leaves the choice to the gateway.
     model: Option<CompactString>,
+    /// Version to keep, once a part of the answer was delivered.
     version: Option<CompactString>,
     failure: Option<Failure>,
 }
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -21,9 +21,11 @@
 /// after some seconds.
 const EVENT_GAP: Duration = Duration::from_millis(2_500);
 
+/// How the part of a stream ended that came from one upstream.
 enum StreamEnd {
     Whole,
     ClientGone,
+    /// It can go on elsewhere, for this reason.
     Broken(&'static str),
 }
 
@@ -157,7 +159,7 @@
                 .attempt(&view, route, course, key, after.as_deref())
                 .await;
             match attempt {
-                Attempt::Answered(next) if next.head.status.is_success() => {
+                Attempt::Answered(next) if next.is_genuine() => {
                     course.runs += 1;
                     self.traffic.metrics.resumes.inc();
                     return Ok(next);
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -79,8 +79,6 @@
     pub drain_limit: Duration,
     /// Time after which a withdrawn API key must be refused, whatever happens.
     pub revocation_limit: Duration,
-    /// Time after a disturbance in which bounds need not hold.
-    pub contact: Duration,
     /// Share of a service's requests that a bad version may get.
     pub exposure_share: f64,
     /// Repeats allowed for each request of a service, over all gateways.
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -3,9 +3,11 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use snafu::{ResultExt, Snafu};
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, sleep};
 
 use super::RelaySettings;
@@ -25,6 +27,10 @@
 /// Pause after a connection could not be accepted, as descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Part of the descriptors that clients' connections may take; the rest is for
+/// upstreams, the store and files.
+const CLIENTS_PART: f64 = 0.6;
+
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
@@ -144,10 +150,18 @@
             return;
         }
     };
+    let most = f64::from(traffic.settings().max_descriptors) * CLIENTS_PART;
+    let places = Arc::new(Semaphore::new(most as usize));
     loop {
+        // Without a place a client waits in the backlog, and goes elsewhere.
+        let place = Arc::clone(&places).acquire_owned().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(client::serve(stream, Rc::clone(&traffic)));
+                let traffic = Rc::clone(&traffic);
+                actix_rt::spawn(async move {
+                    client::serve(stream, traffic).await;
+                    drop(place);
+                });
             }
             Err(error) => {
                 tracing::warn!(%error, "client's connection not accepted");
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -256,3 +256,15 @@
         .await;
     assert_eq!(world.read("req-1").await, StatusCode::OK);
 }
+
+#[test]
+fn a_relay_with_wrong_settings_says_so_in_one_line_and_ends() {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_carawayrun"))
+        .args(["relay", "--settings", "/nowhere/node.toml"])
+        .output()
+        .expect("the program runs");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(errors.lines().count(), 1, "{errors}");
+    assert!(errors.contains("/nowhere/node.toml"), "{errors}");
+}
