--- a/src/carawayrun/store/mod.rs
+++ b/src/carawayrun/store/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`table`] and [`feed`] are the interface; the clients here speak the
 //! protocol of docs/PLATFORM.md, and [`crate::platform`] speaks that of the
-//! users' platform. Both make their calls by [`call`].
+//! users' platform. Both make their calls by `call`.
 
 pub(crate) mod call;
 pub mod feed;
