--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -55,7 +55,7 @@
         str![[r#"
 A model-aware router for versions and cascades
 
-Usage: carawayrun [--log=FILTER] [--log-format=FORMAT] COMMAND ...
+Usage: carawayrun [--log=FILTER] [--log-format=FORMAT] [--log-output=OUTPUT] COMMAND ...
 
 Log settings, the same for all commands.
         --log=FILTER         Filter of log lines, such as info or carawayrun=debug
@@ -63,10 +63,13 @@
                              [default: warn,carawayrun=info]
         --log-format=FORMAT  Form of log lines: text or json
                              [env:CARAWAYRUN_LOG_FORMAT: N/A]
+        --log-output=OUTPUT  Where log lines go: stdout or stderr
+                             [env:CARAWAYRUN_LOG_OUTPUT: N/A]
 
 Commands:
     gateway                  Runs an entry host's process: callers' HTTP and the operators' API
     agent                    Runs the process beside one upstream
+    relay                    Runs a gateway that reaches upstreams directly, on the users' platform
     apply                    Writes the resources of manifests, all in one change
     get                      Lists resources, or shows one
     describe                 Shows one resource: desired state, conditions and its last changes
