Note an upstream's health in one place, drop an unused look-up

Five places looked the upstream up to change its health, each in its own words; Traffic::note_health serves them all. It looks at the newest view, where two of them used the one that the attempt began with. Catalog::service_named was never called.

--- a/src/carawayrun/relay/catalog.rs
+++ b/src/carawayrun/relay/catalog.rs
@@ -186,10 +186,4 @@
     pub fn team(&self, key: TeamKey) -> &Team {
         &self.teams[usize::from(key.0)]
     }
-
-    /// The service with a name.
-    pub fn service_named(&self, name: &str) -> Option<ServiceKey> {
-        let index = self.services.iter().position(|known| known.name == name)?;
-        Some(ServiceKey(index as u16))
-    }
 }
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -76,21 +76,14 @@
     }
 
     pub(super) fn succeeded(&self, answered: &Answered) {
-        let view = self.traffic.view();
-        self.traffic.fleet(&view, |fleet, _| {
-            if let Some(health) = fleet.health(answered.key) {
-                health.answered(false);
-            }
-        });
+        let key = answered.key;
+        self.traffic
+            .note_health(key, |health| health.answered(false));
     }
 
     pub(super) fn failed(&self, key: UpstreamKey) {
-        let view = self.traffic.view();
-        self.traffic.fleet(&view, |fleet, _| {
-            if let Some(health) = fleet.health(key) {
-                health.answered(true);
-            }
-        });
+        self.traffic
+            .note_health(key, |health| health.answered(true));
     }
 
     async fn plain(
@@ -116,13 +109,10 @@
         } = answered;
         let is_failure = head.status.is_server_error();
         self.note(&upstream, course, is_failure, Some(first));
+        self.traffic
+            .note_health(key, |health| health.answered(is_failure));
         let view = self.traffic.view();
-        self.traffic.fleet(&view, |fleet, _| {
-            if let Some(health) = fleet.health(key) {
-                health.answered(is_failure);
-            }
-            fleet.keep(key, wire);
-        });
+        self.traffic.fleet(&view, |fleet, _| fleet.keep(key, wire));
         let headers = platform::answer_headers(&head.headers);
         if is_failure && route.kind.is_repeatable() && course.runs < route.max_attempts {
             course.failure = Some(Failure {
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -61,7 +61,7 @@
         let attempt = self
             .send(route, course, key, &upstream, wire, resume_after)
             .await;
-        self.judge_attempt(view, key, &upstream, course, &attempt);
+        self.judge_attempt(key, &upstream, course, &attempt);
         attempt
     }
 
@@ -85,11 +85,8 @@
         if let Err(error) = &opened {
             let now = self.traffic.now();
             tracing::info!(upstream = %upstream.name, %error, "upstream not reached");
-            self.traffic.fleet(view, |fleet, _| {
-                if let Some(health) = fleet.health(key) {
-                    health.unreachable(now);
-                }
-            });
+            self.traffic
+                .note_health(key, |health| health.unreachable(now));
         }
         opened
     }
@@ -211,22 +208,16 @@
 
     fn judge_attempt(
         &self,
-        view: &View,
         key: UpstreamKey,
         upstream: &Upstream,
         course: &Course,
         attempt: &Attempt,
     ) {
         let now = self.traffic.now();
-        self.traffic.fleet(view, |fleet, _| {
-            let Some(health) = fleet.health(key) else {
-                return;
-            };
-            match attempt {
-                Attempt::Lost | Attempt::Silent => health.unreachable(now),
-                Attempt::Refused(_) => health.full(now, FULL_PAUSE),
-                Attempt::Answered(_) | Attempt::NotSent => {}
-            }
+        self.traffic.note_health(key, |health| match attempt {
+            Attempt::Lost | Attempt::Silent => health.unreachable(now),
+            Attempt::Refused(_) => health.full(now, FULL_PAUSE),
+            Attempt::Answered(_) | Attempt::NotSent => {}
         });
         if matches!(attempt, Attempt::Lost | Attempt::Silent) {
             self.note(upstream, course, true, None);
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -19,6 +19,7 @@
 use super::budget::{Cause, RepeatBudget};
 use super::fleet::Fleet;
 use super::gossip::{Peers, read_outcomes};
+use super::health::Health;
 use super::metrics::Metrics;
 use super::pace::Pace;
 use super::rollout::Outcomes;
@@ -182,6 +183,12 @@
         f(&mut fleet, &mut self.rng.borrow_mut())
     }
 
+    /// Changes what is known of an upstream's health, where it is still there.
+    pub(super) fn note_health(&self, key: UpstreamKey, note: impl FnOnce(&mut Health)) {
+        let view = self.view();
+        self.fleet(&view, |fleet, _| fleet.health(key).map(note));
+    }
+
     /// A number in 0..1.
     pub(super) fn random(&self) -> f64 {
         use rand::Rng;
