Soak the relay with faults from outside, and test what had no test yet

A randomized soak in the test suite: relays, store and upstreams as separate processes; loopback relays that delay, silence, cut one way, refuse and reset; signals that kill, stop, freeze and reload; a store that is down, slow, frozen, loses answers and forgets its history; keys that come and go. Checks over what callers and upstreams saw, each shown to find the history that breaks it.

--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -1,11 +1,17 @@
 //! A runner of the users' platform: plain calls and streams of events.
 //!
 //! A path that contains `stream` is answered with events. `GET /effects` shows
-//! what it ran, for tests.
+//! what it ran, for tests; a file of records also tells what it ran before it
+//! was killed.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix_http::body::BoxBody;
 use actix_http::header::{HeaderName, HeaderValue};
@@ -13,6 +19,7 @@
 use bpaf::Bpaf;
 use bytes::Bytes;
 use carawayrun::http::{json, read_body, stream, text};
+use futures_util::StreamExt;
 use serde::Serialize;
 
 use crate::command::Failure;
@@ -45,16 +52,35 @@
     /// Confidence in answers of the model `small`, of 100
     #[bpaf(argument("N"), fallback(90.0))]
     confidence: f64,
+    /// Requests that it runs at once; others are refused without being run
+    #[bpaf(argument("N"), fallback(1000))]
+    slots: usize,
+    /// Time that a plain call takes, and the pause before each event, in
+    /// milliseconds
+    #[bpaf(argument("MS"), fallback(0))]
+    work_ms: u64,
+    /// File to which a line of JSON is added for each run as it begins
+    #[bpaf(argument("FILE"), optional)]
+    record: Option<PathBuf>,
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
     let options = options.clone();
+    let record = options.record.as_ref().map(|path| {
+        let file = File::options().create(true).append(true).open(path);
+        file.map_err(|error| format!("--record: {}: {error}", path.display()))
+    });
+    let record = Arc::new(record.transpose()?);
     serve(&options.listen.clone(), move || {
         let service = Rc::new(Service {
             id: options.id.clone(),
             confidence: options.confidence,
+            slots: options.slots,
+            work: Duration::from_millis(options.work_ms),
             faults: FaultSwitch::new(&options.faults),
             runs: RefCell::default(),
+            running: Rc::default(),
+            record: Arc::clone(&record),
         });
         move |request| Rc::clone(&service).handle(request)
     })
@@ -63,8 +89,48 @@
 struct Service {
     id: String,
     confidence: f64,
+    slots: usize,
+    work: Duration,
     faults: FaultSwitch,
     runs: RefCell<BTreeMap<String, Vec<Run>>>,
+    running: Rc<RefCell<Vec<String>>>,
+    record: Arc<Option<File>>,
+}
+
+/// A slot that is taken until its answer has ended.
+struct Slot {
+    id: String,
+    running: Rc<RefCell<Vec<String>>>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut running = self.running.borrow_mut();
+        if let Some(place) = running.iter().position(|id| *id == self.id) {
+            running.swap_remove(place);
+        }
+    }
+}
+
+/// What it says of its own load.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Report {
+    queued: u32,
+    running: usize,
+    /// Identity, tokens in memory, events made and urgency.
+    runs: Vec<(String, u32, u32, u8)>,
+}
+
+/// A run, as it is recorded.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Record<'a> {
+    id: &'a str,
+    runner: &'a str,
+    at_ms: u64,
+    #[serde(flatten)]
+    run: &'a Run,
 }
 
 /// What a run was asked for.
@@ -74,6 +140,7 @@
     tenant: String,
     model: String,
     resumed_after: String,
+    path: String,
     body: String,
     /// Headers that only the system may set, as the client may have sent them.
     forged: Vec<String>,
@@ -86,10 +153,20 @@
         }
         match (request.method(), request.path()) {
             (&Method::GET, "/effects") => json(StatusCode::OK, &*self.runs.borrow()),
+            (&Method::GET, "/v1/report") => json(StatusCode::OK, &self.report()),
             _ => self.call(&mut request).await,
         }
     }
 
+    fn report(&self) -> Report {
+        let running = self.running.borrow();
+        Report {
+            queued: 0,
+            running: running.len(),
+            runs: running.iter().map(|id| (id.clone(), 0, 0, 0)).collect(),
+        }
+    }
+
     async fn call(&self, request: &mut Request) -> Response<BoxBody> {
         let expected = header_value(request, "x-carawayrun-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
@@ -100,19 +177,24 @@
             Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         };
         let id = header_value(request, "x-carawayrun-request-id").unwrap_or_default();
+        let Some(slot) = self.slot(&id) else {
+            let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "no slot is free\n");
+            set(&mut answer, "x-carawayrun-not-executed", "full");
+            return answer;
+        };
         let run = run_of(request, &body);
         let model = run.model.clone();
         let after: u32 = run.resumed_after.parse().unwrap_or(0);
-        self.runs
-            .borrow_mut()
-            .entry(id.clone())
-            .or_default()
-            .push(run);
+        self.begin(&id, run);
+        let is_stream = request.path().contains("stream");
+        if !is_stream {
+            actix_rt::time::sleep(self.work).await;
+        }
         if self.faults.take_lost_answer() {
             return lost();
         }
-        let mut answer = if request.path().contains("stream") {
-            self.events(after)
+        let mut answer = if is_stream {
+            self.events(after, slot)
         } else {
             text(StatusCode::OK, format!("{} ran {id}\n", self.id))
         };
@@ -133,7 +215,35 @@
         answer
     }
 
-    fn events(&self, after: u32) -> Response<BoxBody> {
+    fn slot(&self, id: &str) -> Option<Slot> {
+        let running = Rc::clone(&self.running);
+        if running.borrow().len() >= self.slots {
+            return None;
+        }
+        running.borrow_mut().push(id.to_owned());
+        let id = id.to_owned();
+        Some(Slot { id, running })
+    }
+
+    fn begin(&self, id: &str, run: Run) {
+        if let Some(file) = &*self.record {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH);
+            let record = Record {
+                id,
+                runner: &self.id,
+                at_ms: now.unwrap_or_default().as_millis() as u64,
+                run: &run,
+            };
+            let mut line = serde_json::to_vec(&record).expect("a record is JSON");
+            line.push(b'\n');
+            let mut file = file;
+            file.write_all(&line).expect("a record can be written");
+        }
+        let mut runs = self.runs.borrow_mut();
+        runs.entry(id.to_owned()).or_default().push(run);
+    }
+
+    fn events(&self, after: u32, slot: Slot) -> Response<BoxBody> {
         let cut = self.faults.take_cut_stream();
         let last = if cut { after + CUT_AFTER } else { EVENTS };
         let mut pieces: Vec<Result<Bytes, std::io::Error>> = (after + 1..=last)
@@ -147,8 +257,18 @@
             pieces.push(Ok(Bytes::from(format!("id: {}\ndata: wo", last + 1))));
             pieces.push(Err(std::io::Error::other("told to cut the stream")));
         }
-        let pieces = futures_util::stream::iter(pieces);
-        stream(StatusCode::OK, "text/event-stream", pieces)
+        let work = self.work;
+        let pieces = futures_util::stream::iter(pieces).then(move |piece| {
+            // The slot is free again when the stream is dropped.
+            let _held = &slot;
+            async move {
+                if !work.is_zero() {
+                    actix_rt::time::sleep(work).await;
+                }
+                piece
+            }
+        });
+        stream(StatusCode::OK, "text/event-stream", pieces.boxed_local())
     }
 }
 
@@ -162,6 +282,7 @@
         tenant: text("x-carawayrun-tenant"),
         model: text("x-carawayrun-model"),
         resumed_after: text("last-event-id"),
+        path: request.path().to_owned(),
         body: String::from_utf8_lossy(body).into_owned(),
         forged: forged.map(|name| (*name).to_owned()).collect(),
     }
--- /dev/null
+++ b/tests/testsuite/soak/plan.rs
@@ -0,0 +1,120 @@
+//! Which faults strike, and when: a function of the seed alone.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::support::Passing;
+
+/// Shortest and longest pause between two faults; most last longer, so they
+/// come in series and overlap.
+const PAUSE_MS: std::ops::Range<u64> = 100..900;
+
+/// Time that a fault lasts.
+const LASTS_MS: std::ops::Range<u64> = 200..4_000;
+
+/// A fault; the numbers are places among relays or upstreams.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Fault {
+    KillRelay(usize),
+    StopRelay(usize),
+    FreezeRelay(usize, Duration),
+    HangUp(usize),
+    KillAllRelays,
+    KillUpstream(usize, Duration),
+    FreezeUpstream(usize, Duration),
+    /// It is registered as leaving, drains, and another one takes its address.
+    LeaveUpstream(usize),
+    Upstream(usize, Misbehaviour),
+    ClientLink(usize, Passing, Duration),
+    StoreLink(usize, Passing, Duration),
+    UpstreamLink(usize, Passing, Duration),
+    ResetLinks,
+    StoreDown(Duration),
+    StoreSlow(Duration),
+    StoreFrozen(Duration),
+    StoreLosesAnswers,
+    StoreForgets,
+    NewKey,
+    WithdrawKey,
+}
+
+/// What an upstream does to some of its coming answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Misbehaviour {
+    LosesAnswers,
+    CutsStreams,
+    CrossesAnswers,
+    Slow(Duration),
+}
+
+/// Sizes of the deployment that is struck.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sizes {
+    pub(crate) relays: usize,
+    pub(crate) upstreams: usize,
+}
+
+/// The faults of a seed, each with its moment.
+pub(crate) fn plan(seed: u64, length: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut plan = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.random_range(PAUSE_MS));
+        if at >= length {
+            return plan;
+        }
+        plan.push((at, fault(&mut rng, sizes)));
+    }
+}
+
+fn fault(rng: &mut StdRng, sizes: Sizes) -> Fault {
+    let relay = rng.random_range(0..sizes.relays);
+    let upstream = rng.random_range(0..sizes.upstreams);
+    let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+    let passing = passing(rng);
+    match rng.random_range(0..26) {
+        0 | 1 => Fault::KillRelay(relay),
+        2 | 3 => Fault::StopRelay(relay),
+        4 => Fault::FreezeRelay(relay, lasts),
+        5 => Fault::HangUp(relay),
+        6 => Fault::KillAllRelays,
+        7 => Fault::KillUpstream(upstream, lasts),
+        8 => Fault::FreezeUpstream(upstream, lasts),
+        9 | 10 => Fault::LeaveUpstream(upstream),
+        11..=13 => Fault::Upstream(upstream, misbehaviour(rng)),
+        14 => Fault::ClientLink(relay, passing, lasts),
+        15 | 16 => Fault::StoreLink(relay, passing, lasts),
+        17 | 18 => Fault::UpstreamLink(upstream, passing, lasts),
+        19 => Fault::ResetLinks,
+        20 => Fault::StoreDown(lasts),
+        21 => Fault::StoreSlow(lasts),
+        22 => Fault::StoreFrozen(lasts),
+        23 => *[Fault::StoreLosesAnswers, Fault::StoreForgets]
+            .choose(rng)
+            .expect("there are two"),
+        24 => Fault::NewKey,
+        _ => Fault::WithdrawKey,
+    }
+}
+
+fn passing(rng: &mut StdRng) -> Passing {
+    match rng.random_range(0..4) {
+        0 => Passing::Refusing,
+        1 => Passing::Delayed(Duration::from_millis(rng.random_range(20..600))),
+        2 => Passing::Silent,
+        _ => Passing::NoAnswers,
+    }
+}
+
+fn misbehaviour(rng: &mut StdRng) -> Misbehaviour {
+    match rng.random_range(0..4) {
+        0 => Misbehaviour::LosesAnswers,
+        1 => Misbehaviour::CutsStreams,
+        2 => Misbehaviour::CrossesAnswers,
+        _ => Misbehaviour::Slow(Duration::from_millis(rng.random_range(100..2_500))),
+    }
+}
--- /dev/null
+++ b/tests/testsuite/soak/world.rs
@@ -0,0 +1,591 @@
+//! The programs of a soak as separate processes, and the links between them.
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use serde_json::{Value, json};
+
+use super::history::{Disturbance, History, Key, Place, Run, Stop, now_ms};
+use super::plan::Sizes;
+use crate::support::platform::{config, lab};
+use crate::support::{Passing, Process, Relay};
+
+/// Time after which a process that ended is started again.
+const RESTART: Duration = Duration::from_millis(300);
+
+/// Time after a crash in which an upstream's registration stays.
+const LAPSE: Duration = Duration::from_millis(2_500);
+
+/// Time for which an upstream serves on that has said that it leaves.
+const SERVES_ON: Duration = Duration::from_millis(3_500);
+
+/// Time within which all must be well again once the faults are over.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Answers that a misbehaving stand-in spoils.
+const SPOILED: u32 = 5;
+
+/// The keys that every configuration has.
+pub(crate) const LASTING_KEYS: [&str; 2] = ["shop-key", "depot-key"];
+
+pub(crate) struct World {
+    pub(crate) seed: u64,
+    pub(crate) sizes: Sizes,
+    pub(crate) history: RefCell<History>,
+    dir: PathBuf,
+    net: String,
+    client: awc::Client,
+    store: Process,
+    store_links: Vec<Relay>,
+    client_links: Vec<Relay>,
+    upstream_links: Vec<Relay>,
+    relays: Vec<Slot>,
+    upstreams: Vec<Slot>,
+    version: Cell<u64>,
+}
+
+/// The place of a process that comes and goes.
+#[derive(Default)]
+struct Slot {
+    process: RefCell<Option<Process>>,
+    /// Starts so far.
+    life: Cell<u32>,
+    name: RefCell<String>,
+}
+
+impl World {
+    /// Starts everything and waits until all relays are ready.
+    pub(crate) async fn start(seed: u64, sizes: Sizes, net: String) -> Rc<Self> {
+        let process = std::process::id();
+        let dir = std::env::temp_dir().join(format!("carawayrun-soak-{process}-{seed}"));
+        std::fs::create_dir_all(&dir).expect("the soak's folder can be made");
+        let store = format!("{net}.1:7000");
+        let process = lab(&dir, "store", &["metadata", "--listen", &store]);
+        let mut world = Self {
+            seed,
+            sizes,
+            history: RefCell::default(),
+            dir,
+            client: awc::Client::builder().disable_redirects().finish(),
+            store: process,
+            store_links: Vec::new(),
+            client_links: Vec::new(),
+            upstream_links: Vec::new(),
+            relays: (0..sizes.relays).map(|_| Slot::default()).collect(),
+            upstreams: (0..sizes.upstreams).map(|_| Slot::default()).collect(),
+            version: Cell::new(1),
+            net,
+        };
+        world.bind_links(&store).await;
+        let world = Rc::new(world);
+        let health = format!("http://{store}/health");
+        world.until(async || world.answers(&health).await).await;
+        world.configure().await;
+        for upstream in 0..sizes.upstreams {
+            world.start_upstream(upstream, true).await;
+        }
+        for relay in 0..sizes.relays {
+            world.start_relay(relay);
+        }
+        world.until(async || world.all_ready().await).await;
+        world
+    }
+
+    async fn bind_links(&mut self, store: &str) {
+        let net = self.net.clone();
+        for relay in 0..self.sizes.relays {
+            let listen = format!("{net}.1:{}", 7_100 + relay);
+            self.store_links
+                .push(Relay::bind(&listen, store.to_owned()).await);
+            let target = format!("{net}.{}:7001", 2 + relay);
+            self.client_links
+                .push(Relay::bind(&self.client_addr(relay), target).await);
+        }
+        for upstream in 0..self.sizes.upstreams {
+            let target = format!("{net}.{}:7000", 100 + upstream);
+            let listen = self.upstream_addr(upstream);
+            self.upstream_links.push(Relay::bind(&listen, target).await);
+        }
+    }
+
+    /// Where callers reach a relay.
+    pub(crate) fn client_addr(&self, relay: usize) -> String {
+        format!("{}.{}:7200", self.net, 2 + relay)
+    }
+
+    fn upstream_addr(&self, upstream: usize) -> String {
+        format!("{}.{}:7100", self.net, 100 + upstream)
+    }
+
+    /// The number of a relay's present process.
+    pub(crate) fn life(&self, relay: usize) -> u32 {
+        self.relays[relay].life.get()
+    }
+
+    /// Keys that callers may use now; the newest last.
+    pub(crate) fn keys(&self) -> Vec<String> {
+        let history = self.history.borrow();
+        let held = history.keys.iter().filter(|key| key.withdrawn.is_none());
+        let lasting = LASTING_KEYS.iter().map(|key| (*key).to_owned());
+        lasting.chain(held.map(|key| key.text.clone())).collect()
+    }
+
+    /// Keys that were withdrawn lately and that some callers still use.
+    pub(crate) fn withdrawn_key(&self) -> Option<String> {
+        let history = self.history.borrow();
+        let withdrawn = history
+            .keys
+            .iter()
+            .rev()
+            .find(|key| key.withdrawn.is_some());
+        withdrawn.map(|key| key.text.clone())
+    }
+
+    fn start_relay(&self, relay: usize) {
+        let name = format!("relay-{relay}");
+        let path = self.dir.join(format!("{name}.toml"));
+        std::fs::write(&path, self.settings(relay)).expect("settings can be written");
+        let args = ["relay", "--settings", &path.to_string_lossy()].map(String::from);
+        let program = Path::new(env!("CARGO_BIN_EXE_carawayrun"));
+        let slot = &self.relays[relay];
+        let process = Process::spawn(&self.dir, &name, program, &args);
+        slot.life.set(slot.life.get() + 1);
+        *slot.process.borrow_mut() = Some(process);
+    }
+
+    fn settings(&self, relay: usize) -> String {
+        let net = &self.net;
+        let own = 2 + relay;
+        format!(
+            "node_name = \"edge-{relay}\"\nip = \"{net}.{own}\"\nzone = \"a\"\n\
+             port_range = [7010, 7020]\n\
+             [listen]\nfrontend = \"{net}.{own}:7001\"\nreadiness = \"{net}.{own}:7002\"\n\
+             [limits]\nmax_fds = 4096\n\
+             [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
+             retry_ratio = 0.9\nretry_slack = 60\nretry_window_s = 10\n\
+             exposure_share = 0.15\nsession_s = 5\n\
+             [platform]\naddress = \"{net}.1:{}\"\n",
+            7_100 + relay
+        )
+    }
+
+    async fn start_upstream(&self, upstream: usize, keeps_name: bool) {
+        let slot = &self.upstreams[upstream];
+        slot.life.set(slot.life.get() + 1);
+        if !keeps_name || slot.name.borrow().is_empty() {
+            *slot.name.borrow_mut() = format!("u-{upstream}-{}", slot.life.get());
+        }
+        let name = slot.name.borrow().clone();
+        let addr = format!("{}.{}:7000", self.net, 100 + upstream);
+        let record = self.dir.join("runs.jsonl");
+        let record = record.to_string_lossy();
+        let args = [
+            "runner",
+            "--listen",
+            &addr,
+            "--id",
+            &name,
+            "--slots",
+            "8",
+            "--work-ms",
+            "60",
+            "--confidence",
+            if upstream.is_multiple_of(3) {
+                "30"
+            } else {
+                "90"
+            },
+            "--record",
+            &record,
+        ];
+        *slot.process.borrow_mut() = Some(lab(&self.dir, &name, &args));
+        let health = format!("http://{addr}/health");
+        self.until(async || self.answers(&health).await).await;
+        self.register(upstream, "ready").await;
+    }
+
+    async fn register(&self, upstream: usize, state: &str) {
+        // A place serves the other service after each second start, so that
+        // addresses are used again by other services.
+        let slot = &self.upstreams[upstream];
+        let service = self.service(upstream);
+        let row = json!({
+            "service": service, "address": self.upstream_addr(upstream),
+            "zone": "a", "version": "v1", "batch_slots": 8, "state": state,
+            "warmup_left_ms": 0, "sequence": 1, "born": u64::from(slot.life.get()),
+        });
+        let name = slot.name.borrow().clone();
+        self.put(&format!("/rows/servers/{name}"), &row).await;
+    }
+
+    fn service(&self, upstream: usize) -> &'static str {
+        let name = self.upstreams[upstream].name.borrow();
+        let start: usize = name
+            .rsplit('-')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(1);
+        // The first two of each service keep to it, so that each is always served.
+        let keeps = upstream < 4;
+        let turn = if keeps { 0 } else { start - 1 };
+        if (upstream + turn).is_multiple_of(2) {
+            "app"
+        } else {
+            "llm"
+        }
+    }
+
+    async fn configure(&self) {
+        let mut wanted = config(self.version.get(), &[]);
+        let shops: Vec<String> = self
+            .keys()
+            .into_iter()
+            .filter(|key| *key != LASTING_KEYS[1])
+            .collect();
+        wanted["tenants"] = json!([
+            {"name": "shops", "api_keys": shops, "priority": 1},
+            {"name": "depots", "api_keys": [LASTING_KEYS[1]], "priority": 2},
+        ]);
+        self.put("/rows/op/config", &wanted).await;
+    }
+
+    /// A configuration with one key more.
+    pub(crate) async fn add_key(&self) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let text = format!("shop-key-{version}");
+        // It counts once the store has taken it.
+        let place = {
+            let mut history = self.history.borrow_mut();
+            history.keys.push(Key {
+                text,
+                version,
+                accepted: u64::MAX / 2,
+                withdrawn: None,
+            });
+            history.keys.len() - 1
+        };
+        self.configure().await;
+        self.history.borrow_mut().keys[place].accepted = now_ms();
+    }
+
+    /// A configuration without the oldest key that does not last.
+    pub(crate) async fn withdraw_key(&self) {
+        let place = {
+            let history = self.history.borrow();
+            history.keys.iter().position(|key| key.withdrawn.is_none())
+        };
+        let Some(place) = place else { return };
+        self.version.set(self.version.get() + 1);
+        let asked = now_ms();
+        self.history.borrow_mut().keys[place].withdrawn = Some((asked, u64::MAX / 2));
+        self.configure().await;
+        self.history.borrow_mut().keys[place].withdrawn = Some((asked, now_ms()));
+    }
+
+    pub(crate) async fn kill_relay(&self, relay: usize) {
+        let Some(mut process) = self.relays[relay].process.take() else {
+            return;
+        };
+        let from = now_ms();
+        process.kill();
+        sleep(RESTART).await;
+        self.start_relay(relay);
+        self.until_answering(relay).await;
+        self.disturbed(Place::Relay(relay), from);
+    }
+
+    pub(crate) async fn stop_relay(&self, relay: usize) {
+        let slot = &self.relays[relay];
+        let Some(mut process) = slot.process.take() else {
+            return;
+        };
+        let (asked, life) = (now_ms(), slot.life.get());
+        process.terminate();
+        let limit = asked + super::check::GRACE_MS + 1_000;
+        while !process.ended() && now_ms() < limit {
+            sleep(LOOK).await;
+        }
+        let code = process.exit_code();
+        if code.is_none() {
+            process.kill();
+        }
+        let ended = now_ms();
+        let stop = Stop {
+            relay,
+            life,
+            asked,
+            ended,
+            code,
+        };
+        self.history.borrow_mut().stops.push(stop);
+        sleep(RESTART).await;
+        self.start_relay(relay);
+        self.until_answering(relay).await;
+        // What was cut by the stop itself is judged apart, so only the time in
+        // which nobody listened counts as a fault.
+        self.disturbed(Place::Relay(relay), ended);
+    }
+
+    pub(crate) async fn freeze_relay(&self, relay: usize, lasts: Duration) {
+        let from = now_ms();
+        self.freeze(&self.relays[relay], lasts).await;
+        self.disturbed(Place::Relay(relay), from);
+    }
+
+    pub(crate) fn hang_up(&self, relay: usize) {
+        if let Some(process) = &*self.relays[relay].process.borrow() {
+            process.hang_up();
+        }
+    }
+
+    pub(crate) async fn kill_upstream(&self, upstream: usize, down: Duration) {
+        let slot = &self.upstreams[upstream];
+        let Some(mut process) = slot.process.take() else {
+            return;
+        };
+        let from = now_ms();
+        process.kill();
+        let name = slot.name.borrow().clone();
+        sleep(down.min(LAPSE)).await;
+        if down > LAPSE {
+            self.remove(&name).await;
+            sleep(down.saturating_sub(LAPSE)).await;
+        }
+        self.start_upstream(upstream, true).await;
+        self.disturbed(Place::Upstream(upstream), from);
+    }
+
+    pub(crate) async fn freeze_upstream(&self, upstream: usize, lasts: Duration) {
+        let from = now_ms();
+        self.freeze(&self.upstreams[upstream], lasts).await;
+        self.disturbed(Place::Upstream(upstream), from);
+    }
+
+    async fn freeze(&self, slot: &Slot, lasts: Duration) {
+        let life = slot.life.get();
+        if let Some(process) = &*slot.process.borrow() {
+            process.freeze();
+        }
+        sleep(lasts).await;
+        // A process that was started meanwhile is not the one that was frozen.
+        if let Some(process) = slot
+            .process
+            .borrow()
+            .as_ref()
+            .filter(|_| slot.life.get() == life)
+        {
+            process.wake();
+        }
+    }
+
+    pub(crate) async fn leave_upstream(&self, upstream: usize) {
+        let slot = &self.upstreams[upstream];
+        let Some(mut process) = slot.process.take() else {
+            return;
+        };
+        let name = slot.name.borrow().clone();
+        self.register(upstream, "draining").await;
+        let left = (name.clone(), now_ms());
+        self.history.borrow_mut().leaving.push(left);
+        sleep(SERVES_ON).await;
+        self.remove(&name).await;
+        process.kill();
+        sleep(RESTART).await;
+        self.start_upstream(upstream, false).await;
+    }
+
+    /// Strikes an upstream's answers; `faults` are those of its stand-in.
+    pub(crate) async fn misbehave(&self, upstream: usize, faults: &Value) {
+        let addr = format!("{}.{}:7000", self.net, 100 + upstream);
+        let sent = self.client.put(format!("http://{addr}/faults"));
+        // It may be down or frozen; then it does not misbehave.
+        let sent = sent
+            .timeout(Duration::from_secs(1))
+            .send_body(faults.to_string());
+        let _ended = sent.await;
+    }
+
+    pub(crate) async fn store_faults(&self, faults: &Value, lasts: Duration) {
+        let from = now_ms();
+        self.put("/faults", faults).await;
+        sleep(lasts).await;
+        self.put("/faults", &json!({})).await;
+        self.disturbed(Place::Store, from);
+    }
+
+    pub(crate) async fn store_loses(&self) {
+        let lose = json!({"loseAnswers": SPOILED});
+        self.store_faults(&lose, Duration::from_secs(2)).await;
+    }
+
+    pub(crate) async fn store_forgets(&self) {
+        let from = now_ms();
+        let url = format!("http://{}.1:7000/drop-history", self.net);
+        let _sent = self.client.post(url).send().await;
+        self.disturbed(Place::Store, from);
+    }
+
+    pub(crate) async fn freeze_store(&self, lasts: Duration) {
+        let from = now_ms();
+        self.store.freeze();
+        sleep(lasts).await;
+        self.store.wake();
+        self.disturbed(Place::Store, from);
+    }
+
+    pub(crate) async fn strike_link(&self, place: Place, passing: Passing, lasts: Duration) {
+        let from = now_ms();
+        let link = self.link(place);
+        link.pass(passing);
+        if passing == Passing::Refusing {
+            link.reset();
+        }
+        sleep(lasts).await;
+        link.mend();
+        self.disturbed(place, from);
+    }
+
+    pub(crate) fn reset_links(&self) {
+        let from = now_ms();
+        for relay in 0..self.sizes.relays {
+            self.link(Place::ClientLink(relay)).reset();
+            self.link(Place::StoreLink(relay)).reset();
+            self.disturbed(Place::ClientLink(relay), from);
+            self.disturbed(Place::StoreLink(relay), from);
+        }
+        for upstream in 0..self.sizes.upstreams {
+            self.link(Place::Upstream(upstream)).reset();
+            self.disturbed(Place::Upstream(upstream), from);
+        }
+    }
+
+    fn link(&self, place: Place) -> &Relay {
+        match place {
+            Place::ClientLink(relay) | Place::Relay(relay) => &self.client_links[relay],
+            Place::StoreLink(relay) => &self.store_links[relay],
+            Place::Upstream(upstream) => &self.upstream_links[upstream],
+            Place::Store => &self.store_links[0],
+        }
+    }
+
+    fn disturbed(&self, place: Place, from: u64) {
+        let to = now_ms();
+        let mut history = self.history.borrow_mut();
+        history.disturbances.push(Disturbance { place, from, to });
+    }
+
+    async fn remove(&self, name: &str) {
+        let url = format!("http://{}.1:7000/rows/servers/{name}", self.net);
+        // A store that is frozen answers when it is awake again.
+        let sent = self.client.delete(url).timeout(RECOVERY).send().await;
+        sent.expect("the store takes a removal");
+    }
+
+    async fn put(&self, path: &str, value: &Value) {
+        let url = format!("http://{}.1:7000{path}", self.net);
+        let sent = self
+            .client
+            .put(url)
+            .timeout(RECOVERY)
+            .send_body(value.to_string());
+        sent.await.expect("the store takes a row");
+    }
+
+    async fn answers(&self, url: &str) -> bool {
+        let sent = self
+            .client
+            .get(url)
+            .timeout(Duration::from_secs(1))
+            .send()
+            .await;
+        sent.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    async fn until_answering(&self, relay: usize) {
+        let url = format!("http://{}.{}:9464/metrics", self.net, 2 + relay);
+        self.until(async || self.answers(&url).await).await;
+    }
+
+    async fn all_ready(&self) -> bool {
+        for relay in 0..self.sizes.relays {
+            let host = 2 + relay;
+            if !self
+                .answers(&format!("http://{}.{host}:7002/v1/ready", self.net))
+                .await
+            {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn until(&self, holds: impl AsyncFn() -> bool) {
+        let limit = now_ms() + 2 * RECOVERY.as_millis() as u64;
+        while !holds().await {
+            assert!(
+                now_ms() < limit,
+                "seed {}: a condition did not come to hold",
+                self.seed
+            );
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until all relays say that they are ready; false where one does not
+    /// within the recovery time.
+    pub(crate) async fn recovers(&self) -> bool {
+        let limit = now_ms() + RECOVERY.as_millis() as u64;
+        while !self.all_ready().await {
+            if now_ms() > limit {
+                return false;
+            }
+            sleep(LOOK).await;
+        }
+        true
+    }
+
+    /// Notes which processes ended by themselves, and what the relays hold.
+    pub(crate) fn inspect(&self) {
+        let relays = self.relays.iter().enumerate();
+        for (relay, slot) in relays {
+            let mut process = slot.process.borrow_mut();
+            let Some(process) = process.as_mut() else {
+                continue;
+            };
+            let mut history = self.history.borrow_mut();
+            if process.ended() {
+                history
+                    .crashes
+                    .push(format!("relay {relay}: ended by itself"));
+            } else if let Some(kb) = process.peak_kb().filter(|kb| *kb > MOST_KB) {
+                history
+                    .crashes
+                    .push(format!("relay {relay}: {kb} KB at its peak"));
+            }
+        }
+    }
+
+    /// Reads what the runners recorded.
+    pub(crate) fn read_runs(&self) {
+        let text = std::fs::read_to_string(self.dir.join("runs.jsonl")).unwrap_or_default();
+        let runs = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Run>(line).ok());
+        self.history.borrow_mut().runs = runs.collect();
+    }
+
+    /// Where the logs are; they are kept where the soak found something.
+    pub(crate) fn dir(&self) -> &Path {
+        &self.dir
+    }
+}
+
+/// Memory of the smallest entry host of the users' deployments, in KB.
+const MOST_KB: u64 = 88 * 1024;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -164,6 +164,24 @@
         effects[id].as_array().cloned().unwrap_or_default()
     }
 
+    /// Requests that a runner works on.
+    pub(crate) async fn running(&self, index: usize) -> u64 {
+        let url = format!("{}/v1/report", self.runner_url(index));
+        let mut answer = self.client.get(url).send().await.expect("a runner answers");
+        let body = answer.body().await.expect("its answer is whole");
+        let report: Value = serde_json::from_slice(&body).expect("its answer is JSON");
+        report["running"].as_u64().expect("it counts its runs")
+    }
+
+    /// Waits until the relay has ended by itself.
+    pub(crate) async fn until_ended(&mut self) {
+        let begun = std::time::Instant::now();
+        while !self.relay().ended() {
+            assert!(begun.elapsed() < PATIENCE, "the relay does not end");
+            actix_rt::time::sleep(LOOK).await;
+        }
+    }
+
     pub(crate) async fn is_ready(&self) -> bool {
         self.answers(&format!("http://{}.2:7002/v1/ready", self.net))
             .await
@@ -171,7 +189,12 @@
 
     /// Waits until the relay is ready and knows all registered runners.
     pub(crate) async fn until_ready(&self) {
-        let line = format!("carawayrun_upstreams {}\n", self.runners.len());
+        self.until_known(self.runners.len()).await;
+    }
+
+    /// Waits until the relay is ready and knows so many registrations.
+    pub(crate) async fn until_known(&self, registrations: usize) {
+        let line = format!("carawayrun_upstreams {registrations}\n");
         self.until(async |world| world.is_ready().await && world.metrics().await.contains(&line))
             .await;
     }
@@ -277,7 +300,8 @@
     })
 }
 
-fn lab(dir: &Path, name: &str, args: &[&str]) -> Process {
+/// Starts a stand-in; its output goes to a file of `dir`.
+pub(crate) fn lab(dir: &Path, name: &str, args: &[&str]) -> Process {
     let program = Path::new(env!("CARGO_BIN_EXE_carawayrun")).with_file_name("carawayrun-lab");
     let args: Vec<String> = args.iter().copied().map(String::from).collect();
     Process::spawn(dir, name, &program, &args)
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -73,6 +73,15 @@
             .and_then(|status| status.code())
     }
 
+    /// Most memory that it had at once, in KB; none once it has ended.
+    pub(crate) fn peak_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process ids fit");
         let pid = Pid::from_raw(id).expect("process ids are positive");
