Keep a roll-out's row that is read before its order

Cause: the tables are read side by side. Ruled out: the registrations, which were there; the configuration, 7 ms old.

Change: such rows wait for their order. Orders are also handled before the configuration, as a view without them allows any version. The test fails without the change (the row was dropped).

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -101,6 +101,9 @@
     lapsing: FxHashMap<CompactString, Duration>,
     returned_at: Option<Duration>,
     rollouts: FxHashMap<CompactString, Rollout>,
+    /// Rows of roll-outs whose order is not known yet: the tables are read side
+    /// by side, and either may come first.
+    early_rows: FxHashMap<CompactString, (RolloutRow, u64)>,
     outcomes: FxHashMap<(CompactString, CompactString), Outcomes>,
     confirmed_at: Duration,
     registrations_synced: bool,
@@ -121,6 +124,7 @@
             lapsing: FxHashMap::default(),
             returned_at: None,
             rollouts: FxHashMap::default(),
+            early_rows: FxHashMap::default(),
             outcomes: FxHashMap::default(),
             confirmed_at: Duration::ZERO,
             registrations_synced: false,
@@ -312,6 +316,7 @@
         );
         // The row of an earlier order is replaced by this one's.
         let row = known.and_then(|known| known.row.clone());
+        let row = row.or_else(|| self.early_rows.remove(&order.service));
         let sums = self.outcomes.iter();
         let sums = sums.filter(|((service, _), _)| *service == order.service);
         let before = sums.map(|((_, version), seen)| (version.clone(), *seen));
@@ -344,6 +349,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(rollout) = self.rollouts.get_mut(&row.service) else {
+            self.early_rows.insert(row.service.clone(), (row, version));
             return;
         };
         let known = rollout.row.as_ref().map_or(0, |(_, version)| *version);
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -43,7 +43,11 @@
             Ok(snapshot) => {
                 self.answered(snapshot.now);
                 self.table(Table::Orders, Followed::clear);
-                for row in &snapshot.rows {
+                // A configuration alone would let requests go to any version.
+                let is_order = |row: &&Row| platform::order(row).is_some();
+                let (orders, others): (Vec<&Row>, Vec<&Row>) =
+                    snapshot.rows.iter().partition(is_order);
+                for row in orders.into_iter().chain(others) {
                     self.order_row(row);
                 }
                 self.table_read(Table::Orders, snapshot.now);
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -135,6 +135,28 @@
     state.handle(Event::Tick { store_now }, at(0))
 }
 
+// Seen on luzcena-ne, scale-1, after all processes were killed: the roll-out
+// that was complete was forgotten until the next transaction, and requests were
+// refused as if there were no upstream.
+#[test]
+fn a_row_that_is_read_before_its_order_counts() {
+    let row = RolloutRow {
+        service: CompactString::from("engines"),
+        to: CompactString::from("v2"),
+        order: 3,
+        started_ms: 1_000,
+        phase: Phase::Complete,
+        withdrawn: Vec::new(),
+    };
+    let mut state = state();
+    state.handle(Event::RolloutRead(row, 7), at(0));
+    state.handle(Event::RolloutsSynced, at(0));
+    state.handle(Event::Ordered(order(3)), at(5));
+    let rollouts = state.view().rollouts;
+    assert!((rollouts[0].share - 1.0).abs() < f64::EPSILON);
+    assert_eq!(tick(&mut state, 90_000), []);
+}
+
 fn begin(state: &mut State) -> RolloutRow {
     state.handle(Event::Ordered(order(3)), at(0));
     let effects = tick(state, 1_000);
