Count streams when they begin, and excuse losses in a wave of crashes

Half of the failures were requests lost at upstreams that had just crashed (25 of 98, of both versions); the others came from upstreams that fail while healthy. Either shows at once, while streams that go well were counted at their end, seconds later: 36 failures of 117 answers, of some 400 that had begun.

Change: a stream counts when it begins, and once more as failed if it breaks off. A loss waits a second, and counts for no version where two upstreams of another version went away within a second of it. The wait that was expected at the chosen upstream is logged.

Ruled out and taken back: a gate of cascades that falls with the wait at the engines by the request's urgency.

Tests: relay::losses.

--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -8,6 +8,7 @@
 use crate::relay::budget::Cause;
 use crate::relay::cascade;
 use crate::relay::catalog::Route;
+use crate::relay::losses::Loss;
 use crate::relay::report::Verdict;
 use crate::relay::responder::Responder;
 use crate::relay::view::UpstreamKey;
@@ -47,6 +48,9 @@
             course.held = None;
         }
         if is_success && route.kind.is_stream() {
+            // A failure shows at once, and a good stream ends seconds later:
+            // counted at its end, a new version would seem to fail at first.
+            self.note(&answered.upstream, course, false, Some(answered.first));
             return Some(self.stream(route, course, answered, responder).await);
         }
         self.plain(route, course, answered, responder).await
@@ -98,7 +102,7 @@
     ) -> Option<Ended> {
         let Ok(body) = read_whole(&mut answered.wire).await else {
             self.failed(answered.key);
-            self.note(&answered.upstream, course, true, None);
+            self.traffic.note_loss(&answered.upstream, Loss::OfRequest);
             self.report.note("answer broke off");
             return None;
         };
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -9,6 +9,7 @@
 use super::{Answered, Attempt, Course, Exchange, HELD_RESERVE};
 use crate::platform::{self, Outbound};
 use crate::relay::catalog::{Route, RouteKind};
+use crate::relay::losses::Loss;
 use crate::relay::message::Claim;
 use crate::relay::traffic::{Flight, Outcome};
 use crate::relay::view::{Upstream, UpstreamKey, View};
@@ -62,7 +63,7 @@
         let attempt = self
             .send(route, course, key, &upstream, wire, resume_after)
             .await;
-        self.judge_attempt(key, &upstream, course, &attempt);
+        self.judge_attempt(key, &upstream, &attempt);
         attempt
     }
 
@@ -84,10 +85,8 @@
         let opened = Wire::connect(upstream.addr, CONNECT_TIMEOUT, config).await;
         self.traffic.metrics.connections.inc();
         if let Err(error) = &opened {
-            let now = self.traffic.now();
             tracing::info!(upstream = %upstream.name, %error, "upstream not reached");
-            self.traffic
-                .note_health(key, |health| health.unreachable(now));
+            self.traffic.note_unreachable(key, upstream);
         }
         opened
     }
@@ -216,13 +215,7 @@
         patience.min(left)
     }
 
-    fn judge_attempt(
-        &self,
-        key: UpstreamKey,
-        upstream: &Upstream,
-        course: &Course,
-        attempt: &Attempt,
-    ) {
+    fn judge_attempt(&self, key: UpstreamKey, upstream: &Upstream, attempt: &Attempt) {
         let now = self.traffic.now();
         self.traffic.note_health(key, |health| match attempt {
             Attempt::Lost | Attempt::Silent => health.unreachable(now),
@@ -231,7 +224,7 @@
             Attempt::Answered(_) | Attempt::NotSent => {}
         });
         if matches!(attempt, Attempt::Lost | Attempt::Silent) {
-            self.note(upstream, course, true, None);
+            self.traffic.note_loss(upstream, Loss::OfRequest);
         }
     }
 
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -209,9 +209,11 @@
                 return self.give_up(route, course, responder).await;
             }
             let view = self.traffic.view();
-            let Some(key) = self.pick(&view, route, course, &course.excluded, service) else {
+            let chosen = self.choose(&view, route, course, &course.excluded, service);
+            let Some((key, wait_ms)) = chosen else {
                 return self.give_up(route, course, responder).await;
             };
+            self.report.expected(wait_ms);
             let is_paid = course.sends == 0 || std::mem::take(&mut course.is_paid);
             if !is_paid && !self.traffic.may_repeat(service, Cause::Failure) {
                 self.report.note("repeat budget spent");
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -14,6 +14,7 @@
 use crate::relay::budget::Cause;
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::events::EventBuffer;
+use crate::relay::losses::Loss;
 use crate::relay::report::Verdict;
 use crate::relay::responder::Responder;
 
@@ -57,7 +58,6 @@
                 .await;
             match end {
                 StreamEnd::Whole => {
-                    self.note(&current.upstream, course, false, Some(current.first));
                     let written = if responder.has_started() {
                         responder.end().await
                     } else {
@@ -81,7 +81,7 @@
                 StreamEnd::Broken(reason) => {
                     self.report.note(reason);
                     self.failed(current.key);
-                    self.note(&current.upstream, course, true, None);
+                    self.traffic.note_loss(&current.upstream, Loss::OfAnswer);
                 }
             }
             events.forget_partial();
@@ -162,6 +162,7 @@
             match attempt {
                 Attempt::Answered(next) if next.is_genuine() => {
                     course.runs += 1;
+                    self.note(&next.upstream, course, false, Some(next.first));
                     self.traffic.metrics.resumes.inc();
                     return Ok(next);
                 }
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -15,6 +15,7 @@
 //! | [`cascade`] | which model answers |
 //! | [`budget`] | how many requests may be sent once more |
 //! | [`health`] | what own attempts say about an upstream |
+//! | [`losses`] | whether a lost request is held against its version |
 //! | [`events`] | whole events of a stream |
 
 mod admission;
@@ -31,6 +32,7 @@
 mod gossip;
 pub mod health;
 pub mod loads;
+pub mod losses;
 pub mod message;
 mod metrics;
 mod pace;
--- a/src/carawayrun/relay/report.rs
+++ b/src/carawayrun/relay/report.rs
@@ -45,6 +45,7 @@
     sends: u32,
     upstream: CompactString,
     upstream_status: Option<StatusCode>,
+    wait_ms: f64,
     first: Option<Duration>,
     note: &'static str,
     verdict: Verdict,
@@ -63,6 +64,7 @@
             sends: 0,
             upstream: CompactString::default(),
             upstream_status: None,
+            wait_ms: 0.0,
             first: None,
             note: "",
             // What a request that is dropped in flight ends with.
@@ -81,6 +83,11 @@
         self.upstream_status = Some(status);
     }
 
+    /// Time that it was expected to wait at the upstream that was chosen last.
+    pub(super) fn expected(&mut self, wait_ms: f64) {
+        self.wait_ms = wait_ms;
+    }
+
     pub(super) fn first(&mut self, after: Duration) {
         self.first = Some(after);
     }
@@ -114,6 +121,7 @@
             upstream = %self.upstream,
             upstream_status = self.upstream_status.map_or(0, |status| status.as_u16()),
             sends = self.sends,
+            wait_ms = self.wait_ms as u64,
             first_ms = self.first.map_or(0, |first| first.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             note = self.note,
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod health;
 mod loads;
+mod losses;
 mod placement;
 mod readers;
 mod rollout;
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -20,11 +20,12 @@
 use super::fleet::Fleet;
 use super::gossip::{Peers, read_outcomes};
 use super::health::Health;
+use super::losses::{Loss, Losses};
 use super::metrics::Metrics;
 use super::pace::Pace;
 use super::rollout::Outcomes;
 use super::sessions::Sessions;
-use super::view::{OutcomesView, UpstreamKey, View};
+use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 use crate::peer::message::{RelayReport, TableRead, UpstreamLoad};
 
 /// Outcomes by service and version, for the judgement of roll-outs.
@@ -100,6 +101,7 @@
     budgets: RefCell<FxHashMap<CompactString, RepeatBudget>>,
     paces: RefCell<FxHashMap<(CompactString, CompactString), Pace>>,
     sessions: RefCell<Sessions>,
+    losses: RefCell<Losses>,
     last_news: RefCell<FxHashMap<CompactString, News>>,
     rng: RefCell<SmallRng>,
     started: Instant,
@@ -111,6 +113,7 @@
         let sessions = RefCell::new(Sessions::new(session_gap));
         Self {
             sessions,
+            losses: RefCell::default(),
             last_news: RefCell::default(),
             metrics: Arc::clone(&shared.metrics),
             config: ServiceConfig::default(),
@@ -262,6 +265,7 @@
 
     /// Own load at the upstreams that have any; drops reports that are too old.
     pub(super) fn own_loads(&self) -> Vec<UpstreamLoad> {
+        self.settle_losses();
         let mut fleet = self.fleet.borrow_mut();
         fleet.peers.expire(self.now());
         let gateways = fleet.peers.gateways() as u32;
@@ -319,18 +323,55 @@
             pace.read(first, outcome.unread);
             pace.observe(first, outcome.tokens)
         });
+        let outcomes = Outcomes {
+            answered: 1.0,
+            failed: f64::from(u8::from(outcome.failed)),
+            slow: f64::from(u8::from(slow)),
+        };
         let key = (outcome.service.into(), outcome.version.into());
+        self.add_evidence(key, &outcomes);
+    }
+
+    /// Takes note of a request that was sent to an upstream and lost.
+    pub(super) fn note_loss(&self, upstream: &Upstream, loss: Loss) {
+        let Upstream {
+            service, version, ..
+        } = upstream;
+        let now = self.now();
+        self.losses.borrow_mut().lost(service, version, loss, now);
+    }
+
+    /// Takes note of an upstream that took no connection.
+    pub(super) fn note_unreachable(&self, key: UpstreamKey, upstream: &Upstream) {
+        let now = self.now();
+        self.note_health(key, |health| health.unreachable(now));
+        let Upstream {
+            service, version, ..
+        } = upstream;
+        let mut losses = self.losses.borrow_mut();
+        losses.unreachable(key, service, version, now);
+    }
+
+    fn settle_losses(&self) {
+        let counted = self.losses.borrow_mut().settle(self.now());
+        for (service, version, loss) in counted {
+            let answered = if loss == Loss::OfRequest { 1.0 } else { 0.0 };
+            let lost = Outcomes {
+                answered,
+                failed: 1.0,
+                slow: 0.0,
+            };
+            self.add_evidence((service, version), &lost);
+        }
+    }
+
+    fn add_evidence(&self, key: (CompactString, CompactString), outcomes: &Outcomes) {
         let mut evidence = self
             .shared
             .evidence
             .lock()
             .expect("no holder of the lock panics");
-        let sums = evidence.entry(key).or_default();
-        sums.add(&Outcomes {
-            answered: 1.0,
-            failed: f64::from(u8::from(outcome.failed)),
-            slow: f64::from(u8::from(slow)),
-        });
+        evidence.entry(key).or_default().add(outcomes);
     }
 }
 
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -44,8 +44,29 @@
 /// Requests of each kind sent to each relay once the faults are over.
 const AFTERWARDS: usize = 5;
 
-/// Seeds that failed once: the seed, its length in seconds, and the cause.
-const FAILED: [(u64, u64, &str); 0] = [];
+/// Time for which faults strike in the runs of [`FAILED`].
+const FAILED_LENGTH: Duration = Duration::from_secs(15);
+
+/// Seeds that failed once, and why.
+const FAILED: [(u64, &str); 8] = [
+    (125, "a doubtful answer was dropped, and no better one came"),
+    (
+        101,
+        "the stand-in took a question for its report for a request",
+    ),
+    (113, "as 101"),
+    (116, "as 101"),
+    (117, "as 101"),
+    (126, "as 101"),
+    (
+        214,
+        "an upstream still lost answers after the faults were over",
+    ),
+    (224, "as 214"),
+];
+
+/// Soaks at the same time in one test.
+const SIDE_BY_SIDE: usize = 3;
 
 /// Networks of this process's soaks, each with addresses of its own.
 static NETS: AtomicU64 = AtomicU64::new(0);
@@ -69,6 +90,7 @@
     for strike in strikes {
         strike.await.expect("a strike does not panic");
     }
+    world.heal().await;
     let mut broken = after(&world).await;
     stopped.set(true);
     for caller in callers {
@@ -145,12 +167,15 @@
 
 #[actix_rt::test]
 async fn seeds_that_failed_once_keep_all_promises() {
-    for (seed, seconds, cause) in FAILED {
-        let broken = soak(seed, Duration::from_secs(seconds), USUAL).await;
-        assert!(
-            broken.is_empty(),
-            "{seed}, once because of {cause}: {broken:#?}"
-        );
+    for some in FAILED.chunks(SIDE_BY_SIDE) {
+        let soaks = some.iter().map(|(seed, cause)| async move {
+            let broken = soak(*seed, FAILED_LENGTH, USUAL).await;
+            assert!(
+                broken.is_empty(),
+                "{seed}, once because {cause}: {broken:#?}"
+            );
+        });
+        futures_util::future::join_all(soaks).await;
     }
 }
 
--- a/tests/testsuite/soak/world.rs
+++ b/tests/testsuite/soak/world.rs
@@ -412,6 +412,13 @@
         let _ended = sent.await;
     }
 
+    /// Ends what upstreams were told to do to coming answers.
+    pub(crate) async fn heal(&self) {
+        for upstream in 0..self.sizes.upstreams {
+            self.misbehave(upstream, &json!({})).await;
+        }
+    }
+
     pub(crate) async fn store_faults(&self, faults: &Value, lasts: Duration) {
         let from = now_ms();
         self.put("/faults", faults).await;
