Forget failures at an upstream with time

Cause: the share of failures at an upstream changed with own attempts only, and one that failed is not chosen while others cost less. An upstream that was grey for some seconds was left unused by each gateway that had noticed, for as long as that lived. Ruled out: the pause of unreachable ones, which ends by itself.

Change: the share halves each four seconds. The test fails without it.

--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -83,14 +83,15 @@
     }
 
     pub(super) fn succeeded(&self, answered: &Answered) {
-        let key = answered.key;
+        let (key, now) = (answered.key, self.traffic.now());
         self.traffic
-            .note_health(key, |health| health.answered(false));
+            .note_health(key, |health| health.answered(now, false));
     }
 
     pub(super) fn failed(&self, key: UpstreamKey) {
+        let now = self.traffic.now();
         self.traffic
-            .note_health(key, |health| health.answered(true));
+            .note_health(key, |health| health.answered(now, true));
     }
 
     pub(super) async fn plain(
@@ -116,8 +117,9 @@
         } = answered;
         let is_failure = head.status.is_server_error();
         self.note(&upstream, course, is_failure, Some(first));
+        let now = self.traffic.now();
         self.traffic
-            .note_health(key, |health| health.answered(is_failure));
+            .note_health(key, |health| health.answered(now, is_failure));
         let view = self.traffic.view();
         self.traffic.fleet(&view, |fleet, _| fleet.keep(key, wire));
         let headers = platform::answer_headers(&head.headers);
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -108,7 +108,7 @@
         }
         let candidates: Vec<Candidate> = keys
             .iter()
-            .map(|key| self.candidate(*key, need, data_centre))
+            .map(|key| self.candidate(*key, need, data_centre, now))
             .collect();
         let gateways = self.peers.gateways() + 1;
         let looked_at = sample(&candidates, gateways, || rng.random());
@@ -225,7 +225,13 @@
         }
     }
 
-    fn candidate(&self, key: UpstreamKey, need: &Need<'_>, data_centre: &str) -> Candidate {
+    fn candidate(
+        &self,
+        key: UpstreamKey,
+        need: &Need<'_>,
+        data_centre: &str,
+        now: Duration,
+    ) -> Candidate {
         let upstream = &self.upstreams[key];
         let entry = &self.entries[key];
         let others = self.peers.at(entry.digest);
@@ -235,7 +241,7 @@
             running: entry.running + others.running,
             slots: upstream.slots,
             backlog_ms: entry.backlog_ms + others.backlog_ms,
-            failing: entry.health.failing(),
+            failing: entry.health.failing(now),
             rank: part.map_or(0, |part| rank(part, &upstream.name)),
             is_near: upstream.data_centre == data_centre,
         }
--- a/src/carawayrun/relay/health.rs
+++ b/src/carawayrun/relay/health.rs
@@ -16,19 +16,24 @@
 /// Weight of the newest attempt in the share of failures.
 const NEWEST_WEIGHT: f64 = 0.15;
 
+/// Time in which half of the failures are forgotten where nothing is tried: an
+/// upstream that nobody sends to must get a chance to show that it is well again.
+const FORGOTTEN_IN: Duration = Duration::from_secs(4);
+
 /// Recent outcomes at one upstream; times are on the caller's clock.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
     failing: f64,
+    /// When the share of failures was noted.
+    noted_at: Duration,
     strikes: u32,
     paused_until: Duration,
 }
 
 impl Health {
     /// An attempt was answered.
-    pub fn answered(&mut self, failed: bool) {
-        let outcome = if failed { 1.0 } else { 0.0 };
-        self.failing += NEWEST_WEIGHT * (outcome - self.failing);
+    pub fn answered(&mut self, now: Duration, failed: bool) {
+        self.note(now, failed);
         self.strikes = 0;
     }
 
@@ -36,7 +41,7 @@
     pub fn unreachable(&mut self, now: Duration) {
         let pause = FIRST_PAUSE * 2_u32.pow(self.strikes.min(6));
         self.strikes += 1;
-        self.failing += NEWEST_WEIGHT * (1.0 - self.failing);
+        self.note(now, true);
         self.paused_until = now + pause.min(LONGEST_PAUSE);
     }
 
@@ -57,7 +62,15 @@
     }
 
     /// Share of recent attempts that failed, 0 to 1.
-    pub fn failing(&self) -> f64 {
-        self.failing
+    pub fn failing(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.noted_at);
+        self.failing * 0.5_f64.powf(age.as_secs_f64() / FORGOTTEN_IN.as_secs_f64())
+    }
+
+    fn note(&mut self, now: Duration, failed: bool) {
+        let outcome = if failed { 1.0 } else { 0.0 };
+        let failing = self.failing(now);
+        self.failing = failing + NEWEST_WEIGHT * (outcome - failing);
+        self.noted_at = now;
     }
 }
--- a/src/carawayrun/relay/tests/health.rs
+++ b/src/carawayrun/relay/tests/health.rs
@@ -28,7 +28,19 @@
     assert!(!health.is_paused(NOW + Duration::from_millis(300)));
     health.unreachable(NOW);
     assert!(health.is_paused(NOW + Duration::from_millis(599)));
-    health.answered(false);
+    health.answered(NOW, false);
     health.unreachable(NOW);
     assert!(!health.is_paused(NOW + Duration::from_millis(300)));
 }
+
+// All gateways avoid an upstream that failed; without time nobody would learn
+// that it is well again.
+#[test]
+fn failures_are_forgotten_where_nothing_is_tried() {
+    let mut health = Health::default();
+    for _ in 0..10 {
+        health.answered(NOW, true);
+    }
+    assert!(health.failing(NOW) > 0.7);
+    assert!(health.failing(NOW + Duration::from_secs(20)) < 0.05);
+}
