Drop fewer answers for larger models the longer the engines' queues are

Ruled out: engines that fail (28 and 34 of them are asked alike), placement (the wait grows at all).

Change: the gate of the cascade falls from its usual height at a wait of a quarter of the shortest objective that the service has to nothing at a wait of one.

--- a/src/carawayrun/relay/cascade.rs
+++ b/src/carawayrun/relay/cascade.rs
@@ -19,6 +19,15 @@
 /// the rest is for its events, and for what the expectation leaves out.
 const HOPEFUL_PART: f64 = 0.5;
 
+/// Wait at the engines, in parts of the shortest latency objective that they
+/// serve, up to which a larger model takes no time that others need: a usual
+/// engine has a prompt or two before it.
+const LIGHT_WAIT: f64 = 0.25;
+
+/// The same from which no answer is dropped: the most urgent requests would be
+/// late already, and the least urgent not be read before their deadline.
+const HEAVY_WAIT: f64 = 1.0;
+
 /// How the beginning of an answer stands to the times of its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Timing {
@@ -47,6 +56,23 @@
     }
 }
 
+/// What is expected of a model's answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Prospect {
+    /// When it would begin.
+    pub timing: Timing,
+    /// Wait until its prompt would be read, in parts of the shortest latency
+    /// objective of its service.
+    pub wait: f64,
+}
+
+impl Prospect {
+    // Part of the usual gate that the engines have time for, 1 to 0.
+    fn room(self) -> f64 {
+        ((HEAVY_WAIT - self.wait) / (HEAVY_WAIT - LIGHT_WAIT)).clamp(0.0, 1.0)
+    }
+}
+
 /// Headroom of the repeats below which some requests begin with the largest
 /// model. A fifth of a window of ten seconds is the time in which the share of
 /// requests that begin so can follow a change of the load.
@@ -85,8 +111,8 @@
 pub struct Doubt {
     /// The model's opinion of its answer, of 100.
     pub confidence: Option<f64>,
-    /// What is expected of a better model's answer.
-    pub timing: Timing,
+    /// What is expected of the largest model's answer.
+    pub largest: Prospect,
 }
 
 /// The model to go on with after an answer of `model`; none where the answer
@@ -94,19 +120,21 @@
 ///
 /// Load pattern: a burst fills the engines, and the larger model's answer would
 /// come late or not at all. An answer in hand that is as likely right as wrong
-/// is better than a late one, any answer is better than none, and the time of
-/// the larger model is left to those that need it.
+/// is better than a late one, and any answer is better than none. The longer the
+/// queues, the worse an answer must be to be dropped: the time of a larger model
+/// is that of ten other requests.
 pub fn next<'a>(
     models: &'a [CompactString],
     model: &str,
     doubt: Doubt,
 ) -> Option<&'a CompactString> {
     let largest = models.last()?;
-    let gate = match doubt.timing {
+    let gate = match doubt.largest.timing {
         Timing::Early | Timing::Timely => GATE,
         Timing::Late => LATE_GATE,
         Timing::Hopeless => return None,
     };
+    let gate = gate * doubt.largest.room();
     let is_doubtful = doubt.confidence.is_some_and(|confidence| confidence < gate);
     (is_doubtful && largest != model).then_some(largest)
 }
--- a/src/carawayrun/relay/catalog.rs
+++ b/src/carawayrun/relay/catalog.rs
@@ -37,6 +37,8 @@
     pub limits: Limits,
     /// Routes of each host name, the longest prefix first.
     pub(crate) by_host: FxHashMap<CompactString, Vec<RouteKey>>,
+    /// Shortest latency objective of each service.
+    pub(crate) objectives: FxHashMap<ServiceKey, Duration>,
 }
 
 /// How often a request of a route may run.
@@ -150,13 +152,19 @@
 }
 
 impl Catalog {
-    /// Indexes the routes by host; call once after all fields are set.
+    /// Indexes the routes by host and by service; call once after all fields are set.
     #[must_use]
     pub fn indexed(mut self) -> Self {
         self.by_host.clear();
+        self.objectives.clear();
         for (index, route) in self.routes.iter().enumerate() {
             let keys = self.by_host.entry(route.host.clone()).or_default();
             keys.push(RouteKey(index as u16));
+            for target in route.targets.iter().filter(|_| !route.objective.is_zero()) {
+                let shortest = self.objectives.entry(target.service);
+                let shortest = shortest.or_insert(route.objective);
+                *shortest = route.objective.min(*shortest);
+            }
         }
         for keys in self.by_host.values_mut() {
             keys.sort_by_key(|key| usize::MAX - self.routes[usize::from(key.0)].prefix.len());
@@ -182,6 +190,12 @@
         &self.services[usize::from(key.0)]
     }
 
+    /// The shortest latency objective of the routes of a service; none where
+    /// they have none.
+    pub fn shortest_objective(&self, key: ServiceKey) -> Option<Duration> {
+        self.objectives.get(&key).copied()
+    }
+
     /// The team of a key of this catalog.
     pub fn team(&self, key: TeamKey) -> &Team {
         &self.teams[usize::from(key.0)]
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -66,7 +66,7 @@
         let largest = route.models.last()?;
         let doubt = cascade::Doubt {
             confidence: answered.answer.confidence,
-            timing: self.timing(route, largest, &course.excluded),
+            largest: self.prospect(route, largest, &course.excluded),
         };
         let next = cascade::next(&route.models, model, doubt)?;
         if course.runs >= route.max_attempts {
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -18,7 +18,7 @@
 use super::admission::{Admitted, Refusal};
 use super::boot_clock;
 use super::budget::Cause;
-use super::cascade::{self, Timing};
+use super::cascade::{self, Prospect, Timing};
 use super::catalog::{Catalog, Route, RouteKind};
 use super::fleet::Need;
 use super::message::{Answer, Ask, Prefix};
@@ -161,32 +161,41 @@
         let service = self.service(&self.admitted.catalog);
         let outlook = cascade::Outlook {
             headroom: self.traffic.headroom(service, Cause::Cascade),
-            timing: self.timing(route, largest, &[]),
+            timing: self.prospect(route, largest, &[]).timing,
             random: self.traffic.random(),
         };
         cascade::first(&route.models, outlook).cloned()
     }
 
-    /// How the first byte of a model's answer would stand to the request's
-    /// times, if it were sent now to an upstream that is not `excluded`.
-    fn timing(&self, route: &Route, model: &str, excluded: &[UpstreamKey]) -> Timing {
-        let service = self.service(&self.admitted.catalog);
+    /// What is expected of a model's answer, if it were asked for now at an
+    /// upstream that is not `excluded`.
+    fn prospect(&self, route: &Route, model: &str, excluded: &[UpstreamKey]) -> Prospect {
+        let catalog = &self.admitted.catalog;
+        let service = self.service(catalog);
         let view = self.traffic.view();
         let course = Course {
             model: Some(model.into()),
             ..Course::default()
         };
         let Some((_, wait_ms)) = self.choose(&view, route, &course, excluded, service) else {
-            return Timing::Hopeless;
+            return Prospect {
+                timing: Timing::Hopeless,
+                wait: 0.0,
+            };
         };
         let tokens = f64::from(self.ask.prompt_tokens);
+        let wait = Duration::from_secs_f64(wait_ms / 1_000.0);
         let reading_ms = self.traffic.reading_ms(service, model, tokens);
-        let first =
-            self.received.elapsed() + Duration::from_secs_f64((wait_ms + reading_ms) / 1_000.0);
+        let reading = Duration::from_secs_f64(reading_ms / 1_000.0);
+        let first = self.received.elapsed() + wait + reading;
         let limit = self
             .deadline(route)
             .saturating_duration_since(self.received);
-        Timing::of(first, route.objective, limit)
+        let shortest = catalog.shortest_objective(self.admitted.service);
+        Prospect {
+            timing: Timing::of(first, route.objective, limit),
+            wait: shortest.map_or(0.0, |shortest| wait.div_duration_f64(shortest)),
+        }
     }
 
     fn service<'c>(&self, catalog: &'c Catalog) -> &'c str {
--- a/src/carawayrun/relay/tests/cascade.rs
+++ b/src/carawayrun/relay/tests/cascade.rs
@@ -4,7 +4,7 @@
 use test_case::test_case;
 
 use crate::relay::budget::{Cause, RepeatBudget};
-use crate::relay::cascade::{Doubt, Outlook, Timing, first, next};
+use crate::relay::cascade::{Doubt, Outlook, Prospect, Timing, first, next};
 
 fn models() -> Vec<CompactString> {
     ["small", "middle", "large"]
@@ -15,7 +15,7 @@
 fn doubt(confidence: f64, timing: Timing) -> Doubt {
     Doubt {
         confidence: Some(confidence),
-        timing,
+        largest: Prospect { timing, wait: 0.1 },
     }
 }
 
@@ -76,6 +76,25 @@
     assert_eq!(next.map(CompactString::as_str), expected);
 }
 
+// A quarter of the engines is gone, the load is as before, and queues grow: the
+// least urgent requests passed their deadlines unread (mwlsa-lathe-grown,
+// trouble-2) while larger models read long prompts again.
+#[test_case(0.2, 55.0, true; "no queue to speak of")]
+#[test_case(0.5, 55.0, false; "a doubtful answer, some queue")]
+#[test_case(0.5, 30.0, true; "a wrong answer, some queue")]
+#[test_case(0.9, 30.0, false; "a wrong answer, a long queue")]
+#[test_case(1.0, 0.0, false; "any answer, and the most urgent would be late")]
+fn the_longer_the_queue_the_fewer_cascades(wait: f64, confidence: f64, expected: bool) {
+    let doubt = Doubt {
+        confidence: Some(confidence),
+        largest: Prospect {
+            timing: Timing::Timely,
+            wait,
+        },
+    };
+    assert_eq!(next(&models(), "small", doubt).is_some(), expected);
+}
+
 // A burst of short requests with five seconds each and an objective of 1.5 s.
 #[test_case(700, Timing::Early)]
 #[test_case(1_400, Timing::Timely)]
@@ -91,7 +110,10 @@
 fn an_answer_without_an_opinion_stands() {
     let doubt = Doubt {
         confidence: None,
-        timing: Timing::Timely,
+        largest: Prospect {
+            timing: Timing::Timely,
+            wait: 0.0,
+        },
     };
     assert_eq!(next(&models(), "small", doubt), None);
 }
