Let an answer in hand go before a failure of the better model

Found on reading the diff: where the larger model failed at the last attempt, its failure was delivered and the held answer dropped; and a held stream that broke off would have gone on with the larger model. A held answer now keeps its model, and a failure ends the wait for a better one. The test fails without it (500). The stand-in of an upstream can be told to fail a model; a test for the shortest objective of a service.

--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -193,7 +193,13 @@
         if self.faults.take_lost_answer() {
             return lost();
         }
-        let mut answer = if is_stream {
+        let is_bad = !model.is_empty() && self.faults.get().bad_version == model;
+        let mut answer = if is_bad {
+            text(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "told to fail this model\n",
+            )
+        } else if is_stream {
             self.events(after, slot)
         } else {
             text(StatusCode::OK, format!("{} ran {id}\n", self.id))
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -128,9 +128,9 @@
         "version": 7, "later": true,
         "routes": [
             {"name": "long", "hostname": "A.example", "prefix": "/a/b/", "route_type": "streaming",
-             "stream_resume": true, "timeout_ms": 100, "service": "s"},
+             "stream_resume": true, "timeout_ms": 100, "objective_ms": 60, "service": "s"},
             {"name": "short", "hostname": "a.example", "prefix": "/a/", "route_type": "new-kind",
-             "timeout_ms": 100, "backends": [{"service": "s", "weight": 0}, {"service": "t", "weight": 5}]},
+             "timeout_ms": 100, "objective_ms": 40, "backends": [{"service": "s", "weight": 0}, {"service": "t", "weight": 5}]},
         ],
         "services": [{"name": "s", "engine": {}}, {"name": "t"}],
         "limits": {"max_header_bytes": 1, "max_body_bytes": 2, "header_timeout_ms": 3, "idle_timeout_ms": 4},
@@ -149,6 +149,8 @@
     assert_eq!(catalog.find("a.example", "/b/"), None);
     assert_eq!(catalog.team(catalog.api_keys["k2"]).name, "team");
     assert!(catalog.services[0].has_engines);
+    let shortest = catalog.shortest_objective(catalog.route(long).targets[0].service);
+    assert_eq!(shortest, Some(Duration::from_millis(40)));
 }
 
 #[test]
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 
-use super::{Answered, Course, Ended, Exchange, Failure};
+use super::{Answered, Course, Ended, Exchange, Failure, Held};
 use crate::platform;
 use crate::relay::budget::Cause;
 use crate::relay::cascade;
@@ -39,9 +39,11 @@
             self.note(&answered.upstream, course, false, Some(answered.first));
             self.succeeded(&answered);
             self.traffic.metrics.cascades.inc();
-            course.model = Some(model);
+            course.held = Some(Held {
+                answered: Box::new(answered),
+                model: course.model.replace(model),
+            });
             course.is_paid = true;
-            course.held = Some(Box::new(answered));
             return None;
         }
         if is_success {
@@ -123,7 +125,8 @@
         let view = self.traffic.view();
         self.traffic.fleet(&view, |fleet, _| fleet.keep(key, wire));
         let headers = platform::answer_headers(&head.headers);
-        if is_failure && route.kind.is_repeatable() && course.runs < route.max_attempts {
+        let may_repeat = route.kind.is_repeatable() && course.runs < route.max_attempts;
+        if is_failure && (may_repeat || course.held.is_some()) {
             course.failure = Some(Failure {
                 status: head.status,
                 headers,
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -122,8 +122,14 @@
     /// Version to keep, once a part of the answer was delivered.
     version: Option<CompactString>,
     failure: Option<Failure>,
-    /// A doubtful answer, kept until a better model's begins.
-    held: Option<Box<Answered>>,
+    held: Option<Held>,
+}
+
+/// A doubtful answer, kept until a better model's begins.
+struct Held {
+    answered: Box<Answered>,
+    /// The model that made it.
+    model: Option<CompactString>,
 }
 
 enum Ended {
@@ -348,10 +354,12 @@
         if let Some(held) = course.held.take() {
             self.report
                 .note("no better answer; the doubtful one is delivered");
+            course.model = held.model;
+            let answered = *held.answered;
             let ended = if route.kind.is_stream() {
-                Some(Box::pin(self.stream(route, course, *held, responder)).await)
+                Some(Box::pin(self.stream(route, course, answered, responder)).await)
             } else {
-                self.plain(route, course, *held, responder).await
+                self.plain(route, course, answered, responder).await
             };
             if let Some(ended) = ended {
                 return ended;
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -135,6 +135,24 @@
     assert_eq!(reply.body, Some(events()));
 }
 
+// Found on reading: the last failure of the larger model replaced the answer.
+#[actix_rt::test]
+async fn a_doubtful_answer_goes_before_a_failure_of_the_better_model() {
+    let mut world = PlatformWorld::start("held-fail").await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    for index in 0..3 {
+        let id = format!("llm-{index}");
+        world.runner(&id, "llm", &["--confidence", "10"]).await;
+        let fails = json!({"badVersion": "large"});
+        world.faults(&world.runner_url(index), &fails).await;
+    }
+    world.until_ready().await;
+    let request = world.request(Method::POST, "/stream/plan", "req-1");
+    let reply = world.send(request, "plan").await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.body, Some(events()));
+}
+
 #[actix_rt::test]
 async fn an_answer_to_another_request_is_not_delivered() {
     let world = world("crossed").await;
