Log and count the store's era with each read

The lines of the report can't tell a cursor that passed over changes from row versions that were taken for equal or from an order that began twice: a read whose newest version was below the cursor passed without a line, and the era that the store names in each answer was not read.

Each read now logs a change of the era and a newest version below its cursor; each row of the operators is logged with its row version and era, and each roll-out that begins is counted. No decision changes.

--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -26,6 +26,9 @@
 /// Most rows of one answer: the limit of the store.
 const PAGE_ROWS: usize = 500;
 
+/// Header of all answers that counts how often the store was restored from a copy.
+const ERA_HEADER: &str = "store-era";
+
 /// Timeout of a call that does not wait for changes. The store takes some
 /// milliseconds, and a connection may be dead without a reset.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -127,11 +130,12 @@
         let mut snapshot = Snapshot::default();
         let mut from = String::new();
         loop {
-            let page = self.read_page(table, &from).await?;
+            let (page, era) = self.read_page(table, &from).await?;
             // Changes are followed from the version of the first page, so that none
             // is missed.
-            if snapshot.version == 0 {
+            if from.is_empty() {
                 snapshot.version = page.ver;
+                snapshot.era = era;
             }
             snapshot.now = Duration::from_millis(page.now_ms);
             from = page.rows.last().map(key_after).unwrap_or_default();
@@ -145,7 +149,7 @@
         }
     }
 
-    async fn read_page(&self, table: Keyspace, from: &str) -> Result<RowsBody, CallError> {
+    async fn read_page(&self, table: Keyspace, from: &str) -> Result<(RowsBody, u64), CallError> {
         let url = format!(
             "{}/v1/rows-get?table={}&part=&from={}&limit={PAGE_ROWS}",
             self.base,
@@ -155,7 +159,7 @@
         let answer = self.send(Method::GET, &url, Bytes::new(), CALL_TIMEOUT);
         let answer = answer.await?;
         match answer.status {
-            StatusCode::OK => parse_rows(&answer),
+            StatusCode::OK => Ok((parse_rows(&answer)?, parse_era(&answer)?)),
             status => Err(call::invalid_status(status, &answer.body)),
         }
     }
@@ -190,6 +194,7 @@
         let body = parse_rows(&answer).context(CallSnafu)?;
         Ok(Changes {
             version: body.ver,
+            era: parse_era(&answer).context(CallSnafu)?,
             now: Duration::from_millis(body.now_ms),
             changes: body.rows.into_iter().map(parse_change).collect(),
         })
@@ -289,6 +294,15 @@
     serde_json::from_slice(&answer.body).map_err(|error| call::invalid_json(&error))
 }
 
+// Era of an answer; zero if the store does not count eras.
+fn parse_era(answer: &Answer) -> Result<u64, CallError> {
+    let Some(value) = answer.headers.get(ERA_HEADER) else {
+        return Ok(0);
+    };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    number.ok_or_else(|| call::invalid_answer(&format!("{ERA_HEADER} is {value:?}, not a number")))
+}
+
 // The smallest key after that of a row, as ranges include their start.
 fn key_after(row: &WireRow) -> String {
     format!("{}\0", row.key)
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -68,6 +68,8 @@
     tables: RefCell<[FollowedTable; Table::ALL.len()]>,
     /// Notified when updates of the other gateways were recorded.
     updates_recorded: Notify,
+    /// Era of the last read, if any.
+    era: Cell<Option<u64>>,
     /// Time as of which the registrations are known, on the boot clock.
     registrations_at: Cell<Duration>,
     rng: RefCell<SmallRng>,
@@ -88,6 +90,7 @@
         store_clock: RefCell::default(),
         tables: RefCell::default(),
         updates_recorded: Notify::new(),
+        era: Cell::default(),
         registrations_at: Cell::default(),
         rng: RefCell::new(SmallRng::from_os_rng()),
     });
@@ -220,6 +223,32 @@
         clock.observe(store_now, boot_clock::now());
     }
 
+    // Logs and counts the era and the newest version of a read, where `after` is
+    // the version from which changes were read.
+    fn record_era(&self, table: Table, era: u64, version: u64, after: Option<u64>) {
+        let before = self.era.replace(Some(era));
+        if let Some(before) = before.filter(|before| *before != era) {
+            tracing::warn!(
+                ?table,
+                era,
+                before,
+                version,
+                after,
+                "era of the store changed"
+            );
+        }
+        if after.is_some_and(|after| version < after) {
+            tracing::warn!(
+                ?table,
+                era,
+                version,
+                after,
+                "newest version of the store is below the cursor"
+            );
+        }
+        self.shared.metrics.store_era.set(era as i64);
+    }
+
     // Handles a failed feed call. Returns the version after which to continue;
     // `None` if all rows must be read again.
     async fn recover_feed(&self, error: &FeedError, after: u64) -> Option<u64> {
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -28,6 +28,7 @@
             match self.store.changes(Keyspace::Orders, after, FEED_WAIT).await {
                 Ok(feed) => {
                     self.record_answer(feed.now);
+                    self.record_era(Table::Orders, feed.era, feed.version, Some(after));
                     for change in feed.changes {
                         self.apply_operator_change(change);
                     }
@@ -43,6 +44,7 @@
         match self.store.snapshot(Keyspace::Orders).await {
             Ok(snapshot) => {
                 self.record_answer(snapshot.now);
+                self.record_era(Table::Orders, snapshot.era, snapshot.version, None);
                 self.with_table(Table::Orders, FollowedTable::clear);
                 // Orders come first: with a configuration alone, requests would
                 // go to any version.
@@ -80,6 +82,7 @@
         self.with_table(Table::Orders, |followed| {
             followed.insert_row(&row.key, row.version);
         });
+        tracing::info!(key = %row.key, row_version = row.version, era = self.era.get(), "row of the operators read");
         match platform::parse_catalog(row) {
             Some(Ok(catalog)) => self.handle(Event::ConfigurationRead(Box::new(catalog))),
             Some(Err(error)) => {
--- a/src/carawayrun/relay/follow/registrations.rs
+++ b/src/carawayrun/relay/follow/registrations.rs
@@ -41,6 +41,7 @@
             match changes.await {
                 Ok(feed) => {
                     self.record_answer(feed.now);
+                    self.record_era(Table::Registrations, feed.era, feed.version, Some(after));
                     for change in feed.changes {
                         self.apply_registration_change(change);
                     }
@@ -57,6 +58,7 @@
         match self.store.snapshot(Keyspace::Registrations).await {
             Ok(snapshot) => {
                 self.record_answer(snapshot.now);
+                self.record_era(Table::Registrations, snapshot.era, snapshot.version, None);
                 let upstreams = snapshot.rows.iter().filter_map(parse_registration);
                 let upstreams: Vec<Upstream> = upstreams.collect();
                 self.with_table(Table::Registrations, |followed| {
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -9,7 +9,7 @@
 use crate::platform::{self, Keyspace};
 use crate::relay::control::{Effect, Event};
 use crate::relay::readers::FollowedTable;
-use crate::relay::rollout::RolloutRow;
+use crate::relay::rollout::{Phase, RolloutRow};
 use crate::store::feed::Change;
 use crate::store::table::{Row, TableError};
 
@@ -50,6 +50,7 @@
             {
                 Ok(feed) => {
                     self.record_answer(feed.now);
+                    self.record_era(Table::Rollouts, feed.era, feed.version, Some(after));
                     for change in feed.changes {
                         if let Change::Put(row) = change {
                             self.apply_rollout_row(&row);
@@ -68,6 +69,7 @@
         match self.store.snapshot(Keyspace::Rollouts).await {
             Ok(snapshot) => {
                 self.record_answer(snapshot.now);
+                self.record_era(Table::Rollouts, snapshot.era, snapshot.version, None);
                 self.with_table(Table::Rollouts, FollowedTable::clear);
                 for row in &snapshot.rows {
                     self.apply_rollout_row(row);
@@ -123,7 +125,10 @@
             .await
         {
             Ok(()) => {
-                tracing::info!(service = %row.service, phase = ?row.phase, from_version = version, "roll-out phase written");
+                if row.phase == Phase::Canary {
+                    self.shared.metrics.rollouts_begun.inc();
+                }
+                tracing::info!(service = %row.service, phase = ?row.phase, order = row.order, from_version = version, era = self.era.get(), "roll-out phase written");
             }
             Err(TableError::Conflict { .. }) => {
                 tracing::info!(service = %row.service, phase = ?row.phase, from_version = version, "roll-out phase already changed by another gateway");
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) store_calls: Counter,
     pub(crate) store_failures: Counter,
     pub(crate) config_version: Gauge,
+    pub(crate) store_era: Gauge,
+    pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
     pub(crate) log_limiter: LogLimiter,
     requests: Family<RequestLabels, Counter>,
@@ -63,6 +65,8 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
+            rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
             log_limiter: LogLimiter::new(),
             requests: Family::default(),
@@ -99,6 +103,11 @@
             "Calls to the store without a usable answer",
             &metrics.store_failures,
         );
+        add(
+            "rollouts_begun",
+            "Roll-outs that this process began in the store",
+            &metrics.rollouts_begun,
+        );
         add(
             "log_lines_dropped",
             "Log lines of requests left out",
@@ -109,6 +118,11 @@
             "Configuration in force",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "store_era",
+            "Restores of the store from a copy",
+            metrics.store_era.clone(),
+        );
         registry.register("upstreams", "Upstreams known", metrics.upstreams.clone());
         registry.register(
             "requests",
--- a/src/carawayrun/store/call.rs
+++ b/src/carawayrun/store/call.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use awc::error::SendRequestError;
-use awc::http::{Method, StatusCode, header};
+use awc::http::header::{self, HeaderMap};
+use awc::http::{Method, StatusCode};
 use awc::{Client, ClientRequest, Connector};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
@@ -61,6 +62,7 @@
     pub(crate) status: StatusCode,
     /// `ETag` of the body; empty if the service gives none.
     pub(crate) etag: CompactString,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -104,6 +106,7 @@
     let etag = response.headers().get(header::ETAG);
     let etag = etag.and_then(|etag| etag.to_str().ok()).unwrap_or_default();
     let etag = CompactString::from(etag);
+    let headers = response.headers().clone();
     let reading = response.body().limit(limit);
     let body = actix_rt::time::timeout(BODY_TIMEOUT, reading)
         .await
@@ -117,7 +120,12 @@
     if status.is_server_error() {
         return Err(answer_lost(&describe_answer(status, &body)));
     }
-    Ok(Answer { status, etag, body })
+    Ok(Answer {
+        status,
+        etag,
+        headers,
+        body,
+    })
 }
 
 pub(crate) fn invalid_status(status: StatusCode, body: &[u8]) -> CallError {
@@ -126,6 +134,12 @@
     }
 }
 
+pub(crate) fn invalid_answer(message: &str) -> CallError {
+    CallError::Invalid {
+        message: message.into(),
+    }
+}
+
 pub(crate) fn invalid_json(error: &serde_json::Error) -> CallError {
     CallError::Invalid {
         message: error.to_compact_string(),
--- a/src/carawayrun/store/feed.rs
+++ b/src/carawayrun/store/feed.rs
@@ -11,6 +11,9 @@
     pub rows: Vec<Row>,
     /// Newest version in the service at that time.
     pub version: u64,
+    /// Number of times that the service was restored from a copy. Versions of
+    /// different eras can't be compared, as they are given out again.
+    pub era: u64,
     /// Time on the service's steady clock, which is independent of its callers'
     /// restarts.
     pub now: Duration,
@@ -32,6 +35,8 @@
     pub changes: Vec<Change>,
     /// Version up to which the changes are complete.
     pub version: u64,
+    /// Number of times that the service was restored from a copy.
+    pub era: u64,
     /// Time on the service's steady clock.
     pub now: Duration,
 }
