--- a/crates/lab/src/metadata.rs
+++ b/crates/lab/src/metadata.rs
@@ -1,8 +1,10 @@
 //! Metadata store of the users' platform: tables of rows with a change feed.
 //!
-//! Tests use three more calls: `PUT` and `DELETE /rows/TABLE/KEY` stand for the
-//! writes of operators and upstreams, and `POST /drop-history` drops the feed's
-//! history.
+//! Tests use four more calls: `PUT` and `DELETE /rows/TABLE/KEY` stand for the
+//! writes of operators and upstreams, `POST /drop-history` drops the feed's
+//! history, and `POST /restore` replaces all rows by those of an earlier version
+//! (`version=N`) or time (`age_ms=N`). Versions are then given out again from
+//! there, and the era in the header `Store-Era` rises by one.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, Request, Response, StatusCode};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -47,6 +50,7 @@
             history: RefCell::default(),
             oldest_cursor: Cell::default(),
             version: Cell::default(),
+            era: Cell::default(),
             calls: Cell::default(),
             changed: Notify::new(),
             started_at: Instant::now(),
@@ -58,11 +62,14 @@
 struct Service {
     faults: FaultState,
     rows: RefCell<BTreeMap<(String, String), Row>>,
-    history: RefCell<Vec<Row>>,
+    /// All writes with their times, the oldest first.
+    history: RefCell<Vec<(Instant, Row)>>,
     /// Lowest `after` that the feed accepts; `POST /drop-history` raises it above every
     /// cursor issued so far.
     oldest_cursor: Cell<u64>,
     version: Cell<u64>,
+    /// Number of restores from a copy.
+    era: Cell<u64>,
     calls: Cell<u64>,
     changed: Notify,
     started_at: Instant,
@@ -115,7 +122,18 @@
 }
 
 impl Service {
-    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+    async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
+        let mut answer = Rc::clone(&self).answer(request).await;
+        let name = HeaderName::from_static("store-era");
+        let era = HeaderValue::from(self.era.get());
+        answer.headers_mut().insert(name, era);
+        answer
+    }
+
+    async fn answer(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+        if request.path() == "/restore" {
+            return self.restore(&request);
+        }
         if request.path().starts_with("/rows/") {
             return self.write_row_for_test(&mut request).await;
         }
@@ -153,6 +171,31 @@
         json(StatusCode::OK, &version)
     }
 
+    fn restore(&self, request: &Request) -> Response<BoxBody> {
+        let number = |name| query_value(request, name).and_then(|text| text.parse::<u64>().ok());
+        let (version, age_ms) = (number("version"), number("age_ms"));
+        if version.is_none() && age_ms.is_none() {
+            return text(StatusCode::BAD_REQUEST, "give version=N or age_ms=N\n");
+        }
+        let age = age_ms.map(Duration::from_millis);
+        let is_copied = |at: &Instant, row: &Row| {
+            version.is_none_or(|version| row.ver <= version)
+                && age.is_none_or(|age| at.elapsed() >= age)
+        };
+        let mut history = self.history.take();
+        history.retain(|(at, row)| is_copied(at, row));
+        self.rows.borrow_mut().clear();
+        for (_, row) in &history {
+            self.apply_row(row);
+        }
+        self.version
+            .set(history.last().map_or(0, |(_, row)| row.ver));
+        self.history.replace(history);
+        self.era.set(self.era.get() + 1);
+        self.changed.notify_waiters();
+        json(StatusCode::OK, &self.version.get())
+    }
+
     async fn transact(&self, request: &mut Request) -> Response<BoxBody> {
         self.calls.set(self.calls.get() + 1);
         let transaction: Transaction = match read_json(request).await {
@@ -202,8 +245,8 @@
         let deadline = actix_rt::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if after < self.oldest_cursor.get() {
-                return text(StatusCode::GONE, "history dropped\n");
+            if after < self.oldest_cursor.get() || after > self.version.get() {
+                return text(StatusCode::GONE, "no history from there\n");
             }
             let rows = self.changes_after(&table, after);
             let has_changed = rows.is_empty() && {
@@ -218,7 +261,7 @@
 
     fn changes_after(&self, table: &str, after: u64) -> Vec<Row> {
         let history = self.history.borrow();
-        let rows = history.iter();
+        let rows = history.iter().map(|(_, row)| row);
         let rows = rows.filter(|row| row.table == table && row.ver > after);
         rows.cloned().collect()
     }
@@ -232,13 +275,17 @@
             ver,
             deleted,
         };
+        self.apply_row(&row);
+        self.history.borrow_mut().push((Instant::now(), row));
+    }
+
+    fn apply_row(&self, row: &Row) {
         let row_key = (row.table.clone(), row.key.clone());
-        if deleted {
+        if row.deleted {
             self.rows.borrow_mut().remove(&row_key);
         } else {
             self.rows.borrow_mut().insert(row_key, row.clone());
         }
-        self.history.borrow_mut().push(row);
     }
 
     fn next_version(&self) -> u64 {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod platform;
 mod policy;
 mod resources;
+mod restored;
 mod rollouts;
 mod sessions;
 mod soak;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -1,4 +1,4 @@
-//! A small world on the users' platform: its store, runners and one relay, as
+//! A small world on the users' platform: its store, runners and relays, as
 //! separate processes on loopback addresses of their own.
 
 use std::path::{Path, PathBuf};
@@ -7,6 +7,8 @@
 
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientRequest};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
 
 use super::process::Process;
@@ -20,6 +22,12 @@
 /// Pause between two looks at a condition.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Longest list of runs that is read.
+const MAX_EFFECTS_BYTES: usize = 16 << 20;
+
+/// Last number of the first relay's address.
+const FIRST_RELAY: usize = 2;
+
 pub(crate) const API_KEY: &str = "key-one";
 
 pub(crate) struct PlatformWorld {
@@ -27,7 +35,8 @@
     /// First three numbers of its addresses.
     net: String,
     client: Client,
-    relay: Option<Process>,
+    /// Relays at the hosts from [`FIRST_RELAY`] on.
+    relays: Vec<Process>,
     _store: Process,
     runners: Vec<Process>,
 }
@@ -62,7 +71,7 @@
             dir,
             net,
             client,
-            relay: None,
+            relays: Vec::new(),
             _store: store,
             runners: Vec::new(),
         };
@@ -74,16 +83,28 @@
         world
     }
 
+    /// Starts one more relay.
     pub(crate) fn start_relay(&mut self) {
-        let path = self.dir.join("node.toml");
-        std::fs::write(&path, self.settings()).expect("settings can be written");
+        let relay = self.spawn_relay(self.relays.len());
+        self.relays.push(relay);
+    }
+
+    /// Kills a relay and starts it again.
+    pub(crate) fn restart_relay(&mut self, index: usize) {
+        self.relays[index].kill();
+        self.relays[index] = self.spawn_relay(index);
+    }
+
+    fn spawn_relay(&self, index: usize) -> Process {
+        let path = self.dir.join(settings_file(index));
+        std::fs::write(&path, self.settings(index)).expect("settings can be written");
         let args = ["relay", "--settings", &path.to_string_lossy()].map(String::from);
         let program = Path::new(env!("CARGO_BIN_EXE_carawayrun"));
-        self.relay = Some(Process::spawn(&self.dir, "relay", program, &args));
+        Process::spawn(&self.dir, &relay_name(index), program, &args)
     }
 
     pub(crate) fn change_settings(&self, from: &str, to: &str) {
-        let path = self.dir.join("node.toml");
+        let path = self.dir.join(settings_file(0));
         let text = std::fs::read_to_string(&path).expect("settings can be read");
         assert!(text.contains(from), "{text}");
         std::fs::write(&path, text.replace(from, to)).expect("settings can be written");
@@ -91,7 +112,11 @@
 
     /// Waits until the relay has logged a text.
     pub(crate) async fn until_logged(&self, text: &str) {
-        let path = self.dir.join("relay.log");
+        self.until_relay_logged(0, text).await;
+    }
+
+    pub(crate) async fn until_relay_logged(&self, index: usize, text: &str) {
+        let path = self.dir.join(format!("{}.log", relay_name(index)));
         self.until(async |_| {
             let log = std::fs::read_to_string(&path).unwrap_or_default();
             log.contains(text)
@@ -100,40 +125,70 @@
     }
 
     pub(crate) fn relay(&mut self) -> &mut Process {
-        self.relay.as_mut().expect("the relay was started")
+        &mut self.relays[0]
     }
 
     /// Starts a runner and registers it.
     pub(crate) async fn runner(&mut self, id: &str, service: &str, more: &[&str]) {
-        let host = 10 + self.runners.len();
-        let addr = format!("{}.{host}:7000", self.net);
-        let mut args = vec!["runner", "--listen", &addr, "--id", id];
-        args.extend(more);
-        self.runners.push(lab(&self.dir, id, &args));
-        let health = format!("http://{addr}/health");
-        self.until(async |world| world.answers(&health).await).await;
+        let host = self.unregistered_runner(id, more).await;
         self.register(id, service, host).await;
     }
 
     pub(crate) async fn register(&self, id: &str, service: &str, host: usize) {
-        let row = json!({
+        let row = self.registration(service, host);
+        self.put("servers", id, &row).await;
+    }
+
+    /// Registration of a runner at a host, as it writes it after its start.
+    pub(crate) fn registration(&self, service: &str, host: usize) -> Value {
+        json!({
             "service": service,
             "address": format!("{}.{host}:7000", self.net),
             "zone": "a", "version": "v1", "batch_slots": 8, "state": "ready",
             "warmup_left_ms": 0, "sequence": 1, "born": 1_700_000_000_000_u64,
-        });
-        self.put("servers", id, &row).await;
+        })
+    }
+
+    /// Starts a runner that does not register; returns its host.
+    pub(crate) async fn unregistered_runner(&mut self, id: &str, more: &[&str]) -> usize {
+        let host = 10 + self.runners.len();
+        let addr = format!("{}.{host}:7000", self.net);
+        let mut args = vec!["runner", "--listen", &addr, "--id", id];
+        args.extend(more);
+        self.runners.push(lab(&self.dir, id, &args));
+        let health = format!("http://{addr}/health");
+        self.until(async |world| world.answers(&health).await).await;
+        host
     }
 
     pub(crate) fn stop_runner(&mut self, index: usize) {
         self.runners[index].kill();
     }
 
-    pub(crate) async fn put(&self, table: &str, key: &str, value: &Value) {
+    /// Writes a row as an operator or a runner does; returns its version.
+    pub(crate) async fn put(&self, table: &str, key: &str, value: &Value) -> u64 {
         let url = self.store_url(&format!("/rows/{table}/{key}"));
         let body = value.to_string();
         let sent = self.client.put(url).send_body(body).await;
-        sent.expect("the store takes a row");
+        let mut answer = sent.expect("the store takes a row");
+        let body = answer.body().await.expect("its answer is whole");
+        serde_json::from_slice(&body).expect("it answers with the version")
+    }
+
+    /// Writes rows of no interest until the newest version is above `version`.
+    pub(crate) async fn pass_version(&self, version: u64) {
+        while self.put("other", "row", &json!(0)).await <= version {}
+    }
+
+    /// Value of a row; `None` if it does not exist.
+    pub(crate) async fn row(&self, table: &str, key: &str) -> Option<Value> {
+        let url = self.store_url(&format!("/v1/rows-get?table={table}&part="));
+        let mut answer = self.client.get(url).send().await.ok()?;
+        let body: Value = serde_json::from_slice(&answer.body().await.ok()?).ok()?;
+        let rows = body["rows"].as_array()?;
+        let row = rows.iter().find(|row| row["key"] == key)?;
+        let value = STANDARD.decode(row["value"].as_str()?).ok()?;
+        serde_json::from_slice(&value).ok()
     }
 
     pub(crate) async fn post_store(&self, path: &str) {
@@ -157,11 +212,31 @@
 
     /// Runs of a request id at a runner.
     pub(crate) async fn runs(&self, index: usize, id: &str) -> Vec<Value> {
+        let effects = self.effects(index).await;
+        effects[id].as_array().cloned().unwrap_or_default()
+    }
+
+    // Runs of a runner by request id.
+    async fn effects(&self, index: usize) -> Value {
         let url = format!("{}/effects", self.runner_url(index));
         let mut answer = self.client.get(url).send().await.expect("a runner answers");
-        let body = answer.body().await.expect("its answer is whole");
-        let effects: Value = serde_json::from_slice(&body).expect("its answer is JSON");
-        effects[id].as_array().cloned().unwrap_or_default()
+        let body = answer.body().limit(MAX_EFFECTS_BYTES).await;
+        let body = body.expect("its answer is whole");
+        serde_json::from_slice(&body).expect("its answer is JSON")
+    }
+
+    /// Ids of the requests that ran at a runner.
+    pub(crate) async fn run_ids(&self, index: usize) -> Vec<String> {
+        let effects = self.effects(index).await;
+        let ids = effects.as_object().into_iter().flat_map(|ids| ids.keys());
+        ids.cloned().collect()
+    }
+
+    /// Number of runs of all requests at a runner.
+    pub(crate) async fn run_count(&self, index: usize) -> usize {
+        let effects = self.effects(index).await;
+        let runs = effects.as_object().into_iter().flat_map(|ids| ids.values());
+        runs.filter_map(Value::as_array).map(Vec::len).sum()
     }
 
     /// Requests that a runner works on.
@@ -183,7 +258,12 @@
     }
 
     pub(crate) async fn is_ready(&self) -> bool {
-        self.answers(&format!("http://{}.2:7002/v1/ready", self.net))
+        self.is_relay_ready(0).await
+    }
+
+    pub(crate) async fn is_relay_ready(&self, index: usize) -> bool {
+        let host = FIRST_RELAY + index;
+        self.answers(&format!("http://{}.{host}:7002/v1/ready", self.net))
             .await
     }
 
@@ -211,8 +291,20 @@
 
     /// A client's request to the relay.
     pub(crate) fn request(&self, method: Method, path: &str, id: &str) -> ClientRequest {
+        self.request_at(0, method, path, id)
+    }
+
+    /// A client's request to one of the relays.
+    pub(crate) fn request_at(
+        &self,
+        relay: usize,
+        method: Method,
+        path: &str,
+        id: &str,
+    ) -> ClientRequest {
+        let host = FIRST_RELAY + relay;
         self.client
-            .request(method, format!("http://{}.2:7001{path}", self.net))
+            .request(method, format!("http://{}.{host}:7001{path}", self.net))
             .insert_header(("host", "shop.example"))
             .insert_header(("x-carawayrun-request-id", id))
             .insert_header(("x-carawayrun-deadline-ms", "8000"))
@@ -254,12 +346,14 @@
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
-    fn settings(&self) -> String {
+    fn settings(&self, index: usize) -> String {
         let net = &self.net;
+        let host = FIRST_RELAY + index;
+        let number = index + 1;
         format!(
-            "node_name = \"edge-1\"\nip = \"{net}.2\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
+            "node_name = \"edge-{number}\"\nip = \"{net}.{host}\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
              new_field = \"ignored\"\n\
-             [listen]\nfrontend = \"{net}.2:7001\"\nreadiness = \"{net}.2:7002\"\n\
+             [listen]\nfrontend = \"{net}.{host}:7001\"\nreadiness = \"{net}.{host}:7002\"\n\
              [limits]\nmax_fds = 4096\n\
              [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
              retry_ratio = 0.9\nretry_slack = 600\nretry_window_s = 10\n\
@@ -269,6 +363,20 @@
     }
 }
 
+fn relay_name(index: usize) -> String {
+    match index {
+        0 => "relay".into(),
+        _ => format!("relay-{index}"),
+    }
+}
+
+fn settings_file(index: usize) -> String {
+    match index {
+        0 => "node.toml".into(),
+        _ => format!("node-{index}.toml"),
+    }
+}
+
 /// A configuration with a plain service `app` and an engine service `llm`.
 pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
