--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -539,6 +539,9 @@
     pub at_ms: u64,
     #[prost(fixed64, tag = "3")]
     pub digest: u64,
+    /// Number of restores of the store before the read.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 /// Outcomes of the requests of one roll-out at one relay.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -548,6 +551,9 @@
     /// Version of the row with the roll-out's order.
     #[prost(uint64, tag = "2")]
     pub order: u64,
+    /// Number of restores of the store before the order was read.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
     /// Totals since the order.
     #[prost(message, optional, tag = "3")]
     pub old: ::core::option::Option<Outcomes>,
--- a/src/carawayrun/platform/mod.rs
+++ b/src/carawayrun/platform/mod.rs
@@ -20,7 +20,7 @@
     InboundRequest, OutboundHeaders, answer_headers, parse_answer, parse_request, refusal_headers,
     upstream_request,
 };
-pub use self::registrations::{RegistrationError, parse_upstream};
+pub use self::registrations::{RegistrationError, parse_registration};
 pub use self::report::{parse_report, report_request};
 pub(crate) use self::rollout::order_service;
 pub use self::rollout::{parse_order, put_transaction, rollout_transaction};
--- a/src/carawayrun/platform/registrations.rs
+++ b/src/carawayrun/platform/registrations.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
+use crate::relay::control::Registration;
 use crate::relay::view::Upstream;
 use crate::store::table::Row;
 
@@ -41,17 +42,19 @@
     batch_slots: u32,
     /// `ready` or `draining`.
     state: CompactString,
+    /// Number of writes by this process.
+    sequence: Option<u64>,
     /// Start of the process, in milliseconds since the Unix epoch.
     #[serde(default)]
     born: u64,
 }
 
-/// Parses the upstream that a registration describes.
+/// Parses a registration.
 ///
 /// # Errors
 ///
 /// [`RegistrationError`] if the row is no usable registration.
-pub fn parse_upstream(row: &Row) -> Result<Upstream, RegistrationError> {
+pub fn parse_registration(row: &Row) -> Result<Registration, RegistrationError> {
     let key = row.key.clone();
     let wire: WireServer =
         serde_json::from_str(row.value.get()).context(MalformedSnafu { key: key.clone() })?;
@@ -60,7 +63,7 @@
         state == "ready" || state == "draining",
         UnknownStateSnafu { key, state }
     );
-    Ok(Upstream {
+    let upstream = Upstream {
         name: row.key.to_compact_string(),
         born_ms: wire.born,
         service: wire.service,
@@ -69,5 +72,9 @@
         version: wire.version,
         slots: wire.batch_slots,
         is_leaving: state == "draining",
+    };
+    Ok(Registration {
+        upstream,
+        sequence: wire.sequence,
     })
 }
--- a/src/carawayrun/platform/rollout.rs
+++ b/src/carawayrun/platform/rollout.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::store::{Keyspace, qualified_key};
-use crate::relay::rollout::{Phase, RolloutOrder, RolloutRow};
+use crate::relay::rollout::{OrderId, Phase, RolloutOrder, RolloutRow};
 use crate::store::table::{Condition, Put, Row, Transaction};
 
 /// Key prefix of orders and of their status rows.
@@ -28,12 +28,13 @@
     state: &'static str,
 }
 
-/// Parses a roll-out order from a row; `None` if the row holds something else.
+/// Parses a roll-out order from a row that was read in `era`; `None` if the row
+/// holds something else.
 ///
 /// # Errors
 ///
 /// If the row's value is not an order.
-pub fn parse_order(row: &Row) -> Option<Result<RolloutOrder, serde_json::Error>> {
+pub fn parse_order(row: &Row, era: u64) -> Option<Result<RolloutOrder, serde_json::Error>> {
     if !row.key.starts_with(PREFIX) {
         return None;
     }
@@ -42,7 +43,10 @@
         service: wire.service,
         to: wire.to,
         limit: Duration::from_secs_f64(wire.duration_s.max(0.0)),
-        version: row.version,
+        id: OrderId {
+            era,
+            version: row.version,
+        },
     }))
 }
 
--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -136,6 +136,11 @@
             if from.is_empty() {
                 snapshot.version = page.ver;
                 snapshot.era = era;
+            } else if snapshot.era != era {
+                // The pages are of different copies.
+                snapshot = Snapshot::default();
+                from.clear();
+                continue;
             }
             snapshot.now = Duration::from_millis(page.now_ms);
             from = page.rows.last().map(key_after).unwrap_or_default();
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -8,8 +8,8 @@
 use test_case::test_case;
 
 use super::{
-    OutboundHeaders, load_settings, parse_answer, parse_catalog, parse_order, parse_request,
-    parse_upstream, upstream_request,
+    OutboundHeaders, load_settings, parse_answer, parse_catalog, parse_order, parse_registration,
+    parse_request, upstream_request,
 };
 use crate::relay::catalog::RouteKind;
 use crate::relay::message::Execution;
@@ -124,7 +124,7 @@
 #[test_case(&json!({"service": "a", "address": "10.0.0.1:80", "zone": "a", "version": "v1", "batch_slots": 4, "state": "odd"}); "an unknown state")]
 #[test_case(&json!("text"); "not an object")]
 fn invalid_registration_is_rejected_with_its_key(value: &serde_json::Value) {
-    let read = parse_upstream(&row("i-1", value));
+    let read = parse_registration(&row("i-1", value));
     let error = read.unwrap_err().to_string();
     assert!(error.contains("i-1"), "{error}");
 }
@@ -178,9 +178,10 @@
 #[test]
 fn order_has_the_version_of_its_row() {
     let value = json!({"service": "s", "to": "v2", "duration_s": 12});
-    let order = parse_order(&row("rollout/s", &value)).unwrap().unwrap();
-    assert_eq!((order.version, order.limit), (3, Duration::from_secs(12)));
-    assert!(super::parse_order(&row("config", &value)).is_none());
+    let order = parse_order(&row("rollout/s", &value), 2).unwrap().unwrap();
+    assert_eq!((order.id.era, order.id.version), (2, 3));
+    assert_eq!(order.limit, Duration::from_secs(12));
+    assert!(super::parse_order(&row("config", &value), 2).is_none());
 }
 
 #[test_case("", "missing field `node_name`"; "nothing")]
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -1,6 +1,7 @@
 //! The reducer of a relay: takes events read from the store and returns what to
 //! publish and to write. It does no I/O and reads no clock.
 
+mod history;
 mod rollout;
 
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
+use self::history::RegistrationHistory;
 use self::rollout::Rollout;
 use super::catalog::Catalog;
 use super::readers::Confirmation;
@@ -26,9 +28,24 @@
 /// the drain limit counts from the read that showed its registration as missing.
 const LAPSED_DRAIN_FRACTION: f64 = 0.6;
 
+/// Time after a restore of the store within which operators and upstreams write
+/// again what the copy lacks. An order that repeats a known one is the same order
+/// until then, and a registration may be one of the copy. The users' recovery time
+/// is 12 s; a gateway may notice the restore that long before the operators do.
+const REWRITE_TIME: Duration = Duration::from_secs(30);
+
 /// Longest delay of a gateway's write of a roll-out's next phase.
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(800);
 
+/// Registration of an upstream as it was read.
+#[derive(Debug, Clone)]
+pub struct Registration {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Number of writes of the registration by the upstream's process, if given.
+    pub sequence: Option<u64>,
+}
+
 /// Input of the reducer. Times are on the boot clock, except for those of
 /// [`Event::TableRead`], [`Event::Tick`] and the rows of roll-outs, which are on
 /// the store's clock.
@@ -43,13 +60,16 @@
     /// The roll-out order of a service was removed.
     OrderRemoved(CompactString),
     /// The registration of an upstream was read.
-    UpstreamRegistered(Upstream),
+    UpstreamRegistered(Registration),
     /// A registration was removed, or describes no usable upstream.
     UpstreamUnregistered(CompactString),
     /// All registrations were read; upstreams not among them are removed.
-    RegistrationsRead(Vec<Upstream>),
+    RegistrationsRead(Vec<Registration>),
     /// The store answered again after an outage of this length.
     StoreRecovered(Duration),
+    /// The store was restored from a copy: versions of rows that were read before
+    /// have no meaning any more, and rows written shortly before are gone.
+    StoreRestored,
     /// The row of a roll-out was read, with its version.
     RolloutRead(RolloutRow, u64),
     /// Request outcomes that another gateway counted for an open roll-out were
@@ -103,11 +123,19 @@
     /// Upstreams whose registrations lapsed around a store outage, with the time
     /// at which they are removed.
     lapsed: FxHashMap<CompactString, Duration>,
+    history: RegistrationHistory,
     recovered_at: Option<Duration>,
+    /// Time of the last restore of the store.
+    restored_at: Option<Duration>,
     rollouts: FxHashMap<CompactString, Rollout>,
-    /// Rows of roll-outs whose order was not read yet: the tables are read
-    /// concurrently, in either order.
-    early_rows: FxHashMap<CompactString, (RolloutRow, u64)>,
+    /// Roll-outs whose order a restored copy did not hold, but an earlier one.
+    displaced: FxHashMap<CompactString, Rollout>,
+    /// Rows of roll-outs in the store with their versions, by service.
+    rows: FxHashMap<CompactString, (RolloutRow, u64)>,
+    /// True from a restore of the store until `rows` was read again.
+    has_stale_rows: bool,
+    /// Orders that were read while `rows` was stale.
+    early_orders: Vec<RolloutOrder>,
     outcomes: FxHashMap<(CompactString, CompactString), Outcomes>,
     confirmed_at: Duration,
     registrations_synced: bool,
@@ -126,9 +154,14 @@
             upstreams: SlotMap::with_key(),
             by_name: FxHashMap::default(),
             lapsed: FxHashMap::default(),
+            history: RegistrationHistory::default(),
             recovered_at: None,
+            restored_at: None,
             rollouts: FxHashMap::default(),
-            early_rows: FxHashMap::default(),
+            displaced: FxHashMap::default(),
+            rows: FxHashMap::default(),
+            has_stale_rows: false,
+            early_orders: Vec::new(),
             outcomes: FxHashMap::default(),
             confirmed_at: Duration::ZERO,
             registrations_synced: false,
@@ -147,24 +180,32 @@
         self.rollouts.values().any(Rollout::is_open)
     }
 
+    /// True while the rows of roll-outs must be followed.
+    pub fn needs_rollout_rows(&self) -> bool {
+        self.has_stale_rows
+            || self.rollouts.values().any(|rollout| {
+                rollout.is_open() || rollout.is_ahead_of(self.rows.get(&rollout.order.service))
+            })
+    }
+
     /// Applies one event and returns its effects; `now` is on the boot clock.
     pub fn handle(&mut self, event: Event, now: Duration) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
             Event::ConfigurationRead(catalog) => self.apply_configuration(*catalog, &mut effects),
             Event::ConfigurationConfirmed(at) => self.confirm_configuration(at, &mut effects),
-            Event::OrderRead(order) => self.apply_order(order, &mut effects),
+            Event::OrderRead(order) => self.apply_order(order, now, &mut effects),
             Event::OrderRemoved(service) => self.remove_order(&service, &mut effects),
-            Event::UpstreamRegistered(upstream) => {
-                self.register_upstream(upstream);
+            Event::UpstreamRegistered(registration) => {
+                self.register_upstream(registration, now);
                 self.publish_upstreams(&mut effects);
             }
             Event::UpstreamUnregistered(name) => {
                 self.unregister_upstream(name, now);
                 self.publish_upstreams(&mut effects);
             }
-            Event::RegistrationsRead(upstreams) => {
-                self.sync_registrations(upstreams, now);
+            Event::RegistrationsRead(registrations) => {
+                self.sync_registrations(registrations, now);
                 self.registrations_synced = true;
                 self.publish_upstreams(&mut effects);
                 self.publish(&mut effects);
@@ -176,10 +217,15 @@
                 );
                 self.recovered_at = Some(now);
             }
+            Event::StoreRestored => self.forget_versions(now),
             Event::RolloutRead(row, version) => self.apply_row(row, version, now, &mut effects),
             Event::OutcomesReceived { node, outcomes } => self.set_peer_outcomes(node, &outcomes),
             Event::RolloutsSynced => {
                 self.rollouts_synced = true;
+                self.has_stale_rows = false;
+                for order in std::mem::take(&mut self.early_orders) {
+                    self.apply_order(order, now, &mut effects);
+                }
                 self.publish(&mut effects);
             }
             Event::OutcomesCounted(outcomes) => self.update_outcomes(outcomes, now, &mut effects),
@@ -231,8 +277,38 @@
         }
     }
 
+    // Forgets the versions of rows, which the store gives out again. What the rows
+    // said stays in force until they are read again.
+    fn forget_versions(&mut self, now: Duration) {
+        self.restored_at = Some(now);
+        self.recovered_at = Some(now);
+        self.rows.clear();
+        self.has_stale_rows = true;
+        self.early_orders.clear();
+        self.displaced.clear();
+        for rollout in self.rollouts.values_mut() {
+            rollout.is_confirmed = false;
+        }
+    }
+
+    // True while rows may be those of a restored copy.
+    fn is_recently_restored(&self, now: Duration) -> bool {
+        self.restored_at
+            .is_some_and(|at| now.saturating_sub(at) < REWRITE_TIME)
+    }
+
     // Adds an upstream or updates it; another incarnation gets a new key.
-    fn register_upstream(&mut self, upstream: Upstream) {
+    fn register_upstream(&mut self, registration: Registration, now: Duration) {
+        if self.is_recently_restored(now) && self.history.is_outdated(&registration) {
+            tracing::info!(
+                upstream = %registration.upstream.name,
+                sequence = registration.sequence,
+                "registration of the restored copy is outdated; ignored"
+            );
+            return;
+        }
+        self.history.record(&registration);
+        let upstream = registration.upstream;
         self.lapsed.remove(&upstream.name);
         let known = self.by_name.get(&upstream.name).copied();
         if let Some(known) = known.and_then(|key| self.upstreams.get_mut(key)) {
@@ -279,24 +355,28 @@
             return;
         }
         tracing::info!(upstream = %name, was_leaving = is_leaving, "upstream unregistered");
-        self.remove_upstream(&name);
+        self.remove_upstream(&name, now);
     }
 
-    fn remove_upstream(&mut self, name: &str) {
+    fn remove_upstream(&mut self, name: &str, now: Duration) {
         self.lapsed.remove(name);
+        self.history.record_removal(name, now);
         if let Some(key) = self.by_name.remove(name) {
             self.upstreams.remove(key);
         }
     }
 
     // Replaces the registered upstreams by those that were read.
-    fn sync_registrations(&mut self, upstreams: Vec<Upstream>, now: Duration) {
+    fn sync_registrations(&mut self, registrations: Vec<Registration>, now: Duration) {
         let missing = self.by_name.keys().cloned();
         let missing: Vec<CompactString> = missing
-            .filter(|name| !upstreams.iter().any(|known| known.name == *name))
+            .filter(|name| {
+                let mut known = registrations.iter();
+                !known.any(|known| known.upstream.name == *name)
+            })
             .collect();
-        for upstream in upstreams {
-            self.register_upstream(upstream);
+        for registration in registrations {
+            self.register_upstream(registration, now);
         }
         for name in missing {
             self.unregister_upstream(name, now);
@@ -316,37 +396,72 @@
         }
     }
 
-    // Starts the roll-out of an order if it is newer than the known one.
-    fn apply_order(&mut self, order: RolloutOrder, effects: &mut Vec<Effect>) {
-        let known = self.rollouts.get(&order.service);
-        if known.is_some_and(|known| known.order.version >= order.version) {
+    // Starts the roll-out of an order if it is newer than the known one, or goes on
+    // with a roll-out whose order was only written again after a restore.
+    fn apply_order(&mut self, order: RolloutOrder, now: Duration, effects: &mut Vec<Effect>) {
+        if self.has_stale_rows {
+            // The rows say which version serves, so they come first.
+            self.early_orders.push(order);
+            return;
+        }
+        let service = order.service.clone();
+        let known = self.rollouts.get(&service);
+        if known.is_some_and(|known| known.order.id >= order.id) {
             return;
         }
+        let id = order.id;
+        let is_restored = self.is_recently_restored(now);
+        let is_repeated = |rollout: &mut Rollout| {
+            (is_restored || rollout.order.id.era < id.era) && rollout.order.has_same_content(&order)
+        };
+        let mut known = self.rollouts.remove(&service);
+        let mut displaced = self.displaced.remove(&service);
+        let repeated = known.take_if(is_repeated);
+        let repeated = repeated.or_else(|| displaced.take_if(is_repeated));
+        let rollout = match repeated {
+            Some(mut rollout) => {
+                rollout.renumber(id);
+                rollout
+            }
+            None => self.new_rollout(order, known.as_ref()),
+        };
+        // The copy may hold the order before the known one, which is then written
+        // again.
+        let unconfirmed = known.filter(|known| known.order.id.era < id.era);
+        if let Some(displaced) = unconfirmed.or(displaced) {
+            self.displaced.insert(service.clone(), displaced);
+        }
+        self.rollouts.insert(service.clone(), rollout);
+        self.adopt_row(&service, now);
+        self.publish(effects);
+    }
+
+    // The row of the `known` roll-out is kept until the order's own row replaces it.
+    fn new_rollout(&self, order: RolloutOrder, known: Option<&Rollout>) -> Rollout {
         tracing::info!(
             service = %order.service,
             to = %order.to,
             limit_s = order.limit.as_secs_f64(),
-            order = order.version,
+            order = order.id.version,
+            era = order.id.era,
             "roll-out ordered"
         );
-        // The row of an earlier order is kept until this order's row replaces it.
-        let row = known.and_then(|known| known.row.clone());
-        let row = row.or_else(|| self.early_rows.remove(&order.service));
+        let stored = self.rows.get(&order.service).map(|(row, _)| row);
+        let row = known.and_then(|known| known.row.as_ref()).or(stored);
         let sums = self.outcomes.iter();
         let sums = sums.filter(|((service, _), _)| *service == order.service);
         let baseline = sums.map(|((_, version), seen)| (version.clone(), *seen));
-        let rollout = Rollout {
-            row,
+        Rollout {
+            row: row.cloned(),
             started_at: Duration::ZERO,
             baseline: baseline.collect(),
             own: RolloutEvidence::default(),
             updated_at: Duration::ZERO,
             peers: FxHashMap::default(),
             is_regression: false,
+            is_confirmed: true,
             order,
-        };
-        self.rollouts.insert(rollout.order.service.clone(), rollout);
-        self.publish(effects);
+        }
     }
 
     fn remove_order(&mut self, service: &str, effects: &mut Vec<Effect>) {
@@ -356,8 +471,8 @@
         }
     }
 
-    // Takes over a roll-out's row if it is newer than the known one; a row whose
-    // order was not read yet is kept in `early_rows`.
+    // Records a roll-out's row in the store if it is newer than the known one. It is
+    // kept if its order was not read yet: the tables are read concurrently.
     fn apply_row(
         &mut self,
         row: RolloutRow,
@@ -365,12 +480,8 @@
         now: Duration,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(rollout) = self.rollouts.get_mut(&row.service) else {
-            self.early_rows.insert(row.service.clone(), (row, version));
-            return;
-        };
-        let known = rollout.row.as_ref().map_or(0, |(_, version)| *version);
-        if version <= known {
+        let known = self.rows.get(&row.service);
+        if known.is_some_and(|(_, known)| version <= *known) {
             return;
         }
         tracing::info!(
@@ -381,17 +492,26 @@
             order = row.order,
             "roll-out row read"
         );
-        if rollout.current_row().is_none() {
-            rollout.started_at = now;
-        }
-        rollout.row = Some((row, version));
+        let service = row.service.clone();
+        self.rows.insert(service.clone(), (row, version));
+        self.adopt_row(&service, now);
         self.publish(effects);
     }
 
+    // Passes the stored row of a service to its roll-out, if its order is known to
+    // be in the store: rows of other orders may bear the same number.
+    fn adopt_row(&mut self, service: &str, now: Duration) {
+        let rollout = self.rollouts.get_mut(service);
+        let rollout = rollout.filter(|rollout| rollout.is_confirmed);
+        if let Some((rollout, (row, _))) = rollout.zip(self.rows.get(service)) {
+            rollout.adopt(row, now);
+        }
+    }
+
     // Replaces another gateway's evidence for the roll-out, if it has the same order.
     fn set_peer_outcomes(&mut self, node: CompactString, outcomes: &OutcomesView) {
         let rollout = self.rollouts.get_mut(&outcomes.service);
-        if let Some(rollout) = rollout.filter(|rollout| rollout.order.version == outcomes.order) {
+        if let Some(rollout) = rollout.filter(|rollout| rollout.order.id == outcomes.order) {
             rollout.peers.insert(node, outcomes.evidence);
         }
     }
@@ -426,14 +546,19 @@
             .collect();
         for name in expired {
             tracing::info!(upstream = %name, "upstream removed; it did not register again after the store outage");
-            self.remove_upstream(&name);
+            self.remove_upstream(&name, now);
         }
+        self.history.expire(now);
         self.publish_upstreams(effects);
         let write_delay = self.write_delay;
         let mut has_changed = false;
+        let is_write_due = self.restored_at.is_none_or(|at| now >= at + write_delay);
         for rollout in self.rollouts.values_mut() {
             has_changed |= rollout.evaluate();
-            effects.extend(rollout.due_effects(store_now, write_delay));
+            let stored = self.rows.get(&rollout.order.service);
+            if rollout.is_confirmed && !self.has_stale_rows {
+                effects.extend(rollout.due_effect(stored, store_now, write_delay, is_write_due));
+            }
         }
         if has_changed {
             self.publish(effects);
--- a/src/carawayrun/relay/control/rollout.rs
+++ b/src/carawayrun/relay/control/rollout.rs
@@ -7,15 +7,16 @@
 
 use super::Effect;
 use crate::relay::rollout::{
-    self, Comparison, Outcomes, Phase, RolloutEvidence, RolloutOrder, RolloutRow,
+    self, Comparison, OrderId, Outcomes, Phase, RolloutEvidence, RolloutOrder, RolloutRow,
 };
 use crate::relay::view::{OutcomesView, RolloutView};
 
 #[derive(Debug)]
 pub(super) struct Rollout {
     pub(super) order: RolloutOrder,
-    /// Row in the store with its version; `None` before it was read.
-    pub(super) row: Option<(RolloutRow, u64)>,
+    /// Latest known row; `None` before it was read. After a restore of the store it
+    /// may be ahead of the stored one.
+    pub(super) row: Option<RolloutRow>,
     /// Time at which the row of this order was first read.
     pub(super) started_at: Duration,
     /// This gateway's outcomes by version when the order was read.
@@ -29,24 +30,65 @@
     /// True once the outcomes known at this gateway were enough to withdraw the new
     /// version, even if the store does not record it yet.
     pub(super) is_regression: bool,
+    /// True if the order was read since the last restore of the store.
+    pub(super) is_confirmed: bool,
 }
 
 impl Rollout {
-    /// Row of this order; `None` if the store still holds that of an earlier one.
-    pub(super) fn current_row(&self) -> Option<&(RolloutRow, u64)> {
+    /// Row of this order; `None` if only that of an earlier one is known.
+    pub(super) fn current_row(&self) -> Option<&RolloutRow> {
         self.row
             .as_ref()
-            .filter(|(row, _)| row.order == self.order.version)
+            .filter(|row| row.order == self.order.id.version)
     }
 
     pub(super) fn is_open(&self) -> bool {
-        self.current_row()
-            .is_none_or(|(row, _)| row.phase.is_open())
+        self.current_row().is_none_or(|row| row.phase.is_open())
+    }
+
+    /// True if the stored row, `stored`, lacks what is known of the roll-out.
+    pub(super) fn is_ahead_of(&self, stored: Option<&(RolloutRow, u64)>) -> bool {
+        let known = self.current_row().filter(|_| self.is_confirmed);
+        known.is_some_and(|known| stored.is_none_or(|(stored, _)| stored != known))
+    }
+
+    /// Takes over the stored row unless the known one has advanced further.
+    pub(super) fn adopt(&mut self, stored: &RolloutRow, now: Duration) {
+        if stored.order != self.order.id.version {
+            self.row.get_or_insert_with(|| stored.clone());
+            return;
+        }
+        let known = self.current_row().map(|row| row.phase.rank());
+        if known.is_some_and(|known| known > stored.phase.rank()) {
+            return;
+        }
+        if known.is_none() {
+            self.started_at = now;
+        }
+        self.row = Some(stored.clone());
+    }
+
+    /// Goes on under another id of its order, which was written again.
+    pub(super) fn renumber(&mut self, id: OrderId) {
+        tracing::info!(
+            service = %self.order.service,
+            to = %self.order.to,
+            order = id.version,
+            era = id.era,
+            before = self.order.id.version,
+            "roll-out goes on; its order was read again after a restore of the store"
+        );
+        let before = self.order.id.version;
+        self.order.id = id;
+        self.is_confirmed = true;
+        if let Some(row) = self.row.as_mut().filter(|row| row.order == before) {
+            row.order = id.version;
+        }
     }
 
     pub(super) fn view(&self, exposure_share: f64) -> RolloutView {
         // The new version gets no traffic before the roll-out has begun.
-        let phase = self.current_row().map(|(row, _)| row.phase);
+        let phase = self.current_row().map(|row| row.phase);
         let phase = phase.map(|phase| match phase {
             Phase::Canary | Phase::Spread if self.is_regression => Phase::Reverted,
             phase => phase,
@@ -62,13 +104,11 @@
 
     pub(super) fn withdrawn_versions(&self) -> Vec<CompactString> {
         let row = self.row.as_ref();
-        let mut versions = row.map(|(row, _)| row.all_withdrawn()).unwrap_or_default();
+        let mut versions = row.map(RolloutRow::all_withdrawn).unwrap_or_default();
         if self.current_row().is_none() {
             versions.retain(|version| *version != self.order.to);
         }
-        let is_open = self
-            .current_row()
-            .is_some_and(|(row, _)| row.phase.is_open());
+        let is_open = self.current_row().is_some_and(|row| row.phase.is_open());
         if self.is_regression && is_open {
             versions.push(self.order.to.clone());
         }
@@ -78,7 +118,7 @@
     pub(super) fn outcomes_view(&self) -> OutcomesView {
         OutcomesView {
             service: self.order.service.clone(),
-            order: self.order.version,
+            order: self.order.id,
             evidence: self.own,
         }
     }
@@ -111,9 +151,7 @@
     // Withdraws a bad version at this gateway, even during a store outage;
     // returns true if it was not withdrawn here before.
     pub(super) fn evaluate(&mut self) -> bool {
-        let is_open = self
-            .current_row()
-            .is_some_and(|(row, _)| row.phase.is_open());
+        let is_open = self.current_row().is_some_and(|row| row.phase.is_open());
         let has_changed = is_open && !self.is_regression && self.total_outcomes().is_regression();
         self.is_regression |= has_changed;
         has_changed
@@ -128,22 +166,21 @@
         sum
     }
 
-    // Returns the write that begins the roll-out or advances it to its due phase;
-    // none while the time of the store is unknown.
-    pub(super) fn due_effects(
-        &mut self,
+    // Returns the write that begins the roll-out, advances it to its due phase, or
+    // repeats a row that the store lost; none while the time of the store is
+    // unknown.
+    pub(super) fn due_effect(
+        &self,
+        stored: Option<&(RolloutRow, u64)>,
         store_now: Option<Duration>,
         write_delay: Duration,
-    ) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let version = self.row.as_ref().map_or(0, |(_, version)| *version);
-        let Some(now) = store_now else {
-            return effects;
-        };
-        let Some((row, _)) = self.current_row() else {
-            let before = self.row.as_ref().map(|(row, _)| row);
-            let row = rollout::begin(&self.order, before, now);
-            return vec![Effect::AdvanceRollout(row, version)];
+        repeats_rows: bool,
+    ) -> Option<Effect> {
+        let now = store_now?;
+        let version = stored.map_or(0, |(_, version)| *version);
+        let Some(row) = self.current_row() else {
+            let row = rollout::begin(&self.order, self.row.as_ref(), now);
+            return Some(Effect::AdvanceRollout(row, version));
         };
         // The write delays differ between gateways, so that mostly one of them
         // writes. A bad version is reverted without delay.
@@ -165,8 +202,11 @@
                 gateways = self.peers.len() + 1,
                 "roll-out phase change due"
             );
-            effects.push(Effect::AdvanceRollout(row, version));
+            return Some(Effect::AdvanceRollout(row, version));
         }
-        effects
+        (repeats_rows && self.is_ahead_of(stored)).then(|| {
+            tracing::info!(service = %row.service, phase = ?row.phase, "store lacks the roll-out's row; written again");
+            Effect::AdvanceRollout(row.clone(), version)
+        })
     }
 }
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -24,7 +24,7 @@
 use super::store_clock::StoreClock;
 use super::traffic::{PeerUpdate, SharedState};
 use crate::platform::StoreClient;
-use crate::store::feed::FeedError;
+use crate::store::feed::{Changes, FeedError, Snapshot};
 
 /// Time beyond the reader's usual interval for which a confirmation is valid: the
 /// delay of its call and of the reports.
@@ -45,6 +45,33 @@
 /// outage: two heartbeats of an upstream.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_400);
 
+/// Error of a call whose answer the store gave before a restore.
+const OUTDATED_ANSWER: &str = "answer from before the restore of the store";
+
+/// Position in the store's changes. It is valid in its era only, as versions are
+/// given out again after a restore.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Cursor {
+    era: u64,
+    version: u64,
+}
+
+impl Cursor {
+    fn at(snapshot: &Snapshot) -> Self {
+        Self {
+            era: snapshot.era,
+            version: snapshot.version,
+        }
+    }
+
+    fn after(feed: &Changes) -> Self {
+        Self {
+            era: feed.era,
+            version: feed.version,
+        }
+    }
+}
+
 /// A table that the gateways follow together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Table {
@@ -125,6 +152,7 @@
                 continue;
             };
             let confirmation = Confirmation {
+                era: read.era,
                 at: Duration::from_millis(read.at_ms),
                 digest: read.digest,
             };
@@ -133,10 +161,11 @@
         }
     }
 
-    // Waits until this gateway has to read a table itself.
-    async fn wait_to_read(&self, table: Table, interval: Duration) {
+    // Waits until this gateway has to read the changes of a table after `cursor`
+    // itself.
+    async fn wait_to_read(&self, table: Table, interval: Duration, cursor: Cursor) {
         let ttl = interval + CONFIRMATION_SLACK;
-        loop {
+        while self.current(Some(cursor)).is_some() {
             let updated = self.updates_recorded.notified();
             let decision = self.store_now().map_or(ReadDecision::Read, |now| {
                 let node = self.settings.node.as_str();
@@ -157,8 +186,9 @@
 
     // Records that this gateway read a table as of the store's time `at`.
     fn record_read(&self, table: Table, at: Duration) {
+        let era = self.era();
         let own = self.with_table(table, |followed| {
-            followed.record_read(at);
+            followed.record_read(era, at);
             followed.own_confirmation()
         });
         if let Some(own) = own {
@@ -169,7 +199,8 @@
 
     // Passes to the reducer the time as of which a table is known.
     fn confirm_table(&self, table: Table) {
-        let at = self.with_table(table, |followed| followed.confirmed_at());
+        let era = self.era();
+        let at = self.with_table(table, |followed| followed.confirmed_at(era));
         let Some(at) = at.and_then(|at| self.store_clock.borrow().boot_time(at)) else {
             return;
         };
@@ -215,47 +246,77 @@
         self.shared.view_published.notify_waiters();
     }
 
-    // Counts a call that the store answered at its time `store_now`, and updates
-    // the estimate of its clock.
-    fn record_answer(&self, store_now: Duration) {
+    // Era of the store as far as it is known.
+    fn era(&self) -> u64 {
+        self.era.get().unwrap_or_default()
+    }
+
+    // Returns the cursor unless the store was restored since.
+    fn current(&self, cursor: Option<Cursor>) -> Option<Cursor> {
+        cursor.filter(|cursor| cursor.era == self.era())
+    }
+
+    // Counts an answer that the store gave at its time `store_now`, and updates the
+    // estimate of its clock. Returns false if the answer is from before a restore
+    // that is already known.
+    fn accept_answer(&self, era: u64, store_now: Duration) -> bool {
         self.shared.metrics.store_calls.inc();
+        let before = self.era.get();
+        if before.is_some_and(|before| era < before) {
+            tracing::warn!(
+                era,
+                before,
+                "answer of the store is from before its restore"
+            );
+            return false;
+        }
+        let restored = before.filter(|before| *before < era);
+        self.era.set(Some(era));
+        self.shared.metrics.store_era.set(era as i64);
         let mut clock = self.store_clock.borrow_mut();
+        if restored.is_some() {
+            *clock = StoreClock::default();
+        }
         clock.observe(store_now, boot_clock::now());
-    }
-
-    // Logs and counts the era and the newest version of a read, where `after` is
-    // the version from which changes were read.
-    fn record_era(&self, table: Table, era: u64, version: u64, after: Option<u64>) {
-        let before = self.era.replace(Some(era));
-        if let Some(before) = before.filter(|before| *before != era) {
+        drop(clock);
+        if let Some(before) = restored {
             tracing::warn!(
-                ?table,
                 era,
                 before,
-                version,
-                after,
-                "era of the store changed"
+                "era of the store changed: it was restored from a copy; reading all rows again"
             );
+            self.handle(Event::StoreRestored);
+            self.updates_recorded.notify_waiters();
+        }
+        true
+    }
+
+    // Accepts the answer of a feed call and returns true if its changes follow
+    // those up to `after`. Otherwise all rows must be read again.
+    fn continues(&self, table: Table, after: Cursor, feed: &Changes) -> bool {
+        if !self.accept_answer(feed.era, feed.now) {
+            return false;
         }
-        if after.is_some_and(|after| version < after) {
+        let continues = feed.era == after.era && feed.version >= after.version;
+        if !continues {
             tracing::warn!(
                 ?table,
-                era,
-                version,
-                after,
-                "newest version of the store is below the cursor"
+                ?after,
+                era = feed.era,
+                version = feed.version,
+                "changes do not continue from the cursor"
             );
         }
-        self.shared.metrics.store_era.set(era as i64);
+        continues
     }
 
-    // Handles a failed feed call. Returns the version after which to continue;
+    // Handles a failed feed call. Returns the cursor from which to continue;
     // `None` if all rows must be read again.
-    async fn recover_feed(&self, error: &FeedError, after: u64) -> Option<u64> {
+    async fn recover_feed(&self, error: &FeedError, after: Cursor) -> Option<Cursor> {
         match error {
             FeedError::HistoryDropped => {
                 tracing::info!(
-                    after,
+                    ?after,
                     "store dropped its change history; reading all rows again"
                 );
                 None
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{Follower, Table};
+use super::{Cursor, Follower, OUTDATED_ANSWER, Table};
 use crate::platform::{self, Keyspace};
 use crate::relay::control::Event;
 use crate::relay::readers::FollowedTable;
@@ -18,44 +18,48 @@
 
 impl Follower {
     pub(super) async fn follow_orders(self: Rc<Self>) {
-        let mut version = None;
+        let mut cursor = None;
         loop {
-            let Some(after) = version else {
-                version = self.read_orders().await;
+            let Some(after) = self.current(cursor) else {
+                cursor = self.read_orders().await;
                 continue;
             };
-            self.wait_to_read(Table::Orders, FEED_WAIT).await;
-            match self.store.changes(Keyspace::Orders, after, FEED_WAIT).await {
-                Ok(feed) => {
-                    self.record_answer(feed.now);
-                    self.record_era(Table::Orders, feed.era, feed.version, Some(after));
+            self.wait_to_read(Table::Orders, FEED_WAIT, after).await;
+            let changes = self
+                .store
+                .changes(Keyspace::Orders, after.version, FEED_WAIT);
+            match changes.await {
+                Ok(feed) if self.continues(Table::Orders, after, &feed) => {
+                    cursor = Some(Cursor::after(&feed));
                     for change in feed.changes {
                         self.apply_operator_change(change);
                     }
                     self.record_read(Table::Orders, feed.now);
-                    version = Some(feed.version.max(after));
                 }
-                Err(error) => version = self.recover_feed(&error, after).await,
+                Ok(_) => cursor = None,
+                Err(error) => cursor = self.recover_feed(&error, after).await,
             }
         }
     }
 
-    async fn read_orders(&self) -> Option<u64> {
+    async fn read_orders(&self) -> Option<Cursor> {
         match self.store.snapshot(Keyspace::Orders).await {
             Ok(snapshot) => {
-                self.record_answer(snapshot.now);
-                self.record_era(Table::Orders, snapshot.era, snapshot.version, None);
+                if !self.accept_answer(snapshot.era, snapshot.now) {
+                    self.back_off(OUTDATED_ANSWER).await;
+                    return None;
+                }
                 self.with_table(Table::Orders, FollowedTable::clear);
                 // Orders come first: with a configuration alone, requests would
                 // go to any version.
-                let is_order = |row: &&Row| platform::parse_order(row).is_some();
+                let is_order = |row: &&Row| platform::parse_order(row, snapshot.era).is_some();
                 let (orders, others): (Vec<&Row>, Vec<&Row>) =
                     snapshot.rows.iter().partition(is_order);
                 for row in orders.into_iter().chain(others) {
                     self.apply_operator_row(row);
                 }
                 self.record_read(Table::Orders, snapshot.now);
-                Some(snapshot.version)
+                Some(Cursor::at(&snapshot))
             }
             Err(error) => {
                 self.back_off(&error.to_string()).await;
@@ -82,7 +86,7 @@
         self.with_table(Table::Orders, |followed| {
             followed.insert_row(&row.key, row.version);
         });
-        tracing::info!(key = %row.key, row_version = row.version, era = self.era.get(), "row of the operators read");
+        tracing::info!(key = %row.key, row_version = row.version, era = self.era(), "row of the operators read");
         match platform::parse_catalog(row) {
             Some(Ok(catalog)) => self.handle(Event::ConfigurationRead(Box::new(catalog))),
             Some(Err(error)) => {
@@ -90,7 +94,7 @@
             }
             None => {}
         }
-        match platform::parse_order(row) {
+        match platform::parse_order(row, self.era()) {
             Some(Ok(order)) => self.handle(Event::OrderRead(order)),
             Some(Err(error)) => {
                 tracing::error!(%error, key = %row.key, "roll-out order is invalid; ignored");
--- a/src/carawayrun/relay/follow/registrations.rs
+++ b/src/carawayrun/relay/follow/registrations.rs
@@ -7,9 +7,9 @@
 use rustc_hash::FxHasher;
 use tokio::time::{Instant, sleep_until};
 
-use super::{Follower, Table};
+use super::{Cursor, Follower, OUTDATED_ANSWER, Table};
 use crate::platform::{self, Keyspace};
-use crate::relay::control::Event;
+use crate::relay::control::{Event, Registration};
 use crate::relay::view::Upstream;
 use crate::store::feed::Change;
 use crate::store::table::Row;
@@ -24,52 +24,53 @@
 
 impl Follower {
     pub(super) async fn follow_registrations(self: Rc<Self>) {
-        let mut version = None;
+        let mut cursor = None;
         loop {
             let drain_limit = self.shared.settings.load().drain_limit;
             let interval = drain_limit.div_f64(READS_PER_DRAIN_LIMIT);
-            let Some(after) = version else {
-                version = self.read_registrations().await;
+            let Some(after) = self.current(cursor) else {
+                cursor = self.read_registrations().await;
                 continue;
             };
-            self.wait_to_read(Table::Registrations, interval.max(FEED_WAIT))
+            self.wait_to_read(Table::Registrations, interval.max(FEED_WAIT), after)
                 .await;
             let begun = Instant::now();
             let changes = self
                 .store
-                .changes(Keyspace::Registrations, after, FEED_WAIT);
+                .changes(Keyspace::Registrations, after.version, FEED_WAIT);
             match changes.await {
-                Ok(feed) => {
-                    self.record_answer(feed.now);
-                    self.record_era(Table::Registrations, feed.era, feed.version, Some(after));
+                Ok(feed) if self.continues(Table::Registrations, after, &feed) => {
+                    cursor = Some(Cursor::after(&feed));
                     for change in feed.changes {
                         self.apply_registration_change(change);
                     }
                     self.record_read(Table::Registrations, feed.now);
-                    version = Some(feed.version.max(after));
                     sleep_until(begun + interval).await;
                 }
-                Err(error) => version = self.recover_feed(&error, after).await,
+                Ok(_) => cursor = None,
+                Err(error) => cursor = self.recover_feed(&error, after).await,
             }
         }
     }
 
-    async fn read_registrations(&self) -> Option<u64> {
+    async fn read_registrations(&self) -> Option<Cursor> {
         match self.store.snapshot(Keyspace::Registrations).await {
             Ok(snapshot) => {
-                self.record_answer(snapshot.now);
-                self.record_era(Table::Registrations, snapshot.era, snapshot.version, None);
-                let upstreams = snapshot.rows.iter().filter_map(parse_registration);
-                let upstreams: Vec<Upstream> = upstreams.collect();
+                if !self.accept_answer(snapshot.era, snapshot.now) {
+                    self.back_off(OUTDATED_ANSWER).await;
+                    return None;
+                }
+                let registrations = snapshot.rows.iter().filter_map(parse_registration);
+                let registrations: Vec<Registration> = registrations.collect();
                 self.with_table(Table::Registrations, |followed| {
                     followed.clear();
-                    for upstream in &upstreams {
+                    for Registration { upstream, .. } in &registrations {
                         followed.insert_row(&upstream.name, content_hash(upstream));
                     }
                 });
                 self.record_read(Table::Registrations, snapshot.now);
-                self.handle(Event::RegistrationsRead(upstreams));
-                Some(snapshot.version)
+                self.handle(Event::RegistrationsRead(registrations));
+                Some(Cursor::at(&snapshot))
             }
             Err(error) => {
                 self.back_off(&error.to_string()).await;
@@ -80,16 +81,16 @@
 
     // Passes a change of a registration to the reducer.
     fn apply_registration_change(&self, change: Change) {
-        let (key, upstream) = match change {
+        let (key, registration) = match change {
             Change::Put(row) => (row.key.clone(), parse_registration(&row)),
             Change::Deleted(key) => (key, None),
         };
-        self.with_table(Table::Registrations, |followed| match &upstream {
-            Some(upstream) => followed.insert_row(&key, content_hash(upstream)),
+        self.with_table(Table::Registrations, |followed| match &registration {
+            Some(known) => followed.insert_row(&key, content_hash(&known.upstream)),
             None => followed.remove_row(&key),
         });
-        self.handle(match upstream {
-            Some(upstream) => Event::UpstreamRegistered(upstream),
+        self.handle(match registration {
+            Some(registration) => Event::UpstreamRegistered(registration),
             None => Event::UpstreamUnregistered(key),
         });
     }
@@ -103,9 +104,8 @@
     hasher.finish()
 }
 
-fn parse_registration(row: &Row) -> Option<Upstream> {
-    let upstream = platform::parse_upstream(row);
-    upstream
+fn parse_registration(row: &Row) -> Option<Registration> {
+    platform::parse_registration(row)
         .inspect_err(|error| tracing::warn!(%error, "registration is invalid; ignored"))
         .ok()
 }
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{Follower, Table};
+use super::{Cursor, Follower, OUTDATED_ANSWER, Table};
 use crate::platform::{self, Keyspace};
 use crate::relay::control::{Effect, Event};
 use crate::relay::readers::FollowedTable;
@@ -23,59 +23,60 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Follower {
-    // The rows are followed only while a roll-out is open. They are read once at
-    // the start, as those of ended roll-outs say which version serves.
+    // The rows are followed only while a roll-out is open or its row must be
+    // written again. They are read once at the start and after each restore of the
+    // store, as those of ended roll-outs say which version serves.
     pub(super) async fn follow_rollouts(self: Rc<Self>) {
-        let mut version = None;
-        while version.is_none() {
-            version = self.read_rollouts().await;
+        let mut cursor = None;
+        while cursor.is_none() {
+            cursor = self.read_rollouts().await;
         }
-        self.handle(Event::RolloutsSynced);
         loop {
-            if !self.state.borrow().has_open_rollout() {
-                version = None;
+            if !self.state.borrow().needs_rollout_rows() {
+                cursor = None;
                 sleep(TICK_INTERVAL).await;
                 continue;
             }
-            let Some(after) = version else {
-                version = self.read_rollouts().await;
+            let Some(after) = self.current(cursor) else {
+                cursor = self.read_rollouts().await;
                 continue;
             };
-            self.wait_to_read(Table::Rollouts, FEED_WAIT).await;
+            self.wait_to_read(Table::Rollouts, FEED_WAIT, after).await;
             let begun = Instant::now();
-            match self
+            let changes = self
                 .store
-                .changes(Keyspace::Rollouts, after, FEED_WAIT)
-                .await
-            {
-                Ok(feed) => {
-                    self.record_answer(feed.now);
-                    self.record_era(Table::Rollouts, feed.era, feed.version, Some(after));
+                .changes(Keyspace::Rollouts, after.version, FEED_WAIT);
+            match changes.await {
+                Ok(feed) if self.continues(Table::Rollouts, after, &feed) => {
+                    cursor = Some(Cursor::after(&feed));
                     for change in feed.changes {
                         if let Change::Put(row) = change {
                             self.apply_rollout_row(&row);
                         }
                     }
                     self.record_read(Table::Rollouts, feed.now);
-                    version = Some(feed.version.max(after));
                     sleep_until(begun + READ_INTERVAL).await;
                 }
-                Err(error) => version = self.recover_feed(&error, after).await,
+                Ok(_) => cursor = None,
+                Err(error) => cursor = self.recover_feed(&error, after).await,
             }
         }
     }
 
-    async fn read_rollouts(&self) -> Option<u64> {
+    async fn read_rollouts(&self) -> Option<Cursor> {
         match self.store.snapshot(Keyspace::Rollouts).await {
             Ok(snapshot) => {
-                self.record_answer(snapshot.now);
-                self.record_era(Table::Rollouts, snapshot.era, snapshot.version, None);
+                if !self.accept_answer(snapshot.era, snapshot.now) {
+                    self.back_off(OUTDATED_ANSWER).await;
+                    return None;
+                }
                 self.with_table(Table::Rollouts, FollowedTable::clear);
                 for row in &snapshot.rows {
                     self.apply_rollout_row(row);
                 }
                 self.record_read(Table::Rollouts, snapshot.now);
-                Some(snapshot.version)
+                self.handle(Event::RolloutsSynced);
+                Some(Cursor::at(&snapshot))
             }
             Err(error) => {
                 self.back_off(&error.to_string()).await;
@@ -128,7 +129,7 @@
                 if row.phase == Phase::Canary {
                     self.shared.metrics.rollouts_begun.inc();
                 }
-                tracing::info!(service = %row.service, phase = ?row.phase, order = row.order, from_version = version, era = self.era.get(), "roll-out phase written");
+                tracing::info!(service = %row.service, phase = ?row.phase, order = row.order, from_version = version, era = self.era(), "roll-out phase written");
             }
             Err(TableError::Conflict { .. }) => {
                 tracing::info!(service = %row.service, phase = ?row.phase, from_version = version, "roll-out phase already changed by another gateway");
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -16,7 +16,7 @@
 
 use super::boot_clock;
 use super::readers::Confirmation;
-use super::rollout::{Comparison, Outcomes, RolloutEvidence};
+use super::rollout::{Comparison, OrderId, Outcomes, RolloutEvidence};
 use super::traffic::Traffic;
 use super::view::OutcomesView;
 use crate::peer::message::{self, Node, RelayReport, RolloutOutcomes, TableRead};
@@ -168,6 +168,7 @@
         table: *table,
         at_ms: confirmation.at.as_millis() as u64,
         digest: confirmation.digest,
+        era: confirmation.era,
     }
 }
 
@@ -182,7 +183,8 @@
     let evidence = &view.evidence;
     RolloutOutcomes {
         service: view.service.to_string(),
-        order: view.order,
+        order: view.order.version,
+        era: view.order.era,
         old: encode(&evidence.all.old),
         new: encode(&evidence.all.new),
         recent_old: encode(&evidence.recent.old),
@@ -203,7 +205,10 @@
     };
     OutcomesView {
         service: received.service.as_str().into(),
-        order: received.order,
+        order: OrderId {
+            era: received.era,
+            version: received.order,
+        },
         evidence: RolloutEvidence {
             all: Comparison {
                 old: decode(&received.old),
--- a/src/carawayrun/relay/readers.rs
+++ b/src/carawayrun/relay/readers.rs
@@ -18,15 +18,28 @@
 use compact_str::CompactString;
 use rustc_hash::FxHasher;
 
-/// Digest of a table's rows and the time of the read.
+/// Digest of a table's rows, and when they were read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Confirmation {
+    /// Restores of the store before the read. The same row versions, and so the
+    /// same digest, mean other rows in another era.
+    pub era: u64,
     /// The store's time in its response.
     pub at: Duration,
     /// Digest of the rows.
     pub digest: u64,
 }
 
+impl Confirmation {
+    fn is_newer_than(&self, other: &Self) -> bool {
+        (self.era, self.at) > (other.era, other.at)
+    }
+
+    fn has_same_rows(&self, other: &Self) -> bool {
+        (self.era, self.digest) == (other.era, other.digest)
+    }
+}
+
 /// Whether a gateway reads a table now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadDecision {
@@ -61,17 +74,17 @@
         self.rows.clear();
     }
 
-    /// Records that this gateway read the rows as of the store's time `at`.
-    pub fn record_read(&mut self, at: Duration) {
+    /// Records that this gateway read the rows in `era` as of the store's time `at`.
+    pub fn record_read(&mut self, era: u64, at: Duration) {
         let digest = self.digest();
-        self.own = Some(Confirmation { at, digest });
+        self.own = Some(Confirmation { era, at, digest });
     }
 
     /// Records a confirmation by another gateway; an older one than known is
     /// ignored.
     pub fn record_peer(&mut self, node: &str, confirmation: Confirmation) {
         let newest = self.peers.entry(node.into()).or_insert(confirmation);
-        if confirmation.at > newest.at {
+        if confirmation.is_newer_than(newest) {
             *newest = confirmation;
         }
     }
@@ -81,11 +94,11 @@
         self.own
     }
 
-    /// Latest time as of which the local rows are known to be current.
-    pub fn confirmed_at(&self) -> Option<Duration> {
-        let own = self.own?;
+    /// Latest time in `era` as of which the local rows are known to be current.
+    pub fn confirmed_at(&self, era: u64) -> Option<Duration> {
+        let own = self.own.filter(|own| own.era == era)?;
         let peers = self.peers.values();
-        let same = peers.filter(|confirmation| confirmation.digest == own.digest);
+        let same = peers.filter(|confirmation| confirmation.has_same_rows(&own));
         same.map(|confirmation| confirmation.at)
             .chain([own.at])
             .max()
@@ -97,19 +110,18 @@
         let Some(own) = self.own else {
             return ReadDecision::Read;
         };
-        let newer = self
+        let newest = self
             .peers
             .values()
-            .max_by_key(|confirmation| confirmation.at);
-        if newer.is_some_and(|confirmation| {
-            confirmation.at > own.at && confirmation.digest != own.digest
-        }) {
+            .max_by_key(|confirmation| (confirmation.era, confirmation.at));
+        if newest.is_some_and(|newest| newest.is_newer_than(&own) && !newest.has_same_rows(&own)) {
             return ReadDecision::Read;
         }
         let before = self
             .peers
             .iter()
-            .take_while(|(name, _)| name.as_str() < node);
+            .take_while(|(name, _)| name.as_str() < node)
+            .filter(|(_, confirmation)| confirmation.era == own.era);
         let reader = before.map(|(_, confirmation)| confirmation.at + ttl).max();
         match reader {
             Some(until) if until > now => ReadDecision::Wait(until.saturating_sub(now)),
--- a/src/carawayrun/relay/rollout.rs
+++ b/src/carawayrun/relay/rollout.rs
@@ -39,6 +39,15 @@
 /// canary share.
 const RECENT_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Identifies an order among those of one service; later ones are greater.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderId {
+    /// Restores of the store before the order's row was read.
+    pub era: u64,
+    /// Version of the order's row.
+    pub version: u64,
+}
+
 /// An operator's order to roll out a version of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RolloutOrder {
@@ -48,8 +57,15 @@
     pub to: CompactString,
     /// Time limit for completing or reverting it.
     pub limit: Duration,
-    /// Version of the order's row; distinguishes orders of one service.
-    pub version: u64,
+    /// Distinguishes orders of one service.
+    pub id: OrderId,
+}
+
+impl RolloutOrder {
+    /// Returns true if both orders have the same content.
+    pub fn has_same_content(&self, other: &Self) -> bool {
+        self.service == other.service && self.to == other.to && self.limit == other.limit
+    }
 }
 
 /// Phase of a roll-out.
@@ -68,6 +84,15 @@
 }
 
 impl Phase {
+    /// Number of phases that come before it at least.
+    pub fn rank(self) -> u8 {
+        match self {
+            Self::Canary => 0,
+            Self::Spread => 1,
+            Self::Complete | Self::Reverted => 2,
+        }
+    }
+
     /// Returns true until the roll-out has completed or been reverted.
     pub fn is_open(self) -> bool {
         matches!(self, Self::Canary | Self::Spread)
@@ -215,7 +240,7 @@
         withdrawn,
         service: order.service.clone(),
         to: order.to.clone(),
-        order: order.version,
+        order: order.id.version,
         started_ms: now.as_millis() as u64,
         phase: Phase::Canary,
     }
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -1,11 +1,12 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use test_case::test_case;
 
 use crate::relay::catalog::Catalog;
-use crate::relay::control::{Effect, Event, State};
+use crate::relay::control::{Effect, Event, Registration, State};
 use crate::relay::rollout::{
-    Comparison, Outcomes, Phase, RolloutEvidence, RolloutOrder, RolloutRow,
+    Comparison, OrderId, Outcomes, Phase, RolloutEvidence, RolloutOrder, RolloutRow,
 };
 use crate::relay::view::{OutcomesView, Upstream};
 
@@ -17,8 +18,8 @@
     Duration::from_millis(ms)
 }
 
-fn upstream(name: &str, born_ms: u64) -> Upstream {
-    Upstream {
+fn upstream(name: &str, born_ms: u64) -> Registration {
+    let upstream = Upstream {
         name: CompactString::from(name),
         born_ms,
         service: CompactString::from("engines"),
@@ -27,6 +28,10 @@
         version: CompactString::from("v1"),
         slots: 48,
         is_leaving: false,
+    };
+    Registration {
+        upstream,
+        sequence: Some(1),
     }
 }
 
@@ -120,7 +125,7 @@
 fn leaving_upstream_is_not_kept_after_outage() {
     let mut state = state();
     let mut leaving = upstream("i-1", 10);
-    leaving.is_leaving = true;
+    leaving.upstream.is_leaving = true;
     state.handle(Event::UpstreamRegistered(leaving), millis(0));
     state.handle(Event::StoreRecovered(millis(4_000)), millis(10_000));
     state.handle(Event::UpstreamUnregistered("i-1".into()), millis(10_100));
@@ -128,11 +133,15 @@
 }
 
 fn order(version: u64) -> RolloutOrder {
+    order_in(0, version)
+}
+
+fn order_in(era: u64, version: u64) -> RolloutOrder {
     RolloutOrder {
         service: CompactString::from("engines"),
         to: CompactString::from("v2"),
         limit: Duration::from_secs(20),
-        version,
+        id: OrderId { era, version },
     }
 }
 
@@ -231,7 +240,7 @@
                 node: node.into(),
                 outcomes: OutcomesView {
                     service: "engines".into(),
-                    order: 3,
+                    order: order(3).id,
                     evidence,
                 },
             },
@@ -289,3 +298,149 @@
     };
     assert_eq!((next.order, next.phase), (20, Phase::Canary));
 }
+
+fn reverted(state: &mut State) -> RolloutRow {
+    let mut row = begin(state);
+    row.phase = Phase::Reverted;
+    state.handle(Event::RolloutRead(row.clone(), 12), millis(0));
+    row
+}
+
+fn later_tick(state: &mut State, ms: u64) -> Vec<Effect> {
+    let store_now = Some(millis(ms));
+    state.handle(Event::Tick { store_now }, millis(ms))
+}
+
+// The order got a higher version when it was written again, and counted as the
+// operator's order to try the version once more.
+#[test_case(20; "higher version")]
+#[test_case(2; "lower version")]
+#[test_case(3; "same version")]
+fn withdrawal_forgotten_after_order_is_written_again(version: u64) {
+    let mut state = state();
+    let mut row = reverted(&mut state);
+    state.handle(Event::StoreRestored, millis(5_000));
+    assert!(share(&state).abs() < f64::EPSILON);
+    state.handle(Event::RolloutsSynced, millis(5_100));
+    state.handle(Event::OrderRead(order_in(1, version)), millis(5_200));
+    assert!(share(&state).abs() < f64::EPSILON);
+    assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
+    // The store lost the row, so it is written again.
+    row.order = version;
+    assert!(state.needs_rollout_rows());
+    let effects = later_tick(&mut state, 6_000);
+    assert_eq!(effects, [Effect::AdvanceRollout(row.clone(), 0)]);
+    state.handle(Event::RolloutRead(row, 4), millis(6_100));
+    assert_eq!(later_tick(&mut state, 6_200), []);
+    assert!(!state.needs_rollout_rows());
+}
+
+// The copy held the row from before the withdrawal.
+#[test]
+fn withdrawal_replaced_by_earlier_phase_of_copy() {
+    let mut state = state();
+    let row = reverted(&mut state);
+    let mut canary = row.clone();
+    canary.phase = Phase::Canary;
+    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::RolloutRead(canary, 9), millis(5_100));
+    state.handle(Event::RolloutsSynced, millis(5_100));
+    state.handle(Event::OrderRead(order_in(1, 3)), millis(5_200));
+    assert!(share(&state).abs() < f64::EPSILON);
+    let effects = later_tick(&mut state, 6_000);
+    assert_eq!(effects, [Effect::AdvanceRollout(row, 9)]);
+}
+
+// The copy held the order before the known one, which was written again later.
+#[test]
+fn withdrawal_forgotten_while_copy_holds_earlier_order() {
+    let mut state = state();
+    let mut row = reverted(&mut state);
+    let mut earlier = order_in(1, 1);
+    earlier.to = CompactString::from("v1");
+    let earlier_row = RolloutRow {
+        to: CompactString::from("v1"),
+        order: 1,
+        phase: Phase::Complete,
+        ..row.clone()
+    };
+    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::OrderRead(earlier), millis(5_050));
+    state.handle(Event::RolloutRead(earlier_row, 2), millis(5_100));
+    state.handle(Event::RolloutsSynced, millis(5_100));
+    assert_eq!(state.view().rollouts[0].to, "v1");
+    assert!((share(&state) - 1.0).abs() < f64::EPSILON);
+    assert_eq!(later_tick(&mut state, 5_900), []);
+    state.handle(Event::OrderRead(order_in(1, 6)), millis(6_000));
+    assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
+    row.order = 6;
+    let effects = later_tick(&mut state, 6_200);
+    assert_eq!(effects, [Effect::AdvanceRollout(row, 2)]);
+}
+
+#[test]
+fn order_of_another_version_after_restore_starts_rollout() {
+    let mut state = state();
+    reverted(&mut state);
+    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::RolloutsSynced, millis(5_100));
+    let mut next = order_in(1, 2);
+    next.to = CompactString::from("v3");
+    state.handle(Event::OrderRead(next), millis(5_200));
+    let effects = later_tick(&mut state, 6_000);
+    let [Effect::AdvanceRollout(row, 0)] = &*effects else {
+        panic!("{effects:?}");
+    };
+    assert_eq!((row.to.as_str(), row.phase), ("v3", Phase::Canary));
+    assert_eq!(row.withdrawn, ["v2"]);
+}
+
+#[test]
+fn same_order_long_after_restore_starts_rollout() {
+    let mut state = state();
+    reverted(&mut state);
+    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::RolloutsSynced, millis(5_100));
+    state.handle(Event::OrderRead(order_in(1, 2)), millis(5_200));
+    state.handle(Event::OrderRead(order_in(1, 50)), millis(40_000));
+    let effects = later_tick(&mut state, 40_200);
+    let [Effect::AdvanceRollout(row, 0)] = &*effects else {
+        panic!("{effects:?}");
+    };
+    assert_eq!((row.order, row.phase), (50, Phase::Canary));
+}
+
+#[test_case(false; "still registered")]
+#[test_case(true; "removed before the restore")]
+fn leaving_upstream_used_again_by_registration_of_copy(removed: bool) {
+    let mut state = state();
+    let copied = upstream("i-1", 10);
+    state.handle(Event::UpstreamRegistered(copied.clone()), millis(0));
+    let mut leaving = upstream("i-1", 10);
+    leaving.upstream.is_leaving = true;
+    leaving.sequence = Some(2);
+    state.handle(Event::UpstreamRegistered(leaving), millis(100));
+    if removed {
+        state.handle(Event::UpstreamUnregistered("i-1".into()), millis(900));
+    }
+    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::RegistrationsRead(vec![copied]), millis(5_100));
+    let upstreams = state.view().upstreams;
+    assert!(upstreams.values().all(|known| known.is_leaving));
+    // A later write of the same process counts.
+    let mut alive = upstream("i-1", 10);
+    alive.sequence = Some(3);
+    state.handle(Event::UpstreamRegistered(alive), millis(6_000));
+    let upstreams = state.view().upstreams;
+    assert!(upstreams.values().any(|known| !known.is_leaving));
+}
+
+// The copy lacked the registrations of upstreams that started after it.
+#[test]
+fn upstream_missing_in_copy_is_kept_until_it_writes_again() {
+    let mut state = state();
+    state.handle(Event::UpstreamRegistered(upstream("i-1", 10)), millis(0));
+    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::RegistrationsRead(Vec::new()), millis(5_100));
+    assert_eq!(names(&state), ["i-1"]);
+}
--- a/src/carawayrun/relay/tests/readers.rs
+++ b/src/carawayrun/relay/tests/readers.rs
@@ -3,6 +3,8 @@
 use crate::relay::readers::{Confirmation, FollowedTable, ReadDecision};
 use crate::relay::store_clock::StoreClock;
 
+const ERA: u64 = 1;
+
 const TTL: Duration = Duration::from_millis(950);
 
 fn millis(ms: u64) -> Duration {
@@ -12,7 +14,7 @@
 fn followed(content: u64, read_ms: u64) -> FollowedTable {
     let mut followed = FollowedTable::default();
     followed.insert_row("config", content);
-    followed.record_read(millis(read_ms));
+    followed.record_read(ERA, millis(read_ms));
     followed
 }
 
@@ -53,7 +55,7 @@
 fn matching_digest_confirms_rows_without_read() {
     let mut b = followed(1, 100);
     b.record_peer("a", confirmation(&followed(1, 700)));
-    assert_eq!(b.confirmed_at(), Some(millis(700)));
+    assert_eq!(b.confirmed_at(ERA), Some(millis(700)));
     assert_eq!(
         b.decide_read("b", millis(800), TTL),
         ReadDecision::Wait(millis(850))
@@ -64,11 +66,11 @@
 fn different_digest_triggers_read_and_confirms_nothing() {
     let mut b = followed(1, 100);
     b.record_peer("a", confirmation(&followed(2, 700)));
-    assert_eq!(b.confirmed_at(), Some(millis(100)));
+    assert_eq!(b.confirmed_at(ERA), Some(millis(100)));
     assert_eq!(b.decide_read("b", millis(710), TTL), ReadDecision::Read);
     // After its own read, the other gateway's confirmation is older.
     b.insert_row("config", 3);
-    b.record_read(millis(720));
+    b.record_read(ERA, millis(720));
     assert_eq!(
         b.decide_read("b", millis(730), TTL),
         ReadDecision::Wait(millis(920))
@@ -80,7 +82,7 @@
     let mut b = followed(1, 100);
     b.record_peer("a", confirmation(&followed(1, 700)));
     b.record_peer("a", confirmation(&followed(2, 400)));
-    assert_eq!(b.confirmed_at(), Some(millis(700)));
+    assert_eq!(b.confirmed_at(ERA), Some(millis(700)));
 }
 
 #[test]
@@ -88,13 +90,30 @@
     let mut one = followed(1, 100);
     let before = confirmation(&one).digest;
     one.insert_row("rollout/a", 5);
-    one.record_read(millis(200));
+    one.record_read(ERA, millis(200));
     assert_ne!(confirmation(&one).digest, before);
     one.remove_row("rollout/a");
-    one.record_read(millis(300));
+    one.record_read(ERA, millis(300));
     assert_eq!(confirmation(&one).digest, before);
 }
 
+// After a restore of the store, the same versions stand for other rows.
+#[test]
+fn same_digest_of_another_era_confirms_nothing() {
+    let mut b = followed(1, 100);
+    let mut a = confirmation(&followed(1, 700));
+    a.era = ERA + 1;
+    b.record_peer("a", a);
+    assert_eq!(b.confirmed_at(ERA), Some(millis(100)));
+    assert_eq!(b.confirmed_at(ERA + 1), None);
+    assert_eq!(b.decide_read("b", millis(710), TTL), ReadDecision::Read);
+    // A gateway that has not noticed the restore is not the reader.
+    b.record_read(ERA + 1, millis(720));
+    b.record_peer("a", confirmation(&followed(1, 800)));
+    b.record_read(ERA + 2, millis(730));
+    assert_eq!(b.decide_read("b", millis(740), TTL), ReadDecision::Read);
+}
+
 // Slow responses carry outdated store times.
 #[test]
 fn fastest_response_determines_store_clock() {
--- a/src/carawayrun/relay/tests/rollout.rs
+++ b/src/carawayrun/relay/tests/rollout.rs
@@ -4,7 +4,8 @@
 use test_case::test_case;
 
 use crate::relay::rollout::{
-    Comparison, Outcomes, Phase, RolloutEvidence, RolloutOrder, begin, due_phase, traffic_share,
+    Comparison, OrderId, Outcomes, Phase, RolloutEvidence, RolloutOrder, begin, due_phase,
+    traffic_share,
 };
 
 fn order() -> RolloutOrder {
@@ -12,7 +13,7 @@
         service: CompactString::from("engines"),
         to: CompactString::from("v2"),
         limit: Duration::from_secs(20),
-        version: 7,
+        id: OrderId { era: 0, version: 7 },
     }
 }
 
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -10,7 +10,7 @@
 
 use super::catalog::Catalog;
 use super::readers::Confirmation;
-use super::rollout::RolloutEvidence;
+use super::rollout::{OrderId, RolloutEvidence};
 
 new_key_type! {
     /// Key of one incarnation of an upstream; a restart under the same name gets
@@ -68,8 +68,8 @@
 pub struct OutcomesView {
     /// Service of the roll-out.
     pub service: CompactString,
-    /// Version of the order's row.
-    pub order: u64,
+    /// The order.
+    pub order: OrderId,
     /// Outcomes at this gateway.
     pub evidence: RolloutEvidence,
 }
--- a/tests/testsuite/restored.rs
+++ b/tests/testsuite/restored.rs
@@ -196,6 +196,7 @@
     }
     let before = world.run_count(2).await;
     restore(&world, copied).await;
+    set_down(&world, false).await;
     for relay in 0..RELAYS {
         world
             .until_relay_logged(relay, "era of the store changed")
