Restore the store from a copy in the soak

Each soak now restores the store from a copy of 0.5 to 5 s age every 3 to 12 s, after it was down for 0.05 to 2 s; operators and upstreams then write again what they had written.

--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -57,6 +57,10 @@
     process: RefCell<Option<Process>>,
     /// Number of starts so far.
     incarnation: Cell<u32>,
+    /// Number of registrations written so far.
+    sequence: Cell<u64>,
+    /// State in the last registration; empty once it was removed.
+    state: RefCell<&'static str>,
     name: RefCell<String>,
 }
 
@@ -216,15 +220,17 @@
         self.register(upstream, "ready").await;
     }
 
-    async fn register(&self, upstream: usize, state: &str) {
+    async fn register(&self, upstream: usize, state: &'static str) {
         // The service depends on the incarnation in the upstream's name, so that
         // addresses are reused by other services.
         let slot = &self.upstreams[upstream];
         let service = self.service(upstream);
+        slot.sequence.set(slot.sequence.get() + 1);
+        *slot.state.borrow_mut() = state;
         let row = json!({
             "service": service, "address": self.upstream_addr(upstream),
             "zone": "a", "version": "v1", "batch_slots": 8, "state": state,
-            "warmup_left_ms": 0, "sequence": 1, "born": u64::from(slot.incarnation.get()),
+            "warmup_left_ms": 0, "sequence": slot.sequence.get(), "born": u64::from(slot.incarnation.get()),
         });
         let name = slot.name.borrow().clone();
         self.put(&format!("/rows/servers/{name}"), &row).await;
@@ -361,7 +367,7 @@
         let name = slot.name.borrow().clone();
         sleep(down.min(REGISTRATION_TTL)).await;
         if down > REGISTRATION_TTL {
-            self.unregister(&name).await;
+            self.unregister(upstream, &name).await;
             sleep(down.saturating_sub(REGISTRATION_TTL)).await;
         }
         self.start_upstream(upstream, true).await;
@@ -401,7 +407,7 @@
         let drain = (name.clone(), now_ms());
         self.history.borrow_mut().draining.push(drain);
         sleep(DRAIN_PERIOD).await;
-        self.unregister(&name).await;
+        self.unregister(upstream, &name).await;
         process.kill();
         sleep(RESTART_DELAY).await;
         self.start_upstream(upstream, false).await;
@@ -445,6 +451,45 @@
         self.record_disturbance(FaultTarget::Store, from);
     }
 
+    /// Takes the store down and restores it from a copy of this age. Operators and
+    /// upstreams then write again what they had written.
+    pub(crate) async fn restore_store(&self, age: Duration, down: Duration) {
+        let from = now_ms();
+        self.put("/faults", &json!({"down": true})).await;
+        sleep(down).await;
+        let age_ms = (age + down).as_millis();
+        let url = format!("http://{}.1:7000/restore?age_ms={age_ms}", self.net);
+        let sent = self.client.post(url).timeout(RECOVERY_TIMEOUT).send().await;
+        sent.expect("the store accepts the restore");
+        self.put("/faults", &json!({})).await;
+        self.configure().await;
+        self.register_again().await;
+        self.record_disturbance(FaultTarget::Store, from);
+    }
+
+    // Writes the registrations as they are; those that only the copy holds expire.
+    async fn register_again(&self) {
+        let mut names = Vec::new();
+        for (upstream, slot) in self.upstreams.iter().enumerate() {
+            let state = *slot.state.borrow();
+            if !state.is_empty() {
+                self.register(upstream, state).await;
+                names.push(slot.name.borrow().clone());
+            }
+        }
+        let url = format!("http://{}.1:7000/v1/rows-get?table=servers&part=", self.net);
+        let Ok(mut answer) = self.client.get(url).send().await else {
+            return;
+        };
+        let body = answer.body().await.unwrap_or_default();
+        let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let rows = body["rows"].as_array().cloned().unwrap_or_default();
+        let keys = rows.iter().filter_map(|row| row["key"].as_str());
+        for key in keys.filter(|key| !names.iter().any(|name| name == key)) {
+            self.remove_registration(key).await;
+        }
+    }
+
     pub(crate) async fn freeze_store(&self, duration: Duration) {
         let from = now_ms();
         self.store.freeze();
@@ -499,7 +544,12 @@
         history.disturbances.push(Disturbance { target, from, to });
     }
 
-    async fn unregister(&self, name: &str) {
+    async fn unregister(&self, upstream: usize, name: &str) {
+        *self.upstreams[upstream].state.borrow_mut() = "";
+        self.remove_registration(name).await;
+    }
+
+    async fn remove_registration(&self, name: &str) {
         let url = format!("http://{}.1:7000/rows/servers/{name}", self.net);
         // A frozen store answers once it is resumed, hence the long timeout.
         let sent = self
--- a/tests/testsuite/soak/injection.rs
+++ b/tests/testsuite/soak/injection.rs
@@ -58,6 +58,7 @@
         Fault::StoreFrozen(span) => deployment.freeze_store(span).await,
         Fault::StoreLosesAnswers => deployment.lose_store_answers().await,
         Fault::StoreDropsHistory => deployment.drop_store_history().await,
+        Fault::StoreRestored(age, down) => deployment.restore_store(age, down).await,
         Fault::NewKey => deployment.add_key().await,
         Fault::RevokeKey => deployment.revoke_key().await,
     }
--- a/tests/testsuite/soak/plan.rs
+++ b/tests/testsuite/soak/plan.rs
@@ -12,6 +12,15 @@
 /// Time between the starts of two faults. Most faults last longer, so they overlap.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..900;
 
+/// Time between two restores of the store.
+const RESTORE_INTERVAL_MS: std::ops::Range<u64> = 3_000..12_000;
+
+/// Age of the copy from which the store is restored.
+const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
+
+/// Time for which the store is down before it is restored.
+const RESTORE_DOWN_MS: std::ops::Range<u64> = 50..2_000;
+
 /// Time for which a fault lasts.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..4_000;
 
@@ -37,6 +46,9 @@
     StoreFrozen(Duration),
     StoreLosesAnswers,
     StoreDropsHistory,
+    /// The store is down for the second time and comes back from a copy that is as
+    /// old as the first.
+    StoreRestored(Duration, Duration),
     NewKey,
     RevokeKey,
 }
@@ -65,10 +77,28 @@
     loop {
         at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
         if at >= duration {
-            return plan;
+            break;
         }
         plan.push((at, random_fault(&mut rng, sizes)));
     }
+    plan.extend(plan_restores(seed, duration));
+    plan.sort_by_key(|(at, _)| *at);
+    plan
+}
+
+// Restores have random numbers of their own, so that the other faults of a seed stay
+// the same.
+fn plan_restores(seed: u64, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mut millis = |range| Duration::from_millis(rng.random_range(range));
+    let mut plan = Vec::new();
+    let mut at = millis(RESTORE_INTERVAL_MS);
+    while at < duration {
+        let fault = Fault::StoreRestored(millis(COPY_AGE_MS), millis(RESTORE_DOWN_MS));
+        plan.push((at, fault));
+        at += millis(RESTORE_INTERVAL_MS);
+    }
+    plan
 }
 
 fn random_fault(rng: &mut StdRng, sizes: Sizes) -> Fault {
