Read, log and count the limits that upstreams name

Neither the header Server-Limit nor the sends to an upstream that names one were logged or counted, so the hypotheses could not be told apart. A change of the limit in an upstream's answers is now logged, and sends to upstreams that name one are counted. No decision changes.

--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -20,6 +20,7 @@
 const PRIORITY: HeaderName = HeaderName::from_static("x-carawayrun-request-priority");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-carawayrun-not-executed");
 const CONFIDENCE: HeaderName = HeaderName::from_static("x-carawayrun-confidence");
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const SEAL: HeaderName = HeaderName::from_static("x-carawayrun-response-seal");
 const SESSION: HeaderName = HeaderName::from_static("session");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -217,11 +218,22 @@
         is_sealed: headers.contains_key(SEAL),
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
         confidence: text(&CONFIDENCE).and_then(|value| value.parse().ok()),
+        rate_limit: text(&SERVER_LIMIT).and_then(parse_rate_limit),
         idle_limit: text(&KEEP_ALIVE).and_then(parse_keep_alive),
         body_length: text(&header::CONTENT_LENGTH).and_then(|value| value.parse().ok()),
     }
 }
 
+// Parses a number of requests per second.
+fn parse_rate_limit(text: &str) -> Option<f64> {
+    let limit: Option<f64> = text.trim().parse().ok();
+    let limit = limit.filter(|limit| limit.is_finite() && *limit >= 0.0);
+    if limit.is_none() {
+        tracing::warn!(header = %SERVER_LIMIT, value = text, "limit is not a number of requests; ignored");
+    }
+    limit
+}
+
 // Parses the time of `timeout=SECONDS`.
 fn parse_keep_alive(text: &str) -> Option<Duration> {
     let mut fields = text.split(',');
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -196,3 +196,15 @@
     assert!(error.contains(expected), "{error}");
     assert!(error.contains("carawayrun-settings"), "{error}");
 }
+
+#[test_case("1.7", Some(1.7); "a decimal number")]
+#[test_case("0", Some(0.0); "nothing is taken")]
+#[test_case("-1", None; "negative")]
+#[test_case("inf", None; "not finite")]
+#[test_case("soon", None; "not a number")]
+fn rate_limit_of_answer_is_parsed(text: &'static str, expected: Option<f64>) {
+    let mut head = ResponseHead::new(StatusCode::OK);
+    let name = HeaderName::from_static("server-limit");
+    head.headers.insert(name, HeaderValue::from_static(text));
+    assert_eq!(parse_answer(&head).rate_limit, expected);
+}
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -59,6 +59,7 @@
         }
         progress.sends += 1;
         self.log.record_send(&upstream);
+        self.traffic.count_limited_send(key);
         if let Some(session) = &self.request.session {
             let service = &upstream.service;
             self.traffic.pin_session(
@@ -168,6 +169,7 @@
             tracing::info!(request = %self.request.id, upstream = %upstream.name, "another upstream has this address now");
             return AttemptOutcome::Displaced;
         }
+        self.traffic.record_limit(key, upstream, answer.rate_limit);
         if answer.execution == Execution::NotRun {
             return AttemptOutcome::Refused(head.status);
         }
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -58,6 +58,8 @@
     /// Key of the upstream in reports.
     digest: u32,
     health: Health,
+    /// Requests per second in the upstream's latest answer, if it named a limit.
+    named_limit: Option<f64>,
     idle: Vec<UpstreamConnection>,
 }
 
@@ -183,6 +185,24 @@
         self.states.get_mut(key).map(|state| &mut state.health)
     }
 
+    /// Records the limit in an upstream's answer and returns that in the answer
+    /// before.
+    pub(super) fn record_limit(&mut self, key: UpstreamKey, limit: Option<f64>) -> Option<f64> {
+        let state = self.states.get_mut(key)?;
+        std::mem::replace(&mut state.named_limit, limit)
+    }
+
+    /// Limit in an upstream's latest answer.
+    pub(super) fn named_limit(&self, key: UpstreamKey) -> Option<f64> {
+        self.states.get(key)?.named_limit
+    }
+
+    /// Number of upstreams that name a limit.
+    pub(super) fn limited_count(&self) -> usize {
+        let states = self.states.values();
+        states.filter(|state| state.named_limit.is_some()).count()
+    }
+
     fn is_available(&self, key: UpstreamKey, query: &UpstreamQuery<'_>) -> bool {
         let upstream = self.upstreams.get(key);
         upstream.is_some_and(|upstream| !upstream.is_leaving) && !query.excluded.contains(&key)
--- a/src/carawayrun/relay/message.rs
+++ b/src/carawayrun/relay/message.rs
@@ -80,6 +80,9 @@
     pub is_encoded: bool,
     /// The model's confidence in its answer, 0 to 100.
     pub confidence: Option<f64>,
+    /// Requests per second that the upstream takes from all gateways together, if it
+    /// names a limit.
+    pub rate_limit: Option<f64>,
     /// Time for which the upstream keeps an idle connection open, if it says so.
     pub idle_limit: Option<Duration>,
     /// Length of the body, if given.
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) store_failures: Counter,
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
+    pub(crate) limited_upstreams: Gauge,
+    pub(crate) limited_sends: Counter,
     pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
     pub(crate) log_limiter: LogLimiter,
@@ -66,6 +68,8 @@
             store_failures: Counter::default(),
             config_version: Gauge::default(),
             store_era: Gauge::default(),
+            limited_upstreams: Gauge::default(),
+            limited_sends: Counter::default(),
             rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
             log_limiter: LogLimiter::new(),
@@ -103,6 +107,11 @@
             "Calls to the store without a usable answer",
             &metrics.store_failures,
         );
+        add(
+            "limited_sends",
+            "Sends to upstreams that name a limit of requests per second",
+            &metrics.limited_sends,
+        );
         add(
             "rollouts_begun",
             "Roll-outs that this process began in the store",
@@ -123,6 +132,11 @@
             "Restores of the store from a copy",
             metrics.store_era.clone(),
         );
+        registry.register(
+            "limited_upstreams",
+            "Upstreams that name a limit of requests per second",
+            metrics.limited_upstreams.clone(),
+        );
         registry.register("upstreams", "Upstreams known", metrics.upstreams.clone());
         registry.register(
             "requests",
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -205,6 +205,26 @@
         self.fleet(&view, |fleet, _| fleet.health_mut(key).map(update));
     }
 
+    /// Records the limit that an upstream named in an answer, or that it named none.
+    pub(super) fn record_limit(&self, key: UpstreamKey, upstream: &Upstream, limit: Option<f64>) {
+        let view = self.view();
+        let (before, limited) = self.fleet(&view, |fleet, _| {
+            let before = fleet.record_limit(key, limit);
+            (before, fleet.limited_count())
+        });
+        if before != limit {
+            self.metrics.limited_upstreams.set(limited as i64);
+            tracing::info!(upstream = %upstream.name, limit, before, "upstream named another limit of requests per second");
+        }
+    }
+
+    /// Counts a send to an upstream that names a limit.
+    pub(super) fn count_limited_send(&self, key: UpstreamKey) {
+        if self.fleet.borrow().named_limit(key).is_some() {
+            self.metrics.limited_sends.inc();
+        }
+    }
+
     /// Returns a random number in 0..1.
     pub(super) fn random(&self) -> f64 {
         use rand::Rng;
