Let versions pass the cursor in the soak's restores; ask for the newest key at the end

Operators and upstreams now write while the store is away until versions have passed the newest one from before, with a new key among it, and at the end every relay must accept the newest key.

--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -451,19 +451,22 @@
         self.record_disturbance(FaultTarget::Store, from);
     }
 
-    /// Takes the store down and restores it from a copy of this age. Operators and
-    /// upstreams then write again what they had written.
+    /// Takes the store down and restores it from a copy of this age. Before relays
+    /// reach it, operators and upstreams write again what they had written, a key is
+    /// added, and versions pass the newest one from before.
     pub(crate) async fn restore_store(&self, age: Duration, down: Duration) {
         let from = now_ms();
         self.put("/faults", &json!({"down": true})).await;
         sleep(down).await;
         let age_ms = (age + down).as_millis();
+        let newest = self.put("/rows/other/row", &json!(0)).await;
         let url = format!("http://{}.1:7000/restore?age_ms={age_ms}", self.net);
         let sent = self.client.post(url).timeout(RECOVERY_TIMEOUT).send().await;
         sent.expect("the store accepts the restore");
-        self.put("/faults", &json!({})).await;
-        self.configure().await;
+        self.add_key().await;
         self.register_again().await;
+        while self.put("/rows/other/row", &json!(0)).await <= newest {}
+        self.put("/faults", &json!({})).await;
         self.record_disturbance(FaultTarget::Store, from);
     }
 
@@ -561,14 +564,17 @@
         sent.expect("the store accepts the removal");
     }
 
-    async fn put(&self, path: &str, value: &Value) {
+    // Returns the version of a written row; zero for other calls.
+    async fn put(&self, path: &str, value: &Value) -> u64 {
         let url = format!("http://{}.1:7000{path}", self.net);
         let sent = self
             .client
             .put(url)
             .timeout(RECOVERY_TIMEOUT)
             .send_body(value.to_string());
-        sent.await.expect("the store accepts the row");
+        let mut answer = sent.await.expect("the store accepts the row");
+        let body = answer.body().await.unwrap_or_default();
+        serde_json::from_slice(&body).unwrap_or_default()
     }
 
     async fn is_answering(&self, url: &str) -> bool {
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -115,18 +115,23 @@
     violations
 }
 
-// After the faults, every relay must serve requests of every kind.
+// After the faults, every relay must serve requests of every kind, also with the
+// newest key.
 async fn check_recovery(deployment: &Deployment) -> Vec<String> {
     if !deployment.wait_for_recovery().await {
         return vec!["not all relays became ready within the recovery timeout".to_owned()];
     }
     let mut violations = Vec::new();
+    let newest = deployment.active_keys().pop();
+    let newest = newest.unwrap_or_else(|| PERMANENT_KEYS[0].to_owned());
+    let keys = PERMANENT_KEYS.map(str::to_owned);
+    let keys: Vec<String> = keys.into_iter().chain([newest]).collect();
     for relay in 0..deployment.sizes.relays {
         let mut connection = Connection::default();
         for number in 0..REQUESTS_AFTER_FAULTS {
             for kind in [RequestKind::Read, RequestKind::Switch, RequestKind::Stream] {
                 let id = format!("after-{relay}-{number}-{kind:?}");
-                let key = PERMANENT_KEYS[number % 2].to_owned();
+                let key = keys[number % keys.len()].clone();
                 let served = send_request(deployment, &mut connection, relay, kind, key, id).await;
                 if served.status != Some(200) || !served.complete {
                     violations.push(format!("not served after the faults ended: {served:?}"));
