--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -23,6 +23,8 @@
     pub(crate) cut_streams: u32,
     /// Number of next answers that carry another request's id.
     pub(crate) cross_answers: u32,
+    /// Requests per second that a runner names as its limit in all answers.
+    pub(crate) server_limit: Option<f64>,
     /// Whether orders with an outdated fencing number are accepted.
     pub(crate) ignore_fencing: bool,
     /// Version whose requests fail or get answers of low quality.
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -147,7 +147,15 @@
 }
 
 impl Service {
-    async fn handle(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
+    async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
+        let mut answer = Rc::clone(&self).answer(request).await;
+        if let Some(limit) = self.faults.get().server_limit {
+            set_header(&mut answer, "server-limit", &limit.to_string());
+        }
+        answer
+    }
+
+    async fn answer(self: Rc<Self>, mut request: Request) -> Response<BoxBody> {
         if let Some(answer) = answer_common_call(&mut request, &self.faults).await {
             return answer;
         }
--- /dev/null
+++ b/tests/testsuite/limits.rs
@@ -0,0 +1,147 @@
+//! Relays before an upstream that names the requests per second that it takes from
+//! all of them together, as separate processes.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use awc::http::{Method, StatusCode};
+use serde_json::json;
+
+use crate::support::platform::{API_KEY, PlatformWorld, config};
+
+const RELAYS: usize = 3;
+
+/// Time after the first naming from which a limit is judged: `contact_ms` of the
+/// platform.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Window over which requests are counted, in milliseconds.
+const WINDOW_MS: u64 = 4_000;
+
+/// Pause between two requests to one relay.
+const PAUSE: Duration = Duration::from_millis(30);
+
+async fn world(name: &str, others: usize) -> PlatformWorld {
+    let mut world = PlatformWorld::start(name).await;
+    for _ in 1..RELAYS {
+        world.start_relay();
+    }
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    let record = world.record_path();
+    let record = ["--record", &*record.to_string_lossy()].map(String::from);
+    let record: Vec<&str> = record.iter().map(String::as_str).collect();
+    world.runner("app-0", "app", &record).await;
+    for number in 0..others {
+        let id = format!("app-{}", number + 1);
+        world.runner(&id, "app", &[]).await;
+    }
+    world.until_ready().await;
+    for relay in 1..RELAYS {
+        world
+            .until(async |world| world.is_relay_ready(relay).await)
+            .await;
+    }
+    // By now the relays have read each other's addresses.
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    world
+}
+
+async fn set_limit(world: &PlatformWorld, limit: Option<f64>) {
+    let faults = json!({"serverLimit": limit});
+    world.faults(&world.runner_url(0), &faults).await;
+}
+
+fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.expect("the clock is after 1970").as_millis() as u64
+}
+
+/// Sends requests to all relays for a time; returns how many were answered with
+/// each status, 200 and 503.
+async fn send_for(world: &PlatformWorld, round: &str, span: Duration) -> (usize, usize) {
+    let begun = Instant::now();
+    let (mut served, mut refused) = (0, 0);
+    let mut number = 0;
+    while begun.elapsed() < span {
+        for relay in 0..RELAYS {
+            let id = format!("{round}-{relay}-{number}");
+            let request = world.request_at(relay, Method::GET, "/read/a", &id);
+            let sent = Instant::now();
+            let reply = world.send(request, "").await;
+            match reply.status {
+                StatusCode::OK => served += 1,
+                StatusCode::SERVICE_UNAVAILABLE => {
+                    refused += 1;
+                    assert!(reply.retry_after.is_some());
+                    assert!(sent.elapsed() < Duration::from_millis(500), "{id}");
+                }
+                status => panic!("{id}: {status}"),
+            }
+        }
+        number += 1;
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    (served, refused)
+}
+
+/// Most requests that the limited runner got in a window that begins after `from`.
+fn peak(world: &PlatformWorld, from: u64) -> usize {
+    let times = world.run_times("app-0");
+    let judged = times.iter().filter(|at| **at >= from);
+    let counts = judged.map(|start| {
+        let end = start + WINDOW_MS;
+        let counted = times.iter().filter(|at| (*start..end).contains(at));
+        counted.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+fn allowed(limit: f64) -> f64 {
+    1.5 * limit * (WINDOW_MS as f64 / 1_000.0) + 5.0
+}
+
+// Placement went by load alone, so the upstream got its usual part.
+#[actix_rt::test]
+async fn limit_exceeded_by_sum_of_relays() {
+    for limit in [1.0, 4.0] {
+        let world = world("limit-sum", 2).await;
+        set_limit(&world, Some(limit)).await;
+        let from = now_ms() + CONTACT.as_millis() as u64;
+        let (served, refused) = send_for(&world, "req", CONTACT + Duration::from_secs(8)).await;
+        let peak = peak(&world, from);
+        assert!(
+            peak as f64 <= allowed(limit),
+            "{peak} at a limit of {limit}"
+        );
+        assert!(refused == 0 && served > 0, "{refused} of {served} refused");
+    }
+}
+
+#[actix_rt::test]
+async fn limit_exceeded_where_no_other_upstream_is_left() {
+    let limit = 4.0;
+    let world = world("limit-alone", 0).await;
+    set_limit(&world, Some(limit)).await;
+    let from = now_ms() + CONTACT.as_millis() as u64;
+    let span = CONTACT + Duration::from_secs(8);
+    let (served, _) = send_for(&world, "req", span).await;
+    let peak = peak(&world, from);
+    assert!(
+        peak as f64 <= allowed(limit),
+        "{peak} at a limit of {limit}"
+    );
+    // What the upstream takes is used.
+    let taken = 0.8 * limit * span.as_secs_f64();
+    assert!(served as f64 >= taken, "{served} of {taken}");
+}
+
+// A relay without a share of the limit hears from the others that it has ended.
+#[actix_rt::test]
+async fn limit_kept_after_upstream_names_none() {
+    let world = world("limit-ended", 0).await;
+    set_limit(&world, Some(0.5)).await;
+    send_for(&world, "limited", Duration::from_secs(4)).await;
+    set_limit(&world, None).await;
+    send_for(&world, "ended", Duration::from_secs(12)).await;
+    let (served, refused) = send_for(&world, "after", Duration::from_secs(2)).await;
+    assert!(refused == 0 && served > 0, "{refused} of {served} refused");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod hosts;
 mod interrupted;
 mod leaving;
+mod limits;
 mod once;
 mod openapi;
 mod operating;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -161,6 +161,21 @@
         host
     }
 
+    /// File for the option `--record` of the runners.
+    pub(crate) fn record_path(&self) -> PathBuf {
+        self.dir.join("runs.jsonl")
+    }
+
+    /// Times at which a runner began its runs, in milliseconds since the Unix epoch.
+    pub(crate) fn run_times(&self, id: &str) -> Vec<u64> {
+        let text = std::fs::read_to_string(self.record_path()).unwrap_or_default();
+        let runs = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let own = runs.filter(|run| run["runner"] == id);
+        own.filter_map(|run| run["at_ms"].as_u64()).collect()
+    }
+
     pub(crate) fn stop_runner(&mut self, index: usize) {
         self.runners[index].kill();
     }
