Keep to a share of the rate that an upstream names

Cause: the limit in an upstream's answers was not read, and placement went by load and affinity alone. Its rate was the same before and after it named one. The class is a bound on what the whole system sends that no relay can see: a limit that each relay kept on its own would be sent once by each.

Change: an upstream's limit is divided among the relays that are known, from the store's list and from reports, for 90 s after the last sign of life, as one that is only cut off goes on sending. A relay that has not read the list has no share. Where a share is less than a request at a time, as many relays send as the burst allows, chosen by rendezvous hashing on the upstream. Retries, resumed streams, cascades and polls of a load report take from the same share. Relays tell each other what their upstreams answered, so those without a share hear of a limit and of its end. A request for which nothing is left is refused at once, with the time until the next share.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -529,6 +529,23 @@
     /// The sender's own reads of the store's tables.
     #[prost(message, repeated, tag = "6")]
     pub reads: ::prost::alloc::vec::Vec<TableRead>,
+    /// What upstreams said about their limits in answers to the sender.
+    #[prost(message, repeated, tag = "7")]
+    pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
+}
+/// Limit that an upstream named in its latest answer to a relay. Kept for some
+/// seconds after an answer that named none.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct UpstreamLimit {
+    /// Hash of the name of the upstream's registration.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// Requests per second from all relays together; absent if it named none.
+    #[prost(float, optional, tag = "2")]
+    pub limit: ::core::option::Option<f32>,
+    /// Time since the answer.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 /// State of a table that a relay has read, with the time of the store's clock.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -235,8 +235,9 @@
                 self.publish(&mut effects);
             }
             Event::GatewaysRead(peers) => {
-                if self.view.peers != peers {
+                if self.view.peers != peers || !self.view.is_listed {
                     self.view.peers = peers;
+                    self.view.is_listed = true;
                     self.publish(&mut effects);
                 }
             }
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -50,6 +50,9 @@
         else {
             return AttemptOutcome::NotSent;
         };
+        if !self.traffic.take_send(key) {
+            return AttemptOutcome::NotSent;
+        }
         let Ok(connection) = self.acquire_connection(view, route, key, &upstream).await else {
             return AttemptOutcome::NotSent;
         };
@@ -59,7 +62,6 @@
         }
         progress.sends += 1;
         self.log.record_send(&upstream);
-        self.traffic.count_limited_send(key);
         if let Some(session) = &self.request.session {
             let service = &upstream.service;
             self.traffic.pin_session(
@@ -143,7 +145,9 @@
                 Ok(result) => break Some(result),
                 Err(_) if self.must_deliver_fallback(route, progress) => break None,
                 Err(_) if !self.has_alternative(route, progress, key, upstream) => {}
-                Err(_) if asked < MAX_POLLS && self.is_queued(upstream, route).await => asked += 1,
+                Err(_) if asked < MAX_POLLS && self.is_queued(key, upstream, route).await => {
+                    asked += 1;
+                }
                 Err(_) => break None,
             }
         };
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -13,7 +13,7 @@
 use crate::relay::catalog::Route;
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::message::EngineReport;
-use crate::relay::view::Upstream;
+use crate::relay::view::{Upstream, UpstreamKey};
 
 /// Time limit for an engine's load report, which takes no slot of the engine.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -32,8 +32,14 @@
     // Polls a silent engine's load report; returns true if the engine may have the
     // request queued or running. Sending it elsewhere would then only add to the
     // load, at the end of another queue.
-    pub(super) async fn is_queued(&self, upstream: &Upstream, route: &Route) -> bool {
-        if !route.kind.is_stream() {
+    pub(super) async fn is_queued(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        route: &Route,
+    ) -> bool {
+        // The poll is a request too.
+        if !route.kind.is_stream() || !self.traffic.take_send(key) {
             return false;
         }
         let config = &self.traffic.config;
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -48,6 +48,11 @@
 /// given up before its deadline may get up to three times as much, at random.
 const MIN_NO_CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Longest wait for this gateway's share of the upstreams' limits in a
+/// `Retry-After`: a repeated request reaches another gateway, which has a share of
+/// its own.
+const MAX_LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// One request of a client, after it was read.
 pub(super) struct Exchange<'a> {
     pub(super) traffic: &'a Rc<Traffic>,
@@ -407,12 +412,21 @@
         } else if progress.may_have_run {
             Refusal::UpstreamFailed
         } else {
-            let spread = 1.0 + 2.0 * self.traffic.random();
-            Refusal::NoCapacity(MIN_NO_CAPACITY_RETRY_AFTER.mul_f64(spread))
+            Refusal::NoCapacity(self.capacity_retry_after())
         };
         self.refuse(refusal, responder).await
     }
 
+    // Time after which a request that found no capacity may find some. It is spread,
+    // so that clients do not return together.
+    fn capacity_retry_after(&self) -> Duration {
+        let service = self.service_name(&self.admitted.catalog);
+        let until_token = self.traffic.time_to_send(service);
+        let wait = until_token.unwrap_or(MAX_LIMIT_RETRY_AFTER);
+        let wait = wait.clamp(MIN_NO_CAPACITY_RETRY_AFTER, MAX_LIMIT_RETRY_AFTER);
+        wait.mul_f64(1.0 + 2.0 * self.traffic.random())
+    }
+
     // Ends a request whose deadline has passed; returns false if the client's
     // connection must be closed.
     async fn finish_timed_out(
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -1,5 +1,6 @@
 //! Upstreams of the traffic thread: idle connections, own load and health.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,10 +13,12 @@
 use super::connection::UpstreamConnection;
 use super::health::Health;
 use super::loads::{PeerLoads, upstream_digest};
+use super::members::Members;
 use super::placement::{UpstreamCandidate, affinity_rank, choose_candidate, sample_candidates};
+use super::rate_limit::{LimitNotice, RateLimiter, RateShare};
 use super::sessions::{VersionInput, uses_new_version};
 use super::view::{RolloutView, Upstream, UpstreamKey, View};
-use crate::peer::message::UpstreamLoad;
+use crate::peer::message::{UpstreamLimit, UpstreamLoad};
 
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_CONNECTIONS: usize = 12;
@@ -24,6 +27,13 @@
 /// once: they can't be retried if the upstream closes the connection meanwhile.
 const MAX_ONCE_IDLE_TIME: Duration = Duration::from_millis(700);
 
+/// Time for which the end of a limit is reported, so that gateways without a share
+/// hear of it: some reports may be lost.
+const ENDED_LIMIT_TTL: Duration = Duration::from_secs(10);
+
+/// Most limits in a report, to leave room for the rest of a datagram.
+const MAX_REPORTED_LIMITS: usize = 32;
+
 /// Requirements of a request on its upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamQuery<'a> {
@@ -41,6 +51,18 @@
     pub(super) allows_ejected: bool,
 }
 
+impl UpstreamState {
+    fn has_token(&self, now: Duration) -> bool {
+        self.limiter.has_token(self.share, now)
+    }
+
+    fn update_share(&mut self, upstream: &Upstream, members: &Members, own_addr: SocketAddr) {
+        if let Some(limit) = self.limiter.limit() {
+            self.share = members.rate_share(own_addr, &upstream.name, limit);
+        }
+    }
+}
+
 /// Runtime state of the upstreams of one view.
 #[derive(Default)]
 pub(super) struct Fleet {
@@ -58,8 +80,9 @@
     /// Key of the upstream in reports.
     digest: u32,
     health: Health,
-    /// Requests per second in the upstream's latest answer, if it named a limit.
-    named_limit: Option<f64>,
+    limiter: RateLimiter,
+    /// This gateway's share of the upstream's limit.
+    share: RateShare,
     idle: Vec<UpstreamConnection>,
 }
 
@@ -104,11 +127,16 @@
             .filter(|key| self.is_available(*key, query));
         let available: Vec<UpstreamKey> = available.collect();
         let eligible = self.eligible_upstreams(&available, query, rollouts);
-        let not_ejected = eligible.iter().copied();
+        // After the choice of the version, as a request must not change it for a limit.
+        let eligible = eligible.into_iter();
+        let within_limits: Vec<UpstreamKey> = eligible
+            .filter(|key| self.states[*key].has_token(now))
+            .collect();
+        let not_ejected = within_limits.iter().copied();
         let not_ejected = not_ejected.filter(|key| !self.is_ejected(*key, now));
         let mut keys: Vec<UpstreamKey> = not_ejected.collect();
         if keys.is_empty() && query.allows_ejected {
-            keys = eligible;
+            keys = within_limits;
         }
         let candidates: Vec<UpstreamCandidate> = keys
             .iter()
@@ -185,22 +213,110 @@
         self.states.get_mut(key).map(|state| &mut state.health)
     }
 
-    /// Records the limit in an upstream's answer and returns that in the answer
-    /// before.
-    pub(super) fn record_limit(&mut self, key: UpstreamKey, limit: Option<f64>) -> Option<f64> {
-        let state = self.states.get_mut(key)?;
-        std::mem::replace(&mut state.named_limit, limit)
+    /// Records what an answer of an upstream said about its limit; returns true if
+    /// the limit changed.
+    pub(super) fn record_limit(
+        &mut self,
+        key: UpstreamKey,
+        notice: LimitNotice,
+        members: &Members,
+        own_addr: SocketAddr,
+    ) -> bool {
+        let (Some(state), Some(upstream)) = (self.states.get_mut(key), self.upstreams.get(key))
+        else {
+            return false;
+        };
+        let has_changed = state.limiter.record(notice);
+        state.update_share(upstream, members, own_addr);
+        has_changed
+    }
+
+    /// Records the limits in another gateway's report.
+    pub(super) fn record_peer_limits(
+        &mut self,
+        limits: &[UpstreamLimit],
+        members: &Members,
+        own_addr: SocketAddr,
+        now: Duration,
+    ) {
+        for reported in limits {
+            let keys = self.states.iter();
+            let mut keys = keys.filter(|(_, state)| state.digest == reported.upstream);
+            let Some(key) = keys.next().map(|(key, _)| key) else {
+                continue;
+            };
+            let age = Duration::from_millis(u64::from(reported.age_ms));
+            let notice = LimitNotice {
+                limit: reported.limit.map(f64::from),
+                at: now.saturating_sub(age),
+                is_own: false,
+            };
+            self.record_limit(key, notice, members, own_addr);
+        }
+    }
+
+    /// Updates this gateway's shares of all limits.
+    pub(super) fn update_shares(&mut self, members: &Members, own_addr: SocketAddr) {
+        for (key, state) in &mut self.states {
+            if let Some(upstream) = self.upstreams.get(key) {
+                state.update_share(upstream, members, own_addr);
+            }
+        }
     }
 
-    /// Limit in an upstream's latest answer.
-    pub(super) fn named_limit(&self, key: UpstreamKey) -> Option<f64> {
-        self.states.get(key)?.named_limit
+    /// Limits in the upstreams' answers to this gateway, the newest first.
+    pub(super) fn own_limits(&self, now: Duration) -> Vec<UpstreamLimit> {
+        let notices = self.states.values().filter_map(|state| {
+            let notice = state.limiter.notice().filter(|notice| notice.is_own)?;
+            let age = now.saturating_sub(notice.at);
+            let ended_at = state.limiter.ended_at();
+            let has_ended = ended_at.is_some_and(|at| now.saturating_sub(at) < ENDED_LIMIT_TTL);
+            (notice.limit.is_some() || has_ended).then(|| UpstreamLimit {
+                upstream: state.digest,
+                limit: notice.limit.map(|limit| limit as f32),
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            })
+        });
+        let mut limits: Vec<UpstreamLimit> = notices.collect();
+        limits.sort_by_key(|limit| limit.age_ms);
+        limits.truncate(MAX_REPORTED_LIMITS);
+        limits
     }
 
     /// Number of upstreams that name a limit.
     pub(super) fn limited_count(&self) -> usize {
         let states = self.states.values();
-        states.filter(|state| state.named_limit.is_some()).count()
+        states
+            .filter(|state| state.limiter.limit().is_some())
+            .count()
+    }
+
+    /// Limit that an upstream names.
+    pub(super) fn limit(&self, key: UpstreamKey) -> Option<f64> {
+        self.states.get(key)?.limiter.limit()
+    }
+
+    /// Takes one request from the share of an upstream's limit, if it names one;
+    /// returns false if the share is spent.
+    pub(super) fn take_token(&mut self, key: UpstreamKey, now: Duration) -> bool {
+        let Some(state) = self.states.get_mut(key) else {
+            return false;
+        };
+        let has_token = state.has_token(now);
+        if has_token {
+            state.limiter.take_token(state.share, now);
+        }
+        has_token
+    }
+
+    /// Time until some upstream of a service takes a request, as far as limits go;
+    /// `None` if this gateway has no share of any.
+    pub(super) fn time_to_token(&self, service: &str, now: Duration) -> Option<Duration> {
+        let keys = self.by_service.get(service)?.iter();
+        let present = keys.filter(|key| !self.upstreams[**key].is_leaving);
+        let states = present.map(|key| &self.states[*key]);
+        let times = states.filter_map(|state| state.limiter.time_to_token(state.share, now));
+        times.min()
     }
 
     fn is_available(&self, key: UpstreamKey, query: &UpstreamQuery<'_>) -> bool {
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -88,7 +88,7 @@
             Ok((length, from)) => match RelayReport::decode(&buffer[..length]) {
                 Ok(report) => {
                     traffic.peer_addresses.borrow_mut().record_received(from);
-                    traffic.receive_report(&report);
+                    traffic.receive_report(&report, from);
                 }
                 Err(error) => tracing::debug!(%from, %error, "malformed report"),
             },
@@ -120,6 +120,7 @@
             kept_sessions: traffic.pinned_sessions(&view),
             outcomes: view.outcomes.iter().map(encode_outcomes).collect(),
             reads: view.reads.iter().map(encode_read).collect(),
+            limits: traffic.own_limits(),
         };
         let bytes = report.encode_to_vec();
         let peers = traffic
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -14,6 +14,7 @@
 //! | [`placement`] | choice of a request's upstream |
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
+//! | [`rate_limit`] | shares of the rates that upstreams name |
 //! | [`health`] | health of upstreams, from own attempts |
 //! | [`losses`] | attribution of lost requests to versions |
 //! | [`events`] | framing of event streams |
@@ -35,10 +36,12 @@
 mod latency;
 pub mod loads;
 pub mod losses;
+pub mod members;
 pub mod message;
 mod metrics;
 pub mod placement;
 mod probe;
+pub mod rate_limit;
 pub mod readers;
 mod request_log;
 mod responder;
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -24,6 +24,7 @@
         kept_sessions: Vec::new(),
         outcomes: Vec::new(),
         reads: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -1,6 +1,7 @@
 //! State shared by all connections of the traffic thread.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -22,11 +23,13 @@
 use super::health::Health;
 use super::latency::LatencyEstimate;
 use super::losses::{Loss, LossTracker};
+use super::members::Members;
 use super::metrics::Metrics;
+use super::rate_limit::LimitNotice;
 use super::rollout::Outcomes;
 use super::sessions::Sessions;
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
-use crate::peer::message::{RelayReport, TableRead, UpstreamLoad};
+use crate::peer::message::{RelayReport, TableRead, UpstreamLimit, UpstreamLoad};
 
 /// Outcomes by service and version, for the evaluation of roll-outs.
 pub(super) type OutcomeCounts = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
@@ -106,6 +109,7 @@
     pub(super) peer_addresses: RefCell<PeerAddresses>,
     shared: SharedState,
     fleet: RefCell<Fleet>,
+    members: RefCell<Members>,
     budgets: RefCell<FxHashMap<CompactString, RetryBudget>>,
     latencies: RefCell<FxHashMap<(CompactString, CompactString), LatencyEstimate>>,
     sessions: RefCell<Sessions>,
@@ -131,6 +135,7 @@
             peer_addresses: RefCell::default(),
             shared,
             fleet: RefCell::default(),
+            members: RefCell::default(),
             budgets: RefCell::default(),
             latencies: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -207,22 +212,40 @@
 
     /// Records the limit that an upstream named in an answer, or that it named none.
     pub(super) fn record_limit(&self, key: UpstreamKey, upstream: &Upstream, limit: Option<f64>) {
+        let notice = LimitNotice {
+            limit,
+            at: self.now(),
+            is_own: true,
+        };
         let view = self.view();
-        let (before, limited) = self.fleet(&view, |fleet, _| {
-            let before = fleet.record_limit(key, limit);
-            (before, fleet.limited_count())
+        let own_addr = self.settings().peer_listen;
+        let members = self.members.borrow();
+        let has_changed = self.fleet(&view, |fleet, _| {
+            fleet.record_limit(key, notice, &members, own_addr)
         });
-        if before != limit {
-            self.metrics.limited_upstreams.set(limited as i64);
-            tracing::info!(upstream = %upstream.name, limit, before, "upstream named another limit of requests per second");
+        if has_changed {
+            tracing::info!(upstream = %upstream.name, limit, "upstream named another limit of requests per second");
+            self.load_changed.notify_one();
         }
     }
 
-    /// Counts a send to an upstream that names a limit.
-    pub(super) fn count_limited_send(&self, key: UpstreamKey) {
-        if self.fleet.borrow().named_limit(key).is_some() {
+    /// Takes a send to an upstream from this gateway's share of the upstream's limit,
+    /// if it names one; returns false if the share is spent.
+    pub(super) fn take_send(&self, key: UpstreamKey) -> bool {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let is_limited = fleet.limit(key).is_some();
+        let has_token = fleet.take_token(key, now);
+        if is_limited && has_token {
             self.metrics.limited_sends.inc();
         }
+        has_token
+    }
+
+    /// Time until a service's upstreams take another request, as far as their limits
+    /// go; `None` if this gateway has no share of any.
+    pub(super) fn time_to_send(&self, service: &str) -> Option<Duration> {
+        self.fleet.borrow().time_to_token(service, self.now())
     }
 
     /// Returns a random number in 0..1.
@@ -306,6 +329,7 @@
     /// reports of other gateways.
     pub(super) fn own_loads(&self) -> Vec<UpstreamLoad> {
         self.count_losses();
+        self.update_members();
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.expire(self.now());
         let gateways = fleet.peer_loads.gateway_count() as u32;
@@ -313,10 +337,38 @@
         fleet.own_loads()
     }
 
-    /// Records another gateway's report.
-    pub(super) fn receive_report(&self, report: &RelayReport) {
+    /// Returns what upstreams said about their limits in answers to this gateway.
+    pub(super) fn own_limits(&self) -> Vec<UpstreamLimit> {
+        self.fleet.borrow().own_limits(self.now())
+    }
+
+    // Updates the known gateways and this one's shares of the upstreams' limits.
+    fn update_members(&self) {
         let now = self.now();
-        self.fleet.borrow_mut().peer_loads.receive(report, now);
+        let view = self.view();
+        let own_addr = self.settings().peer_listen;
+        let mut members = self.members.borrow_mut();
+        if view.is_listed {
+            members.record_listed(&view.peers, now);
+        }
+        members.expire(now);
+        let limited = self.fleet(&view, |fleet, _| {
+            fleet.update_shares(&members, own_addr);
+            fleet.limited_count()
+        });
+        self.metrics.limited_upstreams.set(limited as i64);
+    }
+
+    /// Records another gateway's report, received from `from`.
+    pub(super) fn receive_report(&self, report: &RelayReport, from: SocketAddr) {
+        let now = self.now();
+        let mut members = self.members.borrow_mut();
+        members.record_report(from, now);
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.peer_loads.receive(report, now);
+        let own_addr = self.settings().peer_listen;
+        fleet.record_peer_limits(&report.limits, &members, own_addr, now);
+        drop((fleet, members));
         self.sessions
             .borrow_mut()
             .record_peer_pins(&report.kept_sessions, now);
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -93,6 +93,8 @@
     pub is_synced: bool,
     /// Addresses to which reports for the other gateways are sent.
     pub peers: Vec<SocketAddr>,
+    /// True once the gateways that are listed in the store were read.
+    pub is_listed: bool,
     /// Time on the boot clock at which the configuration was known to be current.
     pub confirmed_at: Duration,
 }
