Give no retry slack to a gateway that does not know the others

The slack of the retry budget was divided by the relays with a report in the last three seconds, and by 12 before any was heard. Relays that start together each took a twelfth: 820 retries by 410 relays where 60 are allowed (starting_gateways_exceed_slack, before the change), and a reload, which clears the budgets, forgot how many there were.

The divisor is now the number of relays that the store lists or that sent a report in the last 90 s, and there is no slack until the list was read; the part in proportion to a relay's own requests needs no knowledge and stays.

--- a/src/carawayrun/relay/budget.rs
+++ b/src/carawayrun/relay/budget.rs
@@ -16,7 +16,7 @@
 const USABLE_RATIO_FRACTION: f64 = 0.9;
 
 /// Fraction of the allowed slack that the known gateways share; the rest is for
-/// gateways that do not know of each other yet.
+/// gateways that were started a moment ago and are not known to all.
 const USABLE_SLACK_FRACTION: f64 = 0.5;
 
 /// Smallest number of gateways by which the slack is divided: twice the hosts that
@@ -41,8 +41,9 @@
     ratio: f64,
     slack: f64,
     /// Largest number of gateways known so far, including this one, and at least
-    /// [`MIN_GATEWAYS`]: disconnected gateways still use their part.
-    gateways: usize,
+    /// [`MIN_GATEWAYS`]: disconnected gateways still use their part. `None`, and no
+    /// slack, before the others are known.
+    gateways: Option<usize>,
     width: Duration,
     buckets: VecDeque<Bucket>,
 }
@@ -60,16 +61,17 @@
         Self {
             ratio: ratio * USABLE_RATIO_FRACTION,
             slack: slack * USABLE_SLACK_FRACTION,
-            gateways: MIN_GATEWAYS,
+            gateways: None,
             width: window / WINDOW_BUCKETS,
             buckets: VecDeque::new(),
         }
     }
 
     /// Divides the slack by the number of known gateways, including this one; a
-    /// smaller number than before is ignored.
-    pub fn record_gateways(&mut self, gateways: usize) {
-        self.gateways = self.gateways.max(gateways);
+    /// smaller number than before, or none, is ignored.
+    pub fn record_gateways(&mut self, gateways: Option<usize>) {
+        let known = gateways.map(|gateways| gateways.max(MIN_GATEWAYS));
+        self.gateways = self.gateways.max(known);
     }
 
     /// Counts the first send of a request.
@@ -99,7 +101,7 @@
     fn limit(&mut self, now: Duration, cause: RetryCause) -> f64 {
         self.advance_window(now);
         let first_sends: u32 = self.buckets.iter().map(|bucket| bucket.first_sends).sum();
-        let slack = self.slack / self.gateways as f64;
+        let slack = self.gateways.map_or(0.0, |known| self.slack / known as f64);
         let all = self.ratio.mul_add(f64::from(first_sends), slack);
         match cause {
             RetryCause::Failure => all,
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -37,13 +37,19 @@
             .retain(|_, seen| now.saturating_sub(*seen) < MEMBER_TTL);
     }
 
+    /// Number of gateways, `own` included; `None` before the others are known.
+    pub fn count(&self, own: SocketAddr) -> Option<usize> {
+        let others = self.others.keys().filter(|addr| **addr != own);
+        self.is_listed.then(|| others.count() + 1)
+    }
+
     /// Share of the gateway `own` in the limit of an upstream; nothing before the
     /// other gateways are known.
     pub fn rate_share(&self, own: SocketAddr, upstream: &str, limit: f64) -> RateShare {
-        if !self.is_listed {
+        let Some(gateways) = self.count(own) else {
             return RateShare::default();
-        }
-        let others = || self.others.keys().filter(|addr| **addr != own);
-        RateShare::new(limit, rank(upstream, own, others()), others().count() + 1)
+        };
+        let others = self.others.keys().filter(|addr| **addr != own);
+        RateShare::new(limit, rank(upstream, own, others), gateways)
     }
 }
--- a/src/carawayrun/relay/tests/budget.rs
+++ b/src/carawayrun/relay/tests/budget.rs
@@ -43,7 +43,7 @@
 fn idle_gateways_share_slack(gateways: usize) {
     let granted = |_| {
         let mut budget = RetryBudget::new(0.9, 60.0, WINDOW);
-        budget.record_gateways(gateways);
+        budget.record_gateways(Some(gateways));
         let tried = (0..100).filter(|_| budget.take_retry(secs(1.0), RetryCause::Failure));
         tried.count()
     };
@@ -51,11 +51,24 @@
     assert!((1..=60).contains(&sum), "{sum} retries");
 }
 
+// All processes were started at once and had not read who else runs.
+#[test]
+fn starting_gateways_exceed_slack() {
+    let granted = |_| {
+        let mut budget = RetryBudget::new(0.9, 60.0, WINDOW);
+        let tried = (0..100).filter(|_| budget.take_retry(secs(1.0), RetryCause::Failure));
+        tried.count()
+    };
+    let sum: usize = (0..410).map(granted).sum();
+    assert!(sum <= 60, "{sum} retries");
+}
+
 #[test]
 fn disconnected_gateway_keeps_its_part_of_slack() {
     let mut budget = RetryBudget::new(0.9, 60.0, WINDOW);
-    budget.record_gateways(30);
-    budget.record_gateways(1);
+    budget.record_gateways(Some(30));
+    budget.record_gateways(Some(1));
+    budget.record_gateways(None);
     let granted = (0..100).filter(|_| budget.take_retry(secs(1.0), RetryCause::Failure));
     assert_eq!(granted.count(), 1);
 }
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -311,9 +311,9 @@
     // time.
     fn budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget, Duration) -> T) -> T {
         let now = self.now();
-        let gateways = self.fleet.borrow().peer_loads.gateway_count() + 1;
-        let mut budgets = self.budgets.borrow_mut();
         let settings = self.settings();
+        let gateways = self.members.borrow().count(settings.peer_listen);
+        let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.into()).or_insert_with(|| {
             RetryBudget::new(
                 settings.retry_ratio,
