Name limits in the soak, and check them

An upstream names a limit of 0.5 to 6 requests a second for 5 to 12 s, every 2 to 8 s, in all its answers. From CONTACT_MS after that it may get in 4 s no more than one and a half times as much and 5 requests, from relays that ran undisturbed since.

--- a/tests/testsuite/soak/check.rs
+++ b/tests/testsuite/soak/check.rs
@@ -13,6 +13,9 @@
 const CONFIG_APPLY_MS: u64 = 2_000;
 const ROLLBACK_SLACK_MS: u64 = 250;
 
+/// Window over which the requests at a limited upstream are counted.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+
 /// Time past its deadline within which a request must have its final answer.
 const DEADLINE_SLACK_MS: u64 = 500;
 
@@ -45,6 +48,7 @@
     violations.extend(check_unrequested_runs(history));
     violations.extend(check_draining_upstreams(history));
     violations.extend(check_configuration_order(history));
+    violations.extend(check_limits(history));
     violations.extend(check_stops(history));
     violations.extend(check_lost_answers(history));
     violations.extend(check_deadlines(history));
@@ -259,6 +263,49 @@
     violations
 }
 
+// An upstream that named a limit gets no more than one and a half times as much in any
+// window, and five requests, from relays that ran and were told undisturbed.
+fn check_limits(history: &History) -> Vec<String> {
+    let relay_of: HashMap<&str, usize> = history
+        .exchanges
+        .iter()
+        .map(|exchange| (exchange.id.as_str(), exchange.relay))
+        .collect();
+    let mut violations = Vec::new();
+    for named in &history.limits {
+        let times: Vec<u64> = history
+            .runs
+            .iter()
+            .filter(|run| run.runner == named.name)
+            .filter(|run| (named.from + CONTACT_MS..named.to).contains(&run.at_ms))
+            .filter(|run| {
+                let relay = relay_of.get(run.id.as_str()).copied();
+                relay.is_some_and(|relay| {
+                    let targets = [
+                        FaultTarget::Relay(relay),
+                        FaultTarget::Upstream(named.upstream),
+                    ];
+                    !history.is_disturbed(&targets, named.from, run.at_ms)
+                })
+            })
+            .map(|run| run.at_ms)
+            .collect();
+        let count = |start: u64| {
+            let window = start..start + LIMIT_WINDOW_MS;
+            times.iter().filter(|at| window.contains(at)).count()
+        };
+        let peak = times.iter().map(|start| count(*start)).max();
+        let allowed = 1.5 * named.limit * (LIMIT_WINDOW_MS as f64 / 1_000.0) + 5.0;
+        if let Some(peak) = peak.filter(|peak| *peak as f64 > allowed) {
+            violations.push(format!(
+                "{}: {peak} requests in a window at a limit of {}, allowed {allowed}",
+                named.name, named.limit
+            ));
+        }
+    }
+    violations
+}
+
 fn check_stops(history: &History) -> Vec<String> {
     let mut violations = Vec::new();
     for stop in &history.stops {
--- a/tests/testsuite/soak/check_tests.rs
+++ b/tests/testsuite/soak/check_tests.rs
@@ -3,7 +3,9 @@
 use test_case::test_case;
 
 use super::check::{REVOKE_MS, find_violations, request_body, stream_body};
-use super::history::{Disturbance, Exchange, FaultTarget, History, Key, RequestKind, Run, Stop};
+use super::history::{
+    Disturbance, Exchange, FaultTarget, History, Key, NamedLimit, RequestKind, Run, Stop,
+};
 
 const SENT: u64 = 100_000;
 
@@ -283,3 +285,39 @@
     }
     assert_violation(&history, "no final answer");
 }
+
+#[test_case(11, false, true; "as many as allowed")]
+#[test_case(12, false, false; "one more")]
+#[test_case(12, true, true; "one more, around a restart")]
+fn requests_beyond_a_named_limit_are_found(count: u64, is_disturbed: bool, is_clean: bool) {
+    let mut history = History::default();
+    for number in 0..count {
+        let id = format!("r-{number}");
+        let mut exchange = exchange(RequestKind::Stream);
+        exchange.id.clone_from(&id);
+        exchange.echoed_id = Some(id.clone());
+        exchange.sent += number * 100;
+        let mut run = run(RequestKind::Stream);
+        run.body = request_body(&id);
+        run.id = id;
+        run.at_ms += number * 100;
+        history.exchanges.push(exchange);
+        history.runs.push(run);
+    }
+    history.limits.push(NamedLimit {
+        upstream: 1,
+        name: "u-1".to_owned(),
+        limit: 1.0,
+        from: SENT - 4_000,
+        to: SENT + 10_000,
+    });
+    if is_disturbed {
+        history.disturbances.push(Disturbance {
+            target: FaultTarget::Relay(0),
+            from: SENT - 3_500,
+            to: SENT - 3_000,
+        });
+    }
+    let violations = find_violations(&history);
+    assert_eq!(violations.is_empty(), is_clean, "{violations:?}");
+}
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -8,7 +8,7 @@
 use actix_rt::time::sleep;
 use serde_json::{Value, json};
 
-use super::history::{Disturbance, FaultTarget, History, Key, Run, Stop, now_ms};
+use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop, now_ms};
 use super::plan::Sizes;
 use crate::support::platform::{config, lab};
 use crate::support::{Passing, Process, Relay};
@@ -59,6 +59,8 @@
     incarnation: Cell<u32>,
     /// Number of registrations written so far.
     sequence: Cell<u64>,
+    /// Limit that the process names, with the time from which it does so.
+    limit: Cell<Option<(f64, u64)>>,
     /// State in the last registration; empty once it was removed.
     state: RefCell<&'static str>,
     name: RefCell<String>,
@@ -213,6 +215,7 @@
             "--record",
             &record,
         ];
+        self.end_limit(upstream);
         *slot.process.borrow_mut() = Some(lab(&self.dir, &name, &args));
         let health = format!("http://{addr}/health");
         self.wait_until(async || self.is_answering(&health).await)
@@ -414,14 +417,54 @@
     }
 
     /// Sets the faults of an upstream's stand-in, which affect its next answers.
-    pub(crate) async fn set_upstream_faults(&self, upstream: usize, faults: &Value) {
+    /// Returns false if it is down or frozen; it then has no such faults.
+    pub(crate) async fn set_upstream_faults(&self, upstream: usize, faults: &Value) -> bool {
+        let mut faults = faults.clone();
+        if let Some((limit, _)) = self.upstreams[upstream].limit.get() {
+            faults["serverLimit"] = json!(limit);
+        }
         let addr = format!("{}.{}:7000", self.net, 100 + upstream);
         let sent = self.client.put(format!("http://{addr}/faults"));
-        // An upstream that is down or frozen misses the request and has no such fault.
         let sent = sent
             .timeout(Duration::from_secs(1))
             .send_body(faults.to_string());
-        let _ended = sent.await;
+        sent.await.is_ok()
+    }
+
+    /// Lets an upstream name a limit for a time.
+    pub(crate) async fn limit_upstream(&self, upstream: usize, limit: f64, duration: Duration) {
+        let slot = &self.upstreams[upstream];
+        let incarnation = slot.incarnation.get();
+        if slot.limit.get().is_some() {
+            return;
+        }
+        slot.limit.set(Some((limit, now_ms())));
+        if !self.set_upstream_faults(upstream, &json!({})).await {
+            slot.limit.take();
+            return;
+        }
+        sleep(duration).await;
+        if slot.incarnation.get() == incarnation {
+            self.end_limit(upstream);
+            self.set_upstream_faults(upstream, &json!({})).await;
+        }
+    }
+
+    // Records the limit of an upstream's process, which ends.
+    fn end_limit(&self, upstream: usize) {
+        let slot = &self.upstreams[upstream];
+        if let Some((limit, from)) = slot.limit.take() {
+            let name = slot.name.borrow().clone();
+            let to = now_ms();
+            let named = NamedLimit {
+                upstream,
+                name,
+                limit,
+                from,
+                to,
+            };
+            self.history.borrow_mut().limits.push(named);
+        }
     }
 
     /// Clears the faults of all upstreams, so that they lose no answers after the soak.
--- a/tests/testsuite/soak/history.rs
+++ b/tests/testsuite/soak/history.rs
@@ -96,6 +96,17 @@
     pub(crate) revoked: Option<(u64, u64)>,
 }
 
+/// Time in which an upstream named a limit in all answers.
+#[derive(Debug, Clone)]
+pub(crate) struct NamedLimit {
+    pub(crate) upstream: usize,
+    pub(crate) name: String,
+    /// Requests per second from all relays together.
+    pub(crate) limit: f64,
+    pub(crate) from: u64,
+    pub(crate) to: u64,
+}
+
 /// Stop of a relay by SIGTERM.
 #[derive(Debug, Clone)]
 pub(crate) struct Stop {
@@ -118,6 +129,7 @@
     /// store had accepted that.
     pub(crate) draining: Vec<(String, u64)>,
     pub(crate) stops: Vec<Stop>,
+    pub(crate) limits: Vec<NamedLimit>,
     /// Relays that exited unexpectedly or used too much memory, one line each.
     pub(crate) crashes: Vec<String>,
 }
--- a/tests/testsuite/soak/injection.rs
+++ b/tests/testsuite/soak/injection.rs
@@ -33,6 +33,10 @@
         Fault::FreezeUpstream(upstream, span) => deployment.freeze_upstream(upstream, span).await,
         Fault::DrainUpstream(upstream) => deployment.drain_upstream(upstream).await,
         Fault::Misbehave(upstream, kind) => inject_misbehaviour(&deployment, upstream, kind).await,
+        Fault::LimitUpstream(upstream, limit, span) => {
+            let limit = f64::from(limit) / 10.0;
+            deployment.limit_upstream(upstream, limit, span).await;
+        }
         Fault::ClientLink(relay, passing, span) => {
             deployment
                 .disturb_link(FaultTarget::ClientLink(relay), passing, span)
--- a/tests/testsuite/soak/plan.rs
+++ b/tests/testsuite/soak/plan.rs
@@ -15,6 +15,13 @@
 /// Time between two restores of the store.
 const RESTORE_INTERVAL_MS: std::ops::Range<u64> = 3_000..12_000;
 
+/// Time between two upstreams that name a limit, and time for which they do so.
+const LIMIT_INTERVAL_MS: std::ops::Range<u64> = 2_000..8_000;
+const LIMIT_DURATION_MS: std::ops::Range<u64> = 5_000..12_000;
+
+/// Limits that upstreams name, in requests per ten seconds.
+const LIMITS: std::ops::Range<u32> = 5..60;
+
 /// Age of the copy from which the store is restored.
 const COPY_AGE_MS: std::ops::Range<u64> = 500..5_000;
 
@@ -37,6 +44,8 @@
     /// The upstream is registered as draining, ends, and another one takes its address.
     DrainUpstream(usize),
     Misbehave(usize, Misbehaviour),
+    /// The upstream names this many requests per ten seconds as its limit.
+    LimitUpstream(usize, u32, Duration),
     ClientLink(usize, Passing, Duration),
     StoreLink(usize, Passing, Duration),
     UpstreamLink(usize, Passing, Duration),
@@ -82,12 +91,13 @@
         plan.push((at, random_fault(&mut rng, sizes)));
     }
     plan.extend(plan_restores(seed, duration));
+    plan.extend(plan_limits(seed, duration, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
-// Restores have random numbers of their own, so that the other faults of a seed stay
-// the same.
+// Restores and limits have random numbers of their own, so that the other faults of a
+// seed stay the same.
 fn plan_restores(seed: u64, duration: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(!seed);
     let mut millis = |range| Duration::from_millis(rng.random_range(range));
@@ -101,6 +111,20 @@
     plan
 }
 
+fn plan_limits(seed: u64, duration: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(!seed.rotate_left(32));
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(LIMIT_INTERVAL_MS));
+    while at < duration {
+        let upstream = rng.random_range(0..sizes.upstreams);
+        let limit = rng.random_range(LIMITS);
+        let span = Duration::from_millis(rng.random_range(LIMIT_DURATION_MS));
+        plan.push((at, Fault::LimitUpstream(upstream, limit, span)));
+        at += Duration::from_millis(rng.random_range(LIMIT_INTERVAL_MS));
+    }
+    plan
+}
+
 fn random_fault(rng: &mut StdRng, sizes: Sizes) -> Fault {
     let relay = rng.random_range(0..sizes.relays);
     let upstream = rng.random_range(0..sizes.upstreams);
