--- a/tests/testsuite/soak/check.rs
+++ b/tests/testsuite/soak/check.rs
@@ -264,7 +264,7 @@
 }
 
 // An upstream that named a limit gets no more than one and a half times as much in any
-// window, and five requests, from relays that ran and were told undisturbed.
+// window, and five requests, from relays that ran undisturbed for CONTACT_MS.
 fn check_limits(history: &History) -> Vec<String> {
     let relay_of: HashMap<&str, usize> = history
         .exchanges
@@ -285,7 +285,8 @@
                         FaultTarget::Relay(relay),
                         FaultTarget::Upstream(named.upstream),
                     ];
-                    !history.is_disturbed(&targets, named.from, run.at_ms)
+                    let from = run.at_ms - CONTACT_MS;
+                    !history.is_disturbed(&targets, from, run.at_ms)
                 })
             })
             .map(|run| run.at_ms)
--- a/tests/testsuite/soak/check_tests.rs
+++ b/tests/testsuite/soak/check_tests.rs
@@ -314,8 +314,8 @@
     if is_disturbed {
         history.disturbances.push(Disturbance {
             target: FaultTarget::Relay(0),
-            from: SENT - 3_500,
-            to: SENT - 3_000,
+            from: SENT - 1_500,
+            to: SENT - 1_000,
         });
     }
     let violations = find_violations(&history);
