Keep a displaced roll-out over a second restore of the store

The roll-out whose order the copy lacked was forgotten if the store was restored once more before the order was written again: its withdrawal was lost (withdrawal_forgotten_after_two_restores fails before). And one whose order was never written again would have matched the same order at any later time; it now counts as repeated only shortly after a restore.

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -286,7 +286,6 @@
         self.rows.clear();
         self.has_stale_rows = true;
         self.early_orders.clear();
-        self.displaced.clear();
         for rollout in self.rollouts.values_mut() {
             rollout.is_confirmed = false;
         }
@@ -412,13 +411,14 @@
         }
         let id = order.id;
         let is_restored = self.is_recently_restored(now);
-        let is_repeated = |rollout: &mut Rollout| {
-            (is_restored || rollout.order.id.era < id.era) && rollout.order.has_same_content(&order)
-        };
         let mut known = self.rollouts.remove(&service);
         let mut displaced = self.displaced.remove(&service);
-        let repeated = known.take_if(is_repeated);
-        let repeated = repeated.or_else(|| displaced.take_if(is_repeated));
+        let repeated = known.take_if(|known| {
+            (is_restored || known.order.id.era < id.era) && known.order.has_same_content(&order)
+        });
+        let repeated = repeated.or_else(|| {
+            displaced.take_if(|other| is_restored && other.order.has_same_content(&order))
+        });
         let rollout = match repeated {
             Some(mut rollout) => {
                 rollout.renumber(id);
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -378,6 +378,23 @@
     assert_eq!(effects, [Effect::AdvanceRollout(row, 2)]);
 }
 
+// As above, and the store was restored once more before that.
+#[test]
+fn withdrawal_forgotten_after_two_restores() {
+    let mut state = state();
+    reverted(&mut state);
+    for era in 1..=2 {
+        state.handle(Event::StoreRestored, millis(5_000 * era));
+        state.handle(Event::RolloutsSynced, millis(5_000 * era));
+        let mut earlier = order_in(era, 1);
+        earlier.to = CompactString::from("v1");
+        state.handle(Event::OrderRead(earlier), millis(5_000 * era));
+    }
+    state.handle(Event::OrderRead(order_in(2, 6)), millis(11_000));
+    assert_eq!(state.view().rollouts[0].to, "v2");
+    assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
+}
+
 #[test]
 fn order_of_another_version_after_restore_starts_rollout() {
     let mut state = state();
