Ignore a list of gateways from before a restore of the store

Found on reading: an answer that the store gave before a restore already known was counted as outdated for the other tables, but its list of gateways was used.

--- a/src/carawayrun/relay/follow/gateways.rs
+++ b/src/carawayrun/relay/follow/gateways.rs
@@ -68,7 +68,9 @@
 
     async fn read_gateways(&self) -> Result<(), CallError> {
         let snapshot = self.store.snapshot(Keyspace::Gateways).await?;
-        self.accept_answer(snapshot.era, snapshot.now);
+        if !self.accept_answer(snapshot.era, snapshot.now) {
+            return Ok(());
+        }
         let is_alive = |row: &GatewayRow| {
             let written = Duration::from_millis(row.written_ms);
             snapshot.now.saturating_sub(written) < ROW_LIFETIME
