Tell a request without an upstream to return soon

A service without any upstream counted as one of whose limits this gateway has no share, so Retry-After was 1 to 3 s (2.28 s in the new test, which fails before) in place of 0.25 to 0.75 s. The wait for a share now counts only where an upstream is known.

--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -421,8 +421,7 @@
     // so that clients do not return together.
     fn capacity_retry_after(&self) -> Duration {
         let service = self.service_name(&self.admitted.catalog);
-        let until_token = self.traffic.time_to_send(service);
-        let wait = until_token.unwrap_or(MAX_LIMIT_RETRY_AFTER);
+        let wait = self.traffic.time_to_send(service).unwrap_or_default();
         let wait = wait.clamp(MIN_NO_CAPACITY_RETRY_AFTER, MAX_LIMIT_RETRY_AFTER);
         wait.mul_f64(1.0 + 2.0 * self.traffic.random())
     }
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -309,13 +309,16 @@
         has_token
     }
 
-    /// Time until some upstream of a service takes a request, as far as limits go;
-    /// `None` if this gateway has no share of any.
+    /// Time until the limits of a service's upstreams leave a request to this
+    /// gateway; `None` if no upstream is known.
     pub(super) fn time_to_token(&self, service: &str, now: Duration) -> Option<Duration> {
         let keys = self.by_service.get(service)?.iter();
         let present = keys.filter(|key| !self.upstreams[**key].is_leaving);
         let states = present.map(|key| &self.states[*key]);
-        let times = states.filter_map(|state| state.limiter.time_to_token(state.share, now));
+        let times = states.map(|state| {
+            let time = state.limiter.time_to_token(state.share, now);
+            time.unwrap_or(Duration::MAX)
+        });
         times.min()
     }
 
--- a/src/carawayrun/relay/rate_limit.rs
+++ b/src/carawayrun/relay/rate_limit.rs
@@ -17,7 +17,7 @@
 /// Window over which the users count an upstream's requests, in seconds.
 const WINDOW_S: f64 = 4.0;
 
-/// Part of the named rate that all gateways together may send in a window.
+/// Multiple of the named rate that all gateways together may send in a window.
 const TOLERANCE: f64 = 1.5;
 
 /// Requests allowed in a window in addition.
@@ -34,8 +34,8 @@
 
 /// One gateway's share of the rate that an upstream named.
 ///
-/// All shares together send at most their bursts and the rate over the window,
-/// which is [`TOLERANCE`] of the named rate and [`SLACK`], less the reserve.
+/// In the window, all shares together send at most their bursts and their rates.
+/// The bursts are chosen so that this is the allowed number less the reserve.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RateShare {
     /// Requests per second.
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -242,8 +242,8 @@
         has_token
     }
 
-    /// Time until a service's upstreams take another request, as far as their limits
-    /// go; `None` if this gateway has no share of any.
+    /// Time until the limits of a service's upstreams leave a request to this
+    /// gateway; `None` if no upstream is known.
     pub(super) fn time_to_send(&self, service: &str) -> Option<Duration> {
         self.fleet.borrow().time_to_token(service, self.now())
     }
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -43,6 +43,20 @@
     assert_eq!(runs[0]["forged"], json!([]));
 }
 
+// A service without any upstream took the wait for upstreams' limits, of seconds.
+#[actix_rt::test]
+async fn a_request_without_an_upstream_is_told_to_return_soon() {
+    let mut world = PlatformWorld::start("no-upstream").await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    world.runner("llm-1", "llm", &[]).await;
+    world.until_ready().await;
+    let request = world.request(Method::GET, "/read/a", "req-1");
+    let reply = world.send(request, "").await;
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    let wait = reply.retry_after.expect("it says when to return");
+    assert!((0.25..=0.75).contains(&wait), "{wait}");
+}
+
 #[actix_rt::test]
 async fn a_wrong_key_and_an_unknown_path_are_refused() {
     let world = world("refused").await;
