Report limits in the precision in which they were named

Found on reading. A limit of 1.7 came back from another relay as 1.7000000477, so each own answer and each report counted as a change of the limit: a log line and a report for each.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -541,8 +541,8 @@
     #[prost(fixed32, tag = "1")]
     pub upstream: u32,
     /// Requests per second from all relays together; absent if it named none.
-    #[prost(float, optional, tag = "2")]
-    pub limit: ::core::option::Option<f32>,
+    #[prost(double, optional, tag = "2")]
+    pub limit: ::core::option::Option<f64>,
     /// Time since the answer.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -247,7 +247,7 @@
             };
             let age = Duration::from_millis(u64::from(reported.age_ms));
             let notice = LimitNotice {
-                limit: reported.limit.map(f64::from),
+                limit: reported.limit,
                 at: now.saturating_sub(age),
                 is_own: false,
             };
@@ -273,7 +273,7 @@
             let has_ended = ended_at.is_some_and(|at| now.saturating_sub(at) < ENDED_LIMIT_TTL);
             (notice.limit.is_some() || has_ended).then(|| UpstreamLimit {
                 upstream: state.digest,
-                limit: notice.limit.map(|limit| limit as f32),
+                limit: notice.limit,
                 age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             })
         });
