--- a/tests/testsuite/interrupted.rs
+++ b/tests/testsuite/interrupted.rs
@@ -82,8 +82,7 @@
 async fn a_relay_that_was_killed_serves_as_soon_as_it_is_back() {
     let mut world = world("killed", "0").await;
     assert_eq!(world.read("req-1").await, StatusCode::OK);
-    world.relay().kill();
-    world.start_relay();
+    world.restart_relay(0);
     world.until(async |world| world.is_ready().await).await;
     assert_eq!(world.read("req-2").await, StatusCode::OK);
 }
