--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -211,6 +211,16 @@
     assert!((share(&state) - 1.0).abs() < f64::EPSILON);
 }
 
+// The upstreams of a slow version were there so late that the canary had no answers,
+// and all traffic moved. Seen on mwlsa-lathe-grown, day hasty.
+#[test]
+fn traffic_spreads_to_version_without_answers() {
+    let mut state = state();
+    let row = begin(&mut state);
+    state.handle(Event::RolloutRead(row, 12), millis(0));
+    assert_eq!(tick(&mut state, 1_000 + 12_500), []);
+}
+
 // No single gateway has enough evidence.
 #[test]
 fn evidence_of_all_gateways_is_added() {
