Judge named limits, and read the time, in one place of the tests

The process tests and the soak each counted the requests in a window and worked out how many a limit allows, and each had its own now_ms; both now call support. The setup of two restored:: tests was the same and is a function; until_ready waits for all relays, which two worlds did by themselves.

--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -1,12 +1,13 @@
 //! Relays before an upstream that names the requests per second that it takes from
 //! all of them together, as separate processes.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use awc::http::{Method, StatusCode};
 use serde_json::json;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
+use crate::support::{limit, now_ms};
 
 const RELAYS: usize = 3;
 
@@ -14,9 +15,6 @@
 /// platform.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// Window over which requests are counted, in milliseconds.
-const WINDOW_MS: u64 = 4_000;
-
 /// Pause between two requests to one relay.
 const PAUSE: Duration = Duration::from_millis(30);
 
@@ -35,11 +33,6 @@
         world.runner(&id, "app", &[]).await;
     }
     world.until_ready().await;
-    for relay in 1..RELAYS {
-        world
-            .until(async |world| world.is_relay_ready(relay).await)
-            .await;
-    }
     // By now the relays have read each other's addresses.
     actix_rt::time::sleep(Duration::from_secs(2)).await;
     world
@@ -50,11 +43,6 @@
     world.faults(&world.runner_url(0), &faults).await;
 }
 
-fn now_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.expect("the clock is after 1970").as_millis() as u64
-}
-
 /// Sends requests to all relays for a time; returns how many were answered with
 /// each status, 200 and 503.
 async fn send_for(world: &PlatformWorld, round: &str, span: Duration) -> (usize, usize) {
@@ -85,18 +73,9 @@
 
 /// Most requests that the limited runner got in a window that begins after `from`.
 fn peak(world: &PlatformWorld, from: u64) -> usize {
-    let times = world.run_times("app-0");
-    let judged = times.iter().filter(|at| **at >= from);
-    let counts = judged.map(|start| {
-        let end = start + WINDOW_MS;
-        let counted = times.iter().filter(|at| (*start..end).contains(at));
-        counted.count()
-    });
-    counts.max().unwrap_or(0)
-}
-
-fn allowed(limit: f64) -> f64 {
-    1.5 * limit * (WINDOW_MS as f64 / 1_000.0) + 5.0
+    let times = world.run_times("app-0").into_iter();
+    let judged: Vec<u64> = times.filter(|at| *at >= from).collect();
+    limit::peak(&judged)
 }
 
 // Placement went by load alone, so the upstream got its usual part.
@@ -109,7 +88,7 @@
         let (served, refused) = send_for(&world, "req", CONTACT + Duration::from_secs(8)).await;
         let peak = peak(&world, from);
         assert!(
-            peak as f64 <= allowed(limit),
+            peak as f64 <= limit::allowed(limit),
             "{peak} at a limit of {limit}"
         );
         assert!(refused == 0 && served > 0, "{refused} of {served} refused");
@@ -126,7 +105,7 @@
     let (served, _) = send_for(&world, "req", span).await;
     let peak = peak(&world, from);
     assert!(
-        peak as f64 <= allowed(limit),
+        peak as f64 <= limit::allowed(limit),
         "{peak} at a limit of {limit}"
     );
     // What the upstream takes is used.
--- a/tests/testsuite/restored.rs
+++ b/tests/testsuite/restored.rs
@@ -30,9 +30,18 @@
     world.runner("llm-1", "llm", &[]).await;
     world.until_ready().await;
     world
-        .until(async |world| world.is_relay_ready(1).await)
-        .await;
-    world
+}
+
+/// Writes a configuration that a copy of the store will lack; returns the version of
+/// the copy and the one up to which all relays have read then.
+async fn read_past_copy(world: &PlatformWorld) -> (u64, u64) {
+    let copied = world.put("other", "row", &json!(0)).await;
+    world.pass_version(copied + 10).await;
+    let cursor = world.put("op", "config", &config(6, &[API_KEY])).await;
+    for relay in 0..RELAYS {
+        world.until_relay_logged(relay, "config=6").await;
+    }
+    (copied, cursor)
 }
 
 async fn set_down(world: &PlatformWorld, down: bool) {
@@ -75,12 +84,7 @@
 #[actix_rt::test]
 async fn configuration_missed_below_cursor_after_restore() {
     let world = world("restored-config").await;
-    let copied = world.put("other", "row", &json!(0)).await;
-    world.pass_version(copied + 10).await;
-    let cursor = world.put("op", "config", &config(6, &[API_KEY])).await;
-    for relay in 0..RELAYS {
-        world.until_relay_logged(relay, "config=6").await;
-    }
+    let (copied, cursor) = read_past_copy(&world).await;
     restore(&world, copied).await;
     let written = config(9, &[API_KEY, "key-two"]);
     let version = world.put("op", "config", &written).await;
@@ -106,12 +110,7 @@
 #[actix_rt::test]
 async fn new_version_unlimited_by_order_missed_after_restore() {
     let mut world = world("restored-order").await;
-    let copied = world.put("other", "row", &json!(0)).await;
-    world.pass_version(copied + 10).await;
-    let cursor = world.put("op", "config", &config(6, &[API_KEY])).await;
-    for relay in 0..RELAYS {
-        world.until_relay_logged(relay, "config=6").await;
-    }
+    let (copied, cursor) = read_past_copy(&world).await;
     restore(&world, copied).await;
     world.put("op", "config", &config(6, &[API_KEY])).await;
     world.put("op", "rollout/app", &order("app")).await;
--- a/tests/testsuite/soak/callers.rs
+++ b/tests/testsuite/soak/callers.rs
@@ -13,7 +13,8 @@
 use super::check::request_body;
 use super::connection::{Answer, Connection};
 use super::deployment::Deployment;
-use super::history::{Exchange, RequestKind, now_ms};
+use super::history::{Exchange, RequestKind};
+use crate::support::now_ms;
 
 /// Time past a request's deadline after which its caller stops waiting.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(1_500);
--- a/tests/testsuite/soak/check.rs
+++ b/tests/testsuite/soak/check.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use super::history::{EVENTS, Exchange, FaultTarget, History, RequestKind, Run};
+use crate::support::limit;
 
 /// Bounds in milliseconds, the same as in the settings of the soak's relays.
 pub(crate) const REVOKE_MS: u64 = 5_000;
@@ -13,9 +14,6 @@
 const CONFIG_APPLY_MS: u64 = 2_000;
 const ROLLBACK_SLACK_MS: u64 = 250;
 
-/// Window over which the requests at a limited upstream are counted.
-const LIMIT_WINDOW_MS: u64 = 4_000;
-
 /// Time past its deadline within which a request must have its final answer.
 const DEADLINE_SLACK_MS: u64 = 500;
 
@@ -291,13 +289,8 @@
             })
             .map(|run| run.at_ms)
             .collect();
-        let count = |start: u64| {
-            let window = start..start + LIMIT_WINDOW_MS;
-            times.iter().filter(|at| window.contains(at)).count()
-        };
-        let peak = times.iter().map(|start| count(*start)).max();
-        let allowed = 1.5 * named.limit * (LIMIT_WINDOW_MS as f64 / 1_000.0) + 5.0;
-        if let Some(peak) = peak.filter(|peak| *peak as f64 > allowed) {
+        let (peak, allowed) = (limit::peak(&times), limit::allowed(named.limit));
+        if peak as f64 > allowed {
             violations.push(format!(
                 "{}: {peak} requests in a window at a limit of {}, allowed {allowed}",
                 named.name, named.limit
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -8,10 +8,10 @@
 use actix_rt::time::sleep;
 use serde_json::{Value, json};
 
-use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop, now_ms};
+use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop};
 use super::plan::Sizes;
 use crate::support::platform::{config, lab};
-use crate::support::{Passing, Process, Relay};
+use crate::support::{Passing, Process, Relay, now_ms};
 
 /// Delay between the end of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
--- a/tests/testsuite/soak/history.rs
+++ b/tests/testsuite/soak/history.rs
@@ -146,10 +146,3 @@
         self.runs.iter().filter(move |run| run.id == id)
     }
 }
-
-/// Milliseconds since the Unix epoch.
-pub(crate) fn now_ms() -> u64 {
-    let now = std::time::SystemTime::now();
-    let since = now.duration_since(std::time::UNIX_EPOCH);
-    since.expect("the clock is after 1970").as_millis() as u64
-}
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -30,8 +30,9 @@
 use self::check::find_violations;
 use self::connection::Connection;
 use self::deployment::{Deployment, PERMANENT_KEYS};
-use self::history::{RequestKind, now_ms};
+use self::history::RequestKind;
 use self::plan::{Sizes, plan_faults};
+use crate::support::now_ms;
 
 /// Default sizes, which keep a test at a few dozen processes at most.
 const DEFAULT_SIZES: Sizes = Sizes {
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -3,6 +3,7 @@
 mod bills;
 mod caller;
 mod history;
+pub(crate) mod limit;
 mod manifest;
 pub(crate) mod platform;
 mod process;
@@ -18,3 +19,10 @@
 pub(crate) use self::relay::{Passing, Relay};
 pub(crate) use self::traffic::{Exchange, Traffic};
 pub(crate) use self::world::{World, WorldBuilder, eventually};
+
+/// Milliseconds since the Unix epoch.
+pub(crate) fn now_ms() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH);
+    since.expect("the clock is after 1970").as_millis() as u64
+}
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -282,9 +282,14 @@
             .await
     }
 
-    /// Waits until the relay is ready and knows all registered runners.
+    /// Waits until all relays are ready, and the first one knows all registered
+    /// runners.
     pub(crate) async fn until_ready(&self) {
         self.until_known(self.runners.len()).await;
+        for relay in 1..self.relays.len() {
+            self.until(async |world| world.is_relay_ready(relay).await)
+                .await;
+        }
     }
 
     /// Waits until the relay is ready and knows so many registrations.
