Use the list of gateways as soon as it was read

platform::a_doubtful_answer_is_dropped_for_the_larger_models failed once: the first request after a start found no retry slack, since the list of gateways that the control thread had read reached the budget with the next report, up to 250 ms later. The budget now takes the list itself until it has one.

--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -31,6 +31,11 @@
         self.others.extend(addrs.iter().map(|addr| (*addr, now)));
     }
 
+    /// True once the gateways in the store were read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Forgets gateways that gave no sign of life for long.
     pub fn expire(&mut self, now: Duration) {
         self.others
--- a/src/carawayrun/relay/traffic.rs
+++ b/src/carawayrun/relay/traffic.rs
@@ -312,6 +312,9 @@
     fn budget<T>(&self, service: &str, f: impl FnOnce(&mut RetryBudget, Duration) -> T) -> T {
         let now = self.now();
         let settings = self.settings();
+        if !self.members.borrow().is_listed() {
+            self.update_members();
+        }
         let gateways = self.members.borrow().count(settings.peer_listen);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.into()).or_insert_with(|| {
