--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -15,7 +15,9 @@
 
 use crate::store::CallError;
 use crate::store::call::{self, Answer};
-use crate::store::feed::{CallSnafu, Change, Changes, FeedError, HistoryDroppedSnafu, Snapshot};
+use crate::store::feed::{
+    CallSnafu, Change, Changes, Cursor, FeedError, HistoryDroppedSnafu, Snapshot,
+};
 use crate::store::table::{Row, TableError, Transaction};
 
 /// Longest answer that is read, in bytes. The store sends at most 1 MB of rows;
@@ -134,9 +136,11 @@
             // Changes are followed from the version of the first page, so that none
             // is missed.
             if from.is_empty() {
-                snapshot.version = page.ver;
-                snapshot.era = era;
-            } else if snapshot.era != era {
+                snapshot.cursor = Cursor {
+                    era,
+                    version: page.ver,
+                };
+            } else if snapshot.cursor.era != era {
                 // The pages are of different copies.
                 snapshot = Snapshot::default();
                 from.clear();
@@ -198,8 +202,10 @@
         }
         let body = parse_rows(&answer).context(CallSnafu)?;
         Ok(Changes {
-            version: body.ver,
-            era: parse_era(&answer).context(CallSnafu)?,
+            cursor: Cursor {
+                era: parse_era(&answer).context(CallSnafu)?,
+                version: body.ver,
+            },
             now: Duration::from_millis(body.now_ms),
             changes: body.rows.into_iter().map(parse_change).collect(),
         })
--- a/src/carawayrun/relay/follow/gateways.rs
+++ b/src/carawayrun/relay/follow/gateways.rs
@@ -10,7 +10,7 @@
 use super::Follower;
 use crate::platform::{self, Keyspace};
 use crate::relay::control::Event;
-use crate::store::CallError;
+use crate::store::feed::Snapshot;
 
 /// Interval between two reads. Gateways that receive each other's reports learn
 /// the addresses from these, so the rows matter only where no report arrives.
@@ -40,10 +40,10 @@
     pub(super) async fn sync_gateways(self: Rc<Self>) {
         let mut interval = FIRST_READ_INTERVAL;
         loop {
-            if let Err(error) = self.read_gateways().await {
-                self.back_off(&error.to_string()).await;
+            let Some(snapshot) = self.read_snapshot(Keyspace::Gateways).await else {
                 continue;
-            }
+            };
+            self.apply_gateways(&snapshot);
             self.write_gateway().await;
             sleep(interval).await;
             interval = READ_INTERVAL;
@@ -66,11 +66,8 @@
         }
     }
 
-    async fn read_gateways(&self) -> Result<(), CallError> {
-        let snapshot = self.store.snapshot(Keyspace::Gateways).await?;
-        if !self.accept_answer(snapshot.era, snapshot.now) {
-            return Ok(());
-        }
+    // Passes the addresses of the gateways that are alive to the reducer.
+    fn apply_gateways(&self, snapshot: &Snapshot) {
         let is_alive = |row: &GatewayRow| {
             let written = Duration::from_millis(row.written_ms);
             snapshot.now.saturating_sub(written) < ROW_LIFETIME
@@ -84,6 +81,5 @@
         });
         let peers = rows.filter(is_alive).map(|row| row.address).collect();
         self.handle(Event::GatewaysRead(peers));
-        Ok(())
     }
 }
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -23,8 +23,8 @@
 use super::readers::{Confirmation, FollowedTable, ReadDecision};
 use super::store_clock::StoreClock;
 use super::traffic::{PeerUpdate, SharedState};
-use crate::platform::StoreClient;
-use crate::store::feed::{Changes, FeedError, Snapshot};
+use crate::platform::{Keyspace, StoreClient};
+use crate::store::feed::{Changes, Cursor, FeedError, Snapshot};
 
 /// Time beyond the reader's usual interval for which a confirmation is valid: the
 /// delay of its call and of the reports.
@@ -48,30 +48,6 @@
 /// Error of a call whose answer the store gave before a restore.
 const OUTDATED_ANSWER: &str = "answer from before the restore of the store";
 
-/// Position in the store's changes. It is valid in its era only, as versions are
-/// given out again after a restore.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Cursor {
-    era: u64,
-    version: u64,
-}
-
-impl Cursor {
-    fn at(snapshot: &Snapshot) -> Self {
-        Self {
-            era: snapshot.era,
-            version: snapshot.version,
-        }
-    }
-
-    fn after(feed: &Changes) -> Self {
-        Self {
-            era: feed.era,
-            version: feed.version,
-        }
-    }
-}
-
 /// A table that the gateways follow together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Table {
@@ -83,6 +59,14 @@
 impl Table {
     /// Tables by their numbers in reports.
     const ALL: [Self; 3] = [Self::Orders, Self::Registrations, Self::Rollouts];
+
+    fn keyspace(self) -> Keyspace {
+        match self {
+            Self::Orders => Keyspace::Orders,
+            Self::Registrations => Keyspace::Registrations,
+            Self::Rollouts => Keyspace::Rollouts,
+        }
+    }
 }
 
 /// State of the control thread, shared by its tasks.
@@ -291,19 +275,50 @@
         true
     }
 
+    // Reads all rows of a keyspace; pauses and returns `None` if the call failed.
+    async fn read_snapshot(&self, keyspace: Keyspace) -> Option<Snapshot> {
+        let error = match self.store.snapshot(keyspace).await {
+            Ok(snapshot) if self.accept_answer(snapshot.cursor.era, snapshot.now) => {
+                return Some(snapshot);
+            }
+            Ok(_) => OUTDATED_ANSWER.to_owned(),
+            Err(error) => error.to_string(),
+        };
+        self.back_off(&error).await;
+        None
+    }
+
+    // Reads the changes of a table after `after`, waiting for one at most `wait`.
+    // Returns as error the cursor from which to continue; `None` if all rows must be
+    // read again.
+    async fn read_changes(
+        &self,
+        table: Table,
+        after: Cursor,
+        wait: Duration,
+    ) -> Result<Changes, Option<Cursor>> {
+        let changes = self.store.changes(table.keyspace(), after.version, wait);
+        match changes.await {
+            Ok(feed) if self.continues(table, after, &feed) => Ok(feed),
+            Ok(_) => Err(None),
+            Err(error) => Err(self.recover_feed(&error, after).await),
+        }
+    }
+
     // Accepts the answer of a feed call and returns true if its changes follow
     // those up to `after`. Otherwise all rows must be read again.
     fn continues(&self, table: Table, after: Cursor, feed: &Changes) -> bool {
-        if !self.accept_answer(feed.era, feed.now) {
+        let Cursor { era, version } = feed.cursor;
+        if !self.accept_answer(era, feed.now) {
             return false;
         }
-        let continues = feed.era == after.era && feed.version >= after.version;
+        let continues = era == after.era && version >= after.version;
         if !continues {
             tracing::warn!(
                 ?table,
                 ?after,
-                era = feed.era,
-                version = feed.version,
+                era,
+                version,
                 "changes do not continue from the cursor"
             );
         }
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{Cursor, Follower, OUTDATED_ANSWER, Table};
+use super::{Follower, Table};
 use crate::platform::{self, Keyspace};
 use crate::relay::control::Event;
 use crate::relay::readers::FollowedTable;
-use crate::store::feed::Change;
+use crate::store::feed::{Change, Cursor};
 use crate::store::table::Row;
 
 /// Longest wait of a feed call for configuration and orders, which is the interval
@@ -25,47 +25,31 @@
                 continue;
             };
             self.wait_to_read(Table::Orders, FEED_WAIT, after).await;
-            let changes = self
-                .store
-                .changes(Keyspace::Orders, after.version, FEED_WAIT);
-            match changes.await {
-                Ok(feed) if self.continues(Table::Orders, after, &feed) => {
-                    cursor = Some(Cursor::after(&feed));
+            match self.read_changes(Table::Orders, after, FEED_WAIT).await {
+                Ok(feed) => {
+                    cursor = Some(feed.cursor);
                     for change in feed.changes {
                         self.apply_operator_change(change);
                     }
                     self.record_read(Table::Orders, feed.now);
                 }
-                Ok(_) => cursor = None,
-                Err(error) => cursor = self.recover_feed(&error, after).await,
+                Err(next) => cursor = next,
             }
         }
     }
 
     async fn read_orders(&self) -> Option<Cursor> {
-        match self.store.snapshot(Keyspace::Orders).await {
-            Ok(snapshot) => {
-                if !self.accept_answer(snapshot.era, snapshot.now) {
-                    self.back_off(OUTDATED_ANSWER).await;
-                    return None;
-                }
-                self.with_table(Table::Orders, FollowedTable::clear);
-                // Orders come first: with a configuration alone, requests would
-                // go to any version.
-                let is_order = |row: &&Row| platform::parse_order(row, snapshot.era).is_some();
-                let (orders, others): (Vec<&Row>, Vec<&Row>) =
-                    snapshot.rows.iter().partition(is_order);
-                for row in orders.into_iter().chain(others) {
-                    self.apply_operator_row(row);
-                }
-                self.record_read(Table::Orders, snapshot.now);
-                Some(Cursor::at(&snapshot))
-            }
-            Err(error) => {
-                self.back_off(&error.to_string()).await;
-                None
-            }
+        let snapshot = self.read_snapshot(Keyspace::Orders).await?;
+        self.with_table(Table::Orders, FollowedTable::clear);
+        // Orders come first: with a configuration alone, requests would
+        // go to any version.
+        let is_order = |row: &&Row| platform::parse_order(row, snapshot.cursor.era).is_some();
+        let (orders, others): (Vec<&Row>, Vec<&Row>) = snapshot.rows.iter().partition(is_order);
+        for row in orders.into_iter().chain(others) {
+            self.apply_operator_row(row);
         }
+        self.record_read(Table::Orders, snapshot.now);
+        Some(snapshot.cursor)
     }
 
     // Passes a change of the configuration or of a roll-out order to the reducer.
--- a/src/carawayrun/relay/follow/registrations.rs
+++ b/src/carawayrun/relay/follow/registrations.rs
@@ -7,11 +7,11 @@
 use rustc_hash::FxHasher;
 use tokio::time::{Instant, sleep_until};
 
-use super::{Cursor, Follower, OUTDATED_ANSWER, Table};
+use super::{Follower, Table};
 use crate::platform::{self, Keyspace};
 use crate::relay::control::{Event, Registration};
 use crate::relay::view::Upstream;
-use crate::store::feed::Change;
+use crate::store::feed::{Change, Cursor};
 use crate::store::table::Row;
 
 /// Longest wait of a feed call for registrations.
@@ -35,48 +35,36 @@
             self.wait_to_read(Table::Registrations, interval.max(FEED_WAIT), after)
                 .await;
             let begun = Instant::now();
-            let changes = self
-                .store
-                .changes(Keyspace::Registrations, after.version, FEED_WAIT);
-            match changes.await {
-                Ok(feed) if self.continues(Table::Registrations, after, &feed) => {
-                    cursor = Some(Cursor::after(&feed));
+            match self
+                .read_changes(Table::Registrations, after, FEED_WAIT)
+                .await
+            {
+                Ok(feed) => {
+                    cursor = Some(feed.cursor);
                     for change in feed.changes {
                         self.apply_registration_change(change);
                     }
                     self.record_read(Table::Registrations, feed.now);
                     sleep_until(begun + interval).await;
                 }
-                Ok(_) => cursor = None,
-                Err(error) => cursor = self.recover_feed(&error, after).await,
+                Err(next) => cursor = next,
             }
         }
     }
 
     async fn read_registrations(&self) -> Option<Cursor> {
-        match self.store.snapshot(Keyspace::Registrations).await {
-            Ok(snapshot) => {
-                if !self.accept_answer(snapshot.era, snapshot.now) {
-                    self.back_off(OUTDATED_ANSWER).await;
-                    return None;
-                }
-                let registrations = snapshot.rows.iter().filter_map(parse_registration);
-                let registrations: Vec<Registration> = registrations.collect();
-                self.with_table(Table::Registrations, |followed| {
-                    followed.clear();
-                    for Registration { upstream, .. } in &registrations {
-                        followed.insert_row(&upstream.name, content_hash(upstream));
-                    }
-                });
-                self.record_read(Table::Registrations, snapshot.now);
-                self.handle(Event::RegistrationsRead(registrations));
-                Some(Cursor::at(&snapshot))
-            }
-            Err(error) => {
-                self.back_off(&error.to_string()).await;
-                None
+        let snapshot = self.read_snapshot(Keyspace::Registrations).await?;
+        let registrations = snapshot.rows.iter().filter_map(parse_registration);
+        let registrations: Vec<Registration> = registrations.collect();
+        self.with_table(Table::Registrations, |followed| {
+            followed.clear();
+            for Registration { upstream, .. } in &registrations {
+                followed.insert_row(&upstream.name, content_hash(upstream));
             }
-        }
+        });
+        self.record_read(Table::Registrations, snapshot.now);
+        self.handle(Event::RegistrationsRead(registrations));
+        Some(snapshot.cursor)
     }
 
     // Passes a change of a registration to the reducer.
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -5,12 +5,12 @@
 
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{Cursor, Follower, OUTDATED_ANSWER, Table};
+use super::{Follower, Table};
 use crate::platform::{self, Keyspace};
 use crate::relay::control::{Effect, Event};
 use crate::relay::readers::FollowedTable;
 use crate::relay::rollout::{Phase, RolloutRow};
-use crate::store::feed::Change;
+use crate::store::feed::{Change, Cursor};
 use crate::store::table::{Row, TableError};
 
 /// Longest wait of a feed call for the rows of roll-outs.
@@ -43,12 +43,9 @@
             };
             self.wait_to_read(Table::Rollouts, FEED_WAIT, after).await;
             let begun = Instant::now();
-            let changes = self
-                .store
-                .changes(Keyspace::Rollouts, after.version, FEED_WAIT);
-            match changes.await {
-                Ok(feed) if self.continues(Table::Rollouts, after, &feed) => {
-                    cursor = Some(Cursor::after(&feed));
+            match self.read_changes(Table::Rollouts, after, FEED_WAIT).await {
+                Ok(feed) => {
+                    cursor = Some(feed.cursor);
                     for change in feed.changes {
                         if let Change::Put(row) = change {
                             self.apply_rollout_row(&row);
@@ -57,32 +54,20 @@
                     self.record_read(Table::Rollouts, feed.now);
                     sleep_until(begun + READ_INTERVAL).await;
                 }
-                Ok(_) => cursor = None,
-                Err(error) => cursor = self.recover_feed(&error, after).await,
+                Err(next) => cursor = next,
             }
         }
     }
 
     async fn read_rollouts(&self) -> Option<Cursor> {
-        match self.store.snapshot(Keyspace::Rollouts).await {
-            Ok(snapshot) => {
-                if !self.accept_answer(snapshot.era, snapshot.now) {
-                    self.back_off(OUTDATED_ANSWER).await;
-                    return None;
-                }
-                self.with_table(Table::Rollouts, FollowedTable::clear);
-                for row in &snapshot.rows {
-                    self.apply_rollout_row(row);
-                }
-                self.record_read(Table::Rollouts, snapshot.now);
-                self.handle(Event::RolloutsSynced);
-                Some(Cursor::at(&snapshot))
-            }
-            Err(error) => {
-                self.back_off(&error.to_string()).await;
-                None
-            }
+        let snapshot = self.read_snapshot(Keyspace::Rollouts).await?;
+        self.with_table(Table::Rollouts, FollowedTable::clear);
+        for row in &snapshot.rows {
+            self.apply_rollout_row(row);
         }
+        self.record_read(Table::Rollouts, snapshot.now);
+        self.handle(Event::RolloutsSynced);
+        Some(snapshot.cursor)
     }
 
     // Passes a row of the roll-out table to the reducer; an invalid one is ignored.
--- a/src/carawayrun/store/feed.rs
+++ b/src/carawayrun/store/feed.rs
@@ -4,16 +4,23 @@
 
 use super::table::Row;
 
+/// Position in the changes of a service. It is valid in its era only, as versions
+/// are given out again after a restore.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Cursor {
+    /// Number of times that the service was restored from a copy.
+    pub era: u64,
+    /// Version of the last change.
+    pub version: u64,
+}
+
 /// Rows of one table at one point in time.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
     /// Rows in the order of their keys.
     pub rows: Vec<Row>,
     /// Newest version in the service at that time.
-    pub version: u64,
-    /// Number of times that the service was restored from a copy. Versions of
-    /// different eras can't be compared, as they are given out again.
-    pub era: u64,
+    pub cursor: Cursor,
     /// Time on the service's steady clock, which is independent of its callers'
     /// restarts.
     pub now: Duration,
@@ -34,9 +41,7 @@
     /// Changes in the order in which they took effect.
     pub changes: Vec<Change>,
     /// Version up to which the changes are complete.
-    pub version: u64,
-    /// Number of times that the service was restored from a copy.
-    pub era: u64,
+    pub cursor: Cursor,
     /// Time on the service's steady clock.
     pub now: Duration,
 }
