Keep who was heard of in one place

Found on reading the change again. Members now answers both, with the same times and the same order of addresses (reports_go_to_recent_senders_and_listed_gateways).

--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -227,7 +227,9 @@
             return false;
         };
         let has_changed = state.limiter.record(notice);
-        state.update_share(upstream, members, own_addr);
+        if has_changed {
+            state.update_share(upstream, members, own_addr);
+        }
         has_changed
     }
 
@@ -240,9 +242,8 @@
         now: Duration,
     ) {
         for reported in limits {
-            let keys = self.states.iter();
-            let mut keys = keys.filter(|(_, state)| state.digest == reported.upstream);
-            let Some(key) = keys.next().map(|(key, _)| key) else {
+            let mut states = self.states.iter();
+            let Some((key, _)) = states.find(|(_, state)| state.digest == reported.upstream) else {
                 continue;
             };
             let age = Duration::from_millis(u64::from(reported.age_ms));
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -4,7 +4,6 @@
 //! connection with queues, such as nng's, would only deliver outdated reports
 //! late.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,7 +11,7 @@
 
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::boot_clock;
 use super::readers::Confirmation;
@@ -39,38 +38,6 @@
 /// Maximum datagram size: avoids fragmentation on usual links.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
-/// Time after which a silent gateway gets no more reports.
-const PEER_TTL: Duration = Duration::from_secs(10);
-
-/// Addresses from which reports of other gateways were received.
-/// [`Self::addresses`] adds the gateways that are listed in the store.
-#[derive(Debug, Default)]
-pub(super) struct PeerAddresses {
-    last_received: BTreeMap<SocketAddr, Instant>,
-}
-
-impl PeerAddresses {
-    // Records the address from which a report was received just now.
-    fn record_received(&mut self, addr: SocketAddr) {
-        self.last_received.insert(addr, Instant::now());
-    }
-
-    // Addresses to send reports to: those of recent senders and the `listed` ones,
-    // without the gateway's own.
-    fn addresses(&mut self, listed: &[SocketAddr], own_addr: SocketAddr) -> Vec<SocketAddr> {
-        self.last_received
-            .retain(|_, last_received| last_received.elapsed() < PEER_TTL);
-        let mut all: Vec<SocketAddr> = self.last_received.keys().copied().collect();
-        all.extend(
-            listed
-                .iter()
-                .filter(|addr| !self.last_received.contains_key(addr)),
-        );
-        all.retain(|addr| *addr != own_addr);
-        all
-    }
-}
-
 /// Starts publishing and receiving reports until the process ends.
 pub(super) fn start(socket: std::net::UdpSocket, traffic: &Rc<Traffic>) -> io::Result<()> {
     socket.set_nonblocking(true)?;
@@ -87,7 +54,6 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match RelayReport::decode(&buffer[..length]) {
                 Ok(report) => {
-                    traffic.peer_addresses.borrow_mut().record_received(from);
                     traffic.receive_report(&report, from);
                 }
                 Err(error) => tracing::debug!(%from, %error, "malformed report"),
@@ -123,10 +89,7 @@
             limits: traffic.own_limits(),
         };
         let bytes = report.encode_to_vec();
-        let peers = traffic
-            .peer_addresses
-            .borrow_mut()
-            .addresses(&view.peers, own_addr);
+        let peers = traffic.report_targets(&view, own_addr);
         let has_new_reads = view.reads != sent_reads;
         let fan_out = if has_new_reads { peers.len() } else { FAN_OUT };
         sent_reads.clone_from(&view.reads);
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -1,4 +1,5 @@
-//! Gateways that may be sending to the same upstreams, by their report addresses.
+//! Other gateways by their report addresses: who gets reports, and who may be sending
+//! to the same upstreams.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,25 +11,63 @@
 /// it may only be disconnected, and sends its share.
 const MEMBER_TTL: Duration = Duration::from_secs(90);
 
+/// Time after which a gateway that is silent and not listed gets no more reports.
+const REPORT_TTL: Duration = Duration::from_secs(10);
+
 /// Other gateways and when each was last known to run. Times are on the caller's
 /// clock.
 #[derive(Debug, Default)]
 pub struct Members {
-    others: BTreeMap<SocketAddr, Duration>,
+    others: BTreeMap<SocketAddr, LastSeen>,
     /// True once the gateways in the store were read.
     is_listed: bool,
 }
 
+#[derive(Debug)]
+struct LastSeen {
+    /// Last sign of life, a report or the store's list.
+    at: Duration,
+    reported_at: Option<Duration>,
+}
+
 impl Members {
     /// Records that a gateway sent a report.
     pub fn record_report(&mut self, addr: SocketAddr, now: Duration) {
-        self.others.insert(addr, now);
+        let seen = LastSeen {
+            at: now,
+            reported_at: Some(now),
+        };
+        self.others.insert(addr, seen);
     }
 
     /// Records the gateways that are listed in the store.
     pub fn record_listed(&mut self, addrs: &[SocketAddr], now: Duration) {
         self.is_listed = true;
-        self.others.extend(addrs.iter().map(|addr| (*addr, now)));
+        for addr in addrs {
+            let seen = self.others.entry(*addr).or_insert(LastSeen {
+                at: now,
+                reported_at: None,
+            });
+            seen.at = now;
+        }
+    }
+
+    /// Addresses to send reports to: those of gateways that reported recently and the
+    /// `listed` ones, without the gateway's `own`.
+    pub fn report_targets(
+        &self,
+        listed: &[SocketAddr],
+        own: SocketAddr,
+        now: Duration,
+    ) -> Vec<SocketAddr> {
+        let reports = |addr: &SocketAddr| {
+            let reported_at = self.others.get(addr).and_then(|seen| seen.reported_at);
+            reported_at.is_some_and(|at| now.saturating_sub(at) < REPORT_TTL)
+        };
+        let heard = self.others.keys().filter(|addr| reports(addr));
+        let others = listed.iter().filter(|addr| !reports(addr));
+        let all = heard.chain(others).copied();
+        all.filter(|addr| *addr != own).collect()
     }
 
     /// True once the gateways in the store were read.
@@ -39,7 +78,7 @@
     /// Forgets gateways that gave no sign of life for long.
     pub fn expire(&mut self, now: Duration) {
         self.others
-            .retain(|_, seen| now.saturating_sub(*seen) < MEMBER_TTL);
+            .retain(|_, seen| now.saturating_sub(seen.at) < MEMBER_TTL);
     }
 
     /// Number of gateways, `own` included; `None` before the others are known.
--- a/src/carawayrun/relay/tests/rate_limit.rs
+++ b/src/carawayrun/relay/tests/rate_limit.rs
@@ -110,6 +110,19 @@
     assert_eq!(alone, RateShare::new(4.0, 0, 1));
 }
 
+#[test]
+fn reports_go_to_recent_senders_and_listed_gateways() {
+    let mut members = Members::default();
+    members.record_report(addr(2), millis(0));
+    members.record_report(addr(3), millis(5_000));
+    members.record_listed(&[addr(0), addr(1)], millis(5_000));
+    let listed = [addr(0), addr(1)];
+    let targets = members.report_targets(&listed, addr(0), millis(9_000));
+    assert_eq!(targets, [addr(2), addr(3), addr(1)]);
+    let targets = members.report_targets(&listed, addr(0), millis(10_000));
+    assert_eq!(targets, [addr(3), addr(1)]);
+}
+
 #[test]
 fn older_notice_is_ignored() {
     let mut limiter = RateLimiter::default();
--- /dev/null
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -0,0 +1,86 @@
+//! The other gateways, and this one's shares of the limits that upstreams name.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Traffic;
+use crate::peer::message::UpstreamLimit;
+use crate::relay::rate_limit::LimitNotice;
+use crate::relay::view::{Upstream, UpstreamKey, View};
+
+impl Traffic {
+    /// Records the limit that an upstream named in an answer, or that it named none.
+    pub(in crate::relay) fn record_limit(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        limit: Option<f64>,
+    ) {
+        let notice = LimitNotice {
+            limit,
+            at: self.now(),
+            is_own: true,
+        };
+        let view = self.view();
+        let own_addr = self.settings().peer_listen;
+        let members = self.members.borrow();
+        let has_changed = self.fleet(&view, |fleet, _| {
+            fleet.record_limit(key, notice, &members, own_addr)
+        });
+        if has_changed {
+            tracing::info!(upstream = %upstream.name, limit, "upstream named another limit of requests per second");
+            self.load_changed.notify_one();
+        }
+    }
+
+    /// Takes a send to an upstream from this gateway's share of the upstream's limit,
+    /// if it names one; returns false if the share is spent.
+    pub(in crate::relay) fn take_send(&self, key: UpstreamKey) -> bool {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let is_limited = fleet.limit(key).is_some();
+        let has_token = fleet.take_token(key, now);
+        if is_limited && has_token {
+            self.metrics.limited_sends.inc();
+        }
+        has_token
+    }
+
+    /// Time until the limits of a service's upstreams leave a request to this
+    /// gateway; `None` if no upstream is known.
+    pub(in crate::relay) fn time_to_send(&self, service: &str) -> Option<Duration> {
+        self.fleet.borrow().time_to_token(service, self.now())
+    }
+
+    /// Returns what upstreams said about their limits in answers to this gateway.
+    pub(in crate::relay) fn own_limits(&self) -> Vec<UpstreamLimit> {
+        self.fleet.borrow().own_limits(self.now())
+    }
+
+    /// Returns the addresses to which reports are sent.
+    pub(in crate::relay) fn report_targets(
+        &self,
+        view: &View,
+        own_addr: SocketAddr,
+    ) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        members.report_targets(&view.peers, own_addr, self.now())
+    }
+
+    /// Updates the known gateways and this one's shares of the upstreams' limits.
+    pub(super) fn update_members(&self) {
+        let now = self.now();
+        let view = self.view();
+        let own_addr = self.settings().peer_listen;
+        let mut members = self.members.borrow_mut();
+        if view.is_listed {
+            members.record_listed(&view.peers, now);
+        }
+        members.expire(now);
+        let limited = self.fleet(&view, |fleet, _| {
+            fleet.update_shares(&members, own_addr);
+            fleet.limited_count()
+        });
+        self.metrics.limited_upstreams.set(limited as i64);
+    }
+}
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -1,5 +1,7 @@
 //! State shared by all connections of the traffic thread.
 
+mod limits;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,17 +21,16 @@
 use super::RelaySettings;
 use super::budget::{RetryBudget, RetryCause};
 use super::fleet::Fleet;
-use super::gossip::{PeerAddresses, decode_outcomes};
+use super::gossip::decode_outcomes;
 use super::health::Health;
 use super::latency::LatencyEstimate;
 use super::losses::{Loss, LossTracker};
 use super::members::Members;
 use super::metrics::Metrics;
-use super::rate_limit::LimitNotice;
 use super::rollout::Outcomes;
 use super::sessions::Sessions;
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
-use crate::peer::message::{RelayReport, TableRead, UpstreamLimit, UpstreamLoad};
+use crate::peer::message::{RelayReport, TableRead, UpstreamLoad};
 
 /// Outcomes by service and version, for the evaluation of roll-outs.
 pub(super) type OutcomeCounts = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
@@ -105,8 +106,6 @@
     pub(super) active_requests: Cell<usize>,
     /// Notified when the own load changes.
     pub(super) load_changed: Notify,
-    /// Addresses to which reports for the other gateways are sent.
-    pub(super) peer_addresses: RefCell<PeerAddresses>,
     shared: SharedState,
     fleet: RefCell<Fleet>,
     members: RefCell<Members>,
@@ -132,7 +131,6 @@
             draining_since: Cell::new(None),
             active_requests: Cell::new(0),
             load_changed: Notify::new(),
-            peer_addresses: RefCell::default(),
             shared,
             fleet: RefCell::default(),
             members: RefCell::default(),
@@ -210,44 +208,6 @@
         self.fleet(&view, |fleet, _| fleet.health_mut(key).map(update));
     }
 
-    /// Records the limit that an upstream named in an answer, or that it named none.
-    pub(super) fn record_limit(&self, key: UpstreamKey, upstream: &Upstream, limit: Option<f64>) {
-        let notice = LimitNotice {
-            limit,
-            at: self.now(),
-            is_own: true,
-        };
-        let view = self.view();
-        let own_addr = self.settings().peer_listen;
-        let members = self.members.borrow();
-        let has_changed = self.fleet(&view, |fleet, _| {
-            fleet.record_limit(key, notice, &members, own_addr)
-        });
-        if has_changed {
-            tracing::info!(upstream = %upstream.name, limit, "upstream named another limit of requests per second");
-            self.load_changed.notify_one();
-        }
-    }
-
-    /// Takes a send to an upstream from this gateway's share of the upstream's limit,
-    /// if it names one; returns false if the share is spent.
-    pub(super) fn take_send(&self, key: UpstreamKey) -> bool {
-        let now = self.now();
-        let mut fleet = self.fleet.borrow_mut();
-        let is_limited = fleet.limit(key).is_some();
-        let has_token = fleet.take_token(key, now);
-        if is_limited && has_token {
-            self.metrics.limited_sends.inc();
-        }
-        has_token
-    }
-
-    /// Time until the limits of a service's upstreams leave a request to this
-    /// gateway; `None` if no upstream is known.
-    pub(super) fn time_to_send(&self, service: &str) -> Option<Duration> {
-        self.fleet.borrow().time_to_token(service, self.now())
-    }
-
     /// Returns a random number in 0..1.
     pub(super) fn random(&self) -> f64 {
         use rand::Rng;
@@ -340,28 +300,6 @@
         fleet.own_loads()
     }
 
-    /// Returns what upstreams said about their limits in answers to this gateway.
-    pub(super) fn own_limits(&self) -> Vec<UpstreamLimit> {
-        self.fleet.borrow().own_limits(self.now())
-    }
-
-    // Updates the known gateways and this one's shares of the upstreams' limits.
-    fn update_members(&self) {
-        let now = self.now();
-        let view = self.view();
-        let own_addr = self.settings().peer_listen;
-        let mut members = self.members.borrow_mut();
-        if view.is_listed {
-            members.record_listed(&view.peers, now);
-        }
-        members.expire(now);
-        let limited = self.fleet(&view, |fleet, _| {
-            fleet.update_shares(&members, own_addr);
-            fleet.limited_count()
-        });
-        self.metrics.limited_upstreams.set(limited as i64);
-    }
-
     /// Records another gateway's report, received from `from`.
     pub(super) fn receive_report(&self, report: &RelayReport, from: SocketAddr) {
         let now = self.now();
