Count shares with the report address of the start

Found on reading. After a reload with other addresses, which take effect at the next start only, a relay took the new address for its own and its own for that of another relay: a single relay used half of a named limit (12 requests in 6 s at a limit of 4, at least 19 expected; limit_halved_by_changed_address_in_settings fails before). The traffic thread now keeps the address with which it was started.

--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -72,7 +72,6 @@
         name: traffic.settings().node.to_string(),
         incarnation: boot_clock::now().as_nanos() as u64,
     };
-    let own_addr = traffic.settings().peer_listen;
     let mut number = 0;
     let mut position = 0;
     let mut sent_reads = Vec::new();
@@ -89,7 +88,7 @@
             limits: traffic.own_limits(),
         };
         let bytes = report.encode_to_vec();
-        let peers = traffic.report_targets(&view, own_addr);
+        let peers = traffic.report_targets(&view);
         let has_new_reads = view.reads != sent_reads;
         let fan_out = if has_new_reads { peers.len() } else { FAN_OUT };
         sent_reads.clone_from(&view.reads);
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -22,10 +22,9 @@
             is_own: true,
         };
         let view = self.view();
-        let own_addr = self.settings().peer_listen;
         let members = self.members.borrow();
         let has_changed = self.fleet(&view, |fleet, _| {
-            fleet.record_limit(key, notice, &members, own_addr)
+            fleet.record_limit(key, notice, &members, self.own_addr)
         });
         if has_changed {
             tracing::info!(upstream = %upstream.name, limit, "upstream named another limit of requests per second");
@@ -58,27 +57,22 @@
     }
 
     /// Returns the addresses to which reports are sent.
-    pub(in crate::relay) fn report_targets(
-        &self,
-        view: &View,
-        own_addr: SocketAddr,
-    ) -> Vec<SocketAddr> {
+    pub(in crate::relay) fn report_targets(&self, view: &View) -> Vec<SocketAddr> {
         let members = self.members.borrow();
-        members.report_targets(&view.peers, own_addr, self.now())
+        members.report_targets(&view.peers, self.own_addr, self.now())
     }
 
     /// Updates the known gateways and this one's shares of the upstreams' limits.
     pub(super) fn update_members(&self) {
         let now = self.now();
         let view = self.view();
-        let own_addr = self.settings().peer_listen;
         let mut members = self.members.borrow_mut();
         if view.is_listed {
             members.record_listed(&view.peers, now);
         }
         members.expire(now);
         let limited = self.fleet(&view, |fleet, _| {
-            fleet.update_shares(&members, own_addr);
+            fleet.update_shares(&members, self.own_addr);
             fleet.limited_count()
         });
         self.metrics.limited_upstreams.set(limited as i64);
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -109,6 +109,8 @@
     shared: SharedState,
     fleet: RefCell<Fleet>,
     members: RefCell<Members>,
+    /// Report address of this process, also after a reload with another one.
+    own_addr: SocketAddr,
     budgets: RefCell<FxHashMap<CompactString, RetryBudget>>,
     latencies: RefCell<FxHashMap<(CompactString, CompactString), LatencyEstimate>>,
     sessions: RefCell<Sessions>,
@@ -120,7 +122,9 @@
 
 impl Traffic {
     pub(super) fn new(shared: SharedState) -> Self {
-        let session_gap = shared.settings.load().session_gap;
+        let settings = shared.settings.load();
+        let (session_gap, own_addr) = (settings.session_gap, settings.peer_listen);
+        drop(settings);
         let sessions = RefCell::new(Sessions::new(session_gap));
         Self {
             sessions,
@@ -134,6 +138,7 @@
             shared,
             fleet: RefCell::default(),
             members: RefCell::default(),
+            own_addr,
             budgets: RefCell::default(),
             latencies: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -275,7 +280,7 @@
         if !self.members.borrow().is_listed() {
             self.update_members();
         }
-        let gateways = self.members.borrow().count(settings.peer_listen);
+        let gateways = self.members.borrow().count(self.own_addr);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.into()).or_insert_with(|| {
             RetryBudget::new(
@@ -307,8 +312,7 @@
         members.record_report(from, now);
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.receive(report, now);
-        let own_addr = self.settings().peer_listen;
-        fleet.record_peer_limits(&report.limits, &members, own_addr, now);
+        fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
         drop((fleet, members));
         self.sessions
             .borrow_mut()
--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -18,9 +18,9 @@
 /// Pause between two requests to one relay.
 const PAUSE: Duration = Duration::from_millis(30);
 
-async fn world(name: &str, others: usize) -> PlatformWorld {
+async fn world(name: &str, relays: usize, others: usize) -> PlatformWorld {
     let mut world = PlatformWorld::start(name).await;
-    for _ in 1..RELAYS {
+    for _ in 1..relays {
         world.start_relay();
     }
     world.put("op", "config", &config(5, &[API_KEY])).await;
@@ -46,11 +46,21 @@
 /// Sends requests to all relays for a time; returns how many were answered with
 /// each status, 200 and 503.
 async fn send_for(world: &PlatformWorld, round: &str, span: Duration) -> (usize, usize) {
+    send_to(world, RELAYS, round, span).await
+}
+
+/// As [`send_for`], to the first `relays` relays.
+async fn send_to(
+    world: &PlatformWorld,
+    relays: usize,
+    round: &str,
+    span: Duration,
+) -> (usize, usize) {
     let begun = Instant::now();
     let (mut served, mut refused) = (0, 0);
     let mut number = 0;
     while begun.elapsed() < span {
-        for relay in 0..RELAYS {
+        for relay in 0..relays {
             let id = format!("{round}-{relay}-{number}");
             let request = world.request_at(relay, Method::GET, "/read/a", &id);
             let sent = Instant::now();
@@ -82,7 +92,7 @@
 #[actix_rt::test]
 async fn limit_exceeded_by_sum_of_relays() {
     for limit in [1.0, 4.0] {
-        let world = world("limit-sum", 2).await;
+        let world = world("limit-sum", RELAYS, 2).await;
         set_limit(&world, Some(limit)).await;
         let from = now_ms() + CONTACT.as_millis() as u64;
         let (served, refused) = send_for(&world, "req", CONTACT + Duration::from_secs(8)).await;
@@ -98,7 +108,7 @@
 #[actix_rt::test]
 async fn limit_exceeded_where_no_other_upstream_is_left() {
     let limit = 4.0;
-    let world = world("limit-alone", 0).await;
+    let world = world("limit-alone", RELAYS, 0).await;
     set_limit(&world, Some(limit)).await;
     let from = now_ms() + CONTACT.as_millis() as u64;
     let span = CONTACT + Duration::from_secs(8);
@@ -116,7 +126,7 @@
 // A relay without a share of the limit hears from the others that it has ended.
 #[actix_rt::test]
 async fn limit_kept_after_upstream_names_none() {
-    let world = world("limit-ended", 0).await;
+    let world = world("limit-ended", RELAYS, 0).await;
     set_limit(&world, Some(0.5)).await;
     send_for(&world, "limited", Duration::from_secs(4)).await;
     set_limit(&world, None).await;
@@ -124,3 +134,19 @@
     let (served, refused) = send_for(&world, "after", Duration::from_secs(2)).await;
     assert!(refused == 0 && served > 0, "{refused} of {served} refused");
 }
+
+// The relay counted its own address as another relay, since a change of addresses
+// takes effect at the next start only.
+#[actix_rt::test]
+async fn limit_halved_by_changed_address_in_settings() {
+    let limit = 4.0;
+    let world = world("limit-address", 1, 0).await;
+    world.change_settings("port_range = [7010, 7020]", "port_range = [7030, 7040]");
+    world.until_logged("settings changed").await;
+    set_limit(&world, Some(limit)).await;
+    send_to(&world, 1, "told", Duration::from_secs(3)).await;
+    let span = Duration::from_secs(6);
+    let (served, _) = send_to(&world, 1, "req", span).await;
+    let taken = 0.8 * limit * span.as_secs_f64();
+    assert!(served as f64 >= taken, "{served} of {taken}");
+}
