Give a version more than its canary's share only where all gateways are known

A gateway that had not read the list of gateways took the others' requests as none: 0 heard of 0 listed. It could then raise the share of a version without evidence by its own part of the traffic. It now needs the list as well. Found by reading; gateway_that_does_not_know_the_others_raises_unproven_share failed before the change (a share of 0.245 was due).

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -328,7 +328,8 @@
                         exposure_share: self.exposure_share,
                         exposure_slack: self.exposure_slack,
                         rate: rollout.total_outcomes().rate(),
-                        is_complete: rollout.peers.len() >= self.view.peers.len(),
+                        is_complete: self.view.is_listed
+                            && rollout.peers.len() >= self.view.peers.len(),
                     },
                 };
                 effects.extend(rollout.due_effect(stored, &due));
--- a/src/carawayrun/relay/evidence.rs
+++ b/src/carawayrun/relay/evidence.rs
@@ -245,7 +245,7 @@
     /// Kind of outcome in which the new version is worse than tolerated; `None` if
     /// there is too little evidence against it. `load` is given once all traffic
     /// goes to the new version: until then the old ones are compared at the same
-    /// time, under at least the same load.
+    /// time, under about the same load.
     pub fn regression(&self, load: Option<SlotLoad>) -> Option<Regression> {
         let has_recent = self.recent.old.answered >= MIN_REFERENCE;
         let reference = if has_recent {
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -215,6 +215,39 @@
     assert!((share(&state) - 0.3).abs() < f64::EPSILON);
 }
 
+// Alone, without the others' requests, its own part of the traffic looks like all.
+#[test]
+fn gateway_that_does_not_know_the_others_raises_unproven_share() {
+    let mut state = state();
+    state.handle(
+        Event::LimitsRead {
+            exposure_share: 0.15,
+            exposure_slack: 30.0,
+            drain_limit: Duration::from_secs(2),
+        },
+        millis(0),
+    );
+    let row = begin(&mut state);
+    state.handle(Event::RolloutRead(row, 12), millis(0));
+    let answered = |answered: f64| Outcomes {
+        answered,
+        ..Outcomes::default()
+    };
+    let all = Comparison {
+        old: answered(60.0),
+        new: answered(3.0),
+    };
+    receive(&mut state, "edge-2", RolloutEvidence { all, recent: all });
+    assert_eq!(tick(&mut state, 1_000 + 16_000), []);
+    state.handle(Event::GatewaysRead(Vec::new()), millis(0));
+    let effects = tick(&mut state, 1_000 + 16_000);
+    let [Effect::AdvanceRollout(row, 12)] = &*effects else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(row.phase, Phase::Spread);
+    assert!(row.share <= 0.25);
+}
+
 fn good_evidence() -> RolloutEvidence {
     let answered = |answered: f64| Outcomes {
         answered,
