End a stream at an upstream that sends bytes without an event

What callers would see: an engine in trouble sends bytes that are no event, without an end or one now and then. The caller got the events before, then nothing until the deadline, and the connection ended; the relay kept all bytes in memory meanwhile, on hosts with 88 MB.

Cause: the wait for the next piece began anew with every piece, and the buffer of an incomplete event had no limit.

Evidence: the runner's stand-in plays both (floodStreams, trickleStreams).

Change: the 2.5 s count from the last whole event, and an event is 1 MiB long at most. After either the stream goes on at another upstream after its last event.

--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -21,6 +21,11 @@
     pub(crate) lose_answers: u32,
     /// Number of next streams that are interrupted after some chunks.
     pub(crate) cut_streams: u32,
+    /// Number of next streams that, after some chunks, go on with bytes that are no
+    /// event.
+    pub(crate) flood_streams: u32,
+    /// The same, a byte at a time.
+    pub(crate) trickle_streams: u32,
     /// Number of next answers that carry another request's id.
     pub(crate) cross_answers: u32,
     /// Requests per second that a runner names as its limit in all answers.
@@ -82,6 +87,16 @@
         take_one(&mut self.current.borrow_mut().cut_streams)
     }
 
+    /// Uses up one of `floodStreams`; true if the current stream is to be flooded.
+    pub(crate) fn take_flooded_stream(&self) -> bool {
+        take_one(&mut self.current.borrow_mut().flood_streams)
+    }
+
+    /// Uses up one of `trickleStreams`; true if the current stream is to trickle.
+    pub(crate) fn take_trickling_stream(&self) -> bool {
+        take_one(&mut self.current.borrow_mut().trickle_streams)
+    }
+
     /// Uses up one of `crossAnswers`; true if the current answer is to carry
     /// another request's id.
     pub(crate) fn take_wrong_request_answer(&self) -> bool {
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -32,6 +32,15 @@
 /// Number of events in a complete stream.
 const EVENTS_PER_STREAM: u32 = 8;
 
+/// Size of the chunks of a flooded stream.
+const FLOOD_CHUNK_BYTES: usize = 64 * 1024;
+
+/// Pause between the bytes of a trickling stream.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Most chunks that are no event in one stream, so that it ends by itself.
+const MAX_JUNK_CHUNKS: usize = 4_096;
+
 /// Number of complete events before a stream is interrupted.
 const EVENTS_BEFORE_INTERRUPTION: u32 = 3;
 
@@ -261,11 +270,18 @@
         runs.entry(id.to_owned()).or_default().push(run);
     }
 
-    // Answers with the events after `after`. Consumes a `cutStreams` fault if one is
+    // Answers with the events after `after`. Consumes a fault of streams if one is
     // left, and holds the slot until the stream is dropped.
     fn stream_events(&self, after: u32, slot: Slot) -> Response<BoxBody> {
         let interrupted = self.faults.take_interrupted_stream();
-        let last = if interrupted {
+        let junk = if self.faults.take_flooded_stream() {
+            Some((Bytes::from(vec![b'x'; FLOOD_CHUNK_BYTES]), Duration::ZERO))
+        } else if self.faults.take_trickling_stream() {
+            Some((Bytes::from_static(b"x"), TRICKLE_PAUSE))
+        } else {
+            None
+        };
+        let last = if interrupted || junk.is_some() {
             after + EVENTS_BEFORE_INTERRUPTION
         } else {
             EVENTS_PER_STREAM
@@ -284,16 +300,26 @@
             )));
         }
         let work_time = self.work_time;
-        let parts = futures_util::stream::iter(parts).then(move |part| {
-            // Moves the slot into the stream, so that dropping the stream releases it.
-            let _slot = &slot;
-            async move {
-                if !work_time.is_zero() {
-                    actix_rt::time::sleep(work_time).await;
-                }
-                part
-            }
+        let junk = junk.map(|(bytes, pause)| {
+            let junk = futures_util::stream::iter(std::iter::repeat_n(bytes, MAX_JUNK_CHUNKS));
+            junk.then(move |bytes| async move {
+                actix_rt::time::sleep(pause).await;
+                Ok(bytes)
+            })
         });
+        let junk = futures_util::stream::iter(junk).flatten();
+        let parts = futures_util::stream::iter(parts)
+            .chain(junk)
+            .then(move |part| {
+                // Moves the slot into the stream, so that dropping the stream releases it.
+                let _slot = &slot;
+                async move {
+                    if !work_time.is_zero() {
+                        actix_rt::time::sleep(work_time).await;
+                    }
+                    part
+                }
+            });
         stream(StatusCode::OK, "text/event-stream", parts.boxed_local())
     }
 }
--- a/src/carawayrun/relay/events.rs
+++ b/src/carawayrun/relay/events.rs
@@ -3,6 +3,10 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 
+/// Longest event. An upstream in trouble may send bytes without an end that are no
+/// event, which must not fill the memory.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// Splits a byte stream into complete events, so that an interrupted stream can
 /// be resumed at an event boundary.
 #[derive(Debug, Default)]
@@ -39,6 +43,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns true if the incomplete event is longer than any event may be.
+    pub fn is_oversized(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards an incomplete event, before another upstream resumes the stream.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -8,7 +8,7 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use compact_str::CompactString;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::{AttemptOutcome, Delivery, Exchange, PendingAnswer, RequestProgress};
 use crate::platform;
@@ -19,8 +19,9 @@
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
 
-/// Time without data after which a stream is resumed at another upstream; clients
-/// disconnect after some seconds.
+/// Time without a complete event after which a stream is resumed at another upstream;
+/// clients disconnect after some seconds. Bytes that complete no event don't count: an
+/// upstream in trouble may send some now and then.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// How the part of a stream that came from one upstream ended.
@@ -112,8 +113,9 @@
         headers: &HeaderMap,
         length: Option<u64>,
     ) -> StreamEnd {
+        let mut event_due = Instant::now() + EVENT_TIMEOUT;
         loop {
-            let piece = match timeout(EVENT_TIMEOUT, current.connection.read_chunk()).await {
+            let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
                 Err(_) => return StreamEnd::Interrupted("no stream data in time"),
                 Ok(Err(_)) => return StreamEnd::Interrupted("stream interrupted"),
                 Ok(Ok(None)) if events.is_within_event() => {
@@ -123,6 +125,9 @@
                 Ok(Ok(Some(piece))) => piece,
             };
             let Some(whole) = events.push(&piece) else {
+                if events.is_oversized() {
+                    return StreamEnd::Interrupted("stream event too long");
+                }
                 continue;
             };
             let written = if responder.has_started() {
@@ -135,6 +140,7 @@
             if written.is_err() {
                 return StreamEnd::ClientDisconnected;
             }
+            event_due = Instant::now() + EVENT_TIMEOUT;
         }
     }
 
--- a/src/carawayrun/relay/tests/events.rs
+++ b/src/carawayrun/relay/tests/events.rs
@@ -13,6 +13,19 @@
     assert_eq!(buffer.event_count(), 1);
 }
 
+#[test]
+fn bytes_without_event_are_kept_without_limit() {
+    let mut buffer = EventBuffer::default();
+    let junk = vec![b'x'; 512 * 1024];
+    buffer.push(&junk);
+    assert!(!buffer.is_oversized());
+    buffer.push(&junk);
+    buffer.push(&junk);
+    assert!(buffer.is_oversized());
+    buffer.discard_partial();
+    assert!(!buffer.is_oversized());
+}
+
 #[test]
 fn event_boundary_may_span_chunks() {
     let mut buffer = EventBuffer::default();
--- a/tests/testsuite/platform.rs
+++ b/tests/testsuite/platform.rs
@@ -2,9 +2,13 @@
 
 use awc::http::{Method, StatusCode};
 use serde_json::json;
+use test_case::test_case;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
 
+/// Memory of the smallest hosts of the users' platform.
+const MAX_PEAK_KB: u64 = 88 * 1024;
+
 async fn world(name: &str) -> PlatformWorld {
     let mut world = PlatformWorld::start(name).await;
     world.put("op", "config", &config(5, &[API_KEY])).await;
@@ -114,6 +118,36 @@
     assert_eq!(reply.body, Some(events()));
 }
 
+// An engine in trouble sent bytes without an end that were no event: the relay kept
+// all of them, or waited for the deadline as long as a byte came now and then.
+#[test_case("floodStreams"; "flooded")]
+#[test_case("trickleStreams"; "trickling")]
+#[actix_rt::test]
+async fn stream_without_events_is_not_ended(fault: &str) {
+    let mut world = world(fault).await;
+    world.runner("llm-2", "llm", &[]).await;
+    let faults = json!({ fault: 1 });
+    world.faults(&world.runner_url(1), &faults).await;
+    world.faults(&world.runner_url(2), &faults).await;
+    world.runner("llm-3", "llm", &[]).await;
+    world.until_ready().await;
+    let mut resumed = 0;
+    for number in 0..8 {
+        let id = format!("req-{number}");
+        let request = world.request(Method::POST, "/stream/plan", &id);
+        let reply = world.send(request, "plan").await;
+        assert_eq!(reply.body, Some(events()), "{id}");
+        let mut runs = 0;
+        for runner in 1..=3 {
+            runs += world.runs(runner, &id).await.len();
+        }
+        resumed += usize::from(runs > 1);
+    }
+    assert!(resumed > 0, "no stream began at an engine in trouble");
+    let peak_kb = world.relay().peak_kb().expect("the relay runs");
+    assert!(peak_kb < MAX_PEAK_KB, "{peak_kb} KB");
+}
+
 #[actix_rt::test]
 async fn a_doubtful_answer_is_dropped_for_the_larger_models() {
     let mut world = PlatformWorld::start("cascade").await;
