Say which call to the store failed, after what time, and when it last answered

The log could not tell the hypotheses apart: it named neither the call that failed nor how long it had waited, nor whether the store had answered this relay a moment ago. A kept connection that went silent shows as a call that waited its whole limit right after an answer; a store that is away shows as answered_ms growing from call to call.

--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -81,6 +81,8 @@
     updates_recorded: Notify,
     /// Era of the last read, if any.
     era: Cell<Option<u64>>,
+    /// Time of the store's last answer to this gateway, on the boot clock.
+    answered_at: Cell<Duration>,
     /// Time as of which the registrations are known, on the boot clock.
     registrations_at: Cell<Duration>,
     rng: RefCell<SmallRng>,
@@ -102,6 +104,7 @@
         tables: RefCell::default(),
         updates_recorded: Notify::new(),
         era: Cell::default(),
+        answered_at: Cell::default(),
         registrations_at: Cell::default(),
         rng: RefCell::new(SmallRng::from_os_rng()),
     });
@@ -245,6 +248,7 @@
     // that is already known.
     fn accept_answer(&self, era: u64, store_now: Duration) -> bool {
         self.shared.metrics.store_calls.inc();
+        self.answered_at.set(boot_clock::now());
         let before = self.era.get();
         if before.is_some_and(|before| era < before) {
             tracing::warn!(
@@ -277,6 +281,7 @@
 
     // Reads all rows of a keyspace; pauses and returns `None` if the call failed.
     async fn read_snapshot(&self, keyspace: Keyspace) -> Option<Snapshot> {
+        let begun = boot_clock::now();
         let error = match self.store.snapshot(keyspace).await {
             Ok(snapshot) if self.accept_answer(snapshot.cursor.era, snapshot.now) => {
                 return Some(snapshot);
@@ -284,7 +289,7 @@
             Ok(_) => OUTDATED_ANSWER.to_owned(),
             Err(error) => error.to_string(),
         };
-        self.back_off(&error).await;
+        self.back_off(keyspace, begun, &error).await;
         None
     }
 
@@ -297,11 +302,23 @@
         after: Cursor,
         wait: Duration,
     ) -> Result<Changes, Option<Cursor>> {
+        let begun = boot_clock::now();
         let changes = self.store.changes(table.keyspace(), after.version, wait);
         match changes.await {
             Ok(feed) if self.continues(table, after, &feed) => Ok(feed),
             Ok(_) => Err(None),
-            Err(error) => Err(self.recover_feed(&error, after).await),
+            Err(FeedError::HistoryDropped) => {
+                tracing::info!(
+                    ?after,
+                    "store dropped its change history; reading all rows again"
+                );
+                Err(None)
+            }
+            Err(FeedError::Call { source }) => {
+                let error = source.to_string();
+                self.back_off(table.keyspace(), begun, &error).await;
+                Err(Some(after))
+            }
         }
     }
 
@@ -325,32 +342,22 @@
         continues
     }
 
-    // Handles a failed feed call. Returns the cursor from which to continue;
-    // `None` if all rows must be read again.
-    async fn recover_feed(&self, error: &FeedError, after: Cursor) -> Option<Cursor> {
-        match error {
-            FeedError::HistoryDropped => {
-                tracing::info!(
-                    ?after,
-                    "store dropped its change history; reading all rows again"
-                );
-                None
-            }
-            FeedError::Call { source } => {
-                self.back_off(&source.to_string()).await;
-                Some(after)
-            }
-        }
-    }
-
-    // Counts and logs a failed call, then pauses until the next one may be made.
-    async fn back_off(&self, error: &str) {
+    // Counts and logs a failed read of `keyspace`, then pauses until the next call may
+    // be made.
+    async fn back_off(&self, keyspace: Keyspace, begun: Duration, error: &str) {
         self.shared.metrics.store_calls.inc();
         self.shared.metrics.store_failures.inc();
-        let age = boot_clock::now().saturating_sub(self.registrations_at.get());
+        let now = boot_clock::now();
+        let age_ms = |since: Duration| now.saturating_sub(since).as_millis() as u64;
         if self.shared.metrics.log_limiter.take_line(true) {
-            let registrations_age_ms = age.as_millis() as u64;
-            tracing::warn!(error, registrations_age_ms, "store call failed");
+            tracing::warn!(
+                error,
+                ?keyspace,
+                took_ms = age_ms(begun),
+                answered_ms = age_ms(self.answered_at.get()),
+                registrations_age_ms = age_ms(self.registrations_at.get()),
+                "store call failed"
+            );
         }
         let gateways = self.shared.gateways.load(Ordering::Relaxed) + 1;
         let pause =
