Show that silent connections to the store delay a change past its bound

Three relays as processes reach the store through a hop whose open connections hold everything back for good, without a reset, while new ones work.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod restored;
 mod rollouts;
 mod sessions;
+mod silenced;
 mod soak;
 mod stopping;
 mod writing;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use super::process::Process;
+use super::relay::Relay;
 
 /// Worlds of this process, each with addresses of its own.
 static WORLDS: AtomicU16 = AtomicU16::new(1);
@@ -37,6 +38,8 @@
     client: Client,
     /// Relays at the hosts from [`FIRST_RELAY`] on.
     relays: Vec<Process>,
+    /// Address at which the relays reach the store.
+    store_addr: String,
     _store: Process,
     runners: Vec<Process>,
 }
@@ -53,6 +56,22 @@
 impl PlatformWorld {
     /// Starts the store and the relay; no configuration is there yet.
     pub(crate) async fn start(name: &str) -> Self {
+        let mut world = Self::start_store(name).await;
+        world.start_relay();
+        world
+    }
+
+    /// As [`Self::start`], with a hop between the relays and the store.
+    pub(crate) async fn start_behind_hop(name: &str) -> (Self, Relay) {
+        let mut world = Self::start_store(name).await;
+        world.store_addr = format!("{}.9:7000", world.net);
+        let target = format!("{}.1:7000", world.net);
+        let hop = Relay::bind(&world.store_addr, target).await;
+        world.start_relay();
+        (world, hop)
+    }
+
+    async fn start_store(name: &str) -> Self {
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id() % 250;
         let net = format!("127.{}.{process}", 100 + number);
@@ -67,8 +86,9 @@
             .timeout(PATIENCE)
             .disable_redirects()
             .finish();
-        let mut world = Self {
+        let world = Self {
             dir,
+            store_addr: format!("{net}.1:7000"),
             net,
             client,
             relays: Vec::new(),
@@ -79,7 +99,6 @@
         world
             .until(async |world| world.answers(&health).await)
             .await;
-        world.start_relay();
         world
     }
 
@@ -367,7 +386,9 @@
     }
 
     fn settings(&self, index: usize) -> String {
-        let net = &self.net;
+        let Self {
+            net, store_addr, ..
+        } = self;
         let host = FIRST_RELAY + index;
         let number = index + 1;
         format!(
@@ -378,7 +399,7 @@
              [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
              retry_ratio = 0.9\nretry_slack = 600\nretry_window_s = 10\n\
              exposure_share = 0.15\nsession_s = 5\n\
-             [platform]\naddress = \"{net}.1:7000\"\n"
+             [platform]\naddress = \"{store_addr}\"\n"
         )
     }
 }
--- a/tests/testsuite/support/relay.rs
+++ b/tests/testsuite/support/relay.rs
@@ -40,6 +40,9 @@
 #[derive(Debug)]
 pub(crate) struct Relay {
     passing: Rc<Cell<Passing>>,
+    /// Connections that were accepted before this many hold everything back.
+    silenced: Rc<Cell<u64>>,
+    accepted: Rc<Cell<u64>>,
     cuts: watch::Sender<u64>,
     accepting: JoinHandle<()>,
 }
@@ -50,9 +53,19 @@
         let listener = TcpListener::bind(listen).await.expect("a relay binds");
         let passing = Rc::new(Cell::new(Passing::Open));
         let (cuts, _) = watch::channel(0);
-        let accepting = accept(listener, target, Rc::clone(&passing), cuts.clone());
+        let silenced = Rc::new(Cell::new(0));
+        let accepted = Rc::new(Cell::new(0));
+        let hop = Hop {
+            target,
+            passing: Rc::clone(&passing),
+            silenced: Rc::clone(&silenced),
+            accepted: Rc::clone(&accepted),
+        };
+        let accepting = accept(listener, hop, cuts.clone());
         Self {
             passing,
+            silenced,
+            accepted,
             cuts,
             accepting: actix_rt::spawn(accepting),
         }
@@ -72,6 +85,17 @@
         self.cuts.send_modify(|count| *count += 1);
     }
 
+    /// Holds back all bytes of the connections that are open now, for good and
+    /// without closing them; new connections are passed on.
+    pub(crate) fn silence(&self) {
+        self.silenced.set(self.accepted.get());
+    }
+
+    /// Connections accepted so far.
+    pub(crate) fn accepted(&self) -> u64 {
+        self.accepted.get()
+    }
+
     /// Changes what becomes of all bytes from now on.
     pub(crate) fn pass(&self, passing: Passing) {
         self.passing.set(passing);
@@ -84,36 +108,37 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
+/// What the connections of a relay share.
+#[derive(Clone)]
+struct Hop {
     target: String,
     passing: Rc<Cell<Passing>>,
-    cuts: watch::Sender<u64>,
-) {
+    silenced: Rc<Cell<u64>>,
+    accepted: Rc<Cell<u64>>,
+}
+
+async fn accept(listener: TcpListener, hop: Hop, cuts: watch::Sender<u64>) {
     while let Ok((near, _)) = listener.accept().await {
-        if passing.get() != Passing::Refusing {
-            let connection = pass(near, target.clone(), Rc::clone(&passing), cuts.subscribe());
-            actix_rt::spawn(connection);
+        if hop.passing.get() != Passing::Refusing {
+            let number = hop.accepted.get();
+            hop.accepted.set(number + 1);
+            actix_rt::spawn(pass(near, hop.clone(), number, cuts.subscribe()));
         }
     }
 }
 
-async fn pass(
-    near: TcpStream,
-    target: String,
-    passing: Rc<Cell<Passing>>,
-    mut cuts: watch::Receiver<u64>,
-) {
-    let Ok(far) = TcpStream::connect(target).await else {
+async fn pass(near: TcpStream, hop: Hop, number: u64, mut cuts: watch::Receiver<u64>) {
+    let Ok(far) = TcpStream::connect(&hop.target).await else {
         return;
     };
     let (near_reader, near_writer) = near.into_split();
     let (far_reader, far_writer) = far.into_split();
-    let there = copy(near_reader, far_writer, &passing, |passing| {
-        passing == Passing::Silent
+    let is_silenced = || number < hop.silenced.get();
+    let there = copy(near_reader, far_writer, &hop.passing, |passing| {
+        passing == Passing::Silent || is_silenced()
     });
-    let back = copy(far_reader, near_writer, &passing, |passing| {
-        matches!(passing, Passing::Silent | Passing::NoAnswers)
+    let back = copy(far_reader, near_writer, &hop.passing, |passing| {
+        matches!(passing, Passing::Silent | Passing::NoAnswers) || is_silenced()
     });
     tokio::select! {
         _ = cuts.changed() => {}
