Publish a withdrawal before it is written, and keep ticks apart from writes

Cause: a tick of the reducer returned the write of the roll-out's row before the effect that publishes the withdrawal, and the control thread carried out effects in order, waiting for the store in between: up to 0.9 s for the write, 0.9 s for the read after it and 2.25 s of pause. Until then the traffic thread used the old view, and no other roll-out was evaluated either.

Evidence: withdrawal_is_published_after_its_write got [AdvanceRollout, Publish]; silenced::withdrawn_version_used_while_store_is_silent saw 8 of 100 requests at the withdrawn version, sent after the line 'new version withdrawn'. Both failed before.

Change: the withdrawal is published first, and rows are written by a task of their own, one a service at a time.

Result: both tests pass.

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -314,6 +314,7 @@
         self.publish_upstreams(effects);
         let write_delay = self.write_delay;
         let mut has_changed = false;
+        let mut writes = Vec::new();
         let is_write_due = self.restored_at.is_none_or(|at| now >= at + write_delay);
         for rollout in self.rollouts.values_mut() {
             let slots = count_slots(&self.upstreams, &rollout.order);
@@ -332,12 +333,14 @@
                             && rollout.peers.len() >= self.view.peers.len(),
                     },
                 };
-                effects.extend(rollout.due_effect(stored, &due));
+                writes.extend(rollout.due_effect(stored, &due));
             }
         }
+        // A withdrawal takes effect before it is written, which may take seconds.
         if has_changed {
             self.publish(effects);
         }
+        effects.extend(writes);
     }
 
     // Rebuilds the view and adds the effect that publishes it, once.
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -12,8 +12,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use rustc_hash::FxHashSet;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -79,6 +81,8 @@
     tables: RefCell<[FollowedTable; Table::ALL.len()]>,
     /// Notified when updates of the other gateways were recorded.
     updates_recorded: Notify,
+    /// Services whose roll-out's row is being written.
+    writes: RefCell<FxHashSet<CompactString>>,
     /// Era of the last read, if any.
     era: Cell<Option<u64>>,
     /// Time of the store's last answer to this gateway, on the boot clock.
@@ -103,6 +107,7 @@
         store_clock: RefCell::default(),
         tables: RefCell::default(),
         updates_recorded: Notify::new(),
+        writes: RefCell::default(),
         era: Cell::default(),
         answered_at: Cell::default(),
         registrations_at: Cell::default(),
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -83,7 +83,8 @@
         }
     }
 
-    /// Sends ticks to the reducer and carries out their effects.
+    /// Sends ticks to the reducer and carries out their effects. Writes do not hold
+    /// up the next tick.
     pub(super) async fn run_ticks(self: Rc<Self>) {
         loop {
             sleep(TICK_INTERVAL).await;
@@ -100,17 +101,30 @@
             for effect in self.reduce(Event::Tick { store_now }) {
                 match effect {
                     Effect::Publish => self.publish(),
-                    Effect::AdvanceRollout(row, version) => self.write_rollout(row, version).await,
+                    Effect::AdvanceRollout(row, version) => self.begin_write(row, version),
                 }
             }
         }
     }
 
-    async fn write_rollout(&self, row: RolloutRow, version: u64) {
+    // Writes a row, unless a write of the same service is under way: a row that is
+    // still due is due again at the next tick.
+    fn begin_write(self: &Rc<Self>, row: RolloutRow, version: u64) {
+        if !self.writes.borrow_mut().insert(row.service.clone()) {
+            return;
+        }
+        let follower = Rc::clone(self);
+        actix_rt::spawn(async move {
+            follower.write_rollout(&row, version).await;
+            follower.writes.borrow_mut().remove(&row.service);
+        });
+    }
+
+    async fn write_rollout(&self, row: &RolloutRow, version: u64) {
         self.shared.metrics.store_calls.inc();
         match self
             .store
-            .commit(&platform::rollout_transaction(&row, version))
+            .commit(&platform::rollout_transaction(row, version))
             .await
         {
             Ok(()) => {
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -318,6 +318,31 @@
     assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
 }
 
+// The write waits for the store, and requests went to the version until then.
+#[test]
+fn withdrawal_is_published_after_its_write() {
+    let mut state = state();
+    let row = begin(&mut state);
+    state.handle(Event::RolloutRead(row, 12), millis(0));
+    let all = Comparison {
+        old: Outcomes {
+            answered: 360.0,
+            ..Outcomes::default()
+        },
+        new: Outcomes {
+            answered: 32.0,
+            failed: 20.0,
+            ..Outcomes::default()
+        },
+    };
+    receive(&mut state, "edge-2", RolloutEvidence { all, recent: all });
+    let effects = tick(&mut state, 2_000);
+    assert!(
+        matches!(&*effects, [Effect::Publish, Effect::AdvanceRollout(_, 12)]),
+        "{effects:?}"
+    );
+}
+
 #[test]
 fn outcomes_before_order_are_ignored() {
     let mut state = state();
--- a/tests/testsuite/silenced.rs
+++ b/tests/testsuite/silenced.rs
@@ -118,3 +118,40 @@
     assert!(opened <= allowed, "{opened} of {allowed}");
     drop(world);
 }
+
+// The view that excludes the version was published after the write of its row,
+// which waited for the store.
+#[actix_rt::test]
+async fn withdrawn_version_used_while_store_is_silent() {
+    let (mut world, hop) = PlatformWorld::start_behind_hop("silent-withdrawal").await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    world.runner("llm-1", "llm", &[]).await;
+    let order = json!({"service": "llm", "to": "v2", "duration_s": 60});
+    world.put("op", "rollout/llm", &order).await;
+    world.until_logged("roll-out phase written").await;
+    let host = world.unregistered_runner("llm-2", &[]).await;
+    let mut row = world.registration("llm", host);
+    row["version"] = json!("v2");
+    world.put("servers", "llm-2", &row).await;
+    world.until_known(2).await;
+
+    let stream = async |id: &str| {
+        let request = world.request(Method::GET, "/stream/plan", id);
+        world.send(request, "").await;
+    };
+    let fails = json!({"badVersion": "small"});
+    world.faults(&world.runner_url(1), &fails).await;
+    hop.pass(Passing::Silent);
+    let mut sent = 0;
+    while !world.has_logged("new version withdrawn") {
+        assert!(sent < 2_000, "the bad version is not withdrawn");
+        stream(&format!("before-{sent}")).await;
+        sent += 1;
+    }
+    for number in 0..100 {
+        stream(&format!("after-{number}")).await;
+    }
+    let exposed = world.run_ids(1).await;
+    let wrong = exposed.iter().filter(|id| id.starts_with("after-"));
+    assert_eq!(wrong.collect::<Vec<_>>(), Vec::<&String>::new());
+}
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -135,12 +135,19 @@
     }
 
     pub(crate) async fn until_relay_logged(&self, index: usize, text: &str) {
+        self.until(async |world| world.has_relay_logged(index, text))
+            .await;
+    }
+
+    /// Returns true if the first relay has logged a text.
+    pub(crate) fn has_logged(&self, text: &str) -> bool {
+        self.has_relay_logged(0, text)
+    }
+
+    fn has_relay_logged(&self, index: usize, text: &str) -> bool {
         let path = self.dir.join(format!("{}.log", relay_name(index)));
-        self.until(async |_| {
-            let log = std::fs::read_to_string(&path).unwrap_or_default();
-            log.contains(text)
-        })
-        .await;
+        let log = std::fs::read_to_string(path).unwrap_or_default();
+        log.contains(text)
     }
 
     pub(crate) fn relay(&mut self) -> &mut Process {
