Show that requests repeat without the budget after an unreachable upstream

Two relays as processes, six upstreams that lose answers and five that refuse connections: 966 repeats arrive for 800 requests, allowed 778.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -60,6 +60,8 @@
         let catalog = Arc::clone(&self.admitted.catalog);
         if progress.sends == 0 {
             self.traffic.record_first_send(self.service_name(&catalog));
+        } else {
+            self.traffic.metrics.repeated_sends.inc();
         }
         progress.sends += 1;
         self.log.record_send(&upstream);
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -45,6 +45,8 @@
     pub(crate) store_era: Gauge,
     pub(crate) limited_upstreams: Gauge,
     pub(crate) limited_sends: Counter,
+    pub(crate) repeated_sends: Counter,
+    pub(crate) retries_taken: Counter,
     pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
     pub(crate) log_limiter: LogLimiter,
@@ -70,6 +72,8 @@
             store_era: Gauge::default(),
             limited_upstreams: Gauge::default(),
             limited_sends: Counter::default(),
+            repeated_sends: Counter::default(),
+            retries_taken: Counter::default(),
             rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
             log_limiter: LogLimiter::new(),
@@ -112,6 +116,16 @@
             "Sends to upstreams that name a limit of requests per second",
             &metrics.limited_sends,
         );
+        add(
+            "repeated_sends",
+            "Sends beyond the first of their request",
+            &metrics.repeated_sends,
+        );
+        add(
+            "retries_taken",
+            "Sends taken from retry budgets",
+            &metrics.retries_taken,
+        );
         add(
             "rollouts_begun",
             "Roll-outs that this process began in the store",
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -292,7 +292,11 @@
     /// Takes one retry from the service's budget; returns false if the part that
     /// `cause` may use is spent.
     pub(super) fn take_retry(&self, service: &str, cause: RetryCause) -> bool {
-        self.budget(service, |budget, now| budget.take_retry(now, cause))
+        let is_taken = self.budget(service, |budget, now| budget.take_retry(now, cause));
+        if is_taken {
+            self.metrics.retries_taken.inc();
+        }
+        is_taken
     }
 
     /// Share of a service's retry budget for `cause` that is left, 0 to 1.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod policy;
 mod resources;
 mod restored;
+mod retries;
 mod rollouts;
 mod sessions;
 mod silenced;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -122,11 +122,14 @@
         Process::spawn(&self.dir, &relay_name(index), program, &args)
     }
 
+    /// Changes the settings of all relays.
     pub(crate) fn change_settings(&self, from: &str, to: &str) {
-        let path = self.dir.join(settings_file(0));
-        let text = std::fs::read_to_string(&path).expect("settings can be read");
-        assert!(text.contains(from), "{text}");
-        std::fs::write(&path, text.replace(from, to)).expect("settings can be written");
+        for index in 0..self.relays.len() {
+            let path = self.dir.join(settings_file(index));
+            let text = std::fs::read_to_string(&path).expect("settings can be read");
+            assert!(text.contains(from), "{text}");
+            std::fs::write(&path, text.replace(from, to)).expect("settings can be written");
+        }
     }
 
     /// Waits until the relay has logged a text.
