Take each send from the retry budget but the first one

Cause: the mark 'the next send is paid for' was left set by the first send. A request whose first attempt found no connection sent once, and once more without a retry from the budget. The class: a flag that is cleared on one branch only.

Change: a request begins with one paid send, and each send uses the mark up.

--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -126,7 +126,7 @@
     refused: u32,
     /// True once any send may have run.
     may_have_run: bool,
-    /// True if the next send was already taken from the budget.
+    /// True if the next send is the first one, or was already taken from the budget.
     is_prepaid: bool,
     /// Model to request, if the route leaves the choice to the gateway.
     model: Option<CompactString>,
@@ -160,6 +160,7 @@
         let route = catalog.route(self.admitted.route);
         let mut progress = RequestProgress {
             model: self.initial_model(route),
+            is_prepaid: true,
             ..RequestProgress::default()
         };
         let deadline = self.deadline(route);
@@ -250,7 +251,7 @@
                 return self.give_up(route, progress, responder).await;
             };
             self.log.record_expected_wait(wait_ms);
-            let is_prepaid = progress.sends == 0 || std::mem::take(&mut progress.is_prepaid);
+            let is_prepaid = std::mem::take(&mut progress.is_prepaid);
             if !is_prepaid && !self.traffic.take_retry(service, RetryCause::Failure) {
                 self.log.set_note("retry budget spent");
                 return self.give_up(route, progress, responder).await;
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -58,7 +58,6 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix("carawayrun");
         // 1 ms to about 30 s.
         let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 16));
         let mut metrics = Self {
@@ -82,97 +81,102 @@
             first_event: latency(),
             registry: Registry::default(),
         };
+        metrics.registry = metrics.build_registry();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn build_registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("carawayrun");
         let mut add = |name: &str, help: &str, counter: &Counter| {
             registry.register(name, help, counter.clone());
         };
         add(
             "upstream_connections",
             "Connections opened to upstreams",
-            &metrics.connections,
+            &self.connections,
         );
         add(
             "cascades",
             "Answers dropped for a better model's",
-            &metrics.cascades,
+            &self.cascades,
         );
         add(
             "stream_resumes",
             "Streams that went on elsewhere",
-            &metrics.resumes,
+            &self.resumes,
         );
         add(
             "silent_upstreams_asked",
             "Reports asked of upstreams that were silent",
-            &metrics.report_polls,
+            &self.report_polls,
         );
-        add("store_calls", "Calls to the store", &metrics.store_calls);
+        add("store_calls", "Calls to the store", &self.store_calls);
         add(
             "store_failures",
             "Calls to the store without a usable answer",
-            &metrics.store_failures,
+            &self.store_failures,
         );
         add(
             "limited_sends",
             "Sends to upstreams that name a limit of requests per second",
-            &metrics.limited_sends,
+            &self.limited_sends,
         );
         add(
             "repeated_sends",
             "Sends beyond the first of their request",
-            &metrics.repeated_sends,
+            &self.repeated_sends,
         );
         add(
             "retries_taken",
             "Sends taken from retry budgets",
-            &metrics.retries_taken,
+            &self.retries_taken,
         );
         add(
             "rollouts_begun",
             "Roll-outs that this process began in the store",
-            &metrics.rollouts_begun,
+            &self.rollouts_begun,
         );
         add(
             "log_lines_dropped",
             "Log lines of requests left out",
-            &metrics.log_limiter.dropped,
+            &self.log_limiter.dropped,
         );
         registry.register(
             "config_version",
             "Configuration in force",
-            metrics.config_version.clone(),
+            self.config_version.clone(),
         );
         registry.register(
             "store_era",
             "Restores of the store from a copy",
-            metrics.store_era.clone(),
+            self.store_era.clone(),
         );
         registry.register(
             "limited_upstreams",
             "Upstreams that name a limit of requests per second",
-            metrics.limited_upstreams.clone(),
+            self.limited_upstreams.clone(),
         );
-        registry.register("upstreams", "Upstreams known", metrics.upstreams.clone());
+        registry.register("upstreams", "Upstreams known", self.upstreams.clone());
         registry.register(
             "requests",
             "Requests by outcome and status",
-            metrics.requests.clone(),
+            self.requests.clone(),
         );
         registry.register(
             "request_seconds",
             "Time from a request to the end of its answer",
-            metrics.duration.clone(),
+            self.duration.clone(),
         );
         registry.register(
             "first_event_seconds",
             "Time from a request to its first event",
-            metrics.first_event.clone(),
+            self.first_event.clone(),
         );
-        metrics.registry = registry;
-        metrics
+        registry
     }
-}
 
-impl Metrics {
     /// Counts a request and its latencies; `first` is the time to its first event.
     pub(super) fn record_request(
         &self,
