Show that a part under which engines crash is sent on

A stand-in ends when it begins to answer a request with a given part in its prompt. Two relays send such requests, each to three engines, for as long as they come.

--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -30,6 +30,9 @@
     pub(crate) cross_answers: u32,
     /// Requests per second that a runner names as its limit in all answers.
     pub(crate) server_limit: Option<f64>,
+    /// Id of a prompt part that ends the process of a runner which begins to answer a
+    /// request with it, unless it is the prompt's last part.
+    pub(crate) deadly_part: String,
     /// Whether orders with an outdated fencing number are accepted.
     pub(crate) ignore_fencing: bool,
     /// Version whose requests fail or get answers of low quality.
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -44,6 +44,9 @@
 /// Number of complete events before a stream is interrupted.
 const EVENTS_BEFORE_INTERRUPTION: u32 = 3;
 
+/// Exit code of a process that a part of a prompt ended.
+const EXIT_CRASHED: i32 = 3;
+
 /// Command-line options.
 #[derive(Debug, Clone)]
 #[derive(Bpaf)]
@@ -210,6 +213,9 @@
         if self.faults.take_lost_answer() {
             return lost_answer();
         }
+        if self.is_deadly(request) {
+            std::process::exit(EXIT_CRASHED);
+        }
         let is_bad = !model.is_empty() && self.faults.get().bad_version == model;
         let mut answer = if is_bad {
             text(
@@ -242,6 +248,15 @@
         answer
     }
 
+    fn is_deadly(&self, request: &Request) -> bool {
+        let deadly = self.faults.get().deadly_part;
+        let prefix = header_value(request, "x-carawayrun-prompt-prefix").unwrap_or_default();
+        let parts: Vec<&str> = prefix.split(',').collect();
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let mut ids = shared.iter().filter_map(|part| part.split(':').next());
+        !deadly.is_empty() && ids.any(|id| id == deadly)
+    }
+
     fn take_slot(&self, id: &str) -> Option<Slot> {
         let running = Rc::clone(&self.running);
         if running.borrow().len() >= self.slots {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod commands;
 mod configuration;
 mod control;
+mod deadly;
 mod hosts;
 mod interrupted;
 mod leaving;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -42,6 +42,8 @@
     store_addr: String,
     _store: Process,
     runners: Vec<Process>,
+    /// Name and arguments of each runner.
+    runner_args: Vec<(String, Vec<String>)>,
 }
 
 /// A client's answer, whole.
@@ -94,6 +96,7 @@
             relays: Vec::new(),
             _store: store,
             runners: Vec::new(),
+            runner_args: Vec::new(),
         };
         let health = world.store_url("/health");
         world
@@ -185,6 +188,8 @@
         let mut args = vec!["runner", "--listen", &addr, "--id", id];
         args.extend(more);
         self.runners.push(lab(&self.dir, id, &args));
+        let args = args.into_iter().map(String::from).collect();
+        self.runner_args.push((id.into(), args));
         let health = format!("http://{addr}/health");
         self.until(async |world| world.answers(&health).await).await;
         host
@@ -205,6 +210,31 @@
         own.filter_map(|run| run["at_ms"].as_u64()).collect()
     }
 
+    /// Indexes of the runners that have ended by themselves.
+    pub(crate) fn ended_runners(&mut self) -> Vec<usize> {
+        let runners = self.runners.iter_mut().enumerate();
+        let ended = runners.filter_map(|(index, runner)| runner.ended().then_some(index));
+        ended.collect()
+    }
+
+    /// Starts a runner that has ended again.
+    pub(crate) fn restart_runner(&mut self, index: usize) {
+        let (id, args) = &self.runner_args[index];
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        self.runners[index] = lab(&self.dir, id, &args);
+    }
+
+    /// Runs of all runners, as they recorded them: request id, and time in milliseconds
+    /// since the Unix epoch.
+    pub(crate) fn recorded_runs(&self) -> Vec<(String, u64)> {
+        let text = std::fs::read_to_string(self.record_path()).unwrap_or_default();
+        let runs = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        runs.filter_map(|run| Some((run["id"].as_str()?.into(), run["at_ms"].as_u64()?)))
+            .collect()
+    }
+
     pub(crate) fn stop_runner(&mut self, index: usize) {
         self.runners[index].kill();
     }
