Take a stream that closes before its first event for broken off

Cause: a clean close ends such a body, and the only other check was for an incomplete event. Evidence: broken_off_stream_taken_for_whole, case 'closed before the first event', failed before with an empty body. The other cases held before: whole, closed within an event, reset after one, and plain answers closed or reset.

Change: a stream without an event on such a connection is interrupted and goes on elsewhere. Bytes without an end in place of a head or within one are now tested too; the codec's limit held.

--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -69,6 +69,8 @@
     Body(ClientPayloadCodec),
     /// A body without a length, delimited by the end of the connection.
     UntilClose,
+    /// The end of such a body.
+    Closed,
     Done,
 }
 
@@ -143,6 +145,12 @@
         self.has_written
     }
 
+    /// Returns true if the body of the answer ends with its connection, so that its end
+    /// alone does not show that it is complete.
+    pub(crate) fn is_unframed(&self) -> bool {
+        matches!(self.codec, Codec::UntilClose | Codec::Closed)
+    }
+
     /// Sets the time for which the peer keeps an idle connection open.
     pub(crate) fn set_idle_limit(&mut self, limit: Duration) {
         self.idle_limit = limit.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_LIMIT);
@@ -193,7 +201,7 @@
                     return Ok(Some(self.received.split().freeze()));
                 }
                 Codec::UntilClose => {}
-                Codec::Head(_) | Codec::Done => return Ok(None),
+                Codec::Head(_) | Codec::Closed | Codec::Done => return Ok(None),
             }
             if self.transfer().await.context(IoSnafu)? > 0 {
                 continue;
@@ -201,7 +209,7 @@
             if !matches!(self.codec, Codec::UntilClose) {
                 return ClosedSnafu.fail();
             }
-            self.finish();
+            self.codec = Codec::Closed;
             return Ok(None);
         }
     }
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -130,6 +130,10 @@
                 Ok(Ok(None)) if events.is_within_event() => {
                     return StreamEnd::Interrupted("stream ended within an event");
                 }
+                // An engine that ends before its first event closes such a stream too.
+                Ok(Ok(None)) if !has_begun && current.connection.is_unframed() => {
+                    return StreamEnd::Interrupted("stream closed before its first event");
+                }
                 Ok(Ok(None)) => return StreamEnd::Complete,
                 Ok(Ok(Some(piece))) => piece,
             };
--- a/src/carawayrun/relay/tests/connection.rs
+++ b/src/carawayrun/relay/tests/connection.rs
@@ -128,3 +128,32 @@
     connection.read_head().await.unwrap_err();
     assert!(connection.has_written());
 }
+
+// An upstream in trouble sends bytes that are no answer, without an end.
+#[test_case(b"HTTP/1.1 200 OK\r\nx: "; "within a head")]
+#[test_case(b""; "in place of a head")]
+#[actix_rt::test]
+async fn endless_head_is_given_up(start: &'static [u8]) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let sender = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(start).await.unwrap();
+        let mut sent = 0_usize;
+        while stream.write_all(&[b'x'; 4_096]).await.is_ok() {
+            sent += 4_096;
+        }
+        sent
+    });
+    let config = ServiceConfig::default();
+    let mut connection = UpstreamConnection::connect(addr, CONNECT, &config)
+        .await
+        .unwrap();
+    connection.start_request(request(), b"").unwrap();
+    connection.read_head().await.unwrap_err();
+    drop(connection);
+    // What was sent is bounded by the limit on heads and by the buffers of the kernel.
+    let sent = sender.await.unwrap();
+    assert!(sent < 16 * 1024 * 1024, "{sent}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -31,4 +31,5 @@
 mod silenced;
 mod soak;
 mod stopping;
+mod unframed;
 mod writing;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -276,6 +276,11 @@
         sent.expect("a stand-in takes its faults");
     }
 
+    /// Address of an upstream at a host.
+    pub(crate) fn address(&self, host: usize) -> String {
+        format!("{}.{host}:7000", self.net)
+    }
+
     pub(crate) fn runner_url(&self, index: usize) -> String {
         format!("http://{}.{}:7000", self.net, 10 + index)
     }
