Let open connections go silent for good in the soak

Every 1.5 to 9 s all open connections between callers, relays, store and upstreams hold everything back for good, beside the other faults of a seed, which stay the same.

--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -561,16 +561,17 @@
         self.record_disturbance(target, from);
     }
 
-    pub(crate) fn reset_links(&self) {
+    /// Disturbs the open connections of all links.
+    pub(crate) fn disturb_connections(&self, disturb: fn(&Relay)) {
         let from = now_ms();
         for relay in 0..self.sizes.relays {
-            self.link(FaultTarget::ClientLink(relay)).reset();
-            self.link(FaultTarget::StoreLink(relay)).reset();
+            disturb(self.link(FaultTarget::ClientLink(relay)));
+            disturb(self.link(FaultTarget::StoreLink(relay)));
             self.record_disturbance(FaultTarget::ClientLink(relay), from);
             self.record_disturbance(FaultTarget::StoreLink(relay), from);
         }
         for upstream in 0..self.sizes.upstreams {
-            self.link(FaultTarget::Upstream(upstream)).reset();
+            disturb(self.link(FaultTarget::Upstream(upstream)));
             self.record_disturbance(FaultTarget::Upstream(upstream), from);
         }
     }
--- a/tests/testsuite/soak/injection.rs
+++ b/tests/testsuite/soak/injection.rs
@@ -8,6 +8,7 @@
 use super::deployment::Deployment;
 use super::history::FaultTarget;
 use super::plan::{Fault, Misbehaviour};
+use crate::support::Relay;
 
 /// Delay of a slow store's answers, in milliseconds.
 const STORE_DELAY_MS: u64 = 400;
@@ -52,7 +53,8 @@
                 .disturb_link(FaultTarget::Upstream(upstream), passing, span)
                 .await;
         }
-        Fault::ResetLinks => deployment.reset_links(),
+        Fault::ResetLinks => deployment.disturb_connections(Relay::reset),
+        Fault::SilenceLinks => deployment.disturb_connections(Relay::silence),
         Fault::StoreDown(span) => deployment.disturb_store(&json!({"down": true}), span).await,
         Fault::StoreSlow(span) => {
             deployment
--- a/tests/testsuite/soak/plan.rs
+++ b/tests/testsuite/soak/plan.rs
@@ -19,6 +19,9 @@
 const LIMIT_INTERVAL_MS: std::ops::Range<u64> = 2_000..8_000;
 const LIMIT_DURATION_MS: std::ops::Range<u64> = 5_000..12_000;
 
+/// Time between two moments at which open connections go silent.
+const SILENCE_INTERVAL_MS: std::ops::Range<u64> = 1_500..9_000;
+
 /// Limits that upstreams name, in requests per ten seconds.
 const LIMITS: std::ops::Range<u32> = 5..60;
 
@@ -50,6 +53,8 @@
     StoreLink(usize, Passing, Duration),
     UpstreamLink(usize, Passing, Duration),
     ResetLinks,
+    /// Open connections of all links go silent for good; new ones work.
+    SilenceLinks,
     StoreDown(Duration),
     StoreSlow(Duration),
     StoreFrozen(Duration),
@@ -92,12 +97,13 @@
     }
     plan.extend(plan_restores(seed, duration));
     plan.extend(plan_limits(seed, duration, sizes));
+    plan.extend(plan_silences(seed, duration));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
-// Restores and limits have random numbers of their own, so that the other faults of a
-// seed stay the same.
+// Restores, limits and silent connections have random numbers of their own, so that the
+// other faults of a seed stay the same.
 fn plan_restores(seed: u64, duration: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(!seed);
     let mut millis = |range| Duration::from_millis(rng.random_range(range));
@@ -125,6 +131,18 @@
     plan
 }
 
+fn plan_silences(seed: u64, duration: Duration) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+    let mut pause = || Duration::from_millis(rng.random_range(SILENCE_INTERVAL_MS));
+    let mut plan = Vec::new();
+    let mut at = pause();
+    while at < duration {
+        plan.push((at, Fault::SilenceLinks));
+        at += pause();
+    }
+    plan
+}
+
 fn random_fault(rng: &mut StdRng, sizes: Sizes) -> Fault {
     let relay = rng.random_range(0..sizes.relays);
     let upstream = rng.random_range(0..sizes.upstreams);
