List the prompt parts in quarantine

A relay answers /quarantine beside its metrics, and 'carawayrun quarantine IP:PORT' lists the parts with the ages of the quarantine and of the crashes that led to it. The process test of the quarantine asks both relays.

--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -9,6 +9,7 @@
 mod digest;
 mod gateway;
 mod get;
+mod quarantine;
 mod relay;
 mod report;
 mod rollout;
@@ -38,6 +39,7 @@
     Status(#[bpaf(external(status::cli))] status::Options),
     Report(#[bpaf(external(report::cli))] report::Options),
     Why(#[bpaf(external(why::cli))] why::Options),
+    Quarantine(#[bpaf(external(quarantine::cli))] quarantine::Options),
     Check(#[bpaf(external(check::cli))] check::Options),
     Digest(#[bpaf(external(digest::cli))] digest::Options),
     Settings(#[bpaf(external(settings::cli))] settings::Options),
@@ -59,6 +61,7 @@
         Command::Status(options) => status::exec(options, output),
         Command::Report(options) => report::exec(options, output),
         Command::Why(options) => why::exec(options, output),
+        Command::Quarantine(options) => quarantine::exec(options, output),
         Command::Check(options) => check::exec(options, output),
         Command::Digest(options) => digest::exec(options, output),
         Command::Settings(_) => {
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -13,13 +13,16 @@
 use super::admission::is_current;
 use super::boot_clock;
 use super::traffic::Traffic;
-use crate::http::text;
+use crate::http::{json, text};
 
 /// Fraction of the revocation limit that readiness passes to [`is_current`], which
 /// applies its own fraction of 0.85: a host becomes unready once its configuration
 /// was not confirmed for 0.51 of the limit, before it must refuse API keys.
 const READY_FRACTION: f64 = 0.6;
 
+/// Path of the list of prompt parts in quarantine, beside the metrics.
+pub const QUARANTINE_PATH: &str = "/quarantine";
+
 /// Time limit for idle connections of a prober.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
@@ -40,7 +43,10 @@
     }
 }
 
-fn metrics_response(traffic: &Traffic, _request: &Request) -> Response<BoxBody> {
+fn metrics_response(traffic: &Traffic, request: &Request) -> Response<BoxBody> {
+    if request.path() == QUARANTINE_PATH {
+        return json(StatusCode::OK, &traffic.quarantined_parts());
+    }
     text(StatusCode::OK, traffic.metrics.encode_text())
 }
 
--- a/src/carawayrun/relay/quarantine.rs
+++ b/src/carawayrun/relay/quarantine.rs
@@ -13,6 +13,7 @@
 
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 
 /// Crashes without an answer after which a part is put into quarantine.
 const QUARANTINE_CRASHES: usize = 4;
@@ -89,6 +90,21 @@
     pub quarantined_at: Option<Duration>,
 }
 
+/// A part in quarantine, for operators. Times are ages in milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct QuarantinedPart {
+    /// Id of the part.
+    pub id: CompactString,
+    /// Age of the quarantine, or of its last trial.
+    pub since_ms: u64,
+    /// Ages of the crashes that led to it, the earliest first.
+    pub crashes_ms: Vec<u64>,
+    /// Requests that one gateway lost in them, the most of any.
+    pub losses: u32,
+}
+
 /// What a request may do, because of its parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -274,6 +290,24 @@
         parts.filter(|(_, evidence)| evidence.quarantined_at.is_some())
     }
 
+    /// Parts in quarantine at `now`, in the order of their ids.
+    pub fn list(&self, now: Duration) -> Vec<QuarantinedPart> {
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        let parts = self.quarantined().map(|(id, evidence)| QuarantinedPart {
+            id: id.clone(),
+            since_ms: evidence.quarantined_at.map_or(0, age_ms),
+            crashes_ms: evidence
+                .crashes
+                .iter()
+                .map(|crash| age_ms(crash.at))
+                .collect(),
+            losses: evidence.losses,
+        });
+        let mut parts: Vec<QuarantinedPart> = parts.collect();
+        parts.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        parts
+    }
+
     /// Number of parts that are tracked.
     pub fn tracked(&self) -> usize {
         self.parts.len()
--- a/src/carawayrun/relay/traffic/quarantine.rs
+++ b/src/carawayrun/relay/traffic/quarantine.rs
@@ -7,7 +7,7 @@
 use crate::peer::message::{PromptPart, UpstreamCrash};
 use crate::relay::loads::upstream_digest;
 use crate::relay::message::Prefix;
-use crate::relay::quarantine::{Crash, PartEvidence, Verdict};
+use crate::relay::quarantine::{Crash, PartEvidence, QuarantinedPart, Verdict};
 use crate::relay::view::Upstream;
 
 impl Traffic {
@@ -58,6 +58,11 @@
             .collect()
     }
 
+    /// Parts in quarantine, for operators.
+    pub(in crate::relay) fn quarantined_parts(&self) -> Vec<QuarantinedPart> {
+        self.quarantine.borrow().list(self.now())
+    }
+
     /// Records what another gateway knows of parts.
     pub(super) fn receive_parts(&self, parts: &[PromptPart]) {
         let now = self.now();
--- a/tests/testsuite/deadly.rs
+++ b/tests/testsuite/deadly.rs
@@ -26,6 +26,16 @@
 /// Crashes from which the bounds are counted.
 const CRASHES: usize = 5;
 
+/// What the command lists of a relay's quarantine.
+fn listed_parts(world: &PlatformWorld, relay: usize) -> String {
+    let listed = std::process::Command::new(env!("CARGO_BIN_EXE_carawayrun"))
+        .args(["quarantine", &world.metrics_addr(relay)])
+        .output()
+        .expect("the command runs");
+    assert!(listed.status.success(), "{listed:?}");
+    String::from_utf8_lossy(&listed.stdout).into_owned()
+}
+
 // Each request with the part was sent to three engines, for as long as such requests
 // came.
 #[actix_rt::test]
@@ -101,4 +111,10 @@
     let late = late.count();
     assert!(late <= MOST_LATE, "{late} late, {crashes} crashes");
     assert!(served * 10 >= sound * 9, "{served} of {sound} sound ones");
+    for relay in 0..RELAYS {
+        assert!(
+            listed_parts(&world, relay).contains("bad0"),
+            "relay {relay}"
+        );
+    }
 }
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -363,9 +363,14 @@
             .await;
     }
 
+    /// Address of a relay's metrics.
+    pub(crate) fn metrics_addr(&self, relay: usize) -> String {
+        format!("{}.{}:9464", self.net, FIRST_RELAY + relay)
+    }
+
     /// The relay's metrics; empty where it is not there.
     pub(crate) async fn metrics(&self) -> String {
-        let url = format!("http://{}.2:9464/metrics", self.net);
+        let url = format!("http://{}/metrics", self.metrics_addr(0));
         let Ok(mut answer) = self.client.get(url).send().await else {
             return String::new();
         };
