Count only confirmed crashes in the quarantine, and blame a part only for most of them

Cause, three faults: a connection that an upstream reset counted as a crash; crashes without the part did not count for it; and gateways passed on times that they had been told as ages, which grew younger with each report, so that a quarantine that an answer had ended came back.

Answers to the parts that others suspect have room of their own in a report. Five crashes at four moments are needed; the first trial comes after 3 s, then 4 times as long after each.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -535,8 +535,11 @@
     /// Prompt parts under which upstreams crashed, and answers to requests with them.
     #[prost(message, repeated, tag = "8")]
     pub parts: ::prost::alloc::vec::Vec<PromptPart>,
+    /// Newest crashes of upstreams that the sender saw.
+    #[prost(message, repeated, tag = "9")]
+    pub crashes: ::prost::alloc::vec::Vec<UpstreamCrash>,
 }
-/// What a relay knows of a part of prompts. Ages are in milliseconds.
+/// What a relay saw itself of a part of prompts. Ages are in milliseconds.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PromptPart {
     #[prost(string, tag = "1")]
@@ -544,7 +547,7 @@
     /// Crashes since the last answer.
     #[prost(message, repeated, tag = "2")]
     pub crashes: ::prost::alloc::vec::Vec<UpstreamCrash>,
-    /// Requests that one relay lost in them, the most of any.
+    /// Requests that the sender lost in them.
     #[prost(uint32, tag = "3")]
     pub losses: u32,
     #[prost(uint32, optional, tag = "4")]
@@ -552,6 +555,9 @@
     /// Age of its quarantine or of the last trial, while it lasts.
     #[prost(uint32, optional, tag = "5")]
     pub quarantined_age_ms: ::core::option::Option<u32>,
+    /// Trials in this quarantine.
+    #[prost(uint32, tag = "6")]
+    pub trials: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct UpstreamCrash {
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -256,9 +256,9 @@
         if matches!(attempt, AttemptOutcome::Lost | AttemptOutcome::TimedOut) {
             self.traffic.record_loss(upstream, Loss::Unanswered);
         }
-        if matches!(attempt, AttemptOutcome::Lost) {
-            let parts = self.shared_prefixes();
-            self.traffic.record_crash(parts, upstream);
+        let parts = self.shared_prefixes();
+        if matches!(attempt, AttemptOutcome::Lost) && !parts.is_empty() {
+            self.traffic.record_crash(parts, key, upstream);
         }
     }
 
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -121,10 +121,10 @@
             let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
                 Err(_) => return StreamEnd::Interrupted("no stream data in time"),
                 Ok(Err(_)) => {
-                    if !has_begun {
-                        let parts = self.shared_prefixes();
-                        self.traffic.record_crash(parts, &current.upstream);
-                    }
+                    let parts = self.shared_prefixes();
+                    let lost = if has_begun { &[] } else { parts };
+                    self.traffic
+                        .record_crash(lost, current.key, &current.upstream);
                     return StreamEnd::Interrupted("stream interrupted");
                 }
                 Ok(Ok(None)) if events.is_within_event() => {
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -93,6 +93,7 @@
             reads: view.reads.iter().map(encode_read).collect(),
             limits: traffic.own_limits(),
             parts: traffic.own_parts(),
+            crashes: traffic.own_crashes(),
         };
         let bytes = report.encode_to_vec();
         let peers = traffic.report_targets(&view);
--- a/src/carawayrun/relay/quarantine.rs
+++ b/src/carawayrun/relay/quarantine.rs
@@ -16,10 +16,10 @@
 use serde::{Deserialize, Serialize};
 
 /// Crashes without an answer after which a part is put into quarantine.
-const QUARANTINE_CRASHES: usize = 4;
+const QUARANTINE_CRASHES: usize = 5;
 
 /// Separate moments at which these crashes must have come.
-const QUARANTINE_MOMENTS: usize = 3;
+const QUARANTINE_MOMENTS: usize = 4;
 
 /// Separate moments of crashes after which a lost request is not repeated.
 const SUSPECT_MOMENTS: usize = 2;
@@ -39,13 +39,20 @@
 const CRASH_TTL: Duration = Duration::from_secs(20);
 
 /// Time after which one gateway tries one request with a part in quarantine.
-const TRIAL_INTERVAL: Duration = Duration::from_mins(1);
+const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(3);
+
+/// Factor by which each trial delays the next one, and the longest delay.
+const TRIAL_BACKOFF: u32 = 4;
+const MAX_TRIAL_DELAY: Duration = Duration::from_mins(10);
+
+/// Time after another gateway's last report for which answers to a part are told.
+const SUSPICION_TTL: Duration = Duration::from_secs(5);
 
 /// Time without news of a part after which it is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
 /// As [`FORGET_AFTER`], for a part in quarantine.
-const FORGET_QUARANTINED_AFTER: Duration = Duration::from_mins(10);
+const FORGET_QUARANTINED_AFTER: Duration = Duration::from_mins(30);
 
 /// Most parts that are tracked.
 const MAX_PARTS: usize = 4_096;
@@ -53,11 +60,22 @@
 /// Most crashes that are kept of a part.
 const MAX_CRASHES: usize = 16;
 
-/// Most crashes of a part in a report.
+/// Most crashes in a report, in all and of each part.
 const MAX_REPORTED_CRASHES: usize = 8;
 
-/// Most parts in a report, to leave room for the rest of a datagram.
-const MAX_REPORTED_PARTS: usize = 6;
+/// Most crashes that are kept in all.
+const MAX_ALL_CRASHES: usize = 256;
+
+/// Least share of all crashes in which a part must have been there.
+const MIN_CRASH_SHARE: f64 = 0.75;
+
+/// Most parts in a report that upstreams crashed under, to leave room for the rest of a
+/// datagram.
+const MAX_REPORTED_SUSPECTS: usize = 4;
+
+/// Most answered parts in a report. More of them, as one answer saves a sound part that
+/// several gateways suspect.
+const MAX_REPORTED_ANSWERS: usize = 16;
 
 /// Longest id of a part that is tracked, in bytes, for the same reason.
 const MAX_ID_BYTES: usize = 32;
@@ -72,7 +90,8 @@
 }
 
 impl Crash {
-    fn is_same(&self, other: &Self) -> bool {
+    /// Returns true if both are the same crash of one upstream.
+    pub fn is_same(&self, other: &Self) -> bool {
         self.upstream == other.upstream && self.at.abs_diff(other.at) < CRASH_SPAN
     }
 }
@@ -88,6 +107,8 @@
     pub answered_at: Option<Duration>,
     /// Start of the quarantine or of its last trial, while it lasts.
     pub quarantined_at: Option<Duration>,
+    /// Trials in this quarantine.
+    pub trials: u32,
 }
 
 /// A part in quarantine, for operators. Times are ages in milliseconds.
@@ -118,40 +139,66 @@
 
 #[derive(Debug, Default)]
 struct Part {
-    evidence: PartEvidence,
-    /// Requests that this gateway lost.
-    own_losses: u32,
+    /// What this gateway saw itself.
+    own: PartEvidence,
+    /// What all gateways saw, as far as it is known here.
+    all: PartEvidence,
     /// Last news of it.
     seen_at: Duration,
-    /// Last report of another gateway.
-    reported_at: Option<Duration>,
+    /// Last report of another gateway that suspects it, and the crashes told there.
+    suspected_at: Option<Duration>,
+    told_crashes: usize,
 }
 
-impl Part {
+impl PartEvidence {
     // Adds a crash unless it is known or an answer came later; keeps the earliest.
     fn add_crash(&mut self, crash: Crash) {
-        let is_answered = self.evidence.answered_at.is_some_and(|at| at >= crash.at);
-        let crashes = &mut self.evidence.crashes;
-        if is_answered || crashes.iter().any(|known| known.is_same(&crash)) {
+        let is_answered = self.answered_at.is_some_and(|at| at >= crash.at);
+        if is_answered || self.crashes.iter().any(|known| known.is_same(&crash)) {
             return;
         }
-        let index = crashes.partition_point(|known| known.at <= crash.at);
-        crashes.insert(index, crash);
-        crashes.truncate(MAX_CRASHES);
+        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        self.crashes.insert(index, crash);
+        self.crashes.truncate(MAX_CRASHES);
     }
 
-    fn record_answer(&mut self, at: Duration) {
-        self.evidence.answered_at = self.evidence.answered_at.max(Some(at));
-        self.evidence.crashes.retain(|crash| crash.at > at);
-        if self.evidence.crashes.is_empty() {
-            self.evidence.losses = 0;
-            self.own_losses = 0;
+    // Removes what an answer at `at` refutes.
+    fn clear(&mut self, at: Duration) {
+        self.crashes.retain(|crash| crash.at > at);
+        if self.crashes.is_empty() {
+            self.losses = 0;
+        }
+        self.quarantined_at = self.quarantined_at.filter(|since| *since > at);
+        if self.quarantined_at.is_none() {
+            self.trials = 0;
         }
-        self.evidence.quarantined_at = self.evidence.quarantined_at.filter(|since| *since > at);
+    }
+
+    // Time of the next trial of a part in quarantine since `since`.
+    fn trial_at(&self, since: Duration) -> Duration {
+        let backoff = TRIAL_BACKOFF.saturating_pow(self.trials);
+        since
+            + FIRST_TRIAL_AFTER
+                .saturating_mul(backoff)
+                .min(MAX_TRIAL_DELAY)
+    }
+}
+
+impl Part {
+    // Records an answer that this gateway or another one saw.
+    fn record_answer(&mut self, at: Duration) {
+        self.all.answered_at = self.all.answered_at.max(Some(at));
+        self.all.clear(at);
+        self.own.clear(at);
+    }
+
+    fn is_suspected_elsewhere(&self, now: Duration) -> bool {
+        let at = self.suspected_at;
+        at.is_some_and(|at| now.saturating_sub(at) < SUSPICION_TTL)
     }
 
     fn is_forgotten(&self, now: Duration) -> bool {
-        let ttl = match self.evidence.quarantined_at {
+        let ttl = match self.all.quarantined_at {
             Some(_) => FORGET_QUARANTINED_AFTER,
             None => FORGET_AFTER,
         };
@@ -163,32 +210,50 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     parts: FxHashMap<CompactString, Part>,
+    /// Recent crashes, of requests with and without parts, that this gateway saw.
+    own_crashes: Vec<Crash>,
+    /// Those that all gateways saw.
+    all_crashes: Vec<Crash>,
 }
 
 impl Quarantine {
     /// Records that a request was lost when `crash` happened, before its answer
     /// began. `ids` are the parts of its prompt that others may share.
     pub fn record_crash<'a>(&mut self, ids: impl Iterator<Item = &'a str>, crash: Crash) {
+        add_distinct(&mut self.own_crashes, crash);
+        add_distinct(&mut self.all_crashes, crash);
         for id in ids.filter(|id| id.len() <= MAX_ID_BYTES) {
             let part = self.parts.entry(id.into()).or_default();
             part.seen_at = crash.at;
-            part.own_losses += 1;
-            part.evidence.losses = part.evidence.losses.max(part.own_losses);
-            part.add_crash(crash);
+            part.own.losses += 1;
+            part.all.losses = part.all.losses.max(part.own.losses);
+            part.own.add_crash(crash);
+            part.all.add_crash(crash);
         }
     }
 
-    /// Records that the answer of a request began.
-    pub fn record_answer<'a>(&mut self, ids: impl Iterator<Item = &'a str>, now: Duration) {
+    /// Records that the answer of a request began. Returns true if that ends a quarantine.
+    pub fn record_answer<'a>(&mut self, ids: impl Iterator<Item = &'a str>, now: Duration) -> bool {
+        let mut has_ended = false;
         for id in ids {
             if let Some(part) = self.parts.get_mut(id) {
+                has_ended |= part.all.quarantined_at.is_some();
                 part.seen_at = now;
+                part.own.answered_at = Some(now);
                 part.record_answer(now);
             }
         }
+        has_ended
+    }
+
+    /// Adds the crashes that another gateway saw.
+    pub fn receive_crashes(&mut self, crashes: impl Iterator<Item = Crash>) {
+        for crash in crashes {
+            add_distinct(&mut self.all_crashes, crash);
+        }
     }
 
-    /// Adds what another gateway knows of a part. Returns true if its quarantine begins
+    /// Adds what another gateway saw of a part. Returns true if its quarantine begins
     /// here with that.
     pub fn receive(&mut self, id: &str, told: &PartEvidence, now: Duration) -> bool {
         if id.len() > MAX_ID_BYTES {
@@ -196,22 +261,28 @@
         }
         let part = self.parts.entry(id.into()).or_default();
         part.seen_at = now;
-        part.reported_at = Some(now);
+        if !told.crashes.is_empty() || told.quarantined_at.is_some() {
+            part.suspected_at = Some(now);
+            part.told_crashes = told.crashes.len();
+        }
         if let Some(at) = told.answered_at {
             part.record_answer(at);
         }
         for crash in &told.crashes {
-            part.add_crash(*crash);
+            part.all.add_crash(*crash);
         }
-        if !part.evidence.crashes.is_empty() {
-            part.evidence.losses = part.evidence.losses.max(told.losses);
+        if !part.all.crashes.is_empty() {
+            part.all.losses = part.all.losses.max(told.losses);
         }
-        let answered_at = part.evidence.answered_at;
+        let answered_at = part.all.answered_at;
         let since = told
             .quarantined_at
             .filter(|since| answered_at < Some(*since));
-        let is_new = since.is_some() && part.evidence.quarantined_at.is_none();
-        part.evidence.quarantined_at = part.evidence.quarantined_at.max(since);
+        let is_new = since.is_some() && part.all.quarantined_at.is_none();
+        part.all.quarantined_at = part.all.quarantined_at.max(since);
+        if since.is_some() {
+            part.all.trials = part.all.trials.max(told.trials);
+        }
         is_new
     }
 
@@ -219,46 +290,54 @@
     /// the most crashes, and answers to the parts that others suspect.
     pub fn evidence(&mut self, now: Duration) -> Vec<(CompactString, PartEvidence)> {
         self.expire(now);
-        let is_told = |part: &Part| {
-            let is_watched = part
-                .reported_at
-                .is_some_and(|at| now.saturating_sub(at) < FORGET_AFTER);
-            let evidence = &part.evidence;
-            !evidence.crashes.is_empty()
-                || evidence.quarantined_at.is_some()
-                || is_watched && evidence.answered_at.is_some()
-        };
-        let parts = self.parts.iter().filter(|(_, part)| is_told(part));
-        let mut told: Vec<(&CompactString, &Part)> = parts.collect();
-        told.sort_by_key(|(id, part)| {
-            let evidence = &part.evidence;
-            let is_free = evidence.quarantined_at.is_none();
+        let suspects = self
+            .parts
+            .iter()
+            .filter(|(_, part)| !part.own.crashes.is_empty() || part.own.quarantined_at.is_some());
+        let mut suspects: Vec<(&CompactString, &Part)> = suspects.collect();
+        suspects.sort_by_key(|(id, part)| {
+            let own = &part.own;
+            let is_free = own.quarantined_at.is_none();
             (
                 is_free,
-                std::cmp::Reverse(evidence.crashes.len()),
-                evidence.losses,
+                std::cmp::Reverse(own.crashes.len()),
+                own.losses,
                 *id,
             )
         });
-        told.truncate(MAX_REPORTED_PARTS);
-        let told = told.into_iter();
+        let answered = self
+            .parts
+            .iter()
+            .filter(|(_, part)| part.is_suspected_elsewhere(now) && part.own.answered_at.is_some());
+        let mut answered: Vec<(&CompactString, &Part)> = answered.collect();
+        answered.sort_by_key(|(id, part)| (std::cmp::Reverse(part.told_crashes), *id));
+        suspects.truncate(MAX_REPORTED_SUSPECTS);
+        answered.truncate(MAX_REPORTED_ANSWERS);
+        answered.retain(|(id, _)| suspects.iter().all(|(known, _)| known != id));
+        let told = suspects.into_iter().chain(answered);
         told.map(|(id, part)| {
-            let mut evidence = part.evidence.clone();
-            evidence.crashes.truncate(MAX_REPORTED_CRASHES);
-            (id.clone(), evidence)
+            let mut own = part.own.clone();
+            own.crashes.truncate(MAX_REPORTED_CRASHES);
+            (id.clone(), own)
         })
         .collect()
     }
 
+    /// The newest crashes that this gateway saw.
+    pub fn own_crashes(&self) -> &[Crash] {
+        let from = self.own_crashes.len().saturating_sub(MAX_REPORTED_CRASHES);
+        &self.own_crashes[from..]
+    }
+
     /// Judges a request by its parts.
     pub fn verdict<'a>(&self, ids: impl Iterator<Item = &'a str>, now: Duration) -> Verdict {
         let mut verdict = Verdict::Sound;
         for part in ids.filter_map(|id| self.parts.get(id)) {
-            if let Some(since) = part.evidence.quarantined_at {
-                let left = (since + TRIAL_INTERVAL).saturating_sub(now);
+            if let Some(since) = part.all.quarantined_at {
+                let left = part.all.trial_at(since).saturating_sub(now);
                 return Verdict::Quarantined(left);
             }
-            if count_moments(&self.unexplained(part, now)) >= SUSPECT_MOMENTS {
+            if self.is_suspected(part, SUSPECT_MOMENTS, SUSPECT_MOMENTS, now) {
                 verdict = Verdict::Suspect;
             }
         }
@@ -273,11 +352,14 @@
             let Some(part) = self.parts.get_mut(id) else {
                 continue;
             };
-            if let Some(since) = part.evidence.quarantined_at {
-                if since + TRIAL_INTERVAL > now {
+            if let Some(since) = part.all.quarantined_at {
+                if part.all.trial_at(since) > now {
                     return false;
                 }
-                part.evidence.quarantined_at = Some(now);
+                part.all.trials += 1;
+                part.all.quarantined_at = Some(now);
+                part.own.trials = part.all.trials;
+                part.own.quarantined_at = Some(now);
                 has_begun = true;
             }
         }
@@ -286,7 +368,7 @@
 
     /// Parts in quarantine.
     pub fn quarantined(&self) -> impl Iterator<Item = (&CompactString, &PartEvidence)> {
-        let parts = self.parts.iter().map(|(id, part)| (id, &part.evidence));
+        let parts = self.parts.iter().map(|(id, part)| (id, &part.all));
         parts.filter(|(_, evidence)| evidence.quarantined_at.is_some())
     }
 
@@ -320,53 +402,77 @@
             .parts
             .iter()
             .filter(|(_, part)| {
-                let evidence = &part.evidence;
-                evidence.quarantined_at.is_none() && evidence.crashes.len() >= QUARANTINE_CRASHES
+                part.all.quarantined_at.is_none() && part.all.crashes.len() >= QUARANTINE_CRASHES
             })
-            .map(|(id, part)| (suspicion(&part.evidence), id.clone()))
+            .map(|(id, part)| (suspicion(&part.all), id.clone()))
             .collect();
         suspects.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         let mut begun = Vec::new();
         for (_, id) in suspects {
-            let crashes = self.unexplained(&self.parts[&id], now);
-            if crashes.len() < QUARANTINE_CRASHES || count_moments(&crashes) < QUARANTINE_MOMENTS {
+            let part = &self.parts[&id];
+            if !self.is_suspected(part, QUARANTINE_CRASHES, QUARANTINE_MOMENTS, now) {
                 continue;
             }
             if let Some(part) = self.parts.get_mut(&id) {
-                part.evidence.quarantined_at = Some(now);
+                part.own.quarantined_at = Some(now);
+                part.all.quarantined_at = Some(now);
                 begun.push(id);
             }
         }
         begun
     }
 
-    // Settled recent crashes of a part that no part in quarantine explains.
-    fn unexplained(&self, part: &Part, now: Duration) -> Vec<Crash> {
+    // True if a part was there in so many crashes, at so many moments, and in enough of
+    // all crashes since.
+    fn is_suspected(&self, part: &Part, crashes: usize, moments: usize, now: Duration) -> bool {
+        let own = self.unexplained(&part.all.crashes, now);
+        if own.len() < crashes || count_moments(&own) < moments {
+            return false;
+        }
+        let first = own[0].at.saturating_sub(MOMENT_GAP);
+        let all = self.unexplained(&self.all_crashes, now);
+        let all = all.iter().filter(|crash| crash.at >= first).count();
+        own.len() as f64 >= all as f64 * MIN_CRASH_SHARE
+    }
+
+    // Settled recent crashes that no part in quarantine explains.
+    fn unexplained(&self, crashes: &[Crash], now: Duration) -> Vec<Crash> {
         let is_explained = |crash: &Crash| {
             self.quarantined()
                 .any(|(_, known)| known.crashes.iter().any(|other| other.is_same(crash)))
         };
-        let recent = part.evidence.crashes.iter().copied();
-        recent
-            .filter(|crash| {
-                let age = now.saturating_sub(crash.at);
-                (SETTLING_TIME..CRASH_TTL).contains(&age) && !is_explained(crash)
-            })
-            .collect()
+        let is_recent = |crash: &&Crash| {
+            let age = now.saturating_sub(crash.at);
+            (SETTLING_TIME..CRASH_TTL).contains(&age) && !is_explained(crash)
+        };
+        crashes.iter().filter(is_recent).copied().collect()
     }
 
     fn expire(&mut self, now: Duration) {
+        self.own_crashes.retain(|crash| crash.at + CRASH_TTL > now);
+        self.all_crashes.retain(|crash| crash.at + CRASH_TTL > now);
         self.parts.retain(|_, part| !part.is_forgotten(now));
         if self.parts.len() > MAX_PARTS {
             let mut ages: Vec<Duration> = self.parts.values().map(|part| part.seen_at).collect();
             ages.sort_unstable();
             let oldest = ages[ages.len() - MAX_PARTS / 2];
             self.parts
-                .retain(|_, part| part.seen_at >= oldest || part.evidence.quarantined_at.is_some());
+                .retain(|_, part| part.seen_at >= oldest || part.all.quarantined_at.is_some());
         }
     }
 }
 
+// Adds a crash unless it is known; the oldest are dropped.
+fn add_distinct(crashes: &mut Vec<Crash>, crash: Crash) {
+    if crashes.iter().any(|known| known.is_same(&crash)) {
+        return;
+    }
+    if crashes.len() >= MAX_ALL_CRASHES {
+        crashes.remove(0);
+    }
+    crashes.push(crash);
+}
+
 // Crashes of a part, weighted by how often a request with it was lost in one of its
 // own. Parts that requests share with the guilty one are lost in the same crashes, but
 // many requests with them in each.
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -26,6 +26,7 @@
         reads: Vec::new(),
         limits: Vec::new(),
         parts: Vec::new(),
+        crashes: Vec::new(),
     }
 }
 
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -3,6 +3,8 @@
 mod limits;
 mod quarantine;
 
+use self::quarantine::LostRequest;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -122,6 +124,8 @@
     usual_times: RefCell<FxHashMap<(CompactString, CompactString), UsualTime>>,
     losses: RefCell<LossTracker>,
     quarantine: RefCell<Quarantine>,
+    /// Requests lost at upstreams whose crash is not confirmed yet.
+    unconfirmed: RefCell<FxHashMap<UpstreamKey, Vec<LostRequest>>>,
     last_updates: RefCell<FxHashMap<CompactString, PeerUpdate>>,
     rng: RefCell<SmallRng>,
     started: Instant,
@@ -139,6 +143,7 @@
             usual_times: RefCell::default(),
             losses: RefCell::default(),
             quarantine: RefCell::default(),
+            unconfirmed: RefCell::default(),
             last_updates: RefCell::default(),
             metrics: Arc::clone(&shared.metrics),
             config: ServiceConfig::default(),
@@ -350,7 +355,7 @@
         fleet.peer_loads.receive(report, now);
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
         drop((fleet, members));
-        self.receive_parts(&report.parts);
+        self.receive_parts(&report.parts, &report.crashes);
         self.sessions
             .borrow_mut()
             .record_peer_pins(&report.kept_sessions, now);
