Keep the newest crashes of a part in quarantine, and begin trials whole

Found by reading the change. Reports held the earliest crashes of a part, which age out. A trial of a request with two parts in quarantine was begun for the first one even where the second one's time had not come.

--- a/src/carawayrun/relay/quarantine.rs
+++ b/src/carawayrun/relay/quarantine.rs
@@ -57,8 +57,8 @@
 /// Most parts that are tracked.
 const MAX_PARTS: usize = 4_096;
 
-/// Most crashes that are kept of a part.
-const MAX_CRASHES: usize = 16;
+/// Most crashes that are kept of a part, the newest.
+const MAX_CRASHES: usize = 128;
 
 /// Most crashes in a report, in all and of each part.
 const MAX_REPORTED_CRASHES: usize = 8;
@@ -151,7 +151,7 @@
 }
 
 impl PartEvidence {
-    // Adds a crash unless it is known or an answer came later; keeps the earliest.
+    // Adds a crash unless it is known or an answer came later.
     fn add_crash(&mut self, crash: Crash) {
         let is_answered = self.answered_at.is_some_and(|at| at >= crash.at);
         if is_answered || self.crashes.iter().any(|known| known.is_same(&crash)) {
@@ -159,7 +159,9 @@
         }
         let index = self.crashes.partition_point(|known| known.at <= crash.at);
         self.crashes.insert(index, crash);
-        self.crashes.truncate(MAX_CRASHES);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
     }
 
     // Removes what an answer at `at` refutes.
@@ -174,13 +176,12 @@
         }
     }
 
-    // Time of the next trial of a part in quarantine since `since`.
-    fn trial_at(&self, since: Duration) -> Duration {
+    // Time of the next trial; `None` for a part that is not in quarantine.
+    fn trial_at(&self) -> Option<Duration> {
         let backoff = TRIAL_BACKOFF.saturating_pow(self.trials);
-        since
-            + FIRST_TRIAL_AFTER
-                .saturating_mul(backoff)
-                .min(MAX_TRIAL_DELAY)
+        let delay = FIRST_TRIAL_AFTER.saturating_mul(backoff);
+        let since = self.quarantined_at?;
+        Some(since + delay.min(MAX_TRIAL_DELAY))
     }
 }
 
@@ -317,7 +318,7 @@
         let told = suspects.into_iter().chain(answered);
         told.map(|(id, part)| {
             let mut own = part.own.clone();
-            own.crashes.truncate(MAX_REPORTED_CRASHES);
+            own.crashes = newest(&own.crashes).to_vec();
             (id.clone(), own)
         })
         .collect()
@@ -325,45 +326,44 @@
 
     /// The newest crashes that this gateway saw.
     pub fn own_crashes(&self) -> &[Crash] {
-        let from = self.own_crashes.len().saturating_sub(MAX_REPORTED_CRASHES);
-        &self.own_crashes[from..]
+        newest(&self.own_crashes)
     }
 
     /// Judges a request by its parts.
     pub fn verdict<'a>(&self, ids: impl Iterator<Item = &'a str>, now: Duration) -> Verdict {
-        let mut verdict = Verdict::Sound;
+        let mut is_suspect = false;
+        let mut trial_at = None;
         for part in ids.filter_map(|id| self.parts.get(id)) {
-            if let Some(since) = part.all.quarantined_at {
-                let left = part.all.trial_at(since).saturating_sub(now);
-                return Verdict::Quarantined(left);
-            }
-            if self.is_suspected(part, SUSPECT_MOMENTS, SUSPECT_MOMENTS, now) {
-                verdict = Verdict::Suspect;
-            }
+            trial_at = trial_at.max(part.all.trial_at());
+            is_suspect |= self.is_suspected(part, SUSPECT_MOMENTS, SUSPECT_MOMENTS, now);
+        }
+        match trial_at {
+            Some(at) => Verdict::Quarantined(at.saturating_sub(now)),
+            None if is_suspect => Verdict::Suspect,
+            None => Verdict::Sound,
         }
-        verdict
     }
 
-    /// Begins the trial of a request with parts whose time has come; returns false if
-    /// there is none.
-    pub fn begin_trial<'a>(&mut self, ids: impl Iterator<Item = &'a str>, now: Duration) -> bool {
-        let mut has_begun = false;
+    /// Begins the trial of a request, if it has parts in quarantine and the time of all
+    /// of them has come; returns false if not.
+    pub fn begin_trial<'a>(
+        &mut self,
+        ids: impl Iterator<Item = &'a str> + Clone,
+        now: Duration,
+    ) -> bool {
+        if self.verdict(ids.clone(), now) != Verdict::Quarantined(Duration::ZERO) {
+            return false;
+        }
         for id in ids {
-            let Some(part) = self.parts.get_mut(id) else {
-                continue;
-            };
-            if let Some(since) = part.all.quarantined_at {
-                if part.all.trial_at(since) > now {
-                    return false;
-                }
+            let part = self.parts.get_mut(id);
+            if let Some(part) = part.filter(|part| part.all.quarantined_at.is_some()) {
                 part.all.trials += 1;
                 part.all.quarantined_at = Some(now);
                 part.own.trials = part.all.trials;
                 part.own.quarantined_at = Some(now);
-                has_begun = true;
             }
         }
-        has_begun
+        true
     }
 
     /// Parts in quarantine.
@@ -462,6 +462,11 @@
     }
 }
 
+// The crashes that a report holds.
+fn newest(crashes: &[Crash]) -> &[Crash] {
+    &crashes[crashes.len().saturating_sub(MAX_REPORTED_CRASHES)..]
+}
+
 // Adds a crash unless it is known; the oldest are dropped.
 fn add_distinct(crashes: &mut Vec<Crash>, crash: Crash) {
     if crashes.iter().any(|known| known.is_same(&crash)) {
--- a/src/carawayrun/relay/tests/quarantine.rs
+++ b/src/carawayrun/relay/tests/quarantine.rs
@@ -136,6 +136,18 @@
     }
 }
 
+// A burst took more upstreams down than crashes of a part are kept, before there were
+// enough moments.
+#[test]
+fn part_of_many_crashes_at_once_is_not_blamed_later() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..120 {
+        let at = u64::from(number) * 10;
+        quarantine.record_crash([GUILTY].into_iter(), crash(number, at));
+    }
+    assert_eq!(judge(&mut quarantine, 1_900), [GUILTY]);
+}
+
 // No gateway sees enough of it alone. After the fifth crash a part must not reach
 // upstreams more than three times, from the contact time on.
 #[test_case(6, 2; "small deployment, two a second")]
--- a/src/carawayrun/relay/traffic/quarantine.rs
+++ b/src/carawayrun/relay/traffic/quarantine.rs
@@ -88,8 +88,8 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let verdict = quarantine.verdict(ids(parts), now);
         let is_due = verdict == Verdict::Quarantined(Duration::ZERO);
-        let makes_trials = || self.members.borrow().is_first(self.own_addr);
-        if is_due && makes_trials() && quarantine.begin_trial(ids(parts), now) {
+        let makes_trials = is_due && self.members.borrow().is_first(self.own_addr);
+        if makes_trials && quarantine.begin_trial(ids(parts), now) {
             tracing::info!(parts = ?ids(parts).collect::<Vec<_>>(), "trial of a prompt part in quarantine");
             return Verdict::Suspect;
         }
@@ -141,7 +141,7 @@
     }
 }
 
-fn ids(parts: &[Prefix]) -> impl Iterator<Item = &str> {
+fn ids(parts: &[Prefix]) -> impl Iterator<Item = &str> + Clone {
     parts.iter().map(|part| part.id.as_str())
 }
 
