Record the silence of a call once, and read the record of runs in one place

Found by reading the change once more; behaviour stays as it is. A read whose new connections failed too was recorded as silent twice: the second record changed nothing, since the generation had moved on already, and the flow was harder to follow. The number of tracked parts is asked by a test only.

--- a/src/carawayrun/relay/quarantine.rs
+++ b/src/carawayrun/relay/quarantine.rs
@@ -391,7 +391,8 @@
     }
 
     /// Number of parts that are tracked.
-    pub fn tracked(&self) -> usize {
+    #[cfg(test)]
+    pub(crate) fn tracked(&self) -> usize {
         self.parts.len()
     }
 
--- a/src/carawayrun/store/pool.rs
+++ b/src/carawayrun/store/pool.rs
@@ -125,16 +125,17 @@
         let time_limit = wait + self.state.borrow().answer_timeout();
         let begun = Instant::now();
         let answer = exchange(build(&client, wait), Bytes::new(), time_limit, limit).await;
-        if let Err(error) = &answer
-            && self.record_silence(generation, begun, error)
-        {
-            let (client, generation) = self.acquire();
-            let begun = Instant::now();
-            let request = build(&client, Duration::ZERO);
-            let answer = exchange(request, Bytes::new(), ANSWER_TIMEOUT, limit).await;
-            return self.finish(generation, begun, Duration::ZERO, answer);
+        let Err(error) = answer else {
+            return self.finish(generation, begun, wait, answer);
+        };
+        if !self.record_silence(generation, begun, &error) {
+            return Err(error);
         }
-        self.finish(generation, begun, wait, answer)
+        let (client, generation) = self.acquire();
+        let begun = Instant::now();
+        let request = build(&client, Duration::ZERO);
+        let answer = exchange(request, Bytes::new(), ANSWER_TIMEOUT, limit).await;
+        self.finish(generation, begun, Duration::ZERO, answer)
     }
 
     /// Makes a call that may take effect, and reads at most `limit` bytes of its answer.
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -200,13 +200,17 @@
         self.dir.join("runs.jsonl")
     }
 
+    // Runs of all runners, as they recorded them.
+    fn records(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(self.record_path()).unwrap_or_default();
+        let runs = text.lines().map(serde_json::from_str);
+        runs.filter_map(Result::ok).collect()
+    }
+
     /// Times at which a runner began its runs, in milliseconds since the Unix epoch.
     pub(crate) fn run_times(&self, id: &str) -> Vec<u64> {
-        let text = std::fs::read_to_string(self.record_path()).unwrap_or_default();
-        let runs = text
-            .lines()
-            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
-        let own = runs.filter(|run| run["runner"] == id);
+        let records = self.records();
+        let own = records.iter().filter(|run| run["runner"] == id);
         own.filter_map(|run| run["at_ms"].as_u64()).collect()
     }
 
@@ -227,10 +231,8 @@
     /// Runs of all runners, as they recorded them: request id, and time in milliseconds
     /// since the Unix epoch.
     pub(crate) fn recorded_runs(&self) -> Vec<(String, u64)> {
-        let text = std::fs::read_to_string(self.record_path()).unwrap_or_default();
-        let runs = text
-            .lines()
-            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let records = self.records();
+        let runs = records.iter();
         runs.filter_map(|run| Some((run["id"].as_str()?.into(), run["at_ms"].as_u64()?)))
             .collect()
     }
