Tell lost requests by fingerprint, and count sends by why they were made

Neither logs nor metrics could tell the hypotheses apart: copies of a request have ids of their own, and sends were counted without what paid for them or what came before.

Now a loss logs the fingerprint of its request (method, host, path, team and body, never its id), also for a connection that fails within an answer, and carawayrun_sends_total has the service and the reason of each send. Both loops over attempts record an outcome in one place.

--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -10,6 +10,7 @@
 use crate::relay::catalog::Route;
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::losses::Loss;
+use crate::relay::metrics::SendReason;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
 use crate::relay::view::UpstreamKey;
@@ -28,8 +29,6 @@
         pending: PendingAnswer,
         responder: &mut Responder<'_>,
     ) -> Option<Delivery> {
-        progress.runs += 1;
-        progress.may_have_run = true;
         self.log.record_upstream_status(pending.head.status);
         let is_success = pending.head.status.is_success();
         if is_success && !pending.is_genuine() {
@@ -46,6 +45,7 @@
                 model: progress.model.replace(model),
             });
             progress.is_prepaid = true;
+            progress.reason = SendReason::Cascade;
             return None;
         }
         if is_success {
@@ -117,11 +117,17 @@
         mut pending: PendingAnswer,
         responder: &mut Responder<'_>,
     ) -> Option<Delivery> {
-        let Ok(body) = read_whole(&mut pending.connection).await else {
+        let body = read_whole(&mut pending.connection).await;
+        let body = body.inspect_err(|error| {
+            let (upstream, fingerprint) = (&pending.upstream.name, self.fingerprint());
+            tracing::info!(request = %self.request.id, %upstream, %error, has_begun = true, %fingerprint, "connection failed within an answer");
+        });
+        let Ok(body) = body else {
             self.record_answer_failure(pending.key);
             self.traffic
                 .record_loss(&pending.upstream, Loss::Unanswered);
             self.log.set_note("answer interrupted");
+            progress.reason = SendReason::Lost;
             return None;
         };
         let PendingAnswer {
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -58,11 +58,11 @@
             return AttemptOutcome::NotSent;
         };
         let catalog = Arc::clone(&self.admitted.catalog);
+        let service = self.service_name(&catalog);
         if progress.sends == 0 {
-            self.traffic.record_first_send(self.service_name(&catalog));
-        } else {
-            self.traffic.metrics.repeated_sends.inc();
+            self.traffic.record_first_send(service);
         }
+        self.traffic.metrics.record_send(service, progress.reason);
         progress.sends += 1;
         self.log.record_send(&upstream);
         if let Some(session) = &self.request.session {
@@ -161,7 +161,8 @@
             Some(Ok(head)) => head,
             Some(Err(error)) => {
                 let has_written = connection.has_written();
-                tracing::info!(request = %self.request.id, upstream = %upstream.name, %error, has_written, "connection failed before an answer");
+                let fingerprint = self.fingerprint();
+                tracing::info!(request = %self.request.id, upstream = %upstream.name, %error, has_written, %fingerprint, "connection failed before an answer");
                 return if has_written {
                     AttemptOutcome::Lost
                 } else {
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod engine_report;
 mod head_timer;
 mod stream;
+mod subjects;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use super::connection::UpstreamConnection;
 use super::fleet::UpstreamQuery;
 use super::message::{Answer, ClientRequest, Prefix};
+use super::metrics::SendReason;
 use super::quarantine::Verdict;
 use super::request_log::{RequestLog, RequestOutcome};
 use super::responder::Responder;
@@ -135,6 +137,8 @@
     has_crashed: bool,
     /// True if the next send is the first one, or was already taken from the budget.
     is_prepaid: bool,
+    /// Why the next send is made.
+    reason: SendReason,
     /// Model to request, if the route leaves the choice to the gateway.
     model: Option<CompactString>,
     /// Version to stay on, once a part of the answer was delivered.
@@ -145,6 +149,33 @@
     fallback: Option<Fallback>,
 }
 
+impl RequestProgress {
+    // Records how an attempt ended.
+    fn record_attempt(&mut self, attempt: &AttemptOutcome) {
+        match attempt {
+            AttemptOutcome::NotSent => {
+                self.unsent += 1;
+                self.is_prepaid = true;
+                return;
+            }
+            AttemptOutcome::Displaced => self.unsent += 1,
+            AttemptOutcome::Refused(_) => self.refused += 1,
+            AttemptOutcome::Answered(_) | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
+                self.runs += 1;
+                self.may_have_run = true;
+            }
+        }
+        self.has_crashed |= matches!(attempt, AttemptOutcome::Lost);
+        self.reason = match attempt {
+            AttemptOutcome::Answered(_) | AttemptOutcome::NotSent => SendReason::Failed,
+            AttemptOutcome::Refused(_) => SendReason::Refused,
+            AttemptOutcome::Displaced => SendReason::Displaced,
+            AttemptOutcome::Lost => SendReason::Lost,
+            AttemptOutcome::TimedOut => SendReason::TimedOut,
+        };
+    }
+}
+
 /// A low-confidence answer, kept until a better model's answer begins.
 struct Fallback {
     pending: Box<PendingAnswer>,
@@ -261,12 +292,12 @@
                 return self.give_up(route, progress, responder).await;
             };
             self.log.record_expected_wait(wait_ms);
-            let is_prepaid = std::mem::take(&mut progress.is_prepaid);
-            if !is_prepaid && !self.traffic.take_retry(service, RetryCause::Failure) {
-                self.log.set_note("retry budget spent");
+            if !self.take_send(progress, service) {
                 return self.give_up(route, progress, responder).await;
             }
-            match self.make_attempt(&view, route, progress, key, None).await {
+            let attempt = self.make_attempt(&view, route, progress, key, None).await;
+            progress.record_attempt(&attempt);
+            match attempt {
                 AttemptOutcome::Answered(pending) => {
                     let delivered = self
                         .handle_answer(route, progress, *pending, responder)
@@ -275,20 +306,11 @@
                         return delivery;
                     }
                 }
-                AttemptOutcome::NotSent => {
-                    progress.unsent += 1;
-                    progress.is_prepaid = true;
-                }
-                AttemptOutcome::Displaced => progress.unsent += 1,
-                AttemptOutcome::Refused(status) => {
-                    progress.refused += 1;
-                    self.log.record_upstream_status(status);
-                }
-                outcome @ (AttemptOutcome::Lost | AttemptOutcome::TimedOut) => {
-                    progress.runs += 1;
-                    progress.may_have_run = true;
-                    progress.has_crashed |= matches!(outcome, AttemptOutcome::Lost);
-                }
+                AttemptOutcome::Refused(status) => self.log.record_upstream_status(status),
+                AttemptOutcome::NotSent
+                | AttemptOutcome::Displaced
+                | AttemptOutcome::Lost
+                | AttemptOutcome::TimedOut => {}
             }
             progress.excluded.push(key);
             if !Self::may_retry(route, progress) {
@@ -297,6 +319,17 @@
         }
     }
 
+    // Takes the next send from the service's retry budget, unless it is paid for;
+    // returns false if the budget is spent.
+    fn take_send(&mut self, progress: &mut RequestProgress, service: &str) -> bool {
+        let is_prepaid = std::mem::take(&mut progress.is_prepaid);
+        let is_paid = is_prepaid || self.traffic.take_retry(service, RetryCause::Failure);
+        if !is_paid {
+            self.log.set_note("retry budget spent");
+        }
+        is_paid
+    }
+
     // Judges the request by the parts of its prompt. A lost request with a suspect part
     // is not repeated, since each repeat may take one more upstream down.
     fn part_verdict(&self, progress: &RequestProgress) -> Verdict {
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -12,10 +12,10 @@
 
 use super::{AttemptOutcome, Delivery, Exchange, PendingAnswer, RequestProgress};
 use crate::platform;
-use crate::relay::budget::RetryCause;
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::events::EventBuffer;
 use crate::relay::losses::Loss;
+use crate::relay::metrics::SendReason;
 use crate::relay::quarantine::Verdict;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
@@ -89,6 +89,7 @@
                 }
                 StreamEnd::Interrupted(reason) => {
                     self.log.set_note(reason);
+                    progress.reason = SendReason::Lost;
                     progress.has_crashed |= events.event_count() == 0;
                     self.record_answer_failure(current.key);
                     self.traffic
@@ -120,7 +121,9 @@
         loop {
             let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
                 Err(_) => return StreamEnd::Interrupted("no stream data in time"),
-                Ok(Err(_)) => {
+                Ok(Err(error)) => {
+                    let (upstream, fingerprint) = (&current.upstream.name, self.fingerprint());
+                    tracing::info!(request = %self.request.id, %upstream, %error, has_begun, %fingerprint, "connection failed within an answer");
                     let parts = self.shared_prefixes();
                     let lost = if has_begun { &[] } else { parts };
                     self.traffic
@@ -189,38 +192,29 @@
             else {
                 return Err(self.interrupt(route, progress, responder).await);
             };
-            let is_prepaid = std::mem::take(&mut progress.is_prepaid);
-            if !is_prepaid && !self.traffic.take_retry(service, RetryCause::Failure) {
-                self.log.set_note("retry budget spent");
+            if !self.take_send(progress, service) {
                 return Err(self.interrupt(route, progress, responder).await);
             }
             progress.excluded.push(key);
             let attempt = self
                 .make_attempt(&view, route, progress, key, after.as_deref())
                 .await;
+            progress.record_attempt(&attempt);
             match attempt {
                 AttemptOutcome::Answered(next) if next.is_genuine() => {
-                    progress.runs += 1;
                     self.record_outcome(&next.upstream, progress, false, Some(next.head_delay));
                     self.traffic.metrics.resumes.inc();
                     return Ok(next);
                 }
                 AttemptOutcome::Answered(next) => {
-                    progress.runs += 1;
                     self.record_answer_failure(next.key);
                     self.record_outcome(&next.upstream, progress, true, None);
                 }
-                AttemptOutcome::NotSent => {
-                    progress.unsent += 1;
-                    progress.is_prepaid = true;
-                }
-                AttemptOutcome::Displaced => progress.unsent += 1,
-                AttemptOutcome::Refused(_) => progress.refused += 1,
-                AttemptOutcome::Lost => {
-                    progress.runs += 1;
-                    progress.has_crashed = true;
-                }
-                AttemptOutcome::TimedOut => progress.runs += 1,
+                AttemptOutcome::NotSent
+                | AttemptOutcome::Displaced
+                | AttemptOutcome::Refused(_)
+                | AttemptOutcome::Lost
+                | AttemptOutcome::TimedOut => {}
             }
         }
     }
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -32,6 +32,35 @@
     status: u16,
 }
 
+/// Why a request is sent to an upstream. All but the first send of a request are taken
+/// from its service's retry budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+pub(crate) enum SendReason {
+    /// It was not sent before.
+    #[default]
+    First,
+    /// Its connection ended without a whole answer.
+    Lost,
+    /// No answer came in time.
+    TimedOut,
+    /// An upstream refused it without running it.
+    Refused,
+    /// Another upstream had the address.
+    Displaced,
+    /// An upstream answered with a failure, or unusably.
+    Failed,
+    /// A smaller model's answer had too low a confidence.
+    Cascade,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SendLabels {
+    service: String,
+    reason: SendReason,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -51,6 +80,7 @@
     pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
     pub(crate) log_limiter: LogLimiter,
+    sends: Family<SendLabels, Counter>,
     requests: Family<RequestLabels, Counter>,
     duration: Histogram,
     first_event: Histogram,
@@ -78,6 +108,7 @@
             rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
             log_limiter: LogLimiter::new(),
+            sends: Family::default(),
             requests: Family::default(),
             duration: latency(),
             first_event: latency(),
@@ -166,6 +197,11 @@
             self.quarantined_parts.clone(),
         );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
+        registry.register(
+            "sends",
+            "Sends to upstreams by service and reason",
+            self.sends.clone(),
+        );
         registry.register(
             "requests",
             "Requests by outcome and status",
@@ -184,6 +220,18 @@
         registry
     }
 
+    /// Counts a send to an upstream of a service.
+    pub(super) fn record_send(&self, service: &str, reason: SendReason) {
+        if reason != SendReason::First {
+            self.repeated_sends.inc();
+        }
+        let labels = SendLabels {
+            service: service.into(),
+            reason,
+        };
+        self.sends.get_or_create(&labels).inc();
+    }
+
     /// Counts a request and its latencies; `first` is the time to its first event.
     pub(super) fn record_request(
         &self,
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -32,6 +32,7 @@
 pub mod events;
 pub mod evidence;
 mod exchange;
+pub mod fingerprint;
 mod fleet;
 mod follow;
 mod gossip;
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod control;
 mod events;
+mod fingerprint;
 mod health;
 mod loads;
 mod losses;
