Show that a request under which upstreams crash is sent on

Two relays as processes and a stand-in that ends when it runs a request with a given path: before its head, after it, or within its events. Each request was sent to up to three upstreams for as long as it came.

--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -33,6 +33,11 @@
     /// Id of a prompt part that ends the process of a runner which begins to answer a
     /// request with it, unless it is the prompt's last part.
     pub(crate) deadly_part: String,
+    /// Path of requests that end the process of a runner which runs them.
+    pub(crate) deadly_path: String,
+    /// Number of events of a stream with that path that are sent before; the process
+    /// ends before the head of the answer if it is absent.
+    pub(crate) deadly_events: Option<u32>,
     /// Whether orders with an outdated fencing number are accepted.
     pub(crate) ignore_fencing: bool,
     /// Version whose requests fail or get answers of low quality.
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -44,7 +44,10 @@
 /// Number of complete events before a stream is interrupted.
 const EVENTS_BEFORE_INTERRUPTION: u32 = 3;
 
-/// Exit code of a process that a part of a prompt ended.
+/// Time for which events are written before a request ends the process.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
+/// Exit code of a process that a request ended.
 const EXIT_CRASHED: i32 = 3;
 
 /// Command-line options.
@@ -213,7 +216,8 @@
         if self.faults.take_lost_answer() {
             return lost_answer();
         }
-        if self.is_deadly(request) {
+        let deadly_events = self.deadly_events(request);
+        if deadly_events == Some(None) {
             std::process::exit(EXIT_CRASHED);
         }
         let is_bad = !model.is_empty() && self.faults.get().bad_version == model;
@@ -223,7 +227,7 @@
                 "told to fail this model\n",
             )
         } else if is_stream {
-            self.stream_events(after, slot)
+            self.stream_events(after, deadly_events.flatten(), slot)
         } else {
             text(StatusCode::OK, format!("{} ran {id}\n", self.id))
         };
@@ -248,7 +252,17 @@
         answer
     }
 
-    fn is_deadly(&self, request: &Request) -> bool {
+    // Number of events after which a request ends the process, or `Some(None)` for a
+    // request that ends it before its answer; `None` for a sound one.
+    fn deadly_events(&self, request: &Request) -> Option<Option<u32>> {
+        let faults = self.faults.get();
+        if !faults.deadly_path.is_empty() && request.path() == faults.deadly_path {
+            return Some(faults.deadly_events);
+        }
+        self.has_deadly_part(request).then_some(None)
+    }
+
+    fn has_deadly_part(&self, request: &Request) -> bool {
         let deadly = self.faults.get().deadly_part;
         let prefix = header_value(request, "x-carawayrun-prompt-prefix").unwrap_or_default();
         let parts: Vec<&str> = prefix.split(',').collect();
@@ -286,8 +300,14 @@
     }
 
     // Answers with the events after `after`. Consumes a fault of streams if one is
-    // left, and holds the slot until the stream is dropped.
-    fn stream_events(&self, after: u32, slot: Slot) -> Response<BoxBody> {
+    // left, and holds the slot until the stream is dropped. The process ends after
+    // `deadly_events` of them.
+    fn stream_events(
+        &self,
+        after: u32,
+        deadly_events: Option<u32>,
+        slot: Slot,
+    ) -> Response<BoxBody> {
         let interrupted = self.faults.take_interrupted_stream();
         let junk = if self.faults.take_flooded_stream() {
             Some((Bytes::from(vec![b'x'; FLOOD_CHUNK_BYTES]), Duration::ZERO))
@@ -296,7 +316,9 @@
         } else {
             None
         };
-        let last = if interrupted || junk.is_some() {
+        let last = if let Some(events) = deadly_events {
+            after + events
+        } else if interrupted || junk.is_some() {
             after + EVENTS_BEFORE_INTERRUPTION
         } else {
             EVENTS_PER_STREAM
@@ -323,8 +345,13 @@
             })
         });
         let junk = futures_util::stream::iter(junk).flatten();
+        let crash = futures_util::stream::iter(deadly_events).then(|_| async {
+            actix_rt::time::sleep(FLUSH_TIME).await;
+            std::process::exit(EXIT_CRASHED)
+        });
         let parts = futures_util::stream::iter(parts)
             .chain(junk)
+            .chain(crash)
             .then(move |part| {
                 // Moves the slot into the stream, so that dropping the stream releases it.
                 let _slot = &slot;
