--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -76,15 +76,15 @@
     /// File to append a line of JSON to at the start of each run
     #[bpaf(argument("FILE"), optional)]
     record: Option<PathBuf>,
+    /// File to append a line of JSON to for each request that arrives, run or not
+    #[bpaf(argument("FILE"), optional)]
+    arrivals: Option<PathBuf>,
 }
 
 pub(crate) fn run(options: &Options) -> Result<(), Failure> {
     let options = options.clone();
-    let record = options.record.as_ref().map(|path| {
-        let file = File::options().create(true).append(true).open(path);
-        file.map_err(|error| format!("--record: {}: {error}", path.display()))
-    });
-    let record = Arc::new(record.transpose()?);
+    let record = open_journal("--record", options.record.as_deref())?;
+    let arrivals = open_journal("--arrivals", options.arrivals.as_deref())?;
     serve(&options.listen.clone(), move || {
         let service = Rc::new(Service {
             id: options.id.clone(),
@@ -95,11 +95,21 @@
             runs: RefCell::default(),
             running: Rc::default(),
             record: Arc::clone(&record),
+            arrivals: Arc::clone(&arrivals),
         });
         move |request| Rc::clone(&service).handle(request)
     })
 }
 
+// Opens the file of an option, which all runners of a test append to.
+fn open_journal(option: &str, path: Option<&Path>) -> Result<Arc<Option<File>>, Failure> {
+    let file = path.map(|path| {
+        let file = File::options().create(true).append(true).open(path);
+        file.map_err(|error| format!("{option}: {}: {error}", path.display()))
+    });
+    Ok(Arc::new(file.transpose()?))
+}
+
 struct Service {
     id: String,
     confidence: f64,
@@ -109,6 +119,7 @@
     runs: RefCell<BTreeMap<String, Vec<Run>>>,
     running: Rc<RefCell<Vec<String>>>,
     record: Arc<Option<File>>,
+    arrivals: Arc<Option<File>>,
 }
 
 /// Slot of a running request; released when dropped.
@@ -144,6 +155,15 @@
     runs: Vec<(String, u32, u32, u8)>,
 }
 
+/// Line of the file of `--arrivals`.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Arrival<'a> {
+    id: &'a str,
+    runner: &'a str,
+    at_ms: u64,
+}
+
 /// Line of the file of `--record`.
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -199,6 +219,15 @@
     }
 
     async fn run_call(&self, request: &mut Request) -> Response<BoxBody> {
+        let id = header_value(request, "x-carawayrun-request-id").unwrap_or_default();
+        append(
+            self.arrivals.as_ref().as_ref(),
+            &Arrival {
+                id: &id,
+                runner: &self.id,
+                at_ms: now_ms(),
+            },
+        );
         let expected = header_value(request, "x-carawayrun-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
             return text(StatusCode::MISDIRECTED_REQUEST, "another instance\n");
@@ -207,7 +236,6 @@
             Ok(body) => body,
             Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         };
-        let id = header_value(request, "x-carawayrun-request-id").unwrap_or_default();
         let Some(slot) = self.take_slot(&id) else {
             let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "no slot is free\n");
             set_header(&mut answer, "x-carawayrun-not-executed", "full");
@@ -291,19 +319,13 @@
     }
 
     fn record_run(&self, id: &str, run: Run) {
-        if let Some(file) = &*self.record {
-            let now = SystemTime::now().duration_since(UNIX_EPOCH);
-            let record = Record {
-                id,
-                runner: &self.id,
-                at_ms: now.unwrap_or_default().as_millis() as u64,
-                run: &run,
-            };
-            let mut line = serde_json::to_vec(&record).expect("a record serializes to JSON");
-            line.push(b'\n');
-            let mut file = file;
-            file.write_all(&line).expect("the record file is writable");
-        }
+        let record = Record {
+            id,
+            runner: &self.id,
+            at_ms: now_ms(),
+            run: &run,
+        };
+        append(self.record.as_ref().as_ref(), &record);
         let mut runs = self.runs.borrow_mut();
         runs.entry(id.to_owned()).or_default().push(run);
     }
@@ -373,6 +395,20 @@
     }
 }
 
+// Appends a line to a journal, if there is one.
+fn append(journal: Option<&File>, line: &impl Serialize) {
+    if let Some(mut file) = journal {
+        let mut line = serde_json::to_vec(line).expect("a line serializes to JSON");
+        line.push(b'\n');
+        file.write_all(&line).expect("the journal is writable");
+    }
+}
+
+fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().as_millis() as u64
+}
+
 fn new_run(request: &Request, body: &[u8]) -> Run {
     let text = |name| header_value(request, name).unwrap_or_default();
     let forged = ["authorization", "x-carawayrun-hold", "kv-from"];
--- a/tests/testsuite/retries.rs
+++ b/tests/testsuite/retries.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
+use crate::support::{budget, now_ms};
 
 const RELAYS: usize = 2;
 
@@ -70,3 +71,73 @@
     // What is allowed is used.
     assert!(repeats as f64 >= allowed / 2.0, "{repeats} of {allowed}");
 }
+
+/// Relays and engines of the mixed faults, and requests to each relay.
+const MIXED_RELAYS: usize = 3;
+const ENGINES: usize = 8;
+const MIXED_REQUESTS: usize = 120;
+
+/// Registrations of engines at addresses that others have by now.
+const MOVED: usize = 4;
+
+// What is sent again after another upstream answered at the address, after a crash within
+// a stream, by a relay that has just started, and for requests that crash upstreams.
+#[actix_rt::test]
+async fn repeats_exceed_budget_among_mixed_faults() {
+    let mut world = PlatformWorld::start("repeats-mixed").await;
+    for _ in 1..MIXED_RELAYS {
+        world.start_relay();
+    }
+    let mut written = config(5, &[API_KEY]);
+    written["routes"][2]["max_attempts"] = json!(ENGINES);
+    world.put("op", "config", &written).await;
+    let arrivals = world.arrivals_path().to_string_lossy().into_owned();
+    let faults = json!({
+        "cutStreams": 1_000_000, "deadlyPath": "/stream/deadly", "deadlyEvents": 1,
+    });
+    let faults = faults.to_string();
+    let more = ["--arrivals", &arrivals, "--faults", &faults];
+    for number in 0..ENGINES {
+        world.runner(&format!("llm-{number}"), "llm", &more).await;
+    }
+    world.until_ready().await;
+    world.change_settings("retry_slack = 600", &format!("retry_slack = {SLACK}"));
+    for relay in 0..MIXED_RELAYS {
+        world.until_relay_logged(relay, "settings changed").await;
+    }
+    for number in 0..MOVED {
+        let id = format!("moved-{number}");
+        world.register(&id, "llm", 10 + number).await;
+    }
+    world.until_known(ENGINES + MOVED).await;
+
+    let mut sent = Vec::new();
+    for number in 0..MIXED_REQUESTS {
+        for relay in 0..MIXED_RELAYS {
+            let path = match number % 10 {
+                0 => "/stream/deadly".to_owned(),
+                _ => format!("/stream/plan/{relay}-{number}"),
+            };
+            let id = format!("req-{relay}-{number}");
+            let request = world.request_at(relay, Method::POST, &path, &id);
+            sent.push(now_ms());
+            // The relay may be starting.
+            let _answer = request.send_body("").await;
+        }
+        if number == MIXED_REQUESTS / 2 {
+            world.restart_relay(1);
+        }
+        for index in world.ended_runners() {
+            world.restart_runner(index);
+        }
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    let arrivals = world.arrivals();
+    let arrivals: Vec<(&str, u64)> = arrivals.iter().map(|(id, _, at)| (&**id, *at)).collect();
+    let worst = budget::worst_window(&arrivals, &sent, RATIO, SLACK);
+    let worst = worst.expect("some requests are repeated");
+    assert!(worst.count as f64 <= worst.allowed, "{worst:?}");
+    // What is allowed is used.
+    let repeats = arrivals.len() as f64 - sent.len() as f64;
+    assert!(repeats >= RATIO * sent.len() as f64 / 3.0, "{repeats}");
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small world of real processes, and the histories of what they did.
 
 mod bills;
+pub(crate) mod budget;
 mod caller;
 mod history;
 pub(crate) mod limit;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -200,11 +200,27 @@
         self.dir.join("runs.jsonl")
     }
 
+    /// File for the option `--arrivals` of the runners.
+    pub(crate) fn arrivals_path(&self) -> PathBuf {
+        self.dir.join("arrivals.jsonl")
+    }
+
+    /// Requests that reached runners, run or not: request id, runner, and time in
+    /// milliseconds since the Unix epoch.
+    pub(crate) fn arrivals(&self) -> Vec<(String, String, u64)> {
+        let arrivals = read_lines(&self.arrivals_path()).into_iter();
+        let text = |line: &Value, name| Some(line[name].as_str()?.to_owned());
+        arrivals
+            .filter_map(|line| {
+                let at = line["at_ms"].as_u64()?;
+                Some((text(&line, "id")?, text(&line, "runner")?, at))
+            })
+            .collect()
+    }
+
     // Runs of all runners, as they recorded them.
     fn records(&self) -> Vec<Value> {
-        let text = std::fs::read_to_string(self.record_path()).unwrap_or_default();
-        let runs = text.lines().map(serde_json::from_str);
-        runs.filter_map(Result::ok).collect()
+        read_lines(&self.record_path())
     }
 
     /// Times at which a runner began its runs, in milliseconds since the Unix epoch.
@@ -456,6 +472,12 @@
     }
 }
 
+fn read_lines(path: &Path) -> Vec<Value> {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let lines = text.lines().map(serde_json::from_str);
+    lines.filter_map(Result::ok).collect()
+}
+
 fn relay_name(index: usize) -> String {
     match index {
         0 => "relay".into(),
