--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -55,6 +55,9 @@
     KEEP_ALIVE,
 ];
 
+/// Longest rest of an upstream; a longer one counts as this.
+const MAX_REST: Duration = Duration::from_hours(24);
+
 /// Scheme in front of the API key in `Authorization`.
 const KEY_SCHEME: &str = "Token ";
 
@@ -219,6 +222,7 @@
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
         confidence: text(&CONFIDENCE).and_then(|value| value.parse().ok()),
         rate_limit: text(&SERVER_LIMIT).and_then(parse_rate_limit),
+        rest: parse_rest(head),
         idle_limit: text(&KEEP_ALIVE).and_then(parse_keep_alive),
         body_length: text(&header::CONTENT_LENGTH).and_then(|value| value.parse().ok()),
     }
@@ -234,6 +238,27 @@
     limit
 }
 
+// Time for which an upstream that turned a request away wants none: the longest where it
+// gives several. Only a 503 asks for rest.
+fn parse_rest(head: &ResponseHead) -> Option<Duration> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let values = head.headers.get_all(header::RETRY_AFTER);
+    let rests = values.filter_map(|value| parse_seconds(value.to_str().unwrap_or_default()));
+    rests.max().filter(|rest| !rest.is_zero())
+}
+
+// Parses a number of seconds, at most [`MAX_REST`].
+fn parse_seconds(text: &str) -> Option<Duration> {
+    let seconds: Option<f64> = text.trim().parse().ok();
+    let seconds = seconds.filter(|seconds| *seconds >= 0.0);
+    if seconds.is_none() {
+        tracing::warn!(header = %header::RETRY_AFTER, value = text, "rest is not a number of seconds; ignored");
+    }
+    seconds.map(|seconds| Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+}
+
 // Parses the time of `timeout=SECONDS`.
 fn parse_keep_alive(text: &str) -> Option<Duration> {
     let mut fields = text.split(',');
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use serde_json::json;
 use test_case::test_case;
@@ -208,3 +208,29 @@
     head.headers.insert(name, HeaderValue::from_static(text));
     assert_eq!(parse_answer(&head).rate_limit, expected);
 }
+
+#[test_case(503, &["3"], Some(3_000); "whole seconds")]
+#[test_case(503, &[" 0.25 "], Some(250); "fraction")]
+#[test_case(503, &["2", "5", "x"], Some(5_000); "several")]
+#[test_case(503, &["1e30"], Some(86_400_000); "huge")]
+#[test_case(503, &["inf"], Some(86_400_000); "infinite")]
+#[test_case(503, &["0"], None; "zero")]
+#[test_case(503, &["-3"], None; "negative")]
+#[test_case(503, &["nan"], None; "no number")]
+#[test_case(503, &["Wed, 21 Oct 2026 07:28:00 GMT"], None; "date")]
+#[test_case(503, &["\u{e9}"], None; "unreadable")]
+#[test_case(503, &[], None; "absent")]
+#[test_case(429, &["3"], None; "too many requests")]
+#[test_case(200, &["3"], None; "success")]
+fn rest_of_answer_is_parsed(status: u16, values: &[&'static str], expected: Option<u64>) {
+    let status = StatusCode::from_u16(status).expect("it is a status");
+    let mut head = ResponseHead::new(status);
+    for value in values {
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let Ok(value) = value {
+            head.headers.append(header::RETRY_AFTER, value);
+        }
+    }
+    let rest = parse_answer(&head).rest;
+    assert_eq!(rest.map(|rest| rest.as_millis() as u64), expected);
+}
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -185,6 +185,10 @@
             return AttemptOutcome::Displaced;
         }
         self.traffic.record_limit(key, upstream, answer.rate_limit);
+        if let Some(rest) = answer.rest {
+            self.traffic.metrics.rests_asked.inc();
+            tracing::info!(request = %self.request.id, upstream = %upstream.name, rest_ms = rest.as_millis() as u64, "upstream asked for rest");
+        }
         if answer.execution == Execution::NotRun {
             return AttemptOutcome::Refused(head.status);
         }
--- a/src/carawayrun/relay/message.rs
+++ b/src/carawayrun/relay/message.rs
@@ -83,6 +83,9 @@
     /// Requests per second that the upstream takes from all gateways together, if it
     /// names a limit.
     pub rate_limit: Option<f64>,
+    /// Time for which the upstream wants no requests from this gateway, if it asks for
+    /// rest.
+    pub rest: Option<Duration>,
     /// Time for which the upstream keeps an idle connection open, if it says so.
     pub idle_limit: Option<Duration>,
     /// Length of the body, if given.
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -76,6 +76,7 @@
     pub(crate) quarantined_parts: Gauge,
     pub(crate) quarantined_requests: Gauge,
     pub(crate) held_requests: Counter,
+    pub(crate) rests_asked: Counter,
     pub(crate) limited_sends: Counter,
     pub(crate) repeated_sends: Counter,
     pub(crate) retries_taken: Counter,
@@ -106,6 +107,7 @@
             quarantined_parts: Gauge::default(),
             quarantined_requests: Gauge::default(),
             held_requests: Counter::default(),
+            rests_asked: Counter::default(),
             limited_sends: Counter::default(),
             repeated_sends: Counter::default(),
             retries_taken: Counter::default(),
@@ -201,6 +203,11 @@
             "Times that a request was held back for a quarantine",
             &self.held_requests,
         );
+        add(
+            "rests_asked",
+            "Answers in which an upstream asked for rest",
+            &self.rests_asked,
+        );
         add(
             "rollouts_begun",
             "Roll-outs that this process began in the store",
