Show that upstreams are asked again while they rest

Two relays as processes, stand-ins that turn requests away with Retry-After and write each arrival down.

--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -30,6 +30,10 @@
     pub(crate) cross_answers: u32,
     /// Requests per second that a runner names as its limit in all answers.
     pub(crate) server_limit: Option<f64>,
+    /// Value of `Retry-After` with which a runner turns all requests away, if not empty.
+    pub(crate) rest: String,
+    /// Whether a runner says in all answers that it is leaving.
+    pub(crate) server_leaving: bool,
     /// Id of a prompt part that ends the process of a runner which begins to answer a
     /// request with it, unless it is the prompt's last part.
     pub(crate) deadly_part: String,
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -162,6 +162,10 @@
     id: &'a str,
     runner: &'a str,
     at_ms: u64,
+    /// Time for which the runner asks to be left alone; zero if it does not.
+    rest_ms: u64,
+    is_leaving: bool,
+    is_misdirected: bool,
 }
 
 /// Line of the file of `--record`.
@@ -192,6 +196,9 @@
 impl Service {
     async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let mut answer = Rc::clone(&self).answer(request).await;
+        if self.faults.get().server_leaving {
+            set_header(&mut answer, "server-leaving", "1");
+        }
         if let Some(limit) = self.faults.get().server_limit {
             set_header(&mut answer, "server-limit", &limit.to_string());
         }
@@ -220,22 +227,25 @@
 
     async fn run_call(&self, request: &mut Request) -> Response<BoxBody> {
         let id = header_value(request, "x-carawayrun-request-id").unwrap_or_default();
-        append(
-            self.arrivals.as_ref().as_ref(),
-            &Arrival {
-                id: &id,
-                runner: &self.id,
-                at_ms: now_ms(),
-            },
-        );
         let expected = header_value(request, "x-carawayrun-expect-instance");
-        if expected.is_some_and(|expected| expected != self.id) {
-            return text(StatusCode::MISDIRECTED_REQUEST, "another instance\n");
+        let is_misdirected = expected.is_some_and(|expected| expected != self.id);
+        self.record_arrival(&id, is_misdirected);
+        if is_misdirected {
+            let mut answer = text(StatusCode::MISDIRECTED_REQUEST, "another instance\n");
+            set_header(&mut answer, "x-carawayrun-instance-id", &self.id);
+            return answer;
         }
         let body = match read_body(request.take_payload(), MAX_BODY_BYTES).await {
             Ok(body) => body,
             Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         };
+        let rest = self.faults.get().rest;
+        if !rest.is_empty() {
+            let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "resting\n");
+            set_header(&mut answer, "x-carawayrun-not-executed", "resting");
+            set_header(&mut answer, "retry-after", &rest);
+            return answer;
+        }
         let Some(slot) = self.take_slot(&id) else {
             let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "no slot is free\n");
             set_header(&mut answer, "x-carawayrun-not-executed", "full");
@@ -318,6 +328,24 @@
         Some(Slot { id, running })
     }
 
+    fn record_arrival(&self, id: &str, is_misdirected: bool) {
+        let faults = self.faults.get();
+        let rest: f64 = faults.rest.parse().unwrap_or(0.0);
+        let arrival = Arrival {
+            id,
+            runner: &self.id,
+            at_ms: now_ms(),
+            rest_ms: if is_misdirected {
+                0
+            } else {
+                (rest * 1_000.0) as u64
+            },
+            is_leaving: faults.server_leaving && !is_misdirected,
+            is_misdirected,
+        };
+        append(self.arrivals.as_ref().as_ref(), &arrival);
+    }
+
     fn record_run(&self, id: &str, run: Run) {
         let record = Record {
             id,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod platform;
 mod policy;
 mod resources;
+mod resting;
 mod restored;
 mod retries;
 mod rollouts;
--- a/tests/testsuite/retries.rs
+++ b/tests/testsuite/retries.rs
@@ -133,7 +133,10 @@
         actix_rt::time::sleep(Duration::from_millis(5)).await;
     }
     let arrivals = world.arrivals();
-    let arrivals: Vec<(&str, u64)> = arrivals.iter().map(|(id, _, at)| (&**id, *at)).collect();
+    let arrivals: Vec<(&str, u64)> = arrivals
+        .iter()
+        .map(|arrival| (&*arrival.id, arrival.at_ms))
+        .collect();
     let worst = budget::worst_window(&arrivals, &sent, RATIO, SLACK);
     let worst = worst.expect("some requests are repeated");
     assert!(worst.count as f64 <= worst.allowed, "{worst:?}");
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -10,6 +10,7 @@
 mod process;
 mod reach;
 mod relay;
+pub(crate) mod rest;
 mod traffic;
 mod world;
 
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -9,6 +9,7 @@
 use awc::{Client, ClientRequest};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
 use serde_json::{Value, json};
 
 use super::process::Process;
@@ -46,6 +47,22 @@
     runner_args: Vec<(String, Vec<String>)>,
 }
 
+/// A request that reached a runner.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+pub(crate) struct Arrival {
+    pub(crate) id: String,
+    pub(crate) runner: String,
+    /// Time in milliseconds since the Unix epoch.
+    pub(crate) at_ms: u64,
+    /// Time for which the runner asked to be left alone; zero if it did not.
+    pub(crate) rest_ms: u64,
+    /// Whether it said that it is leaving.
+    pub(crate) is_leaving: bool,
+    /// Whether another runner was meant.
+    pub(crate) is_misdirected: bool,
+}
+
 /// A client's answer, whole.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -205,17 +222,9 @@
         self.dir.join("arrivals.jsonl")
     }
 
-    /// Requests that reached runners, run or not: request id, runner, and time in
-    /// milliseconds since the Unix epoch.
-    pub(crate) fn arrivals(&self) -> Vec<(String, String, u64)> {
-        let arrivals = read_lines(&self.arrivals_path()).into_iter();
-        let text = |line: &Value, name| Some(line[name].as_str()?.to_owned());
-        arrivals
-            .filter_map(|line| {
-                let at = line["at_ms"].as_u64()?;
-                Some((text(&line, "id")?, text(&line, "runner")?, at))
-            })
-            .collect()
+    /// Requests that reached runners, run or not.
+    pub(crate) fn arrivals(&self) -> Vec<Arrival> {
+        read_arrivals(&self.arrivals_path())
     }
 
     // Runs of all runners, as they recorded them.
@@ -472,6 +481,20 @@
     }
 }
 
+/// Starts to send a request; the answer is dropped.
+pub(crate) fn send_aside(request: ClientRequest) {
+    actix_rt::spawn(async move {
+        let _answer = request.send_body("").await;
+    });
+}
+
+/// Reads what runners wrote to the file of the option `--arrivals`.
+pub(crate) fn read_arrivals(path: &Path) -> Vec<Arrival> {
+    let lines = read_lines(path).into_iter();
+    let arrivals = lines.map(serde_json::from_value);
+    arrivals.filter_map(Result::ok).collect()
+}
+
 fn read_lines(path: &Path) -> Vec<Value> {
     let text = std::fs::read_to_string(path).unwrap_or_default();
     let lines = text.lines().map(serde_json::from_str);
--- /dev/null
+++ b/tests/testsuite/support/rest.rs
@@ -0,0 +1,33 @@
+//! Judgement of the requests that reach an upstream which asked for rest.
+
+use std::collections::HashMap;
+
+use super::platform::Arrival;
+
+/// Requests of one relay within a rest that are allowed.
+pub(crate) const MOST: usize = 2;
+
+/// Time after which a rest counts, in milliseconds: what is on its way arrives by then.
+const GRACE_MS: u64 = 500;
+
+/// Most requests of one caller that reached an upstream within a rest that it had asked
+/// that caller for. `arrivals` have the callers' names.
+pub(crate) fn most_within<'a, C>(arrivals: impl Iterator<Item = (C, &'a Arrival)>) -> usize
+where
+    C: Copy + Eq + std::hash::Hash,
+{
+    let mut by_pair: HashMap<(C, &str), Vec<&Arrival>> = HashMap::new();
+    for (caller, arrival) in arrivals {
+        let of_pair = by_pair.entry((caller, &arrival.runner)).or_default();
+        of_pair.push(arrival);
+    }
+    let pairs = by_pair.values();
+    let counts = pairs.flat_map(|arrivals| {
+        arrivals.iter().map(|asked| {
+            let rest = asked.at_ms + GRACE_MS..asked.at_ms + asked.rest_ms;
+            let within = arrivals.iter().filter(|other| rest.contains(&other.at_ms));
+            within.count()
+        })
+    });
+    counts.max().unwrap_or(0)
+}
