Send nothing to an upstream until the rest that it asked for has ended

Cause: Retry-After of an upstream was read nowhere; a refusal ejected its upstream for 150 ms. And an ejection is soft: where all are ejected, ejected ones are asked all the same. The class: what the other side asks for was treated as a guess of our own.

Change: a rest is kept by incarnation, apart from health, and excludes its upstream for every way to it; what waited for a connection is checked again before it is sent. Afterwards traffic returns by degrees. Where all rest, callers are refused at once with the shortest time left.

Why it works: the exclusion stands where upstreams are chosen and where a request is written, so no kind of send passes it by.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -57,6 +57,10 @@
         let Ok(connection) = self.acquire_connection(view, route, key, &upstream).await else {
             return AttemptOutcome::NotSent;
         };
+        // What it said to others meanwhile.
+        if !self.traffic.accepts(key) {
+            return AttemptOutcome::NotSent;
+        }
         let catalog = Arc::clone(&self.admitted.catalog);
         let service = self.service_name(&catalog);
         if progress.sends == 0 {
@@ -186,8 +190,7 @@
         }
         self.traffic.record_limit(key, upstream, answer.rate_limit);
         if let Some(rest) = answer.rest {
-            self.traffic.metrics.rests_asked.inc();
-            tracing::info!(request = %self.request.id, upstream = %upstream.name, rest_ms = rest.as_millis() as u64, "upstream asked for rest");
+            self.traffic.record_rest(key, upstream, rest);
         }
         if answer.execution == Execution::NotRun {
             return AttemptOutcome::Refused(head.status);
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -467,7 +467,8 @@
         let service = self.service_name(&self.admitted.catalog);
         let wait = self.traffic.time_to_send(service).unwrap_or_default();
         let wait = wait.clamp(MIN_NO_CAPACITY_RETRY_AFTER, MAX_LIMIT_RETRY_AFTER);
-        wait.mul_f64(1.0 + 2.0 * self.traffic.random())
+        let rest = self.traffic.time_to_end_of_rest(service);
+        rest.unwrap_or_default() + wait.mul_f64(1.0 + 2.0 * self.traffic.random())
     }
 
     // Ends a request whose deadline has passed; returns false if the client's
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -18,6 +18,7 @@
     UpstreamCandidate, affinity_rank, choose_candidate, count_partial_upstreams, sample_candidates,
 };
 use super::rate_limit::{LimitNotice, RateLimiter, RateShare};
+use super::rests::{Incarnation, Rests};
 use super::sessions::{VersionInput, uses_new_version};
 use super::view::{RolloutView, Upstream, UpstreamKey, View};
 use crate::peer::message::{UpstreamLimit, UpstreamLoad};
@@ -71,6 +72,7 @@
     upstreams: Arc<SlotMap<UpstreamKey, Upstream>>,
     states: SecondaryMap<UpstreamKey, UpstreamState>,
     by_service: FxHashMap<CompactString, Vec<UpstreamKey>>,
+    rests: Rests,
     /// Load that the other gateways placed on the upstreams.
     pub(super) peer_loads: PeerLoads,
 }
@@ -81,6 +83,7 @@
     backlog_ms: f64,
     /// Key of the upstream in reports.
     digest: u32,
+    incarnation: Incarnation,
     health: Health,
     limiter: RateLimiter,
     /// This gateway's share of the upstream's limit.
@@ -102,7 +105,9 @@
             let keys = self.by_service.entry(upstream.service.clone());
             keys.or_default().push(key);
             if let Some(state) = self.states.entry(key) {
-                state.or_default().digest = upstream_digest(&upstream.name);
+                let state = state.or_default();
+                state.digest = upstream_digest(&upstream.name);
+                state.incarnation = Incarnation::of(upstream);
             }
         }
     }
@@ -126,7 +131,7 @@
         let available = known
             .iter()
             .copied()
-            .filter(|key| self.is_available(*key, query));
+            .filter(|key| self.is_available(*key, query, now));
         let available: Vec<UpstreamKey> = available.collect();
         let eligible = self.eligible_upstreams(&available, query, rollouts);
         // After the choice of the version, as a request must not change it for a limit.
@@ -140,6 +145,7 @@
         if keys.is_empty() && query.allows_ejected {
             keys = within_limits;
         }
+        let keys = self.hold_back_returning(keys, now, rng);
         let candidates: Vec<UpstreamCandidate> = keys
             .iter()
             .map(|key| self.candidate(*key, query, data_centre, now))
@@ -151,6 +157,23 @@
         Some((keys[chosen.index], chosen.wait_ms()))
     }
 
+    // Leaves out upstreams whose rest has just ended, in part and while others are left.
+    fn hold_back_returning(
+        &self,
+        keys: Vec<UpstreamKey>,
+        now: Duration,
+        rng: &mut SmallRng,
+    ) -> Vec<UpstreamKey> {
+        let share = |key: &UpstreamKey| self.rests.share(self.states[*key].incarnation, now);
+        let kept = keys.iter().copied();
+        let kept = kept.filter(|key| {
+            let share = share(key);
+            share >= 1.0 || rng.random_bool(share)
+        });
+        let kept: Vec<UpstreamKey> = kept.collect();
+        if kept.is_empty() { keys } else { kept }
+    }
+
     /// Takes an idle connection that may still be used; `is_once` if the request
     /// must run at most once.
     pub(super) fn take_idle(
@@ -325,9 +348,44 @@
         times.min()
     }
 
-    fn is_available(&self, key: UpstreamKey, query: &UpstreamQuery<'_>) -> bool {
+    fn is_available(&self, key: UpstreamKey, query: &UpstreamQuery<'_>, now: Duration) -> bool {
+        self.accepts(key, now) && !query.excluded.contains(&key)
+    }
+
+    /// Returns true if requests may be sent to an upstream: it is registered, is not
+    /// leaving and does not rest.
+    pub(super) fn accepts(&self, key: UpstreamKey, now: Duration) -> bool {
         let upstream = self.upstreams.get(key);
-        upstream.is_some_and(|upstream| !upstream.is_leaving) && !query.excluded.contains(&key)
+        upstream.is_some_and(|upstream| !upstream.is_leaving) && self.rest_left(key, now).is_zero()
+    }
+
+    fn rest_left(&self, key: UpstreamKey, now: Duration) -> Duration {
+        let state = self.states.get(key);
+        state.map_or(Duration::ZERO, |state| {
+            self.rests.time_left(state.incarnation, now)
+        })
+    }
+
+    /// Records that an upstream asked for rest; returns true if it did not rest before.
+    pub(super) fn record_rest(&mut self, key: UpstreamKey, rest: Duration, now: Duration) -> bool {
+        let Some(state) = self.states.get(key) else {
+            return false;
+        };
+        self.rests.record(state.incarnation, rest, now)
+    }
+
+    /// Number of upstreams that rest.
+    pub(super) fn resting_count(&self, now: Duration) -> usize {
+        self.rests.count(now)
+    }
+
+    /// Time until one of a service's upstreams that rest accepts requests again; `None`
+    /// if one does already, or none is known.
+    pub(super) fn time_to_end_of_rest(&self, service: &str, now: Duration) -> Option<Duration> {
+        let keys = self.by_service.get(service)?.iter();
+        let present = keys.filter(|key| !self.upstreams[**key].is_leaving);
+        let rests = present.map(|key| self.rest_left(*key, now));
+        rests.min().filter(|rest| !rest.is_zero())
     }
 
     fn is_ejected(&self, key: UpstreamKey, now: Duration) -> bool {
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -73,6 +73,7 @@
     pub(crate) config_version: Gauge,
     pub(crate) store_era: Gauge,
     pub(crate) limited_upstreams: Gauge,
+    pub(crate) resting_upstreams: Gauge,
     pub(crate) quarantined_parts: Gauge,
     pub(crate) quarantined_requests: Gauge,
     pub(crate) held_requests: Counter,
@@ -104,6 +105,7 @@
             config_version: Gauge::default(),
             store_era: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            resting_upstreams: Gauge::default(),
             quarantined_parts: Gauge::default(),
             quarantined_requests: Gauge::default(),
             held_requests: Counter::default(),
@@ -236,6 +238,11 @@
             "Upstreams that name a limit of requests per second",
             self.limited_upstreams.clone(),
         );
+        registry.register(
+            "resting_upstreams",
+            "Upstreams that asked this gateway for rest",
+            self.resting_upstreams.clone(),
+        );
         registry.register(
             "quarantined_parts",
             "Prompt parts that are not sent, since upstreams crash under them",
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -16,6 +16,7 @@
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
 //! | [`rate_limit`] | shares of the rates that upstreams name |
+//! | [`rests`] | rest that upstreams ask for |
 //! | [`health`] | health of upstreams, from own attempts |
 //! | [`losses`] | attribution of lost requests to versions |
 //! | [`quarantine`] | requests and prompt parts under which upstreams crash |
@@ -50,6 +51,7 @@
 pub mod readers;
 mod request_log;
 mod responder;
+pub mod rests;
 pub mod rollout;
 mod serve;
 mod session_lists;
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -14,6 +14,7 @@
 mod rate_limit;
 mod readers;
 mod request_quarantine;
+mod rests;
 mod rollout;
 mod rollout_trials;
 mod session_lists;
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -1,4 +1,5 @@
-//! The other gateways, and this one's shares of the limits that upstreams name.
+//! What upstreams allow this gateway: its shares of the limits that they name, and the
+//! rest that they ask for.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,11 +33,43 @@
         }
     }
 
-    /// Takes a send to an upstream from this gateway's share of the upstream's limit,
-    /// if it names one; returns false if the share is spent.
+    /// Records that an upstream asked this gateway for rest.
+    pub(in crate::relay) fn record_rest(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        rest: Duration,
+    ) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        self.metrics.rests_asked.inc();
+        if fleet.record_rest(key, rest, now) {
+            tracing::info!(upstream = %upstream.name, rest_ms = rest.as_millis() as u64, "upstream asked for rest");
+        }
+        self.metrics
+            .resting_upstreams
+            .set(fleet.resting_count(now) as i64);
+    }
+
+    /// Returns true if requests may be sent to an upstream, which is not leaving and does
+    /// not rest.
+    pub(in crate::relay) fn accepts(&self, key: UpstreamKey) -> bool {
+        self.fleet.borrow().accepts(key, self.now())
+    }
+
+    /// Time until one of a service's upstreams has rested; `None` unless all of them rest.
+    pub(in crate::relay) fn time_to_end_of_rest(&self, service: &str) -> Option<Duration> {
+        self.fleet.borrow().time_to_end_of_rest(service, self.now())
+    }
+
+    /// Takes a send to an upstream that may be sent to from this gateway's share of the
+    /// upstream's limit, if it names one; returns false if the share is spent.
     pub(in crate::relay) fn take_send(&self, key: UpstreamKey) -> bool {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
+        if !fleet.accepts(key, now) {
+            return false;
+        }
         let is_limited = fleet.limit(key).is_some();
         let has_token = fleet.take_token(key, now);
         if is_limited && has_token {
@@ -71,10 +104,11 @@
             members.record_listed(&view.peers, now);
         }
         members.expire(now);
-        let limited = self.fleet(&view, |fleet, _| {
+        let (limited, resting) = self.fleet(&view, |fleet, _| {
             fleet.update_shares(&members, self.own_addr);
-            fleet.limited_count()
+            (fleet.limited_count(), fleet.resting_count(now))
         });
         self.metrics.limited_upstreams.set(limited as i64);
+        self.metrics.resting_upstreams.set(resting as i64);
     }
 }
