--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -165,7 +165,6 @@
     /// Time for which the runner asks to be left alone; zero if it does not.
     rest_ms: u64,
     is_leaving: bool,
-    is_misdirected: bool,
 }
 
 /// Line of the file of `--record`.
@@ -341,7 +340,6 @@
                 (rest * 1_000.0) as u64
             },
             is_leaving: faults.server_leaving && !is_misdirected,
-            is_misdirected,
         };
         append(self.arrivals.as_ref().as_ref(), &arrival);
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod configuration;
 mod control;
 mod deadly;
+mod departing;
 mod hosts;
 mod interrupted;
 mod leaving;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -59,8 +59,6 @@
     pub(crate) rest_ms: u64,
     /// Whether it said that it is leaving.
     pub(crate) is_leaving: bool,
-    /// Whether another runner was meant.
-    pub(crate) is_misdirected: bool,
 }
 
 /// A client's answer, whole.
