Send nothing new to an upstream that said that it is leaving

DRAIN: requests reach a leaving upstream later than drain_ms after a relay has passed on an answer with Server-Leaving.

Cause: the header was read nowhere; only the registration counted, which may never say so.

Change: the word of an upstream is kept by incarnation, in departures, and excludes it where upstreams are chosen and where a request is written. Plain answers, heads of streams, refusals, load reports and 421 with the name of who answered count. The other relays are told in the reports that go anyway.

Why it works: it is judged from the answer's head on, before the answer is passed on, and neither a later registration nor a copied one undoes it.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -541,6 +541,9 @@
     /// Requests under which upstreams crashed, and answers to them.
     #[prost(message, repeated, tag = "10")]
     pub requests: ::prost::alloc::vec::Vec<CrashSubject>,
+    /// Hashes of the incarnations of upstreams that said to the sender that they leave.
+    #[prost(fixed64, repeated, tag = "11")]
+    pub leaving: ::prost::alloc::vec::Vec<u64>,
 }
 /// What a relay saw itself of a part of prompts or of a request, and its quarantine as
 /// the relay knows it. Ages are in milliseconds.
--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -21,6 +21,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-carawayrun-not-executed");
 const CONFIDENCE: HeaderName = HeaderName::from_static("x-carawayrun-confidence");
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const INSTANCE: HeaderName = HeaderName::from_static("x-carawayrun-instance-id");
 const SEAL: HeaderName = HeaderName::from_static("x-carawayrun-response-seal");
 const SESSION: HeaderName = HeaderName::from_static("session");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -223,6 +225,8 @@
         confidence: text(&CONFIDENCE).and_then(|value| value.parse().ok()),
         rate_limit: text(&SERVER_LIMIT).and_then(parse_rate_limit),
         rest: parse_rest(head),
+        is_leaving: text(&SERVER_LEAVING).is_some_and(|value| value.trim() == "1"),
+        instance: text(&INSTANCE).map(CompactString::from),
         idle_limit: text(&KEEP_ALIVE).and_then(parse_keep_alive),
         body_length: text(&header::CONTENT_LENGTH).and_then(|value| value.parse().ok()),
     }
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -234,3 +234,16 @@
     let rest = parse_answer(&head).rest;
     assert_eq!(rest.map(|rest| rest.as_millis() as u64), expected);
 }
+
+#[test_case(200, "1", true; "success")]
+#[test_case(421, " 1 ", true; "moved")]
+#[test_case(503, "1", true; "refusal")]
+#[test_case(200, "0", false; "zero")]
+#[test_case(200, "yes", false; "unknown value")]
+fn departure_in_answer_is_parsed(status: u16, text: &'static str, expected: bool) {
+    let status = StatusCode::from_u16(status).expect("it is a status");
+    let mut head = ResponseHead::new(status);
+    let name = HeaderName::from_static("server-leaving");
+    head.headers.insert(name, HeaderValue::from_static(text));
+    assert_eq!(parse_answer(&head).is_leaving, expected);
+}
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -186,9 +186,15 @@
         let answer = platform::parse_answer(&head);
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             tracing::info!(request = %self.request.id, upstream = %upstream.name, "another upstream has this address now");
+            if let Some(name) = answer.instance.filter(|_| answer.is_leaving) {
+                self.traffic.record_departure_of(&name, upstream.addr);
+            }
             return AttemptOutcome::Displaced;
         }
         self.traffic.record_limit(key, upstream, answer.rate_limit);
+        if answer.is_leaving {
+            self.traffic.record_departure(key, upstream);
+        }
         if let Some(rest) = answer.rest {
             self.traffic.record_rest(key, upstream, rest);
         }
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -45,22 +45,29 @@
         let config = &self.traffic.config;
         let report = timeout(REPORT_TIMEOUT, fetch_report(upstream, config)).await;
         self.traffic.metrics.report_polls.inc();
-        let has = matches!(&report, Ok(Ok(report)) if report.may_have_request(&self.request.id));
+        let has =
+            matches!(&report, Ok(Ok((_, report))) if report.may_have_request(&self.request.id));
+        if matches!(&report, Ok(Ok((true, _)))) {
+            self.traffic.record_departure(key, upstream);
+        }
         tracing::info!(request = %self.request.id, upstream = %upstream.name, has, ?report, "load report of silent upstream polled");
         has
     }
 }
 
+// Also returns whether the engine says that it is leaving.
 async fn fetch_report(
     upstream: &Upstream,
     config: &ServiceConfig,
-) -> Result<EngineReport, ReportError> {
+) -> Result<(bool, EngineReport), ReportError> {
     let mut connection = UpstreamConnection::connect(upstream.addr, CONNECT_TIMEOUT, config)
         .await
         .context(WireSnafu)?;
     let head = platform::report_request(upstream);
     connection.start_request(head, b"").context(WireSnafu)?;
-    connection.read_head().await.context(WireSnafu)?;
+    let head = connection.read_head().await.context(WireSnafu)?;
+    let is_leaving = platform::parse_answer(&head).is_leaving;
     let body = read_whole(&mut connection).await.context(WireSnafu)?;
-    platform::parse_report(&body).context(UnreadableSnafu)
+    let report = platform::parse_report(&body).context(UnreadableSnafu)?;
+    Ok((is_leaving, report))
 }
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -11,6 +11,7 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use super::connection::UpstreamConnection;
+use super::departures::Departures;
 use super::health::Health;
 use super::loads::{PeerLoads, upstream_digest};
 use super::members::Members;
@@ -73,6 +74,7 @@
     states: SecondaryMap<UpstreamKey, UpstreamState>,
     by_service: FxHashMap<CompactString, Vec<UpstreamKey>>,
     rests: Rests,
+    departures: Departures,
     /// Load that the other gateways placed on the upstreams.
     pub(super) peer_loads: PeerLoads,
 }
@@ -339,7 +341,7 @@
     /// gateway; `None` if no upstream is known.
     pub(super) fn time_to_token(&self, service: &str, now: Duration) -> Option<Duration> {
         let keys = self.by_service.get(service)?.iter();
-        let present = keys.filter(|key| !self.upstreams[**key].is_leaving);
+        let present = keys.filter(|key| self.is_present(**key));
         let states = present.map(|key| &self.states[*key]);
         let times = states.map(|state| {
             let time = state.limiter.time_to_token(state.share, now);
@@ -352,11 +354,54 @@
         self.accepts(key, now) && !query.excluded.contains(&key)
     }
 
-    /// Returns true if requests may be sent to an upstream: it is registered, is not
-    /// leaving and does not rest.
+    /// Returns true if requests may be sent to an upstream, which is there and does not
+    /// rest.
     pub(super) fn accepts(&self, key: UpstreamKey, now: Duration) -> bool {
-        let upstream = self.upstreams.get(key);
-        upstream.is_some_and(|upstream| !upstream.is_leaving) && self.rest_left(key, now).is_zero()
+        self.is_present(key) && self.rest_left(key, now).is_zero()
+    }
+
+    // True if an upstream is registered and is not leaving, by its registration or by its
+    // own word.
+    fn is_present(&self, key: UpstreamKey) -> bool {
+        let (upstream, state) = (self.upstreams.get(key), self.states.get(key));
+        upstream.is_some_and(|upstream| !upstream.is_leaving)
+            && state.is_some_and(|state| !self.departures.contains(state.incarnation))
+    }
+
+    /// Records that an upstream said that it is leaving; returns true if that is new.
+    pub(super) fn record_departure(&mut self, key: UpstreamKey, now: Duration) -> bool {
+        let Some(state) = self.states.get(key) else {
+            return false;
+        };
+        self.departures.record(state.incarnation, true, now)
+    }
+
+    /// Records the upstreams that said so to another gateway.
+    pub(super) fn record_peer_departures(&mut self, leaving: &[u64], now: Duration) {
+        for digest in leaving {
+            let incarnation = Incarnation::from_digest(*digest);
+            self.departures.record(incarnation, false, now);
+        }
+    }
+
+    /// Upstreams that said so to this gateway, for the others.
+    pub(super) fn own_departures(&mut self, now: Duration) -> Vec<u64> {
+        let states = &self.states;
+        let is_registered = |incarnation| {
+            states
+                .values()
+                .any(|state| state.incarnation == incarnation)
+        };
+        self.departures.expire(is_registered, now);
+        let reported = self.departures.reported(now).into_iter();
+        reported.map(Incarnation::digest).collect()
+    }
+
+    /// Finds the upstream with a name at an address.
+    pub(super) fn find(&self, name: &str, addr: SocketAddr) -> Option<UpstreamKey> {
+        let mut upstreams = self.upstreams.iter();
+        let found = upstreams.find(|(_, other)| other.name == name && other.addr == addr);
+        found.map(|(key, _)| key)
     }
 
     fn rest_left(&self, key: UpstreamKey, now: Duration) -> Duration {
@@ -383,7 +428,7 @@
     /// if one does already, or none is known.
     pub(super) fn time_to_end_of_rest(&self, service: &str, now: Duration) -> Option<Duration> {
         let keys = self.by_service.get(service)?.iter();
-        let present = keys.filter(|key| !self.upstreams[**key].is_leaving);
+        let present = keys.filter(|key| self.is_present(**key));
         let rests = present.map(|key| self.rest_left(*key, now));
         rests.min().filter(|rest| !rest.is_zero())
     }
@@ -447,7 +492,7 @@
         let known = self.by_service[&rollout.service].iter();
         let known = known.filter(|key| {
             let upstream = &self.upstreams[**key];
-            upstream.version == rollout.to && !upstream.is_leaving
+            upstream.version == rollout.to && self.is_present(**key)
         });
         let count = count_partial_upstreams(known.count(), rollout.share);
         if count < new.len() {
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -92,6 +92,7 @@
             outcomes: outcomes.collect(),
             reads: view.reads.iter().map(encode_read).collect(),
             limits: traffic.own_limits(),
+            leaving: traffic.own_departures(),
             ..RelayReport::default()
         };
         traffic.report_crashes(&mut report);
--- a/src/carawayrun/relay/message.rs
+++ b/src/carawayrun/relay/message.rs
@@ -83,6 +83,10 @@
     /// Requests per second that the upstream takes from all gateways together, if it
     /// names a limit.
     pub rate_limit: Option<f64>,
+    /// True if the upstream says that it is leaving.
+    pub is_leaving: bool,
+    /// Name of the upstream that answered, if it says so.
+    pub instance: Option<CompactString>,
     /// Time for which the upstream wants no requests from this gateway, if it asks for
     /// rest.
     pub rest: Option<Duration>,
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -16,6 +16,7 @@
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
 //! | [`rate_limit`] | shares of the rates that upstreams name |
+//! | [`departures`] | upstreams that say that they are leaving |
 //! | [`rests`] | rest that upstreams ask for |
 //! | [`health`] | health of upstreams, from own attempts |
 //! | [`losses`] | attribution of lost requests to versions |
@@ -30,6 +31,7 @@
 mod client;
 mod connection;
 pub mod control;
+pub mod departures;
 pub mod events;
 pub mod evidence;
 mod exchange;
--- a/src/carawayrun/relay/rests.rs
+++ b/src/carawayrun/relay/rests.rs
@@ -21,7 +21,7 @@
 const FIRST_SHARE: f64 = 0.1;
 
 /// Key of one incarnation of an upstream: a restart is not bound by what was said before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Incarnation(u64);
 
 impl Incarnation {
@@ -31,6 +31,16 @@
         (&upstream.name, upstream.born_ms).hash(&mut hasher);
         Self(hasher.finish())
     }
+
+    /// Key in reports.
+    pub fn digest(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the key that another gateway reported.
+    pub fn from_digest(digest: u64) -> Self {
+        Self(digest)
+    }
 }
 
 /// Rests of upstreams. Times are on the caller's clock.
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -4,6 +4,7 @@
 mod cascade;
 mod connection;
 mod control;
+mod departures;
 mod events;
 mod fingerprint;
 mod health;
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -51,6 +51,28 @@
             .set(fleet.resting_count(now) as i64);
     }
 
+    /// Records that an upstream said in an answer that it is leaving.
+    pub(in crate::relay) fn record_departure(&self, key: UpstreamKey, upstream: &Upstream) {
+        if self.fleet.borrow_mut().record_departure(key, self.now()) {
+            tracing::info!(upstream = %upstream.name, "upstream says that it is leaving");
+            self.load_changed.notify_one();
+        }
+    }
+
+    /// Records that whoever has an upstream's address now said that it is leaving.
+    pub(in crate::relay) fn record_departure_of(&self, name: &str, addr: SocketAddr) {
+        let key = self.fleet.borrow().find(name, addr);
+        let view = self.view();
+        if let Some((key, upstream)) = key.and_then(|key| Some((key, view.upstreams.get(key)?))) {
+            self.record_departure(key, upstream);
+        }
+    }
+
+    /// Upstreams that said so to this gateway.
+    pub(in crate::relay) fn own_departures(&self) -> Vec<u64> {
+        self.fleet.borrow_mut().own_departures(self.now())
+    }
+
     /// Returns true if requests may be sent to an upstream, which is not leaving and does
     /// not rest.
     pub(in crate::relay) fn accepts(&self, key: UpstreamKey) -> bool {
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -357,6 +357,7 @@
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.receive(report, now);
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
+        fleet.record_peer_departures(&report.leaving, now);
         drop((fleet, members));
         self.receive_crashes(report, from);
         self.sessions
