Count crashes of a request only where it was sent after the one before

A rack is lost with a hot request under way at many of its upstreams. Two quick crashes of one fingerprint are enough for a quarantine, so that the request would have been refused for three seconds and more at all relays.

Cause: crashes of a request were counted whatever their order. The class: a common cause taken for a cause in the request, as for parts before.

Change: each crash has the time from the send of its request; for requests, crashes that were not sent after the one before are one moment. What it takes is a threshold of crashes and moments for parts and requests alike.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -577,9 +577,9 @@
     pub upstream: u32,
     #[prost(uint32, tag = "2")]
     pub age_ms: u32,
-    /// True if it came right after the request.
-    #[prost(bool, tag = "3")]
-    pub is_quick: bool,
+    /// Time from the send of the request that was lost in it.
+    #[prost(uint32, tag = "3")]
+    pub after_ms: u32,
 }
 /// Limit that an upstream named in its latest answer to a relay. Kept for some
 /// seconds after an answer that named none.
--- a/src/carawayrun/relay/quarantine/evidence.rs
+++ b/src/carawayrun/relay/quarantine/evidence.rs
@@ -12,6 +12,9 @@
 /// again, and gateways notice a crash at different times.
 const CRASH_SPAN: Duration = Duration::from_secs(1);
 
+/// Time after a send in which a crash is quick.
+const QUICK_CRASH_TIME: Duration = Duration::from_millis(250);
+
 /// Time after which one gateway tries one request of a subject in quarantine.
 const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(3);
 
@@ -46,8 +49,8 @@
     pub upstream: u32,
     /// Time on the caller's clock.
     pub at: Duration,
-    /// True if it came right after the request.
-    pub is_quick: bool,
+    /// Time from the send of the request to the crash.
+    pub after: Duration,
 }
 
 impl Crash {
@@ -55,6 +58,16 @@
     pub fn is_same(&self, other: &Self) -> bool {
         self.upstream == other.upstream && self.at.abs_diff(other.at) < CRASH_SPAN
     }
+
+    /// Returns true if it came right after the request was sent.
+    pub fn is_quick(&self) -> bool {
+        self.after < QUICK_CRASH_TIME
+    }
+
+    /// Time of the send.
+    pub(super) fn sent_at(&self) -> Duration {
+        self.at.saturating_sub(self.after)
+    }
 }
 
 /// What a gateway knows of a subject. Times are on the caller's clock.
--- a/src/carawayrun/relay/quarantine/mod.rs
+++ b/src/carawayrun/relay/quarantine/mod.rs
@@ -181,7 +181,7 @@
         let suspects = entries.filter_map(|(subject, entry)| {
             let last = entry.own.crashes.last();
             let is_recent = last.is_some_and(|crash| crash.at + CRASH_TTL > now);
-            let is_suspect = entry.all.crashes.len() >= subject.criteria().suspect_crashes;
+            let is_suspect = entry.all.crashes.len() >= subject.criteria().suspicion.crashes;
             let is_major = entry.is_quarantined() || (last.is_some() && is_suspect);
             (is_major || is_recent).then_some((!is_major, entry.reported_at, subject))
         });
--- a/src/carawayrun/relay/quarantine/subject.rs
+++ b/src/carawayrun/relay/quarantine/subject.rs
@@ -64,18 +64,34 @@
     Request,
 }
 
+/// Crashes, and separate moments at which they must have come.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Threshold {
+    pub(super) crashes: usize,
+    pub(super) moments: usize,
+}
+
+/// When a crash counts as another moment than the one before.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Grouping {
+    /// Some time later.
+    ByGap,
+    /// Its request was sent after the other one. Copies of a request that were under way
+    /// at the same time are lost in one wave of crashes.
+    BySend,
+}
+
 /// What it takes to blame a subject, and how a blamed one is tried.
 #[derive(Debug)]
 pub(super) struct Criteria {
-    /// Crashes without an answer after which a subject is put into quarantine, and
-    /// separate moments at which they must have come.
-    pub(super) crashes: usize,
-    pub(super) moments: usize,
+    /// Crashes without an answer after which a subject is put into quarantine.
+    pub(super) quarantine: Threshold,
     /// Quick crashes that are enough as well.
-    pub(super) quick_crashes: usize,
-    /// The same for a suspect, of which lost requests are not repeated.
-    pub(super) suspect_crashes: usize,
-    pub(super) suspect_moments: usize,
+    pub(super) quick_quarantine: Option<Threshold>,
+    /// Crashes after which lost requests are not repeated.
+    pub(super) suspicion: Threshold,
+    /// How crashes that came together are told from those that came one after the other.
+    pub(super) grouping: Grouping,
     /// Age from which a crash counts: by then this gateway has read all connections that
     /// it ended, and most others have told what they lost in it.
     pub(super) settling_time: Duration,
@@ -93,11 +109,16 @@
 /// single moment is no evidence, since a lost rack takes many upstreams down whatever
 /// they were asked.
 const PART_CRITERIA: Criteria = Criteria {
-    crashes: 5,
-    moments: 4,
-    quick_crashes: usize::MAX,
-    suspect_crashes: 2,
-    suspect_moments: 2,
+    quarantine: Threshold {
+        crashes: 5,
+        moments: 4,
+    },
+    quick_quarantine: None,
+    suspicion: Threshold {
+        crashes: 2,
+        moments: 2,
+    },
+    grouping: Grouping::ByGap,
     settling_time: Duration::from_millis(600),
     crash_ttl: Duration::from_secs(20),
     forget_after: Duration::from_secs(30),
@@ -109,11 +130,19 @@
 /// answered in between. It may come rarely, so crashes count for long. Two upstreams that
 /// crash right after they got it are hardly a coincidence.
 const REQUEST_CRITERIA: Criteria = Criteria {
-    crashes: 3,
-    moments: 1,
-    quick_crashes: 2,
-    suspect_crashes: 2,
-    suspect_moments: 1,
+    quarantine: Threshold {
+        crashes: 3,
+        moments: 3,
+    },
+    quick_quarantine: Some(Threshold {
+        crashes: 2,
+        moments: 2,
+    }),
+    suspicion: Threshold {
+        crashes: 2,
+        moments: 2,
+    },
+    grouping: Grouping::BySend,
     settling_time: Duration::ZERO,
     crash_ttl: Duration::from_mins(10),
     forget_after: Duration::from_mins(10),
--- a/src/carawayrun/relay/traffic/quarantine.rs
+++ b/src/carawayrun/relay/traffic/quarantine.rs
@@ -23,9 +23,6 @@
 /// Time limit for that connection.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time after a send in which a crash is quick.
-const QUICK_CRASH_TIME: Duration = Duration::from_millis(250);
-
 /// A request that was lost without its whole answer.
 #[derive(Debug)]
 pub(in crate::relay) struct LostRequest {
@@ -77,7 +74,7 @@
             let crash = Crash {
                 upstream: digest,
                 at: lost.at,
-                is_quick: lost.after < QUICK_CRASH_TIME,
+                after: lost.after,
             };
             quarantine.record_crash(&lost.subjects, crash);
             for subject in lost
@@ -232,8 +229,8 @@
 fn encode_crash(crash: &Crash, now: Duration) -> UpstreamCrash {
     UpstreamCrash {
         upstream: crash.upstream,
-        is_quick: crash.is_quick,
         age_ms: now.saturating_sub(crash.at).as_millis() as u32,
+        after_ms: crash.after.as_millis() as u32,
     }
 }
 
@@ -254,7 +251,7 @@
     Crash {
         upstream: crash.upstream,
         at: time_of(crash.age_ms, now),
-        is_quick: crash.is_quick,
+        after: Duration::from_millis(crash.after_ms.into()),
     }
 }
 
