Draw rests, departures and deadly requests in the soak, and check repeats

The soak had no check of the retry budget and none of the new rules.

The check of named limits counted from the moment at which a stand-in was told to name one. Its test has a request more, which is answered with the limit.

--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -37,7 +37,7 @@
     /// Id of a prompt part that ends the process of a runner which begins to answer a
     /// request with it, unless it is the prompt's last part.
     pub(crate) deadly_part: String,
-    /// Path of requests that end the process of a runner which runs them.
+    /// End of the path of requests that end the process of a runner which runs them.
     pub(crate) deadly_path: String,
     /// Number of events of a stream with that path that are sent before; the process
     /// ends before the head of the answer if it is absent.
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -299,9 +299,13 @@
 
     fn process_end(&self, request: &Request) -> ProcessEnd {
         let faults = self.faults.get();
-        let has_deadly_path =
-            !faults.deadly_path.is_empty() && request.path() == faults.deadly_path;
-        match faults.deadly_events.filter(|_| has_deadly_path) {
+        let path = request.path();
+        let has_deadly_path = !faults.deadly_path.is_empty() && path.ends_with(&faults.deadly_path);
+        let is_stream = path.contains("stream");
+        match faults
+            .deadly_events
+            .filter(|_| has_deadly_path && is_stream)
+        {
             Some(events) => ProcessEnd::AfterEvents(events),
             None if has_deadly_path || self.has_deadly_part(request) => ProcessEnd::BeforeAnswer,
             None => ProcessEnd::Never,
--- a/tests/testsuite/resting.rs
+++ b/tests/testsuite/resting.rs
@@ -87,7 +87,7 @@
         let (relay, _) = arrival.id.split_once(' ')?;
         Some((relay, arrival))
     });
-    rest::most_within(arrivals)
+    rest::most_within(arrivals, |_, _, _| false)
 }
 
 // A refusal with a time was taken for one without: the upstream was asked again 150 ms
--- a/tests/testsuite/soak/callers.rs
+++ b/tests/testsuite/soak/callers.rs
@@ -10,7 +10,6 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::check::request_body;
 use super::connection::{Answer, Connection};
 use super::deployment::Deployment;
 use super::history::{Exchange, RequestKind};
@@ -28,6 +27,9 @@
 /// Share of the requests that use a revoked key, once there is one.
 const REVOKED_KEY_SHARE: f64 = 0.08;
 
+/// Share of the requests that crash upstreams, while there are any.
+const DEADLY_SHARE: f64 = 0.1;
+
 /// Sends random requests one after another until `stopped` is set.
 pub(crate) async fn send_requests(
     deployment: Rc<Deployment>,
@@ -45,6 +47,11 @@
             8..13 => RequestKind::Switch,
             _ => RequestKind::Stream,
         };
+        let kind = if deployment.sends_deadly.get() && rng.random_bool(DEADLY_SHARE) {
+            deadly_kind(kind)
+        } else {
+            kind
+        };
         let key = choose_key(&deployment, &mut rng);
         let id = format!("c{number}-{count}");
         let exchange = send_request(&deployment, &mut connection, relay, kind, key, id).await;
@@ -59,6 +66,13 @@
     }
 }
 
+fn deadly_kind(kind: RequestKind) -> RequestKind {
+    match kind {
+        RequestKind::Stream | RequestKind::DeadlyStream => RequestKind::DeadlyStream,
+        _ => RequestKind::DeadlyRead,
+    }
+}
+
 fn choose_key(deployment: &Deployment, rng: &mut StdRng) -> String {
     let revoked = deployment.last_revoked_key();
     if let Some(revoked) = revoked.filter(|_| rng.random_bool(REVOKED_KEY_SHARE)) {
@@ -93,7 +107,7 @@
     let limit = Duration::from_millis(kind.deadline_ms()) + DEADLINE_MARGIN;
     let addr = deployment.client_addr(relay);
     let mut answer = Answer::default();
-    let (head, body) = (request_head(&exchange), request_body(&exchange.id));
+    let (head, body) = (request_head(&exchange), exchange.kind.body(&exchange.id));
     let sent = connection.send(&addr, head, body.as_bytes(), &mut answer);
     // After a timeout, `answer` holds what was received until then.
     let _result = timeout(limit, sent).await;
@@ -111,8 +125,8 @@
 fn request_head(exchange: &Exchange) -> RequestHead {
     let mut head = RequestHead::default();
     head.method = match exchange.kind {
-        RequestKind::Read => Method::GET,
-        RequestKind::Switch | RequestKind::Stream => Method::POST,
+        RequestKind::Read | RequestKind::DeadlyRead => Method::GET,
+        RequestKind::Switch | RequestKind::Stream | RequestKind::DeadlyStream => Method::POST,
     };
     head.uri = Uri::from_static(exchange.kind.path());
     let deadline = exchange.kind.deadline_ms().to_string();
--- a/tests/testsuite/soak/check.rs
+++ b/tests/testsuite/soak/check.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use super::check_bounds::find_bound_violations;
 use super::history::{EVENTS, Exchange, FaultTarget, History, RequestKind, Run};
 use crate::support::limit;
 
@@ -10,10 +11,13 @@
 pub(crate) const REVOKE_MS: u64 = 5_000;
 pub(crate) const DRAIN_MS: u64 = 2_000;
 pub(crate) const GRACE_MS: u64 = 8_000;
-const CONTACT_MS: u64 = 3_000;
+pub(super) const CONTACT_MS: u64 = 3_000;
 const CONFIG_APPLY_MS: u64 = 2_000;
 const ROLLBACK_SLACK_MS: u64 = 250;
 
+/// Time after an answer with a limit from which a relay is bound by it.
+const TOLD_MS: u64 = 500;
+
 /// Time past its deadline within which a request must have its final answer.
 const DEADLINE_SLACK_MS: u64 = 500;
 
@@ -47,6 +51,7 @@
     violations.extend(check_draining_upstreams(history));
     violations.extend(check_configuration_order(history));
     violations.extend(check_limits(history));
+    violations.extend(find_bound_violations(history));
     violations.extend(check_stops(history));
     violations.extend(check_lost_answers(history));
     violations.extend(check_deadlines(history));
@@ -80,16 +85,16 @@
         ));
     }
     let is_right = match exchange.kind {
-        RequestKind::Stream => {
+        RequestKind::Stream | RequestKind::DeadlyStream => {
             let expected = stream_body();
             (exchange.complete && exchange.body == expected)
                 || (!exchange.complete && expected.starts_with(&exchange.body))
         }
-        RequestKind::Read | RequestKind::Switch if exchange.complete => {
+        _ if exchange.complete => {
             let ran = |run: &&&Run| exchange.body == format!("{} ran {id}\n", run.runner);
             runs.iter().any(|run| ran(&run))
         }
-        RequestKind::Read | RequestKind::Switch => true,
+        _ => true,
     };
     (!is_right).then(|| {
         let Exchange { complete, body, .. } = exchange;
@@ -108,7 +113,7 @@
     let wrong = runs.iter().find(|run| {
         run.tenant != team
             || run.path != exchange.kind.path()
-            || run.body != expected_body(exchange)
+            || run.body != exchange.kind.body(&exchange.id)
             || !run.forged.is_empty()
     })?;
     Some(format!("{}: run as {wrong:?}", exchange.id))
@@ -123,18 +128,6 @@
     }
 }
 
-/// Returns the body of a request other than a GET.
-pub(crate) fn request_body(id: &str) -> String {
-    format!("body of {id}")
-}
-
-fn expected_body(exchange: &Exchange) -> String {
-    match exchange.kind {
-        RequestKind::Read => String::new(),
-        RequestKind::Switch | RequestKind::Stream => request_body(&exchange.id),
-    }
-}
-
 fn check_revoked_key(history: &History, exchange: &Exchange, runs: &[&Run]) -> Option<String> {
     let key = history.keys.iter().find(|key| key.text == exchange.key)?;
     let (_, revoked) = key.revoked?;
@@ -262,33 +255,37 @@
 }
 
 // An upstream that named a limit gets no more than one and a half times as much in any
-// window, and five requests, from relays that ran undisturbed for CONTACT_MS.
+// window, and five requests, from relays that ran undisturbed for CONTACT_MS and that it
+// had told.
 fn check_limits(history: &History) -> Vec<String> {
-    let relay_of: HashMap<&str, usize> = history
-        .exchanges
-        .iter()
-        .map(|exchange| (exchange.id.as_str(), exchange.relay))
+    let exchanges = history.exchanges.iter();
+    let exchanges: HashMap<&str, &Exchange> = exchanges
+        .map(|exchange| (exchange.id.as_str(), exchange))
         .collect();
     let mut violations = Vec::new();
     for named in &history.limits {
-        let times: Vec<u64> = history
+        let runs = history
             .runs
             .iter()
-            .filter(|run| run.runner == named.name)
-            .filter(|run| (named.from + CONTACT_MS..named.to).contains(&run.at_ms))
-            .filter(|run| {
-                let relay = relay_of.get(run.id.as_str()).copied();
-                relay.is_some_and(|relay| {
-                    let targets = [
-                        FaultTarget::Relay(relay),
-                        FaultTarget::Upstream(named.upstream),
-                    ];
-                    let from = run.at_ms - CONTACT_MS;
-                    !history.is_disturbed(&targets, from, run.at_ms)
-                })
-            })
-            .map(|run| run.at_ms)
-            .collect();
+            .filter(|run| run.runner == named.name && (named.from..named.to).contains(&run.at_ms));
+        let runs = runs.filter_map(|run| Some((run, *exchanges.get(run.id.as_str())?)));
+        let mut told: HashMap<usize, u64> = HashMap::new();
+        for (_, exchange) in runs.clone() {
+            let at = told.entry(exchange.relay).or_insert(u64::MAX);
+            *at = exchange.ended.min(*at);
+        }
+        let times = runs.filter(|(run, exchange)| {
+            let relay = exchange.relay;
+            let targets = [
+                FaultTarget::Relay(relay),
+                FaultTarget::Upstream(named.upstream),
+            ];
+            let from = run.at_ms - CONTACT_MS;
+            from >= named.from
+                && run.at_ms >= told[&relay] + TOLD_MS
+                && !history.is_disturbed(&targets, from, run.at_ms)
+        });
+        let times: Vec<u64> = times.map(|(run, _)| run.at_ms).collect();
         let (peak, allowed) = (limit::peak(&times), limit::allowed(named.limit));
         if peak as f64 > allowed {
             violations.push(format!(
@@ -339,10 +336,11 @@
         let from = exchange.sent.saturating_sub(CONTACT_MS);
         let targets = [FaultTarget::Relay(relay), FaultTarget::ClientLink(relay)];
         let is_past_deadline = exchange.ended >= exchange.sent + exchange.kind.deadline_ms();
-        exchange.kind != RequestKind::Stream
+        !exchange.kind.is_stream()
             && !exchange.complete
             && !is_past_deadline
             && history.runs_of(&exchange.id).count() > 0
+            && !exchange.kind.is_deadly()
             && !history.is_disturbed(&targets, from, exchange.ended)
     });
     let lost: Vec<&str> = lost.map(|exchange| exchange.id.as_str()).collect();
--- a/tests/testsuite/soak/check_tests.rs
+++ b/tests/testsuite/soak/check_tests.rs
@@ -2,17 +2,18 @@
 
 use test_case::test_case;
 
-use super::check::{REVOKE_MS, find_violations, request_body, stream_body};
+use super::check::{REVOKE_MS, find_violations, stream_body};
 use super::history::{
     Disturbance, Exchange, FaultTarget, History, Key, NamedLimit, RequestKind, Run, Stop,
 };
+use crate::support::platform::Arrival;
 
 const SENT: u64 = 100_000;
 
 fn exchange(kind: RequestKind) -> Exchange {
     let body = match kind {
-        RequestKind::Stream => stream_body(),
-        RequestKind::Read | RequestKind::Switch => "u-1 ran r-1\n".to_owned(),
+        kind if kind.is_stream() => stream_body(),
+        _ => "u-1 ran r-1\n".to_owned(),
     };
     Exchange {
         id: "r-1".to_owned(),
@@ -36,10 +37,7 @@
         at_ms: SENT + 20,
         tenant: "shops".to_owned(),
         path: kind.path().to_owned(),
-        body: match kind {
-            RequestKind::Read => String::new(),
-            RequestKind::Switch | RequestKind::Stream => request_body("r-1"),
-        },
+        body: kind.body("r-1"),
         forged: Vec::new(),
     }
 }
@@ -291,16 +289,19 @@
 #[test_case(12, true, true; "one more, around a restart")]
 fn requests_beyond_a_named_limit_are_found(count: u64, is_disturbed: bool, is_clean: bool) {
     let mut history = History::default();
-    for number in 0..count {
+    // The first request is answered with the limit, before the others.
+    for number in 0..=count {
         let id = format!("r-{number}");
         let mut exchange = exchange(RequestKind::Stream);
         exchange.id.clone_from(&id);
         exchange.echoed_id = Some(id.clone());
-        exchange.sent += number * 100;
+        let after = if number == 0 { 0 } else { 600 + number * 100 };
+        exchange.sent = exchange.sent + after - 5_000 * u64::from(number == 0);
+        exchange.ended = exchange.sent + 100;
         let mut run = run(RequestKind::Stream);
-        run.body = request_body(&id);
+        run.body = RequestKind::Stream.body(&id);
         run.id = id;
-        run.at_ms += number * 100;
+        run.at_ms = exchange.sent + 20;
         history.exchanges.push(exchange);
         history.runs.push(run);
     }
@@ -308,7 +309,7 @@
         upstream: 1,
         name: "u-1".to_owned(),
         limit: 1.0,
-        from: SENT - 4_000,
+        from: SENT - 5_000,
         to: SENT + 10_000,
     });
     if is_disturbed {
@@ -321,3 +322,132 @@
     let violations = find_violations(&history);
     assert_eq!(violations.is_empty(), is_clean, "{violations:?}");
 }
+
+/// A request of one relay that reached an upstream.
+fn arrival(number: u64, at_ms: u64, rest_ms: u64, is_leaving: bool) -> Arrival {
+    Arrival {
+        id: format!("r-{number}"),
+        runner: "u-1-1".to_owned(),
+        at_ms,
+        rest_ms,
+        is_leaving,
+    }
+}
+
+/// Adds a request with its arrival.
+fn add_arrival(history: &mut History, kind: RequestKind, sent: u64, arrival: Arrival) {
+    history.exchanges.push(Exchange {
+        id: arrival.id.clone(),
+        sent,
+        ended: sent + 100,
+        body: format!("u-1-1 ran {}\n", arrival.id),
+        echoed_id: Some(arrival.id.clone()),
+        ..exchange(kind)
+    });
+    let mut run = run(kind);
+    run.id.clone_from(&arrival.id);
+    run.runner.clone_from(&arrival.runner);
+    run.at_ms = arrival.at_ms;
+    history.runs.push(run);
+    history.arrivals.push(arrival);
+}
+
+fn disturb(history: &mut History, target: FaultTarget) {
+    history.disturbances.push(Disturbance {
+        target,
+        from: SENT,
+        to: SENT + 60_000,
+    });
+}
+
+#[test_case(2, 600, false, 0; "two within the rest")]
+#[test_case(3, 600, false, 1; "three within the rest")]
+#[test_case(3, 100, false, 0; "three on their way")]
+#[test_case(3, 3_100, false, 0; "three after the rest")]
+#[test_case(3, 600, true, 0; "three of a relay that was frozen")]
+fn requests_within_rest_are_reported(
+    requests: u64,
+    after: u64,
+    is_disturbed: bool,
+    violations: usize,
+) {
+    let mut history = History::default();
+    add_arrival(
+        &mut history,
+        RequestKind::Read,
+        SENT,
+        arrival(0, SENT, 3_000, false),
+    );
+    for number in 1..=requests {
+        let at = SENT + after + number;
+        add_arrival(
+            &mut history,
+            RequestKind::Read,
+            at,
+            arrival(number, at, 0, false),
+        );
+    }
+    if is_disturbed {
+        disturb(&mut history, FaultTarget::Relay(0));
+    }
+    let found = find_violations(&history);
+    assert_eq!(found.len(), violations, "{found:?}");
+}
+
+#[test_case(1_900, false, 0; "within the drain time")]
+#[test_case(2_300, false, 1; "late")]
+#[test_case(2_300, true, 0; "late, by a relay that was frozen")]
+fn requests_after_departure_are_reported(after: u64, is_disturbed: bool, violations: usize) {
+    let mut history = History::default();
+    add_arrival(
+        &mut history,
+        RequestKind::Read,
+        SENT,
+        arrival(0, SENT, 0, true),
+    );
+    let at = SENT + after;
+    add_arrival(&mut history, RequestKind::Read, at, arrival(1, at, 0, true));
+    if is_disturbed {
+        disturb(&mut history, FaultTarget::Relay(0));
+    }
+    let found = find_violations(&history);
+    assert_eq!(found.len(), violations, "{found:?}");
+}
+
+#[test_case(3, false, 0; "three more")]
+#[test_case(4, false, 1; "four more")]
+#[test_case(4, true, 0; "four more while the store is disturbed")]
+fn deadly_requests_sent_on_are_reported(late: u64, is_disturbed: bool, violations: usize) {
+    let mut history = History::default();
+    for number in 0..3 + late {
+        let at = if number < 3 { SENT } else { SENT + 3_500 };
+        let reached = arrival(number, at + number, 0, false);
+        add_arrival(&mut history, RequestKind::DeadlyRead, at, reached);
+    }
+    if is_disturbed {
+        disturb(&mut history, FaultTarget::Store);
+    }
+    let found = find_violations(&history);
+    assert_eq!(found.len(), violations, "{found:?}");
+}
+
+#[test_case(69, 0; "as many as allowed")]
+#[test_case(70, 1; "one more")]
+fn repeats_beyond_budget_are_reported(repeats: u64, violations: usize) {
+    let mut history = History::default();
+    for number in 0..10 {
+        let at = SENT + number;
+        add_arrival(
+            &mut history,
+            RequestKind::Read,
+            at,
+            arrival(number, at, 0, false),
+        );
+    }
+    for number in 0..repeats {
+        let at = SENT + 1_000 + number;
+        history.arrivals.push(arrival(number % 10, at, 0, false));
+    }
+    let found = find_violations(&history);
+    assert_eq!(found.len(), violations, "{found:?}");
+}
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -8,14 +8,18 @@
 use actix_rt::time::sleep;
 use serde_json::{Value, json};
 
+use super::check_bounds::{RETRY_RATIO, RETRY_SLACK};
 use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop};
-use super::plan::Sizes;
-use crate::support::platform::{config, lab};
+use super::plan::{Sizes, has_deadly_requests};
+use crate::support::platform::{config, lab, read_arrivals};
 use crate::support::{Passing, Process, Relay, now_ms};
 
 /// Delay between the end of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// Delay between the crash of an upstream under a request and its restart.
+const CRASH_DELAY: Duration = Duration::from_millis(1_200);
+
 /// Time for which the registration of a crashed upstream stays in the store.
 const REGISTRATION_TTL: Duration = Duration::from_millis(2_500);
 
@@ -49,6 +53,10 @@
     relays: Vec<ProcessSlot>,
     upstreams: Vec<ProcessSlot>,
     version: Cell<u64>,
+    /// True while callers send requests that crash upstreams.
+    pub(crate) sends_deadly: Cell<bool>,
+    /// True until the faults are over.
+    has_faults: Cell<bool>,
 }
 
 /// A relay or upstream that is restarted in the course of a soak.
@@ -61,6 +69,8 @@
     sequence: Cell<u64>,
     /// Limit that the process names, with the time from which it does so.
     limit: Cell<Option<(f64, u64)>>,
+    /// True while the process says that it is leaving.
+    is_departing: Cell<bool>,
     /// State in the last registration; empty once it was removed.
     state: RefCell<&'static str>,
     name: RefCell<String>,
@@ -89,6 +99,8 @@
                 .map(|_| ProcessSlot::default())
                 .collect(),
             version: Cell::new(1),
+            sends_deadly: Cell::new(false),
+            has_faults: Cell::new(true),
             net,
         };
         deployment.bind_links(&store).await;
@@ -132,6 +144,16 @@
         format!("{}.{}:7200", self.net, 2 + relay)
     }
 
+    // A link would accept connections for an upstream that has crashed, so there is none
+    // before the upstreams of a soak with deadly requests.
+    fn registered_addr(&self, upstream: usize) -> String {
+        if has_deadly_requests(self.seed) {
+            format!("{}.{}:7000", self.net, 100 + upstream)
+        } else {
+            self.upstream_addr(upstream)
+        }
+    }
+
     fn upstream_addr(&self, upstream: usize) -> String {
         format!("{}.{}:7100", self.net, 100 + upstream)
     }
@@ -179,7 +201,7 @@
              [listen]\nfrontend = \"{net}.{own}:7001\"\nreadiness = \"{net}.{own}:7002\"\n\
              [limits]\nmax_fds = 4096\n\
              [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
-             retry_ratio = 0.9\nretry_slack = 60\nretry_window_s = 10\n\
+             retry_ratio = {RETRY_RATIO}\nretry_slack = {RETRY_SLACK}\nretry_window_s = 10\n\
              exposure_share = 0.15\nsession_s = 5\n\
              [platform]\naddress = \"{net}.1:{}\"\n",
             7_100 + relay
@@ -196,6 +218,10 @@
         let addr = format!("{}.{}:7000", self.net, 100 + upstream);
         let record = self.dir.join("runs.jsonl");
         let record = record.to_string_lossy();
+        let arrivals = self.dir.join("arrivals.jsonl");
+        let arrivals = arrivals.to_string_lossy();
+        slot.is_departing.set(false);
+        let faults = self.with_lasting_faults(upstream, &json!({})).to_string();
         let args = [
             "runner",
             "--listen",
@@ -214,6 +240,10 @@
             },
             "--record",
             &record,
+            "--arrivals",
+            &arrivals,
+            "--faults",
+            &faults,
         ];
         self.end_limit(upstream);
         *slot.process.borrow_mut() = Some(lab(&self.dir, &name, &args));
@@ -231,7 +261,7 @@
         slot.sequence.set(slot.sequence.get() + 1);
         *slot.state.borrow_mut() = state;
         let row = json!({
-            "service": service, "address": self.upstream_addr(upstream),
+            "service": service, "address": self.registered_addr(upstream),
             "zone": "a", "version": "v1", "batch_slots": 8, "state": state,
             "warmup_left_ms": 0, "sequence": slot.sequence.get(), "born": u64::from(slot.incarnation.get()),
         });
@@ -419,10 +449,7 @@
     /// Sets the faults of an upstream's stand-in, which affect its next answers.
     /// Returns false if it is down or frozen; it then has no such faults.
     pub(crate) async fn set_upstream_faults(&self, upstream: usize, faults: &Value) -> bool {
-        let mut faults = faults.clone();
-        if let Some((limit, _)) = self.upstreams[upstream].limit.get() {
-            faults["serverLimit"] = json!(limit);
-        }
+        let faults = self.with_lasting_faults(upstream, faults);
         let addr = format!("{}.{}:7000", self.net, 100 + upstream);
         let sent = self.client.put(format!("http://{addr}/faults"));
         let sent = sent
@@ -431,6 +458,77 @@
         sent.await.is_ok()
     }
 
+    // Adds the faults that an upstream keeps beside others.
+    fn with_lasting_faults(&self, upstream: usize, faults: &Value) -> Value {
+        let slot = &self.upstreams[upstream];
+        let mut faults = faults.clone();
+        if let Some((limit, _)) = slot.limit.get() {
+            faults["serverLimit"] = json!(limit);
+        }
+        if slot.is_departing.get() {
+            faults["serverLeaving"] = json!(true);
+        }
+        if self.has_faults.get() {
+            faults["deadlyPath"] = json!("/deadly");
+            faults["deadlyEvents"] = json!(1);
+        }
+        faults
+    }
+
+    /// Lets an upstream turn requests away for a time, each with so many seconds of rest.
+    pub(crate) async fn rest_upstream(&self, upstream: usize, rest: f64, duration: Duration) {
+        let rest = json!({"rest": rest.to_string()});
+        if self.set_upstream_faults(upstream, &rest).await {
+            sleep(duration).await;
+            self.set_upstream_faults(upstream, &json!({})).await;
+        }
+    }
+
+    /// Lets an upstream say that it leaves, which its registration does not; it ends later,
+    /// and another one takes its address.
+    pub(crate) async fn depart_upstream(&self, upstream: usize) {
+        let slot = &self.upstreams[upstream];
+        let (incarnation, name) = (slot.incarnation.get(), slot.name.borrow().clone());
+        if slot.is_departing.replace(true) || !self.set_upstream_faults(upstream, &json!({})).await
+        {
+            return;
+        }
+        sleep(DRAIN_PERIOD * 2).await;
+        if slot.incarnation.get() != incarnation {
+            return;
+        }
+        let Some(mut process) = slot.process.take() else {
+            return;
+        };
+        self.unregister(upstream, &name).await;
+        process.kill();
+        sleep(RESTART_DELAY).await;
+        self.start_upstream(upstream, false).await;
+    }
+
+    /// Starts upstreams again that have ended by themselves, until the soak is over.
+    pub(crate) async fn revive_upstreams(self: Rc<Self>, stopped: Rc<Cell<bool>>) {
+        while !stopped.get() {
+            sleep(POLL_INTERVAL).await;
+            for upstream in 0..self.sizes.upstreams {
+                let slot = &self.upstreams[upstream];
+                let has_ended = |process: &mut Process| process.ended();
+                let has_ended = slot.process.borrow_mut().as_mut().is_some_and(has_ended);
+                if has_ended {
+                    slot.process.take();
+                    actix_rt::spawn(Rc::clone(&self).revive_upstream(upstream));
+                }
+            }
+        }
+    }
+
+    async fn revive_upstream(self: Rc<Self>, upstream: usize) {
+        let from = now_ms();
+        sleep(CRASH_DELAY).await;
+        self.start_upstream(upstream, true).await;
+        self.record_disturbance(FaultTarget::Upstream(upstream), from);
+    }
+
     /// Lets an upstream name a limit for a time.
     pub(crate) async fn limit_upstream(&self, upstream: usize, limit: f64, duration: Duration) {
         let slot = &self.upstreams[upstream];
@@ -469,6 +567,7 @@
 
     /// Clears the faults of all upstreams, so that they lose no answers after the soak.
     pub(crate) async fn clear_upstream_faults(&self) {
+        self.has_faults.set(false);
         for upstream in 0..self.sizes.upstreams {
             self.set_upstream_faults(upstream, &json!({})).await;
         }
@@ -702,7 +801,10 @@
         let runs = text
             .lines()
             .filter_map(|line| serde_json::from_str::<Run>(line).ok());
-        self.history.borrow_mut().runs = runs.collect();
+        let arrivals = read_arrivals(&self.dir.join("arrivals.jsonl"));
+        let mut history = self.history.borrow_mut();
+        history.runs = runs.collect();
+        history.arrivals = arrivals;
     }
 
     /// Returns the directory of the logs, which is kept if the soak found a violation.
--- a/tests/testsuite/soak/history.rs
+++ b/tests/testsuite/soak/history.rs
@@ -3,6 +3,8 @@
 
 use serde::Deserialize;
 
+use crate::support::platform::Arrival;
+
 /// Number of events of a complete stream.
 pub(crate) const EVENTS: u32 = 8;
 
@@ -15,6 +17,10 @@
     Switch,
     /// Event stream that another upstream may resume.
     Stream,
+    /// As `Read`, but it ends each upstream that runs it.
+    DeadlyRead,
+    /// As `Stream`, but it ends each upstream after an event.
+    DeadlyStream,
 }
 
 impl RequestKind {
@@ -23,13 +29,32 @@
             Self::Read => "/read/a",
             Self::Switch => "/switch/scene",
             Self::Stream => "/stream/plan",
+            Self::DeadlyRead => "/read/deadly",
+            Self::DeadlyStream => "/stream/deadly",
         }
     }
 
     pub(crate) fn deadline_ms(self) -> u64 {
         match self {
-            Self::Read | Self::Switch => 4_000,
-            Self::Stream => 8_000,
+            Self::Read | Self::Switch | Self::DeadlyRead => 4_000,
+            Self::Stream | Self::DeadlyStream => 8_000,
+        }
+    }
+
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::DeadlyStream)
+    }
+
+    pub(crate) fn is_deadly(self) -> bool {
+        matches!(self, Self::DeadlyRead | Self::DeadlyStream)
+    }
+
+    /// Returns the body of a request with this id. Deadly ones are copies of one request.
+    pub(crate) fn body(self, id: &str) -> String {
+        match self {
+            Self::Read | Self::DeadlyRead => String::new(),
+            Self::Switch | Self::Stream => format!("body of {id}"),
+            Self::DeadlyStream => "deadly body".to_owned(),
         }
     }
 }
@@ -130,6 +155,8 @@
     pub(crate) draining: Vec<(String, u64)>,
     pub(crate) stops: Vec<Stop>,
     pub(crate) limits: Vec<NamedLimit>,
+    /// Requests that reached upstreams, run or not.
+    pub(crate) arrivals: Vec<Arrival>,
     /// Relays that exited unexpectedly or used too much memory, one line each.
     pub(crate) crashes: Vec<String>,
 }
--- a/tests/testsuite/soak/injection.rs
+++ b/tests/testsuite/soak/injection.rs
@@ -38,6 +38,16 @@
             let limit = f64::from(limit) / 10.0;
             deployment.limit_upstream(upstream, limit, span).await;
         }
+        Fault::RestUpstream(upstream, tenths, span) => {
+            let rest = f64::from(tenths) / 10.0;
+            deployment.rest_upstream(upstream, rest, span).await;
+        }
+        Fault::DepartUpstream(upstream) => deployment.depart_upstream(upstream).await,
+        Fault::DeadlyRequests(span) => {
+            deployment.sends_deadly.set(true);
+            actix_rt::time::sleep(span).await;
+            deployment.sends_deadly.set(false);
+        }
         Fault::ClientLink(relay, passing, span) => {
             deployment
                 .disturb_link(FaultTarget::ClientLink(relay), passing, span)
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -14,6 +14,7 @@
 
 mod callers;
 mod check;
+mod check_bounds;
 mod check_tests;
 mod connection;
 mod deployment;
@@ -90,6 +91,7 @@
         ))
     });
     let callers: Vec<_> = callers.collect();
+    actix_rt::spawn(Rc::clone(&deployment).revive_upstreams(Rc::clone(&stopped)));
     let started = now_ms();
     let mut injections = Vec::new();
     for (at, fault) in plan_faults(seed, duration, sizes) {
--- a/tests/testsuite/soak/plan.rs
+++ b/tests/testsuite/soak/plan.rs
@@ -22,6 +22,14 @@
 /// Time between two moments at which open connections go silent.
 const SILENCE_INTERVAL_MS: std::ops::Range<u64> = 1_500..9_000;
 
+/// Time between two upstreams that ask for rest, and the time that they name, in tenths of
+/// a second.
+const REST_INTERVAL_MS: std::ops::Range<u64> = 800..5_000;
+const REST_TENTHS: std::ops::Range<u32> = 6..40;
+
+/// Time between two upstreams that say that they leave.
+const DEPARTURE_INTERVAL_MS: std::ops::Range<u64> = 2_000..9_000;
+
 /// Limits that upstreams name, in requests per ten seconds.
 const LIMITS: std::ops::Range<u32> = 5..60;
 
@@ -49,6 +57,13 @@
     Misbehave(usize, Misbehaviour),
     /// The upstream names this many requests per ten seconds as its limit.
     LimitUpstream(usize, u32, Duration),
+    /// The upstream turns requests away and asks for so many tenths of a second of rest.
+    RestUpstream(usize, u32, Duration),
+    /// The upstream says in its answers that it leaves, while its registration stays, and
+    /// ends later.
+    DepartUpstream(usize),
+    /// Callers send requests that crash each upstream.
+    DeadlyRequests(Duration),
     ClientLink(usize, Passing, Duration),
     StoreLink(usize, Passing, Duration),
     UpstreamLink(usize, Passing, Duration),
@@ -98,12 +113,15 @@
     plan.extend(plan_restores(seed, duration));
     plan.extend(plan_limits(seed, duration, sizes));
     plan.extend(plan_silences(seed, duration));
+    plan.extend(plan_rests(seed, duration, sizes));
+    plan.extend(plan_departures(seed, duration, sizes));
+    plan.extend(plan_deadly_requests(seed, duration));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
-// Restores, limits and silent connections have random numbers of their own, so that the
-// other faults of a seed stay the same.
+// Restores and the kinds below have random numbers of their own, so that the other faults
+// of a seed stay the same.
 fn plan_restores(seed: u64, duration: Duration) -> Vec<(Duration, Fault)> {
     let mut rng = StdRng::seed_from_u64(!seed);
     let mut millis = |range| Duration::from_millis(rng.random_range(range));
@@ -143,6 +161,47 @@
     plan
 }
 
+fn plan_rests(seed: u64, duration: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(24));
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(REST_INTERVAL_MS));
+    while at < duration {
+        let upstream = rng.random_range(0..sizes.upstreams);
+        let rest = rng.random_range(REST_TENTHS);
+        let span = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        plan.push((at, Fault::RestUpstream(upstream, rest, span)));
+        at += Duration::from_millis(rng.random_range(REST_INTERVAL_MS));
+    }
+    plan
+}
+
+fn plan_departures(seed: u64, duration: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(40));
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(DEPARTURE_INTERVAL_MS));
+    while at < duration {
+        plan.push((
+            at,
+            Fault::DepartUpstream(rng.random_range(0..sizes.upstreams)),
+        ));
+        at += Duration::from_millis(rng.random_range(DEPARTURE_INTERVAL_MS));
+    }
+    plan
+}
+
+/// Whether callers of a seed send requests that crash upstreams: those of one in three.
+pub(crate) fn has_deadly_requests(seed: u64) -> bool {
+    seed % 3 == 1
+}
+
+// From a moment of the first half on.
+fn plan_deadly_requests(seed: u64, duration: Duration) -> Option<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(48));
+    let at = duration.mul_f64(rng.random_range(0.05..0.5));
+    let fault = Fault::DeadlyRequests(duration.saturating_sub(at));
+    has_deadly_requests(seed).then_some((at, fault))
+}
+
 fn random_fault(rng: &mut StdRng, sizes: Sizes) -> Fault {
     let relay = rng.random_range(0..sizes.relays);
     let upstream = rng.random_range(0..sizes.upstreams);
--- a/tests/testsuite/support/rest.rs
+++ b/tests/testsuite/support/rest.rs
@@ -11,8 +11,12 @@
 const GRACE_MS: u64 = 500;
 
 /// Most requests of one caller that reached an upstream within a rest that it had asked
-/// that caller for. `arrivals` have the callers' names.
-pub(crate) fn most_within<'a, C>(arrivals: impl Iterator<Item = (C, &'a Arrival)>) -> usize
+/// that caller for. `arrivals` have the callers' names. Those for which `is_excused` is
+/// true, with the caller, the refusal and the request, don't count.
+pub(crate) fn most_within<'a, C>(
+    arrivals: impl Iterator<Item = (C, &'a Arrival)>,
+    is_excused: impl Fn(C, &Arrival, &Arrival) -> bool,
+) -> usize
 where
     C: Copy + Eq + std::hash::Hash,
 {
@@ -21,13 +25,15 @@
         let of_pair = by_pair.entry((caller, &arrival.runner)).or_default();
         of_pair.push(arrival);
     }
-    let pairs = by_pair.values();
-    let counts = pairs.flat_map(|arrivals| {
-        arrivals.iter().map(|asked| {
+    let mut most = 0;
+    for ((caller, _), arrivals) in &by_pair {
+        for asked in arrivals.iter().filter(|asked| asked.rest_ms > 0) {
             let rest = asked.at_ms + GRACE_MS..asked.at_ms + asked.rest_ms;
-            let within = arrivals.iter().filter(|other| rest.contains(&other.at_ms));
-            within.count()
-        })
-    });
-    counts.max().unwrap_or(0)
+            let within = arrivals
+                .iter()
+                .filter(|other| rest.contains(&other.at_ms) && !is_excused(*caller, asked, other));
+            most = within.count().max(most);
+        }
+    }
+    most
 }
