Blame a request only for crashes that are hardly a coincidence

Cause: a fixed number of crashes was taken for evidence, whatever the rate of crashes and the time for which the request was at each upstream.

Change: each crash has the chance that a sound request would have been lost in it, from both; the chances of crashes under sends one after the other are combined by Fisher's method. A request is held back at 0.002, and not repeated at 0.05.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -570,7 +570,7 @@
     #[prost(uint32, optional, tag = "7")]
     pub held_age_ms: ::core::option::Option<u32>,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct UpstreamCrash {
     /// Hash of the name of the upstream's registration.
     #[prost(fixed32, tag = "1")]
@@ -580,6 +580,9 @@
     /// Time from the send of the request that was lost in it.
     #[prost(uint32, tag = "3")]
     pub after_ms: u32,
+    /// Chance that a sound request would have been lost in it.
+    #[prost(float, tag = "4")]
+    pub chance: f32,
 }
 /// Limit that an upstream named in its latest answer to a relay. Kept for some
 /// seconds after an answer that named none.
--- a/src/carawayrun/relay/quarantine/evidence.rs
+++ b/src/carawayrun/relay/quarantine/evidence.rs
@@ -12,9 +12,6 @@
 /// again, and gateways notice a crash at different times.
 const CRASH_SPAN: Duration = Duration::from_secs(1);
 
-/// Time after a send in which a crash is quick.
-const QUICK_CRASH_TIME: Duration = Duration::from_millis(250);
-
 /// Time after which one gateway tries one request of a subject in quarantine.
 const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(3);
 
@@ -51,6 +48,9 @@
     pub at: Duration,
     /// Time from the send of the request to the crash.
     pub after: Duration,
+    /// Chance that a sound request would have been lost in it; worked out when it is
+    /// recorded.
+    pub chance: f64,
 }
 
 impl Crash {
@@ -59,11 +59,6 @@
         self.upstream == other.upstream && self.at.abs_diff(other.at) < CRASH_SPAN
     }
 
-    /// Returns true if it came right after the request was sent.
-    pub fn is_quick(&self) -> bool {
-        self.after < QUICK_CRASH_TIME
-    }
-
     /// Time of the send.
     pub(super) fn sent_at(&self) -> Duration {
         self.at.saturating_sub(self.after)
@@ -233,6 +228,11 @@
         }
     }
 
+    // True if there is more than one crash.
+    pub(super) fn is_repeated(&self) -> bool {
+        self.all.crashes.len() > 1
+    }
+
     pub(super) fn is_quarantined(&self) -> bool {
         self.all.quarantined_at.is_some()
     }
--- a/src/carawayrun/relay/quarantine/mod.rs
+++ b/src/carawayrun/relay/quarantine/mod.rs
@@ -90,6 +90,7 @@
     own_crashes: Vec<Crash>,
     /// Those that all gateways saw.
     all_crashes: Vec<Crash>,
+    upstreams: usize,
 }
 
 impl Quarantine {
@@ -104,10 +105,16 @@
         add_distinct(&mut self.own_crashes, crash);
         add_distinct(&mut self.all_crashes, crash);
         for subject in subjects {
-            self.entry(subject).record_crash(crash);
+            let chance = self.chance(subject, &crash);
+            self.entry(subject).record_crash(Crash { chance, ..crash });
         }
     }
 
+    /// Sets the number of upstreams, over which crashes are spread by chance.
+    pub fn set_upstreams(&mut self, upstreams: usize) {
+        self.upstreams = upstreams;
+    }
+
     /// Describes a subject to operators, if it is tracked.
     pub fn set_label(&mut self, subject: &Subject, label: &str) {
         if let Some(entry) = self.entries.get_mut(subject) {
@@ -181,8 +188,7 @@
         let suspects = entries.filter_map(|(subject, entry)| {
             let last = entry.own.crashes.last();
             let is_recent = last.is_some_and(|crash| crash.at + CRASH_TTL > now);
-            let is_suspect = entry.all.crashes.len() >= subject.criteria().suspicion.crashes;
-            let is_major = entry.is_quarantined() || (last.is_some() && is_suspect);
+            let is_major = entry.is_quarantined() || (last.is_some() && entry.is_repeated());
             (is_major || is_recent).then_some((!is_major, entry.reported_at, subject))
         });
         let mut suspects: Vec<(bool, Duration, &Subject)> = suspects.collect();
--- a/src/carawayrun/relay/quarantine/subject.rs
+++ b/src/carawayrun/relay/quarantine/subject.rs
@@ -64,34 +64,28 @@
     Request,
 }
 
-/// Crashes, and separate moments at which they must have come.
+/// What crashes must show before a subject is blamed for them.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Threshold {
-    pub(super) crashes: usize,
-    pub(super) moments: usize,
-}
-
-/// When a crash counts as another moment than the one before.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum Grouping {
-    /// Some time later.
-    ByGap,
-    /// Its request was sent after the other one. Copies of a request that were under way
-    /// at the same time are lost in one wave of crashes.
-    BySend,
+pub(super) enum Test {
+    /// So many crashes, at so many separate moments, which are at least this share of all
+    /// crashes since the first.
+    Share {
+        crashes: usize,
+        moments: usize,
+        share: f64,
+    },
+    /// Two crashes or more, each under a send that was made after the one before. Sound
+    /// requests are lost in such crashes with at most this chance.
+    Chance(f64),
 }
 
 /// What it takes to blame a subject, and how a blamed one is tried.
 #[derive(Debug)]
 pub(super) struct Criteria {
-    /// Crashes without an answer after which a subject is put into quarantine.
-    pub(super) quarantine: Threshold,
-    /// Quick crashes that are enough as well.
-    pub(super) quick_quarantine: Option<Threshold>,
-    /// Crashes after which lost requests are not repeated.
-    pub(super) suspicion: Threshold,
-    /// How crashes that came together are told from those that came one after the other.
-    pub(super) grouping: Grouping,
+    /// Test for a quarantine.
+    pub(super) quarantine: Test,
+    /// Test for a suspect, of which lost requests are not repeated.
+    pub(super) suspicion: Test,
     /// Age from which a crash counts: by then this gateway has read all connections that
     /// it ended, and most others have told what they lost in it.
     pub(super) settling_time: Duration,
@@ -99,8 +93,6 @@
     pub(super) crash_ttl: Duration,
     /// Time without news after which a subject is forgotten.
     pub(super) forget_after: Duration,
-    /// Least share of all crashes in which the subject must have been there.
-    pub(super) crash_share: f64,
     /// Most trials in one quarantine.
     pub(super) max_trials: u32,
 }
@@ -109,43 +101,30 @@
 /// single moment is no evidence, since a lost rack takes many upstreams down whatever
 /// they were asked.
 const PART_CRITERIA: Criteria = Criteria {
-    quarantine: Threshold {
+    quarantine: Test::Share {
         crashes: 5,
         moments: 4,
+        share: 0.75,
     },
-    quick_quarantine: None,
-    suspicion: Threshold {
+    suspicion: Test::Share {
         crashes: 2,
         moments: 2,
+        share: 0.75,
     },
-    grouping: Grouping::ByGap,
     settling_time: Duration::from_millis(600),
     crash_ttl: Duration::from_secs(20),
     forget_after: Duration::from_secs(30),
-    crash_share: 0.75,
     max_trials: u32::MAX,
 };
 
-/// A request is lost in crash after crash only if it causes them: one that is sound is
-/// answered in between. It may come rarely, so crashes count for long. Two upstreams that
-/// crash right after they got it are hardly a coincidence.
+/// A request is lost in crash after crash only if it causes them, unless upstreams crash
+/// all the time for another reason: then it takes more crashes, or quicker ones. It may
+/// come rarely, so crashes count for long.
 const REQUEST_CRITERIA: Criteria = Criteria {
-    quarantine: Threshold {
-        crashes: 3,
-        moments: 3,
-    },
-    quick_quarantine: Some(Threshold {
-        crashes: 2,
-        moments: 2,
-    }),
-    suspicion: Threshold {
-        crashes: 2,
-        moments: 2,
-    },
-    grouping: Grouping::BySend,
+    quarantine: Test::Chance(0.002),
+    suspicion: Test::Chance(0.05),
     settling_time: Duration::ZERO,
     crash_ttl: Duration::from_mins(10),
     forget_after: Duration::from_mins(10),
-    crash_share: 0.0,
     max_trials: 2,
 };
--- a/src/carawayrun/relay/tests/quarantine.rs
+++ b/src/carawayrun/relay/tests/quarantine.rs
@@ -20,6 +20,7 @@
         upstream,
         at: millis(ms),
         after: millis(300),
+        chance: 1.0,
     }
 }
 
--- a/src/carawayrun/relay/traffic/quarantine.rs
+++ b/src/carawayrun/relay/traffic/quarantine.rs
@@ -70,11 +70,13 @@
     fn count_crash(&self, upstream: &Upstream, lost: Vec<LostRequest>) {
         let digest = upstream_digest(&upstream.name);
         let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.set_upstreams(self.view().upstreams.len());
         for lost in lost {
             let crash = Crash {
                 upstream: digest,
                 at: lost.at,
                 after: lost.after,
+                chance: 1.0,
             };
             quarantine.record_crash(&lost.subjects, crash);
             for subject in lost
@@ -231,6 +233,7 @@
         upstream: crash.upstream,
         age_ms: now.saturating_sub(crash.at).as_millis() as u32,
         after_ms: crash.after.as_millis() as u32,
+        chance: crash.chance as f32,
     }
 }
 
@@ -252,6 +255,7 @@
         upstream: crash.upstream,
         at: time_of(crash.age_ms, now),
         after: Duration::from_millis(crash.after_ms.into()),
+        chance: f64::from(crash.chance).clamp(0.0, 1.0),
     }
 }
 
