Keep what an upstream said before its restart was known here

What the soak saw (seed 1210): 7 requests of a relay reached an upstream within a rest that it had asked this relay for.

Cause: it had started again under its name and address, which the relay had not read yet. Its answer was taken for the word of the incarnation before, and forgotten when the new one was known, 0.7 s later.

Change: what was said less than 3 s before the new incarnation is known is taken over by it, for rests and departures; an upstream that leaves serves on for longer than it takes to be replaced under its name.

Measured: rests::rest_is_lost_at_restart_that_was_not_known and its twin for departures; seed 1210, which failed, passes, and joins the regression seeds.

--- a/src/carawayrun/relay/departures.rs
+++ b/src/carawayrun/relay/departures.rs
@@ -8,7 +8,7 @@
 
 use rustc_hash::FxHashMap;
 
-use super::rests::Incarnation;
+use super::rests::{Incarnation, RESTART_LAG};
 
 /// Time for which the other gateways are told of an answer: some reports may be lost.
 const TELL_FOR: Duration = Duration::from_secs(10);
@@ -46,6 +46,16 @@
         is_new
     }
 
+    /// Takes over what an upstream said a moment ago, now that it is known that it has
+    /// started again: one that leaves serves on for longer than that.
+    pub fn inherit(&mut self, before: Incarnation, after: Incarnation, now: Duration) {
+        if let Some(notice) = self.notices.get(&before).copied()
+            && notice.at + RESTART_LAG > now
+        {
+            self.notices.insert(after, notice);
+        }
+    }
+
     /// Returns true if the upstream is leaving.
     pub fn contains(&self, incarnation: Incarnation) -> bool {
         self.notices.contains_key(&incarnation)
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -38,6 +38,9 @@
 /// Most limits in a report, to leave room for the rest of a datagram.
 const MAX_REPORTED_LIMITS: usize = 32;
 
+/// Most upstreams, also former ones, whose last incarnations are remembered.
+const MAX_INCARNATIONS: usize = 16_384;
+
 /// Requirements of a request on its upstream.
 #[derive(Debug)]
 pub(super) struct UpstreamQuery<'a> {
@@ -75,6 +78,8 @@
     by_service: FxHashMap<CompactString, Vec<UpstreamKey>>,
     rests: Rests,
     departures: Departures,
+    /// Last known incarnation by the key of the upstream in reports.
+    incarnations: FxHashMap<u32, Incarnation>,
     /// Load that the other gateways placed on the upstreams.
     pub(super) peer_loads: PeerLoads,
 }
@@ -95,12 +100,15 @@
 
 impl Fleet {
     /// Updates the upstreams to those of a newer view.
-    pub(super) fn update(&mut self, view: &View) {
+    pub(super) fn update(&mut self, view: &View, now: Duration) {
         if Arc::ptr_eq(&self.upstreams, &view.upstreams) {
             return;
         }
         self.upstreams = Arc::clone(&view.upstreams);
         self.by_service.clear();
+        if self.incarnations.len() > MAX_INCARNATIONS {
+            self.incarnations.clear();
+        }
         self.states
             .retain(|key, _| view.upstreams.contains_key(key));
         for (key, upstream) in view.upstreams.iter() {
@@ -110,6 +118,12 @@
                 let state = state.or_default();
                 state.digest = upstream_digest(&upstream.name);
                 state.incarnation = Incarnation::of(upstream);
+                let after = state.incarnation;
+                let before = self.incarnations.insert(state.digest, after);
+                if let Some(before) = before.filter(|before| *before != after) {
+                    self.rests.inherit(before, after, now);
+                    self.departures.inherit(before, after, now);
+                }
             }
         }
     }
--- a/src/carawayrun/relay/rests.rs
+++ b/src/carawayrun/relay/rests.rs
@@ -20,6 +20,10 @@
 /// Share with which it begins.
 const FIRST_SHARE: f64 = 0.1;
 
+/// Time for which the restart of an upstream may not be known here: what it says in that
+/// time is taken for the word of the incarnation before.
+pub(super) const RESTART_LAG: Duration = Duration::from_secs(3);
+
 /// Key of one incarnation of an upstream: a restart is not bound by what was said before.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Incarnation(u64);
@@ -43,37 +47,55 @@
     }
 }
 
-/// Rests of upstreams. Times are on the caller's clock.
+#[derive(Debug, Clone, Copy, Default)]
+struct Rest {
+    end: Duration,
+    /// Last answer that asked for it.
+    asked_at: Duration,
+}
+
+/// Rests of upstreams, also of those that have ended a moment ago. Times are on the
+/// caller's clock.
 #[derive(Debug, Default)]
 pub struct Rests {
-    /// End of each rest, also of those that have ended a moment ago.
-    ends: FxHashMap<Incarnation, Duration>,
+    rests: FxHashMap<Incarnation, Rest>,
 }
 
 impl Rests {
     /// Records that an upstream asked for rest. A shorter one than is known does not cut
     /// that short. Returns true if the upstream did not rest before.
     pub fn record(&mut self, incarnation: Incarnation, rest: Duration, now: Duration) -> bool {
-        self.ends
-            .retain(|_, end| end.saturating_add(RETURN_TIME) > now);
-        let end = self.ends.entry(incarnation).or_default();
-        let is_new = *end <= now;
-        *end = (*end).max(now.saturating_add(rest));
+        self.rests
+            .retain(|_, rest| rest.end.saturating_add(RETURN_TIME) > now);
+        let known = self.rests.entry(incarnation).or_default();
+        let is_new = known.end <= now;
+        known.end = known.end.max(now.saturating_add(rest));
+        known.asked_at = now;
         is_new
     }
 
+    /// Takes over what an upstream said a moment ago, now that it is known that it has
+    /// started again.
+    pub fn inherit(&mut self, before: Incarnation, after: Incarnation, now: Duration) {
+        if let Some(rest) = self.rests.get(&before).copied()
+            && rest.asked_at + RESTART_LAG > now
+        {
+            self.rests.insert(after, rest);
+        }
+    }
+
     /// Time left of an upstream's rest; zero if it does not rest.
     pub fn time_left(&self, incarnation: Incarnation, now: Duration) -> Duration {
-        let end = self.ends.get(&incarnation);
-        end.map_or(Duration::ZERO, |end| end.saturating_sub(now))
+        let rest = self.rests.get(&incarnation);
+        rest.map_or(Duration::ZERO, |rest| rest.end.saturating_sub(now))
     }
 
     /// Share of the requests that may go to an upstream, which is zero while it rests.
     pub fn share(&self, incarnation: Incarnation, now: Duration) -> f64 {
-        let Some(end) = self.ends.get(&incarnation) else {
+        let Some(rest) = self.rests.get(&incarnation) else {
             return 1.0;
         };
-        let Some(since) = now.checked_sub(*end) else {
+        let Some(since) = now.checked_sub(rest.end) else {
             return 0.0;
         };
         let risen = since.div_duration_f64(RETURN_TIME);
@@ -82,12 +104,12 @@
 
     /// Number of upstreams that rest.
     pub fn count(&self, now: Duration) -> usize {
-        self.ends.values().filter(|end| **end > now).count()
+        self.rests.values().filter(|rest| rest.end > now).count()
     }
 
     /// Number of rests that are remembered.
     #[cfg(test)]
     pub(crate) fn tracked(&self) -> usize {
-        self.ends.len()
+        self.rests.len()
     }
 }
--- a/src/carawayrun/relay/tests/departures.rs
+++ b/src/carawayrun/relay/tests/departures.rs
@@ -52,3 +52,13 @@
         "{reported:?}"
     );
 }
+
+#[test]
+fn departure_is_lost_at_restart_that_was_not_known() {
+    let mut departures = Departures::default();
+    departures.record(incarnation(1), true, secs(0));
+    departures.inherit(incarnation(1), incarnation(2), secs(2));
+    departures.inherit(incarnation(1), incarnation(3), secs(4));
+    assert!(departures.contains(incarnation(2)));
+    assert!(!departures.contains(incarnation(3)));
+}
--- a/src/carawayrun/relay/tests/rests.rs
+++ b/src/carawayrun/relay/tests/rests.rs
@@ -43,6 +43,18 @@
     assert!((rests.share(incarnation(2), millis(10)) - 1.0).abs() < f64::EPSILON);
 }
 
+// It had started again, which was not known here when it asked for rest. What it had said
+// longer ago is the word of the one before.
+#[test_case(2_900, true; "a moment ago")]
+#[test_case(3_100, false; "longer ago")]
+fn rest_is_lost_at_restart_that_was_not_known(known_after: u64, is_kept: bool) {
+    let mut rests = Rests::default();
+    rests.record(incarnation(1), millis(9_000), millis(0));
+    rests.inherit(incarnation(1), incarnation(2), millis(known_after));
+    let left = rests.time_left(incarnation(2), millis(known_after));
+    assert_eq!(!left.is_zero(), is_kept);
+}
+
 #[test_case(500, 3_000; "shorter")]
 #[test_case(4_000, 4_100; "longer")]
 fn later_answer_only_prolongs_rest(rest: u64, end: u64) {
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -221,7 +221,7 @@
         f: impl FnOnce(&mut Fleet, &mut SmallRng) -> T,
     ) -> T {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.update(view);
+        fleet.update(view, self.now());
         f(&mut fleet, &mut self.rng.borrow_mut())
     }
 
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -51,7 +51,7 @@
 const REGRESSION_DURATION: Duration = Duration::from_secs(15);
 
 /// Seeds that failed before, each with the cause.
-const REGRESSION_SEEDS: [(u64, &str); 8] = [
+const REGRESSION_SEEDS: [(u64, &str); 9] = [
     (
         125,
         "a low-confidence answer was dropped, and no better one came",
@@ -69,6 +69,10 @@
         "an upstream still lost answers after the faults were over",
     ),
     (224, "as 214"),
+    (
+        1210,
+        "an upstream asked for rest before its restart was known",
+    ),
 ];
 
 /// Number of soaks that one test runs at the same time.
