Repeat lost requests unless their crashes are 1 in 100 by chance

A sound request that isn't repeated is lost, and a guilty one spares a single upstream by it; both are known anyway from the third crash on. Two crashes within 2 s of their sends are still enough where nothing else crashes."

--- a/src/carawayrun/relay/quarantine/subject.rs
+++ b/src/carawayrun/relay/quarantine/subject.rs
@@ -122,7 +122,7 @@
 /// come rarely, so crashes count for long.
 const REQUEST_CRITERIA: Criteria = Criteria {
     quarantine: Test::Chance(0.002),
-    suspicion: Test::Chance(0.05),
+    suspicion: Test::Chance(0.01),
     settling_time: Duration::ZERO,
     crash_ttl: Duration::from_mins(10),
     forget_after: Duration::from_mins(10),
