Tell crashes of a subject no longer than they count, and read the change anew

Two gateways that had lost the same request told each other of it for as long as they ran, and so kept the entry alive: old_crashes_are_told_no_more failed before (one entry left at each after 30 minutes) and passes. What is only an answer makes no entry for a subject that nobody here suspects.

Read as a newcomer would: an attempt's outcome and the reason of the next send are recorded in one match; pay_for_send is told apart from the send that a limit allows; holders of requests have one word. No other change of behaviour.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -57,7 +57,7 @@
         let Ok(connection) = self.acquire_connection(view, route, key, &upstream).await else {
             return AttemptOutcome::NotSent;
         };
-        // What it said to others meanwhile.
+        // It may have asked for rest while this request waited for a connection.
         if !self.traffic.accepts(key) {
             return AttemptOutcome::NotSent;
         }
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -159,23 +159,29 @@
             AttemptOutcome::NotSent => {
                 self.unsent += 1;
                 self.is_prepaid = true;
-                return;
             }
-            AttemptOutcome::Displaced => self.unsent += 1,
-            AttemptOutcome::Refused(_) => self.refused += 1,
-            AttemptOutcome::Answered(_) | AttemptOutcome::Lost | AttemptOutcome::TimedOut => {
-                self.runs += 1;
-                self.may_have_run = true;
+            AttemptOutcome::Displaced => {
+                self.unsent += 1;
+                self.reason = SendReason::Displaced;
+            }
+            AttemptOutcome::Refused(_) => {
+                self.refused += 1;
+                self.reason = SendReason::Refused;
+            }
+            AttemptOutcome::Answered(_) => self.record_run(SendReason::Failed),
+            AttemptOutcome::TimedOut => self.record_run(SendReason::TimedOut),
+            AttemptOutcome::Lost => {
+                self.losses += 1;
+                self.record_run(SendReason::Lost);
             }
         }
-        self.losses += u32::from(matches!(attempt, AttemptOutcome::Lost));
-        self.reason = match attempt {
-            AttemptOutcome::Answered(_) | AttemptOutcome::NotSent => SendReason::Failed,
-            AttemptOutcome::Refused(_) => SendReason::Refused,
-            AttemptOutcome::Displaced => SendReason::Displaced,
-            AttemptOutcome::Lost => SendReason::Lost,
-            AttemptOutcome::TimedOut => SendReason::TimedOut,
-        };
+    }
+
+    // Records a send that ran or may have run, and why another one would be made.
+    fn record_run(&mut self, reason: SendReason) {
+        self.runs += 1;
+        self.may_have_run = true;
+        self.reason = reason;
     }
 }
 
@@ -295,7 +301,7 @@
                 return self.give_up(route, progress, responder).await;
             };
             self.log.record_expected_wait(wait_ms);
-            if !self.take_send(progress, service) {
+            if !self.pay_for_send(progress, service) {
                 return self.give_up(route, progress, responder).await;
             }
             let attempt = self.make_attempt(&view, route, progress, key, None).await;
@@ -324,7 +330,7 @@
 
     // Takes the next send from the service's retry budget, unless it is paid for;
     // returns false if the budget is spent.
-    fn take_send(&mut self, progress: &mut RequestProgress, service: &str) -> bool {
+    fn pay_for_send(&mut self, progress: &mut RequestProgress, service: &str) -> bool {
         let is_prepaid = std::mem::take(&mut progress.is_prepaid);
         let is_paid = is_prepaid || self.traffic.take_retry(service, RetryCause::Failure);
         if !is_paid {
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -203,7 +203,7 @@
             else {
                 return Err(self.interrupt(route, progress, responder).await);
             };
-            if !self.take_send(progress, service) {
+            if !self.pay_for_send(progress, service) {
                 return Err(self.interrupt(route, progress, responder).await);
             }
             progress.excluded.push(key);
--- a/src/carawayrun/relay/quarantine/evidence.rs
+++ b/src/carawayrun/relay/quarantine/evidence.rs
@@ -21,10 +21,10 @@
 
 /// Time for which a gateway must have told that it holds requests back, before it makes
 /// a trial: by then the others that do so too are known.
-const ASKING_TIME: Duration = Duration::from_secs(1);
+const HOLDING_TIME: Duration = Duration::from_secs(1);
 
 /// Time after a held request for which a gateway goes first in making trials.
-const ASKER_TTL: Duration = Duration::from_secs(30);
+const HOLDER_TTL: Duration = Duration::from_secs(30);
 
 /// Time after another gateway's last report for which answers to a subject are told.
 const SUSPICION_TTL: Duration = Duration::from_secs(5);
@@ -258,9 +258,9 @@
     pub(super) fn makes_trial(&self, own: SocketAddr, now: Duration) -> bool {
         let is_known = self
             .held_since
-            .is_some_and(|since| now >= since + ASKING_TIME);
+            .is_some_and(|since| now >= since + HOLDING_TIME);
         let mut earlier = self.holders.iter().filter(|(addr, _)| **addr < own);
-        is_known && earlier.all(|(_, at)| now.saturating_sub(*at) >= ASKER_TTL)
+        is_known && earlier.all(|(_, at)| now.saturating_sub(*at) >= HOLDER_TTL)
     }
 
     pub(super) fn is_suspected_elsewhere(&self, now: Duration) -> bool {
--- a/src/carawayrun/relay/quarantine/mod.rs
+++ b/src/carawayrun/relay/quarantine/mod.rs
@@ -153,6 +153,10 @@
         from: SocketAddr,
         now: Duration,
     ) -> bool {
+        let is_suspected = !told.crashes.is_empty() || told.quarantined_at.is_some();
+        if !is_suspected && !self.entries.contains_key(subject) {
+            return false;
+        }
         let entry = self.entry(subject);
         entry.seen_at = now;
         entry.receive(told, from, now)
@@ -188,7 +192,8 @@
         let suspects = entries.filter_map(|(subject, entry)| {
             let last = entry.own.crashes.last();
             let is_recent = last.is_some_and(|crash| crash.at + CRASH_TTL > now);
-            let is_major = entry.is_quarantined() || (last.is_some() && entry.is_repeated());
+            let counts = last.is_some_and(|crash| crash.at + subject.criteria().crash_ttl > now);
+            let is_major = entry.is_quarantined() || (counts && entry.is_repeated());
             (is_major || is_recent).then_some((!is_major, entry.reported_at, subject))
         });
         let mut suspects: Vec<(bool, Duration, &Subject)> = suspects.collect();
--- a/src/carawayrun/relay/tests/request_quarantine.rs
+++ b/src/carawayrun/relay/tests/request_quarantine.rs
@@ -296,6 +296,21 @@
     assert_eq!(is_held(&quarantine, &[part], 3_000), is_blamed);
 }
 
+// Two gateways that lost the same request told each other of it for as long as they ran.
+#[test]
+fn old_crashes_are_told_no_more() {
+    let (mut a, mut b) = (Quarantine::default(), Quarantine::default());
+    let sound = request("/sound");
+    for (quarantine, upstream) in [(&mut a, 1), (&mut b, 2)] {
+        quarantine.record_crash(&sound, crash(upstream, 5_000, false));
+    }
+    for ms in (5_000..1_800_000).step_by(1_000) {
+        tell(&mut a, &mut b, ms);
+        tell(&mut b, &mut a, ms);
+    }
+    assert_eq!((a.tracked(), b.tracked()), (0, 0));
+}
+
 // Each body is another request.
 #[test]
 fn many_requests_are_bounded() {
