Show that reports with absurd values harm no quarantine

From the operators' list (one malformed message took a process down), for what reports tell of crashes: any values of times, counts and chances are survived, and a sound request is sent once it was answered.

--- a/src/carawayrun/relay/tests/request_quarantine.rs
+++ b/src/carawayrun/relay/tests/request_quarantine.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
 
 use crate::relay::fingerprint::Fingerprint;
-use crate::relay::quarantine::{Crash, Quarantine, Subject, Verdict};
+use crate::relay::quarantine::{Crash, CrashEvidence, Quarantine, Subject, Verdict};
 
 /// `contact_ms` of the platform.
 const CONTACT_MS: u64 = 3_000;
@@ -363,3 +364,60 @@
     assert!(lost_twice > 50, "{lost_twice} lost twice");
     assert!(blamed * 50 <= lost_twice, "{blamed} of {lost_twice}");
 }
+
+fn any_evidence() -> impl Strategy<Value = CrashEvidence> {
+    let time = || any::<u32>().prop_map(|ms| millis(ms.into()));
+    let chance = prop_oneof![Just(f64::NAN), Just(0.0), Just(f64::INFINITY), 0.0..1.0];
+    let crash =
+        (any::<u32>(), time(), time(), chance).prop_map(|(upstream, at, after, chance)| Crash {
+            upstream,
+            at,
+            after,
+            chance,
+        });
+    let crashes = proptest::collection::vec(crash, 0..8);
+    let times = proptest::array::uniform3(proptest::option::of(time()));
+    let counts = (any::<u32>(), any::<u32>());
+    (crashes, times, counts).prop_map(|(crashes, times, (losses, trials))| {
+        let [answered_at, quarantined_at, held_at] = times;
+        CrashEvidence {
+            crashes,
+            losses,
+            answered_at,
+            quarantined_at,
+            trials,
+            held_at,
+        }
+    })
+}
+
+proptest! {
+    // A report with absurd values must not end the process, nor hold a sound request back
+    // for good.
+    #[test]
+    fn any_report_is_survived(
+        told in proptest::collection::vec((any_evidence(), any::<u32>()), 1..12),
+    ) {
+        let mut quarantine = Quarantine::default();
+        let [part] = [Subject::part("5e41").expect("it is short")];
+        let [sound] = request("/sound");
+        let subjects = [part, sound];
+        let mut last = Duration::ZERO;
+        for (number, (evidence, ms)) in told.iter().enumerate() {
+            let now = millis((*ms).into());
+            last = last.max(now);
+            for subject in &subjects {
+                quarantine.receive(subject, evidence, addr(number), now);
+            }
+            quarantine.judge(now);
+            quarantine.record_crash(&subjects, crash(number as u32, (*ms).into(), true));
+            quarantine.record_held(&subjects, addr(5), now);
+            quarantine.begin_trial(&subjects, now);
+            quarantine.verdict(&subjects, now);
+            quarantine.evidence(now);
+            quarantine.list(now);
+        }
+        quarantine.record_answer(&subjects, millis(u32::MAX.into()));
+        prop_assert_eq!(quarantine.verdict(&subjects, last), Verdict::Sound);
+    }
+}
