End the limit of a stand-in in the soak before it is started again

A stand-in that was started again kept the limit of the process before, since its faults were put together before that limit was ended; the relays kept to it, and the history did not know. The soak's own fault.

--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -221,6 +221,7 @@
         let arrivals = self.dir.join("arrivals.jsonl");
         let arrivals = arrivals.to_string_lossy();
         slot.is_departing.set(false);
+        self.end_limit(upstream);
         let faults = self.with_lasting_faults(upstream, &json!({})).to_string();
         let args = [
             "runner",
@@ -245,7 +246,6 @@
             "--faults",
             &faults,
         ];
-        self.end_limit(upstream);
         *slot.process.borrow_mut() = Some(lab(&self.dir, &name, &args));
         let health = format!("http://{addr}/health");
         self.wait_until(async || self.is_answering(&health).await)
