--- a/src/carawayrun/relay/quarantine/evidence.rs
+++ b/src/carawayrun/relay/quarantine/evidence.rs
@@ -83,6 +83,11 @@
 }
 
 impl CrashEvidence {
+    // True if it says anything against the subject.
+    pub(super) fn is_suspicion(&self) -> bool {
+        !self.crashes.is_empty() || self.quarantined_at.is_some()
+    }
+
     // Adds a crash unless it is known or an answer came later.
     pub(super) fn add_crash(&mut self, crash: Crash) {
         let is_answered = self.answered_at.is_some_and(|at| at >= crash.at);
@@ -196,7 +201,7 @@
         from: SocketAddr,
         now: Duration,
     ) -> bool {
-        if !told.crashes.is_empty() || told.quarantined_at.is_some() {
+        if told.is_suspicion() {
             self.suspected_at = Some(now);
             self.told_crashes = told.crashes.len();
         }
@@ -219,12 +224,15 @@
     // Evidence for the others: crashes and answers that this gateway saw, and the
     // quarantine as it is known here, so that it outlasts who began it.
     pub(super) fn report(&self, max_crashes: usize) -> CrashEvidence {
-        let crashes = &self.own.crashes;
+        let own = &self.own;
+        let first = own.crashes.len().saturating_sub(max_crashes);
         CrashEvidence {
-            crashes: crashes[crashes.len().saturating_sub(max_crashes)..].to_vec(),
+            crashes: own.crashes[first..].to_vec(),
+            losses: own.losses,
+            answered_at: own.answered_at,
             quarantined_at: self.all.quarantined_at,
             trials: self.all.trials,
-            ..self.own.clone()
+            held_at: own.held_at,
         }
     }
 
--- a/src/carawayrun/relay/quarantine/mod.rs
+++ b/src/carawayrun/relay/quarantine/mod.rs
@@ -153,8 +153,7 @@
         from: SocketAddr,
         now: Duration,
     ) -> bool {
-        let is_suspected = !told.crashes.is_empty() || told.quarantined_at.is_some();
-        if !is_suspected && !self.entries.contains_key(subject) {
+        if !told.is_suspicion() && !self.entries.contains_key(subject) {
             return false;
         }
         let entry = self.entry(subject);
