Show that one runner's endless bytes stop a whole relay

CONFIG breaks, and the process hangs: after one answer with bytes without end (in a chunked body, or interim heads) the relay answers no client and no readiness probe, past every timeout, until the runner stops.

At fault: read_head and read_chunk in relay/connection.rs loop without yielding while the socket has bytes that are consumed without a result; all connections and timers of the relay share that thread.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -444,7 +444,7 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
     async def call(self, index, method, path, id, **more):
-        """One request of a client on a connection of its own; returns status and body."""
+        """One request of a client on a connection of its own; returns status, body, head and milliseconds."""
         limit = more.pop("limit", 8.0)
         begun = now_ms()
         try:
@@ -455,8 +455,9 @@
             status, body = int(head.first.split(" ")[1]), head.body
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
             status, body, head = None, repr(error).encode(), None
-        self.say(f"client: {method} {path} id {id} by edge-{index + 1}: {status} {body[:60]!r} after {now_ms() - begun} ms")
-        return status, body, head
+        took = now_ms() - begun
+        self.say(f"client: {method} {path} id {id} by edge-{index + 1}: {status} {body[:60]!r} after {took} ms")
+        return status, body, head, took
 
     async def close(self):
         for relay in self.relays.values():
