Show that a stopping relay cuts streams of sound runners that pause

LOST breaks: around a SIGTERM, streams that may not be resumed are cut 2.5 s into a pause of 3 s, with 4 s of the grace left and the runs at work.

At fault: forward_events in relay/exchange/stream.rs gives a stream up after EVENT_TIMEOUT also where it can't be resumed elsewhere.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -426,7 +426,7 @@
     def config(self, version, **more):
         route = lambda name, kind: dict(
             name=name, hostname="shop.example", prefix=f"/{name}/", route_type=kind, timeout_ms=more.get("timeout_ms", 4000),
-            objective_ms=more.get("objective_ms", 500), priority=1, service="app", max_attempts=3, public=False, stream_resume=True)
+            objective_ms=more.get("objective_ms", 500), priority=1, service="app", max_attempts=3, public=False, stream_resume=more.get("stream_resume", True), gap_target_ms=800)
         return dict(
             version=version,
             routes=[route("read", "safe"), route("switch", "unsafe"), route("stream", "streaming")],
