Show that runners restarted under their ids are refused for good

At fault: inherit in relay/departures.rs carries the leaving that a runner announced less than 3 s before its restart over to the new incarnation; drain_ms is 2 s.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -228,6 +228,7 @@
     def __init__(self, world, name, service, host, **more):
         self.world, self.name, self.service, self.host = world, name, service, host
         self.leaving = False
+        self.state = "ready"
         self.beating = True
         self.sequence = 0
         self.work = more.get("work", 0.015)
@@ -244,14 +245,13 @@
     def registration(self):
         self.sequence += 1
         return dict(service=self.service, address=f"{self.host}:7000", zone="a", version=self.version,
-                    batch_slots=8, state="ready", warmup_left_ms=0, sequence=self.sequence, born=self.born)
+                    batch_slots=8, state=self.state, warmup_left_ms=0, sequence=self.sequence, born=self.born)
 
-    async def beat(self):
-        await asyncio.sleep(random.random() * 0.2)
+    async def beat(self, pause=0.2):
+        await asyncio.sleep(random.random() * pause)
         while self.beating:
             if not self.world.store.down:
-                self.world.store.put("servers", self.name, self.registration())
-                self.world.beats[self.name] = time.monotonic()
+                self.write_row()
             await asyncio.sleep(HEARTBEAT)
 
     async def serve(self, reader, writer):
@@ -282,9 +282,21 @@
             self.writers.discard(writer)
             writer.close()
 
+    def write_row(self):
+        self.world.store.put("servers", self.name, self.registration())
+        self.world.beats[self.name] = time.monotonic()
+
+    async def start_again(self):
+        """Starts again under its id, at its address: a new process that knows nothing of before."""
+        self.leaving, self.state, self.beating = False, "ready", True
+        self.sequence, self.born = 0, now_ms()
+        self.server = await asyncio.start_server(self.serve, self.host, 7000)
+        self.beats = asyncio.ensure_future(self.beat(0))
+
     def exit(self):
         """Ends as a process does: its port refuses, its connections close."""
         self.beating = False
+        self.beats.cancel()
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
