--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,89 +1,100 @@
-"""A relay that isn't the reader of the registrations uses a runner again that it knows to be gone,
-after the store came back from a copy."""
+"""A runner sends bytes that are no answer without end, and the whole relay stands still."""
 
 import asyncio
 import os
+import select
+import socket
 import sys
-import time
+import threading
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from stand_ins import now_ms, run
+from stand_ins import encode, read_head, run
 
-DRAIN_MS = 2000  # `drain_ms`
-WORK_S = 0.3
+TIMEOUT_MS = 3000  # `timeout_ms` of the route
+LATE_MS = 500  # the rule's half second
+HEAD = "HTTP/1.1 200 OK\r\nX-Carawayrun-Request-Id: {}\r\nX-Carawayrun-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+# What the runner in trouble sends to each relay: its first bytes, and what follows without end.
+FLOODS = {
+    "edge-1": ("in a body", HEAD, b"0"),
+    "edge-2": ("in a head", "", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
 
-async def send_batch(world, name):
-    """A client's batch at both relays: 30 requests that run at most once."""
-    for number in range(15):
-        for relay in range(2):
-            asyncio.ensure_future(world.call(relay, "POST", "/switch/a", f"{name}-{relay + 1}-{number}", body=b"on"))
-            await asyncio.sleep(0.03)
+
+def flood(world, connection, relay, id):
+    """Sends until the caller closes."""
+    where, first, unit = FLOODS[relay]
+    data = memoryview(unit * (1 << 16))
+    sent, at = connection.send(first.format(id).encode()), 0
+    try:
+        while True:
+            select.select([], [connection], [])
+            try:
+                count = connection.send(data[at:])
+                sent, at = sent + count, (at + count) % len(data)
+            except BlockingIOError:
+                pass
+    except OSError as error:
+        world.say(f"the flood {where} to {relay} ends after {sent >> 20} MB: {error}")
 
 
 async def case(world, trouble):
-    store = world.store
     await world.start_store()
-    store.put("op", "config", world.config(5))
+    world.store.put("op", "config", world.config(5, timeout_ms=TIMEOUT_MS))
+    flooded = set()
+
+    async def answer(runner, request, reader, writer, headers):
+        """Answers well, but for the first request of each relay."""
+        id = request.get("x-carawayrun-request-id")
+        relay = id.rsplit("-", 1)[0]
+        if trouble and relay in FLOODS and relay not in flooded:
+            flooded.add(relay)
+            world.say(f"{runner.name} answers request {id} of {relay} with bytes without end, {FLOODS[relay][0]}")
+            connection = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
+            threading.Thread(target=flood, args=(world, connection, relay, id), daemon=True).start()
+            await asyncio.sleep(600)
+        await asyncio.sleep(runner.work)
+        writer.write(encode(200, f"{runner.name} ran {id}\n".encode(), headers + [("X-Carawayrun-Response-Seal", "seal")]))
+        return True
+
     for number in range(3):
-        await world.runner(f"app-{number + 1}", "app", work=WORK_S)
-    for relay in range(2):
+        await world.runner(f"app-{number + 1}", "app", answer=answer if number == 0 else None)
+    for relay in range(3):
         world.start_relay(relay)
-    for relay in range(2):
+    for relay in range(3):
         await world.until_ready(relay)
-    gone = world.runners[0]
-    await send_batch(world, "first")
-    # No registration changes for longer than the store's history.
-    await asyncio.sleep(25)
-    await send_batch(world, "second")
-    await asyncio.sleep(1.5)
 
-    copy, copied = store.copy(), time.monotonic()
-    world.say("the copy is taken")
-    await asyncio.sleep(1.0)
-    # A runner that never reports `draining`: its entry is removed, and it serves on.
-    gone.leaving, gone.beating = True, False
-    world.beats.pop(gone.name)
-    store.delete("servers", gone.name)
-    left = now_ms()
-    world.say(f"{gone.name} leaves: its entry is removed, and all its answers say Server-Leaving")
-    await asyncio.sleep(1.5)
-    if trouble:
-        store.down = True
-        world.say("the store is away")
-    await asyncio.sleep(2.5)
-    if trouble:
-        store.restore(copy)
-        store.down = False
-        world.say(f"the store is back, from a copy {time.monotonic() - copied:.1f} s old")
-    await asyncio.sleep(0.8)
-    batch = asyncio.ensure_future(send_batch(world, "third"))
-    await asyncio.sleep(0.3)
-    # It has served for `drain_ms` and some seconds more.
-    gone.exit()
-    world.say(f"{gone.name} exits")
-    await asyncio.sleep(0.9)
-    if trouble:
-        store.delete("servers", gone.name)
-        world.say(f"the entry of {gone.name} is removed again")
-    await batch
-    await asyncio.sleep(1.5)
+    calls = {f"edge-{relay + 1}": [] for relay in range(3)}
+    for number in range(60):
+        for relay in range(3):
+            name = f"edge-{relay + 1}"
+            call = world.call(relay, "GET", "/read/a", f"{name}-{number}", deadline_ms=6000, limit=5.0)
+            calls[name].append(asyncio.ensure_future(call))
+        await asyncio.sleep(0.1)
+    broken = False
+    for name, sent in calls.items():
+        times = []
+        for call in sent:
+            status, _, _, took = await call
+            times.append(took if status else None)
+        waiting = [took for took in times if took is None or took > TIMEOUT_MS]
+        late = [took for took in waiting if took is None or took > TIMEOUT_MS + LATE_MS]
+        world.say(f"{name}: of {len(times)} requests {len(waiting)} had no answer at their route's timeout, {len(late)} of them none half a second later")
+        broken |= len(late) > len(waiting) / 2
+    for relay in range(3):
+        world.say(f"edge-{relay + 1} answers a probe of its readiness: {await probe(world, relay)}")
+    return broken
+
 
-    known = {}
-    for at, relay, table, key, what in store.served:
-        is_gone = what == "deleted" and key == gone.name or what == "all" and gone.name not in key
-        if table == "servers" and at >= left and is_gone:
-            known.setdefault(relay, at)
-    for relay, at in known.items():
-        world.say(f"{relay} had read {at - left} ms after it that {gone.name} is gone")
-    late = 0
-    for at, id, status in gone.arrivals:
-        relay = f"edge-{id.split('-')[1]}"
-        if status != 421 and relay in known and at > known[relay] + DRAIN_MS:
-            late += 1
-            world.say(f"request {id} from {relay} reached {gone.name} {at - known[relay]} ms after that; allowed are {DRAIN_MS}")
-    return late > 0
+async def probe(world, relay):
+    try:
+        reader, writer = await asyncio.open_connection(world.relay_addr(relay), 7002)
+        writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")
+        head = await asyncio.wait_for(read_head(reader), 2.0)
+        return head.first
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+        return f"no ({type(error).__name__})"
 
 
 run(case, FOLDER)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -247,6 +247,9 @@
         return dict(service=self.service, address=f"{self.host}:7000", zone="a", version=self.version,
                     batch_slots=8, state=self.state, warmup_left_ms=0, sequence=self.sequence, born=self.born)
 
+    def leaving_header(self):
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     async def beat(self, pause=0.2):
         await asyncio.sleep(random.random() * pause)
         while self.beating:
@@ -261,11 +264,9 @@
                 request = await read_message(reader)
                 id = request.get("x-carawayrun-request-id", "")
                 headers = [("X-Carawayrun-Request-Id", id), ("X-Carawayrun-Instance-Id", self.name)]
-                if self.leaving:
-                    headers.append(("Server-Leaving", "1"))
                 if request.get("x-carawayrun-expect-instance") not in (None, self.name):
                     self.arrivals.append((now_ms(), id, 421))
-                    writer.write(encode(421, b"", headers[1:]))
+                    writer.write(encode(421, b"", headers[1:] + self.leaving_header()))
                     continue
                 self.arrivals.append((now_ms(), id, 200))
                 if self.answer:
@@ -273,7 +274,7 @@
                         return
                     continue
                 await asyncio.sleep(self.work)
-                headers.append(("X-Carawayrun-Response-Seal", "seal"))
+                headers += [("X-Carawayrun-Response-Seal", "seal")] + self.leaving_header()
                 writer.write(encode(200, f"{self.name} ran {id}\n".encode(), headers))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
