Make the flood of case 2 a process of its own

From a thread of the stand-ins it fell behind by chance, and the relay's hang ended early. Now a runner in trouble ends none of its answers to two relays, six at most to each.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import os
-import select
-import socket
+import subprocess
 import sys
-import threading
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
@@ -13,47 +11,57 @@
 
 TIMEOUT_MS = 3000  # `timeout_ms` of the route
 LATE_MS = 500  # the rule's half second
+MAX_FLOODS = 6  # to one relay, to bound the processes
 HEAD = "HTTP/1.1 200 OK\r\nX-Carawayrun-Request-Id: {}\r\nX-Carawayrun-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 # What the runner in trouble sends to each relay: its first bytes, and what follows without end.
 FLOODS = {
-    "edge-1": ("in a body", HEAD, b"0"),
-    "edge-2": ("in a head", "", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "edge-1": ("in a body", HEAD, "0"),
+    "edge-2": ("in a head", "", "HTTP/1.1 100 Continue\r\n\r\n"),
 }
 
 
-def flood(world, connection, relay, id):
-    """Sends until the caller closes."""
-    where, first, unit = FLOODS[relay]
-    data = memoryview(unit * (1 << 16))
-    sent, at = connection.send(first.format(id).encode()), 0
+# Sends until the caller closes; a process of its own, as it must not wait for the other stand-ins.
+FLOOD = """
+import select, socket, sys
+connection = socket.socket(fileno=int(sys.argv[1]))
+connection.send(sys.argv[2].encode())
+data, at = memoryview(sys.argv[3].encode() * (1 << 18)), 0
+while True:
+    select.select([], [connection], [])
     try:
-        while True:
-            select.select([], [connection], [])
-            try:
-                count = connection.send(data[at:])
-                sent, at = sent + count, (at + count) % len(data)
-            except BlockingIOError:
-                pass
-    except OSError as error:
-        world.say(f"the flood {where} to {relay} ends after {sent >> 20} MB: {error}")
+        at = (at + connection.send(data[at:])) % len(data)
+    except BlockingIOError:
+        pass
+    except OSError:
+        break
+"""
+
+
+def start_flood(relay, id, connection):
+    _, first, unit = FLOODS[relay]
+    command = [sys.executable, "-c", FLOOD, str(connection.fileno()), first.format(id), unit]
+    return subprocess.Popen(command, pass_fds=[connection.fileno()])
 
 
 async def case(world, trouble):
     await world.start_store()
     world.store.put("op", "config", world.config(5, timeout_ms=TIMEOUT_MS))
-    flooded = set()
+    flooded = []
 
     async def answer(runner, request, reader, writer, headers):
-        """Answers well, but for the first request of each relay."""
+        """A runner in trouble: none of its answers to two of the relays ends."""
         id = request.get("x-carawayrun-request-id")
         relay = id.rsplit("-", 1)[0]
-        if trouble and relay in FLOODS and relay not in flooded:
-            flooded.add(relay)
+        if trouble and relay in FLOODS and flooded.count(relay) < MAX_FLOODS:
+            flooded.append(relay)
             world.say(f"{runner.name} answers request {id} of {relay} with bytes without end, {FLOODS[relay][0]}")
-            connection = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
-            threading.Thread(target=flood, args=(world, connection, relay, id), daemon=True).start()
-            await asyncio.sleep(600)
+            sender = start_flood(relay, id, writer.get_extra_info("socket"))
+            world.children.append(sender)
+            while sender.poll() is None:
+                await asyncio.sleep(0.02)
+            world.say(f"{relay} closes the connection of {id}: the flood {FLOODS[relay][0]} ends")
+            return False
         await asyncio.sleep(runner.work)
         writer.write(encode(200, f"{runner.name} ran {id}\n".encode(), headers + [("X-Carawayrun-Response-Seal", "seal")]))
         return True
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -319,7 +319,7 @@
         self.beats = {}
         self.runners = []
         self.relays = {}
-        self.number = 0
+        self.children = []  # other processes
 
     @staticmethod
     def free_net():
@@ -477,8 +477,11 @@
             if relay.poll() is None:
                 relay.send_signal(signal.SIGCONT)
                 relay.kill()
-        for relay in self.relays.values():
-            relay.wait()
+        for child in self.children:
+            if child.poll() is None:
+                child.kill()
+        for process in [*self.relays.values(), *self.children]:
+            process.wait()
         shutil.rmtree(self.temp, ignore_errors=True)
 
 
