End answers whose bytes bring no progress, and give way to other tasks

Cause: UpstreamConnection looped over its codec and its socket until there was a head or a chunk. The codec consumes interim heads, chunk sizes, extensions and trailers without a result, so that no limit was reached; readiness and try_read take nothing from the runtime's budget, so that the task never gave way and no timeout fired.

Interim heads, head and chunk framing have limits; data restores the allowance of framing, so that a sound body may be of any length. Clients' bodies have the same allowance. Probes' bodies are not read. An interim answer that switches protocols or has a body is malformed. The lag of the traffic thread's timers is measured, and the control thread logs a stall with the peer that was read last.

Why it works: what the codec consumes is charged whether or not it yields a result, and the turn is counted over all reads of a connection, so neither kind of input keeps the thread.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::OnceCell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use super::catalog::Limits;
 use super::connection::set_socket_options;
 use super::exchange::Exchange;
+use super::progress::{FramingAllowance, MessagePart, Turn};
 use super::request_log::{RequestLog, RequestOutcome};
 use super::responder::Responder;
 use super::traffic::Traffic;
@@ -61,6 +63,8 @@
     HeadTooLong,
     #[snafu(display("the body is too long"))]
     BodyTooLong,
+    #[snafu(display("the request has too many bytes without progress: {part}"))]
+    NoProgress { part: MessagePart },
     #[snafu(display("the request is malformed: {source}"))]
     Malformed { source: ParseError },
     #[snafu(display("the connection failed: {source}"))]
@@ -74,13 +78,15 @@
             Self::TooSlow => Some(StatusCode::REQUEST_TIMEOUT),
             Self::HeadTooLong => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
             Self::BodyTooLong => Some(StatusCode::PAYLOAD_TOO_LARGE),
-            Self::Malformed { .. } => Some(StatusCode::BAD_REQUEST),
+            Self::NoProgress { .. } | Self::Malformed { .. } => Some(StatusCode::BAD_REQUEST),
         }
     }
 }
 
 struct Connection {
     traffic: Rc<Traffic>,
+    peer: SocketAddr,
+    turn: Turn,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
     codec: Codec,
@@ -88,7 +94,7 @@
 }
 
 /// Serves a connection until the client closes it or it must be closed.
-pub(super) async fn serve(stream: TcpStream, traffic: Rc<Traffic>) {
+pub(super) async fn serve(stream: TcpStream, peer: SocketAddr, traffic: Rc<Traffic>) {
     if let Err(error) = set_socket_options(&stream) {
         tracing::debug!(%error, "client connection not usable");
         return;
@@ -97,6 +103,8 @@
     let mut connection = Connection {
         codec: Codec::new(traffic.config.clone()),
         traffic,
+        peer,
+        turn: Turn::default(),
         reader,
         writer,
         received: BytesMut::new(),
@@ -170,6 +178,8 @@
 
     async fn read_head(&mut self, limits: &Limits) -> Result<Request, ReadError> {
         loop {
+            self.turn.give_way().await;
+            self.turn.record(self.received.len());
             match self.codec.decode(&mut self.received) {
                 Ok(Some(Message::Item(request))) => return Ok(request),
                 Ok(Some(Message::Chunk(_)) | None) => {}
@@ -192,12 +202,24 @@
             self.send_continue().await?;
         }
         let mut body = BytesMut::new();
+        let mut framing = FramingAllowance::default();
         loop {
-            match self
-                .codec
-                .decode(&mut self.received)
-                .context(MalformedSnafu)?
-            {
+            self.turn.give_way().await;
+            let before = self.received.len();
+            let decoded = self.codec.decode(&mut self.received);
+            let consumed = before - self.received.len();
+            self.turn.record(consumed);
+            let decoded = decoded.context(MalformedSnafu)?;
+            let data = match &decoded {
+                Some(Message::Chunk(Some(piece))) => piece.len(),
+                _ => 0,
+            };
+            let part = MessagePart::Framing;
+            snafu::ensure!(
+                framing.take(consumed - data, data),
+                NoProgressSnafu { part }
+            );
+            match decoded {
                 Some(Message::Chunk(Some(piece))) => body.extend_from_slice(&piece),
                 Some(Message::Chunk(None)) => return Ok(body.freeze()),
                 Some(Message::Item(_)) => {
@@ -220,6 +242,7 @@
 
     async fn fill(&mut self) -> Result<(), ReadError> {
         let read = fill(&mut self.reader, &mut self.received).await;
+        self.traffic.stalls.record_read(self.peer);
         match read.context(IoSnafu)? {
             0 => ClosedSnafu.fail(),
             _ => Ok(()),
--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -7,6 +7,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -14,7 +15,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
@@ -22,6 +23,9 @@
 use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::progress::{FramingAllowance, MAX_HEAD_BYTES, MAX_INTERIM_BYTES, MessagePart, Turn};
+use super::stalls::StallMonitor;
+
 /// Time for unacknowledged bytes and for a silent peer after which the kernel
 /// closes the connection; a host behind a partition sends nothing, not even a
 /// reset.
@@ -44,7 +48,7 @@
 /// detected before its next use.
 const MAX_IDLE_LIMIT: Duration = Duration::from_secs(8);
 
-/// Buffer space reserved for each read.
+/// Most bytes of one read.
 const READ_BYTES: usize = 16 * 1024;
 
 /// Error on a connection before the end of an answer.
@@ -60,6 +64,8 @@
     Head { source: ParseError },
     #[snafu(display("answer's body is malformed: {source}"))]
     Body { source: PayloadError },
+    #[snafu(display("answer has too many bytes without progress: {part}"))]
+    NoProgress { part: MessagePart },
     #[snafu(display("no connection in time"))]
     ConnectTimeout,
 }
@@ -74,13 +80,27 @@
     Done,
 }
 
+/// What was decoded of a framed body.
+enum Decoded {
+    Chunk(Bytes),
+    End,
+    /// More bytes are needed.
+    Incomplete,
+}
+
 /// Connection to an upstream, for one request at a time.
 pub(crate) struct UpstreamConnection {
     stream: TcpStream,
+    peer: SocketAddr,
+    stalls: Arc<StallMonitor>,
     config: ServiceConfig,
     codec: Codec,
     received: BytesMut,
     unsent: BytesMut,
+    /// Bytes of interim heads before the answer.
+    interim: usize,
+    framing: FramingAllowance,
+    turn: Turn,
     has_written: bool,
     keep_alive: bool,
     /// True if answers to the request's method may have a body.
@@ -96,6 +116,7 @@
         addr: SocketAddr,
         limit: Duration,
         config: &ServiceConfig,
+        stalls: &Arc<StallMonitor>,
     ) -> Result<Self, ConnectionError> {
         let stream = tokio::time::timeout(limit, TcpStream::connect(addr))
             .await
@@ -105,10 +126,15 @@
         set_socket_options(&stream).context(IoSnafu)?;
         Ok(Self {
             stream,
+            peer: addr,
+            stalls: Arc::clone(stalls),
             config: config.clone(),
             codec: Codec::Done,
             received: BytesMut::new(),
             unsent: BytesMut::new(),
+            interim: 0,
+            framing: FramingAllowance::default(),
+            turn: Turn::default(),
             has_written: false,
             keep_alive: true,
             expects_body: true,
@@ -136,6 +162,8 @@
         codec.encode(message, &mut self.unsent).context(IoSnafu)?;
         self.unsent.extend_from_slice(body);
         self.codec = Codec::Head(codec);
+        self.interim = 0;
+        self.framing = FramingAllowance::default();
         self.has_written = false;
         Ok(())
     }
@@ -170,12 +198,8 @@
     /// Writes the rest of the request and reads the head of its answer.
     pub(crate) async fn read_head(&mut self) -> Result<ResponseHead, ConnectionError> {
         loop {
-            if let Codec::Head(codec) = &mut self.codec
-                && let Some(head) = codec.decode(&mut self.received).context(HeadSnafu)?
-            {
-                if head.status.is_informational() {
-                    continue;
-                }
+            self.turn.give_way().await;
+            if let Some(head) = self.decode_head()? {
                 self.begin_body(&head);
                 return Ok(head);
             }
@@ -185,19 +209,51 @@
         }
     }
 
+    // Decodes the head of the answer, after any interim heads.
+    fn decode_head(&mut self) -> Result<Option<ResponseHead>, ConnectionError> {
+        let Codec::Head(codec) = &mut self.codec else {
+            return Ok(None);
+        };
+        loop {
+            let before = self.received.len();
+            self.turn.record(before);
+            let head = codec.decode(&mut self.received).context(HeadSnafu)?;
+            let part = MessagePart::Head;
+            let Some(head) = head else {
+                snafu::ensure!(before <= MAX_HEAD_BYTES, NoProgressSnafu { part });
+                return Ok(None);
+            };
+            let length = before - self.received.len();
+            if !head.status.is_informational() {
+                snafu::ensure!(length <= MAX_HEAD_BYTES, NoProgressSnafu { part });
+                return Ok(Some(head));
+            }
+            // No other protocol was asked for, and interim answers have no body.
+            if codec.message_type() != MessageType::None {
+                let source = ParseError::Status;
+                return Err(ConnectionError::Head { source });
+            }
+            self.interim += length;
+            let part = MessagePart::Interim;
+            snafu::ensure!(self.interim <= MAX_INTERIM_BYTES, NoProgressSnafu { part });
+        }
+    }
+
     /// Reads the next chunk of the body; `None` at its complete end.
     pub(crate) async fn read_chunk(&mut self) -> Result<Option<Bytes>, ConnectionError> {
         loop {
+            self.turn.give_way().await;
             match &mut self.codec {
-                Codec::Body(codec) => match codec.decode(&mut self.received).context(BodySnafu)? {
-                    Some(Some(chunk)) => return Ok(Some(chunk)),
-                    Some(None) => {
+                Codec::Body(_) => match self.decode_chunk()? {
+                    Decoded::Chunk(chunk) => return Ok(Some(chunk)),
+                    Decoded::End => {
                         self.finish();
                         return Ok(None);
                     }
-                    None => {}
+                    Decoded::Incomplete => {}
                 },
                 Codec::UntilClose if !self.received.is_empty() => {
+                    self.turn.record(self.received.len());
                     return Ok(Some(self.received.split().freeze()));
                 }
                 Codec::UntilClose => {}
@@ -214,6 +270,26 @@
         }
     }
 
+    // Decodes the next chunk of a framed body.
+    fn decode_chunk(&mut self) -> Result<Decoded, ConnectionError> {
+        let Codec::Body(codec) = &mut self.codec else {
+            return Ok(Decoded::End);
+        };
+        let before = self.received.len();
+        let decoded = codec.decode(&mut self.received).context(BodySnafu)?;
+        let consumed = before - self.received.len();
+        self.turn.record(consumed);
+        let data = decoded.iter().flatten().map(Bytes::len).sum();
+        let part = MessagePart::Framing;
+        let is_allowed = self.framing.take(consumed - data, data);
+        snafu::ensure!(is_allowed, NoProgressSnafu { part });
+        Ok(match decoded {
+            Some(Some(chunk)) => Decoded::Chunk(chunk),
+            Some(None) => Decoded::End,
+            None => Decoded::Incomplete,
+        })
+    }
+
     /// Returns true if the connection can be used for another request: the answer
     /// ended, the peer keeps the connection open, and no unexpected bytes
     /// arrived.
@@ -266,8 +342,12 @@
                 self.write_unsent()?;
             }
             if ready.is_readable() {
+                self.stalls.record_read(self.peer);
                 self.received.reserve(READ_BYTES);
-                match self.stream.try_read_buf(&mut self.received) {
+                match self
+                    .stream
+                    .try_read_buf(&mut (&mut self.received).limit(READ_BYTES))
+                {
                     Ok(count) => return Ok(count),
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     Err(error) => return Err(error),
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -117,8 +117,9 @@
         mut pending: PendingAnswer,
         responder: &mut Responder<'_>,
     ) -> Option<Delivery> {
-        let body = read_whole(&mut pending.connection).await;
+        let body = read_whole(&mut pending.connection, MAX_BUFFERED_BYTES).await;
         let body = body.inspect_err(|error| {
+            self.count_stopped(error);
             let (upstream, fingerprint) = (&pending.upstream.name, self.fingerprint());
             tracing::info!(request = %self.request.id, %upstream, %error, has_begun = true, %fingerprint, "connection failed within an answer");
         });
@@ -169,14 +170,15 @@
     }
 }
 
-/// Reads a whole body. One of more than [`MAX_BUFFERED_BYTES`] fails with
+/// Reads a whole body. One of more than `limit` bytes fails with
 /// [`ConnectionError::Closed`].
 pub(super) async fn read_whole(
     connection: &mut UpstreamConnection,
+    limit: usize,
 ) -> Result<Bytes, ConnectionError> {
     let mut whole = BytesMut::new();
     while let Some(piece) = connection.read_chunk().await? {
-        if whole.len() + piece.len() > MAX_BUFFERED_BYTES {
+        if whole.len() + piece.len() > limit {
             return Err(ConnectionError::Closed);
         }
         whole.extend_from_slice(&piece);
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -104,8 +104,7 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
-        let config = &self.traffic.config;
-        let opened = UpstreamConnection::connect(upstream.addr, CONNECT_TIMEOUT, config).await;
+        let opened = self.traffic.connect(upstream.addr, CONNECT_TIMEOUT).await;
         // Failed connects count too.
         self.traffic.metrics.connections.inc();
         if let Err(error) = &opened {
@@ -168,6 +167,7 @@
         let head = match result {
             Some(Ok(head)) => head,
             Some(Err(error)) => {
+                self.count_stopped(&error);
                 let has_written = connection.has_written();
                 let fingerprint = self.fingerprint();
                 tracing::info!(request = %self.request.id, upstream = %upstream.name, %error, has_written, %fingerprint, "connection failed before an answer");
@@ -223,6 +223,13 @@
         }))
     }
 
+    // Counts an answer that was stopped for bytes without progress.
+    pub(super) fn count_stopped(&self, error: &ConnectionError) {
+        if let ConnectionError::NoProgress { part } = error {
+            self.traffic.metrics.record_stopped_answer(*part);
+        }
+    }
+
     // True if another upstream could be tried. If not, the attempt goes on
     // waiting, as a late answer is better than none.
     fn has_alternative(
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use actix_http::ServiceConfig;
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
@@ -11,13 +10,17 @@
 use super::attempt::CONNECT_TIMEOUT;
 use crate::platform;
 use crate::relay::catalog::Route;
-use crate::relay::connection::{ConnectionError, UpstreamConnection};
+use crate::relay::connection::ConnectionError;
 use crate::relay::message::EngineReport;
+use crate::relay::traffic::Traffic;
 use crate::relay::view::{Upstream, UpstreamKey};
 
 /// Time limit for an engine's load report, which takes no slot of the engine.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Longest load report, in bytes.
+const MAX_REPORT_BYTES: usize = 256 * 1024;
+
 /// Why an upstream's load report could not be read.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -42,8 +45,7 @@
         if !route.kind.is_stream() || !self.traffic.take_send(key) {
             return false;
         }
-        let config = &self.traffic.config;
-        let report = timeout(REPORT_TIMEOUT, fetch_report(upstream, config)).await;
+        let report = timeout(REPORT_TIMEOUT, fetch_report(upstream, self.traffic)).await;
         self.traffic.metrics.report_polls.inc();
         let has =
             matches!(&report, Ok(Ok((_, report))) if report.may_have_request(&self.request.id));
@@ -58,16 +60,17 @@
 // Also returns whether the engine says that it is leaving.
 async fn fetch_report(
     upstream: &Upstream,
-    config: &ServiceConfig,
+    traffic: &Traffic,
 ) -> Result<(bool, EngineReport), ReportError> {
-    let mut connection = UpstreamConnection::connect(upstream.addr, CONNECT_TIMEOUT, config)
-        .await
-        .context(WireSnafu)?;
+    let connection = traffic.connect(upstream.addr, CONNECT_TIMEOUT).await;
+    let mut connection = connection.context(WireSnafu)?;
     let head = platform::report_request(upstream);
     connection.start_request(head, b"").context(WireSnafu)?;
     let head = connection.read_head().await.context(WireSnafu)?;
     let is_leaving = platform::parse_answer(&head).is_leaving;
-    let body = read_whole(&mut connection).await.context(WireSnafu)?;
+    let body = read_whole(&mut connection, MAX_REPORT_BYTES)
+        .await
+        .context(WireSnafu)?;
     let report = platform::parse_report(&body).context(UnreadableSnafu)?;
     Ok((is_leaving, report))
 }
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -17,6 +17,7 @@
 use crate::relay::events::EventBuffer;
 use crate::relay::losses::Loss;
 use crate::relay::metrics::SendReason;
+use crate::relay::progress::MessagePart;
 use crate::relay::quarantine::Verdict;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
@@ -124,6 +125,7 @@
             let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
                 Err(_) => return StreamEnd::Interrupted("no stream data in time"),
                 Ok(Err(error)) => {
+                    self.count_stopped(&error);
                     let (upstream, fingerprint) = (&current.upstream.name, self.fingerprint());
                     tracing::info!(request = %self.request.id, %upstream, %error, has_begun, %fingerprint, "connection failed within an answer");
                     self.record_stream_crash(current, has_begun);
@@ -143,6 +145,9 @@
             };
             let Some(whole) = events.push(&piece) else {
                 if events.is_oversized() {
+                    self.traffic
+                        .metrics
+                        .record_stopped_answer(MessagePart::Event);
                     return StreamEnd::Interrupted("stream event too long");
                 }
                 continue;
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -23,6 +23,7 @@
 use super::boot_clock;
 use super::control::{Effect, Event, State};
 use super::readers::{Confirmation, FollowedTable, ReadDecision};
+use super::stalls;
 use super::store_clock::StoreClock;
 use super::traffic::{PeerUpdate, SharedState};
 use crate::platform::{Keyspace, StoreClient};
@@ -95,6 +96,7 @@
 /// Follows the store until the process ends.
 pub(super) async fn run(shared: SharedState) {
     let settings = shared.settings.load_full();
+    actix_rt::spawn(stalls::watch(Arc::clone(&shared.stalls)));
     let follower = Rc::new(Follower {
         store: StoreClient::new(settings.store),
         state: RefCell::new(State::new(
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::registry::Registry;
 use tokio::time::Instant;
 
+use super::progress::MessagePart;
+
 /// Rate of request log lines, per second: an on-call engineer finds each failure
 /// of a usual day, and a flood stays below one megabyte a minute.
 const LOG_LINES_PER_SECOND: f64 = 40.0;
@@ -61,6 +63,12 @@
     reason: SendReason,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct StoppedLabels {
+    part: MessagePart,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -84,6 +92,8 @@
     pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
     pub(crate) log_limiter: LogLimiter,
+    stopped_answers: Family<StoppedLabels, Counter>,
+    lag: Histogram,
     sends: Family<SendLabels, Counter>,
     requests: Family<RequestLabels, Counter>,
     duration: Histogram,
@@ -116,6 +126,8 @@
             rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
             log_limiter: LogLimiter::new(),
+            stopped_answers: Family::default(),
+            lag: latency(),
             sends: Family::default(),
             requests: Family::default(),
             duration: latency(),
@@ -142,6 +154,16 @@
             "Requests by outcome and status",
             self.requests.clone(),
         );
+        registry.register(
+            "stopped_answers",
+            "Upstreams' answers stopped for bytes that bring no progress",
+            self.stopped_answers.clone(),
+        );
+        registry.register(
+            "timer_lag_seconds",
+            "Lateness of the timers of the thread that serves clients",
+            self.lag.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time from a request to the end of its answer",
@@ -268,6 +290,18 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer that was stopped for bytes that bring no progress.
+    pub(super) fn record_stopped_answer(&self, part: MessagePart) {
+        self.stopped_answers
+            .get_or_create(&StoppedLabels { part })
+            .inc();
+    }
+
+    /// Records how late a timer of the traffic thread was.
+    pub(super) fn record_lag(&self, lag: Duration) {
+        self.lag.observe(lag.as_secs_f64());
+    }
+
     /// Counts a request and its latencies; `first` is the time to its first event.
     pub(super) fn record_request(
         &self,
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -22,6 +22,7 @@
 //! | [`losses`] | attribution of lost requests to versions |
 //! | [`quarantine`] | requests and prompt parts under which upstreams crash |
 //! | [`events`] | framing of event streams |
+//! | [`progress`] | limits on bytes that bring no progress |
 
 mod admission;
 mod boot_clock;
@@ -48,6 +49,7 @@
 mod metrics;
 pub mod placement;
 mod probe;
+pub mod progress;
 pub mod quarantine;
 pub mod rate_limit;
 pub mod readers;
@@ -58,6 +60,7 @@
 mod serve;
 mod session_lists;
 pub mod sessions;
+mod stalls;
 pub mod store_clock;
 #[cfg(test)]
 mod tests;
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -1,17 +1,25 @@
 //! Listeners for readiness probes and metrics.
 
-use std::convert::Infallible;
+use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::error::ParseError;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use snafu::{ResultExt, Snafu};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::time::timeout;
+use tokio_util::codec::Decoder;
 
 use super::admission::is_current;
 use super::boot_clock;
+use super::responder::Responder;
 use super::traffic::Traffic;
 use crate::http::{json, text};
 
@@ -26,6 +34,27 @@
 /// Time limit for idle connections of a prober.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
+/// Longest head of a probe, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// Why a probe could not be answered.
+#[derive(Debug)]
+#[derive(Snafu)]
+enum ProbeError {
+    #[snafu(display("closed before the end of its head"))]
+    Closed,
+    #[snafu(display("idle for too long"))]
+    Idle,
+    #[snafu(display("head over {MAX_HEAD_BYTES} bytes"))]
+    HeadTooLong,
+    #[snafu(display("a probe has no body"))]
+    HasBody,
+    #[snafu(display("malformed head: {source}"))]
+    Malformed { source: ParseError },
+    #[snafu(display("connection failed: {source}"))]
+    Io { source: io::Error },
+}
+
 /// Returns true if the balancer may send clients to this host.
 pub(super) fn is_ready(traffic: &Traffic) -> bool {
     let view = traffic.view();
@@ -83,25 +112,55 @@
     Ok(())
 }
 
+// Answers probes on one connection. Bodies are not read: a probe needs none, and one
+// without an end would keep the thread that serves clients busy.
 async fn serve_connection(
     stream: TcpStream,
     traffic: Rc<Traffic>,
     answer: fn(&Traffic, &Request) -> Response<BoxBody>,
 ) {
-    let handler = fn_service(move |request: Request| {
-        let response = answer(&traffic, &request);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let service = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-        .h1(handler)
-        .tcp()
-        .into_factory();
-    let Ok(service) = service.new_service(()).await else {
-        tracing::warn!("failed to set up a probe connection");
-        return;
-    };
-    if let Err(error) = service.call(stream).await {
-        tracing::debug!(%error, "probe connection failed");
+    let (mut reader, mut writer) = stream.into_split();
+    let mut codec = Codec::new(traffic.config.clone());
+    let mut received = BytesMut::new();
+    loop {
+        let reading = read_probe(&mut reader, &mut codec, &mut received);
+        let read = timeout(KEEP_ALIVE, reading).await;
+        let request = match read.unwrap_or_else(|_| IdleSnafu.fail()) {
+            Ok(request) => request,
+            Err(error) => {
+                tracing::debug!(%error, "failed to read a probe");
+                return;
+            }
+        };
+        let (head, body) = answer(&traffic, &request).into_parts();
+        let body = body.try_into_bytes().unwrap_or_else(|_| Bytes::new());
+        let is_last = !codec.keep_alive();
+        let mut responder = Responder::new(&mut writer, &mut codec, is_last);
+        let headers = head.headers().clone();
+        if let Err(error) = responder.write_whole(head.status(), headers, &body).await {
+            tracing::debug!(%error, "failed to answer a probe");
+            return;
+        }
+        if is_last {
+            return;
+        }
+    }
+}
+
+async fn read_probe(
+    reader: &mut OwnedReadHalf,
+    codec: &mut Codec,
+    received: &mut BytesMut,
+) -> Result<Request, ProbeError> {
+    loop {
+        if let Some(message) = codec.decode(received).context(MalformedSnafu)? {
+            return match message {
+                Message::Item(request) if codec.message_type() == MessageType::None => Ok(request),
+                Message::Item(_) | Message::Chunk(_) => HasBodySnafu.fail(),
+            };
+        }
+        snafu::ensure!(received.len() <= MAX_HEAD_BYTES, HeadTooLongSnafu);
+        let count = reader.read_buf(received).await.context(IoSnafu)?;
+        snafu::ensure!(count > 0, ClosedSnafu);
     }
 }
--- a/src/carawayrun/relay/tests/connection.rs
+++ b/src/carawayrun/relay/tests/connection.rs
@@ -1,4 +1,7 @@
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::header::{HOST, HeaderValue};
@@ -8,7 +11,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::relay::connection::UpstreamConnection;
+use crate::relay::connection::{ConnectionError, UpstreamConnection};
+use crate::relay::progress::{MessagePart, TURN_BYTES};
 
 const CONNECT: Duration = Duration::from_secs(5);
 
@@ -39,6 +43,13 @@
     }
 }
 
+async fn connect(addr: SocketAddr) -> UpstreamConnection {
+    let config = ServiceConfig::default();
+    UpstreamConnection::connect(addr, CONNECT, &config, &Arc::default())
+        .await
+        .unwrap()
+}
+
 fn request() -> RequestHead {
     let mut head = RequestHead::default();
     head.headers.insert(HOST, HeaderValue::from_static("a"));
@@ -61,10 +72,7 @@
     resets: bool,
 ) -> (UpstreamConnection, Option<Vec<u8>>) {
     let addr = upstream(answers, resets).await;
-    let config = ServiceConfig::default();
-    let mut connection = UpstreamConnection::connect(addr, CONNECT, &config)
-        .await
-        .unwrap();
+    let mut connection = connect(addr).await;
     connection.start_request(request(), b"").unwrap();
     connection.read_head().await.unwrap();
     let body = body(&mut connection).await;
@@ -119,10 +127,7 @@
 #[actix_rt::test]
 async fn request_counts_as_written_after_first_byte() {
     let addr = upstream(Vec::new(), false).await;
-    let config = ServiceConfig::default();
-    let mut connection = UpstreamConnection::connect(addr, CONNECT, &config)
-        .await
-        .unwrap();
+    let mut connection = connect(addr).await;
     connection.start_request(request(), b"").unwrap();
     assert!(!connection.has_written());
     connection.read_head().await.unwrap_err();
@@ -146,10 +151,7 @@
         }
         sent
     });
-    let config = ServiceConfig::default();
-    let mut connection = UpstreamConnection::connect(addr, CONNECT, &config)
-        .await
-        .unwrap();
+    let mut connection = connect(addr).await;
     connection.start_request(request(), b"").unwrap();
     connection.read_head().await.unwrap_err();
     drop(connection);
@@ -157,3 +159,92 @@
     let sent = sender.await.unwrap();
     assert!(sent < 16 * 1024 * 1024, "{sent}");
 }
+
+// Starts an upstream that sends `first` and then `unit` without an end, and returns the
+// bytes that it sent before its connection was closed.
+async fn flood(
+    first: &'static str,
+    unit: &'static str,
+) -> (SocketAddr, actix_rt::task::JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let sender = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(first.as_bytes()).await.unwrap();
+        let units = unit.repeat(4_096 / unit.len());
+        let mut sent = 0;
+        while stream.write_all(units.as_bytes()).await.is_ok() {
+            sent += units.len();
+        }
+        sent
+    });
+    (addr, sender)
+}
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// The connection was read without an end, and no other task ran.
+#[test_case("", "HTTP/1.1 100 Continue\r\n\r\n", MessagePart::Interim; "interim heads")]
+#[test_case("HTTP/1.1 200 OK\r\n", "x: y\r\n", MessagePart::Head; "headers")]
+#[test_case(CHUNKED, "0", MessagePart::Framing; "chunk size")]
+#[test_case(CHUNKED, "1;xxxxxxxxxxxxxxxxxxxxxxxxxxxxx\r\na\r\n", MessagePart::Framing; "extensions")]
+#[test_case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "x: y\r\n", MessagePart::Framing; "trailers")]
+#[actix_rt::test]
+async fn bytes_without_progress_are_read_on(
+    first: &'static str,
+    unit: &'static str,
+    expected: MessagePart,
+) {
+    let (addr, sender) = flood(first, unit).await;
+    let mut connection = connect(addr).await;
+    connection.start_request(request(), b"").unwrap();
+    let mut result = connection.read_head().await.map(|_| None);
+    while matches!(result, Ok(None | Some(_))) {
+        result = connection.read_chunk().await;
+    }
+    match result.unwrap_err() {
+        ConnectionError::NoProgress { part } => assert_eq!(part, expected),
+        // More headers than the parser takes.
+        error => assert_eq!(expected, MessagePart::Head, "{error}"),
+    }
+    drop(connection);
+    // What was sent is bounded by the limit and by the buffers of the kernel.
+    let sent = sender.await.unwrap();
+    assert!(sent < 16 * 1024 * 1024, "{sent}");
+}
+
+// A body that always had more to read kept the thread.
+#[actix_rt::test]
+async fn long_body_keeps_other_tasks_from_running() {
+    let (addr, _sender) = flood(CHUNKED, "8\r\nabcdefgh\r\n").await;
+    let mut connection = connect(addr).await;
+    connection.start_request(request(), b"").unwrap();
+    connection.read_head().await.unwrap();
+    let turns = Rc::new(Cell::new(0));
+    let count = Rc::clone(&turns);
+    let other = actix_rt::spawn(async move {
+        loop {
+            count.set(count.get() + 1);
+            tokio::task::yield_now().await;
+        }
+    });
+    let mut data = 0;
+    while data < 16 * TURN_BYTES {
+        data += connection.read_chunk().await.unwrap().unwrap().len();
+    }
+    other.abort();
+    assert!(turns.get() >= 16, "{}", turns.get());
+}
+
+// The parser panicked in debug builds and read on in others.
+#[test_case(b"HTTP/1.1 101 Switching Protocols\r\n\r\n"; "other protocol")]
+#[test_case(b"HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\n"; "interim answer with a body")]
+#[actix_rt::test]
+async fn interim_answer_that_is_none_is_passed_over(interim: &'static [u8]) {
+    let addr = upstream(vec![interim], false).await;
+    let mut connection = connect(addr).await;
+    connection.start_request(request(), b"").unwrap();
+    let error = connection.read_head().await.unwrap_err();
+    assert!(matches!(error, ConnectionError::Head { .. }), "{error}");
+}
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -23,6 +23,7 @@
 
 use super::RelaySettings;
 use super::budget::{RetryBudget, RetryCause};
+use super::connection::{ConnectionError, UpstreamConnection};
 use super::evidence::Outcomes;
 use super::fleet::Fleet;
 use super::gossip::{decode_order, decode_outcomes};
@@ -34,6 +35,7 @@
 use super::quarantine::Quarantine;
 use super::session_lists::{SessionLists, WAIT_TTL};
 use super::sessions::{MAX_REPORTED_SESSIONS, Sessions};
+use super::stalls::StallMonitor;
 use super::usual_time::UsualTime;
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 use crate::peer::message::{RelayReport, TableRead, UpstreamLoad};
@@ -65,6 +67,7 @@
     /// Number of other gateways with a recent report.
     pub(super) gateways: Arc<AtomicU32>,
     pub(super) metrics: Arc<Metrics>,
+    pub(super) stalls: Arc<StallMonitor>,
 }
 
 impl SharedState {
@@ -78,6 +81,7 @@
             peer_updated: Arc::default(),
             gateways: Arc::default(),
             metrics: Arc::default(),
+            stalls: Arc::default(),
         }
     }
 
@@ -106,6 +110,7 @@
 /// State of the traffic thread.
 pub(super) struct Traffic {
     pub(super) metrics: Arc<Metrics>,
+    pub(super) stalls: Arc<StallMonitor>,
     pub(super) config: ServiceConfig,
     pub(super) draining_since: Cell<Option<Instant>>,
     /// Number of requests that were read and not answered.
@@ -149,6 +154,7 @@
             crash_confirmed: Notify::new(),
             last_updates: RefCell::default(),
             metrics: Arc::clone(&shared.metrics),
+            stalls: Arc::clone(&shared.stalls),
             config: ServiceConfig::default(),
             draining_since: Cell::new(None),
             active_requests: Cell::new(0),
@@ -164,6 +170,15 @@
         }
     }
 
+    /// Opens a connection to an upstream within `limit`.
+    pub(super) async fn connect(
+        &self,
+        addr: SocketAddr,
+        limit: Duration,
+    ) -> Result<UpstreamConnection, ConnectionError> {
+        UpstreamConnection::connect(addr, limit, &self.config, &self.stalls).await
+    }
+
     /// Returns the current settings.
     pub(super) fn settings(&self) -> Arc<RelaySettings> {
         self.shared.settings.load_full()
--- a/src/carawayrun/relay/traffic/quarantine.rs
+++ b/src/carawayrun/relay/traffic/quarantine.rs
@@ -9,7 +9,6 @@
 
 use super::Traffic;
 use crate::peer::message::{CrashSubject, RelayReport, UpstreamCrash};
-use crate::relay::connection::UpstreamConnection;
 use crate::relay::loads::upstream_digest;
 use crate::relay::quarantine::{
     Crash, CrashEvidence, QuarantinedSubject, Subject, SubjectKind, Verdict,
@@ -56,8 +55,7 @@
 
     async fn confirm_crash(self: Rc<Self>, key: UpstreamKey, upstream: Upstream) {
         sleep(CONFIRMATION_DELAY).await;
-        let opened =
-            UpstreamConnection::connect(upstream.addr, CONFIRMATION_TIMEOUT, &self.config).await;
+        let opened = self.connect(upstream.addr, CONFIRMATION_TIMEOUT).await;
         self.metrics.connections.inc();
         let lost = self.unconfirmed.borrow_mut().remove(&key);
         if let Err(error) = opened {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod control;
 mod deadly;
 mod departing;
+mod flooded;
 mod hosts;
 mod interrupted;
 mod leaving;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -388,6 +388,11 @@
             .await;
     }
 
+    /// Address of the first relay with one of its ports.
+    pub(crate) fn relay_address(&self, port: u16) -> String {
+        format!("{}.{FIRST_RELAY}:{port}", self.net)
+    }
+
     /// Address of a relay's metrics.
     pub(crate) fn metrics_addr(&self, relay: usize) -> String {
         format!("{}.{}:9464", self.net, FIRST_RELAY + relay)
