Count comments and blank lines of a stream as no events

A stream that had stalled and sent a comment now and then was not resumed at another upstream; its client waited for the route's timeout.

Cause: EventBuffer took any blank line for the end of an event, so each comment and each blank line renewed the time limit for the next event and was delivered.

Evidence: flooded::stream_without_end_hangs_relay with comments failed before (29 of 30 streams whole), as did relay::events lines_without_event_count_as_progress.

Change: an event has an id, data or a field of its own; comments are returned with the event after them, or at the end of the stream. They count towards the longest event. A long line is searched once, not with each chunk.

Why it works: only what a client can use renews the limit, so a stream of nothing else is stalled, whatever it sends.

--- a/src/carawayrun/relay/events.rs
+++ b/src/carawayrun/relay/events.rs
@@ -3,29 +3,73 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 
-/// Longest event. An upstream in trouble may send bytes without an end that are no
-/// event, which must not fill the memory.
+/// Longest event, with the comments before it. An upstream in trouble may send bytes
+/// without an end that are no event, which must not fill the memory.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Splits a byte stream into complete events, so that an interrupted stream can
 /// be resumed at an event boundary.
+///
+/// Comments and blank lines are no events. They are returned with the event after them.
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     pending: BytesMut,
+    /// Length of the complete lines in `pending`.
+    scanned: usize,
+    /// Length of `pending` that was searched for the end of a line.
+    searched: usize,
+    block: Block,
     last_id: Option<CompactString>,
     events: u64,
 }
 
+/// Lines since the last blank line.
+#[derive(Debug, Default)]
+struct Block {
+    id: Option<CompactString>,
+    has_data: bool,
+    has_unknown: bool,
+}
+
+impl Block {
+    fn add_line(&mut self, line: &[u8]) {
+        let end = line.iter().position(|byte| *byte == b':');
+        let (name, value) = line.split_at(end.unwrap_or(line.len()));
+        match name {
+            b"id" => {
+                let value = String::from_utf8_lossy(value.get(1..).unwrap_or_default());
+                self.id = Some(CompactString::from(value.trim()));
+            }
+            b"data" => self.has_data = true,
+            b"" | b"event" | b"retry" => {}
+            _ => self.has_unknown = true,
+        }
+    }
+
+    fn is_event(&self) -> bool {
+        self.id.is_some() || self.has_data || self.has_unknown
+    }
+}
+
 impl EventBuffer {
     /// Appends bytes and returns all events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        // The end of an event may span two chunks.
-        let from = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(bytes);
-        let end = last_boundary(&self.pending, from)?;
-        let whole = self.pending.split_to(end).freeze();
-        self.scan_events(&whole);
-        Some(whole)
+        let mut whole = 0;
+        while let Some(is_blank) = self.scan_line() {
+            if !is_blank {
+                continue;
+            }
+            let block = std::mem::take(&mut self.block);
+            if block.is_event() {
+                self.events += 1;
+                self.last_id = block.id.or_else(|| self.last_id.take());
+                whole = self.scanned;
+            }
+        }
+        self.scanned -= whole;
+        self.searched -= whole;
+        (whole > 0).then(|| self.pending.split_to(whole).freeze())
     }
 
     /// ID of the last complete event.
@@ -40,7 +84,7 @@
 
     /// Returns true if bytes of an incomplete event were received.
     pub fn is_within_event(&self) -> bool {
-        !self.pending.is_empty()
+        self.block.is_event() || self.pending.len() > self.scanned
     }
 
     /// Returns true if the incomplete event is longer than any event may be.
@@ -51,32 +95,34 @@
     /// Discards an incomplete event, before another upstream resumes the stream.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
+        self.scanned = 0;
+        self.searched = 0;
+        self.block = Block::default();
     }
 
-    fn scan_events(&mut self, whole: &[u8]) {
-        let mut in_event = false;
-        for line in whole.split(|byte| *byte == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
-            if line.is_empty() {
-                self.events += u64::from(in_event);
-                in_event = false;
-                continue;
-            }
-            in_event = true;
-            if let Some(id) = line.strip_prefix(b"id:") {
-                let id = String::from_utf8_lossy(id);
-                self.last_id = Some(CompactString::from(id.trim()));
-            }
-        }
+    /// Removes and returns the comments after the last event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
+        self.searched = 0;
+        self.pending.split().freeze()
     }
-}
 
-// Returns the end of the last complete event, which is after an empty line.
-fn last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
-    let tail = &bytes[from..];
-    let plain = tail.windows(2).rposition(|pair| pair == b"\n\n");
-    let with_return = tail.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let plain = plain.map(|at| from + at + 2);
-    let with_return = with_return.map(|at| from + at + 4);
-    plain.max(with_return)
+    // Adds the next complete line to the block; returns whether it is blank.
+    fn scan_line(&mut self) -> Option<bool> {
+        let rest = &self.pending[self.searched..];
+        let Some(found) = rest.iter().position(|byte| *byte == b'\n') else {
+            self.searched = self.pending.len();
+            return None;
+        };
+        let end = self.searched + found;
+        let line = &self.pending[self.scanned..end];
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let is_blank = line.is_empty();
+        if !is_blank {
+            self.block.add_line(line);
+        }
+        self.scanned = end + 1;
+        self.searched = end + 1;
+        Some(is_blank)
+    }
 }
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -6,7 +6,6 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use bytes::Bytes;
 use compact_str::CompactString;
 use tokio::time::{Instant, timeout_at};
 
@@ -23,8 +22,8 @@
 use crate::relay::responder::Responder;
 
 /// Time without a complete event after which a stream is resumed at another upstream;
-/// clients disconnect after some seconds. Bytes that complete no event don't count: an
-/// upstream in trouble may send some now and then.
+/// clients disconnect after some seconds. Bytes that complete no event don't count, nor
+/// do comments: an upstream in trouble may send some now and then.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// How the part of a stream that came from one upstream ended.
@@ -65,10 +64,11 @@
                 .await;
             match end {
                 StreamEnd::Complete => {
+                    let rest = events.take_rest();
                     let written = if responder.has_started() {
-                        responder.write_end().await
+                        responder.write_last(rest).await
                     } else {
-                        responder.write_whole(status, headers, &Bytes::new()).await
+                        responder.write_whole(status, headers, &rest).await
                     };
                     self.record_answer_success(&current);
                     self.record_whole();
--- a/src/carawayrun/relay/responder.rs
+++ b/src/carawayrun/relay/responder.rs
@@ -86,9 +86,12 @@
         self.write(&out).await
     }
 
-    /// Writes the end of the body.
-    pub(super) async fn write_end(&mut self) -> io::Result<()> {
+    /// Writes the last bytes of the body, if any, and its end.
+    pub(super) async fn write_last(&mut self, rest: Bytes) -> io::Result<()> {
         let mut out = BytesMut::new();
+        if !rest.is_empty() {
+            self.codec.encode(Message::Chunk(Some(rest)), &mut out)?;
+        }
         self.codec.encode(Message::Chunk(None), &mut out)?;
         self.write(&out).await
     }
--- a/src/carawayrun/relay/tests/events.rs
+++ b/src/carawayrun/relay/tests/events.rs
@@ -1,3 +1,5 @@
+use test_case::test_case;
+
 use crate::relay::events::EventBuffer;
 
 #[test]
@@ -51,3 +53,51 @@
     let whole = buffer.push(b"id: 2\ndata: whole\n\n").unwrap();
     assert_eq!(&*whole, b"id: 2\ndata: whole\n\n");
 }
+
+// Comments and blank lines were returned as events, so that a stream of nothing else was
+// never resumed.
+#[test_case(b": on\n\n"; "comments")]
+#[test_case(b"\n\n"; "blank lines")]
+#[test_case(b"\r\n\r\n"; "blank lines with returns")]
+#[test_case(b"event: ping\n\n"; "events without data")]
+fn lines_without_event_count_as_progress(lines: &[u8]) {
+    let mut buffer = EventBuffer::default();
+    for _ in 0..100 {
+        assert_eq!(buffer.push(lines), None);
+    }
+    assert_eq!(buffer.event_count(), 0);
+    assert!(!buffer.is_within_event());
+    let expected = [lines.repeat(100).as_slice(), b"data: a\n\n"].concat();
+    assert_eq!(buffer.push(b"data: a\n\n").as_deref(), Some(&*expected));
+    assert_eq!(buffer.event_count(), 1);
+}
+
+#[test]
+fn comments_after_last_event_are_returned_at_the_end() {
+    let mut buffer = EventBuffer::default();
+    buffer.push(b"data: a\n\n: bye\n");
+    assert!(!buffer.is_within_event());
+    assert_eq!(&*buffer.take_rest(), b": bye\n");
+    assert_eq!(&*buffer.take_rest(), b"");
+}
+
+#[test]
+fn endless_comments_are_kept_without_limit() {
+    let mut buffer = EventBuffer::default();
+    let comments = b": on\n\n".repeat(128 * 1024);
+    buffer.push(&comments);
+    assert!(!buffer.is_oversized());
+    buffer.push(&comments);
+    assert!(buffer.is_oversized());
+}
+
+// Each push searched all bytes of a long line.
+#[test]
+fn long_line_in_small_pieces_is_searched_once() {
+    let mut buffer = EventBuffer::default();
+    for _ in 0..1024 * 1024 {
+        assert_eq!(buffer.push(b"x"), None);
+    }
+    let whole = buffer.push(b"\ndata: a\n\n").unwrap();
+    assert_eq!(whole.len(), 1024 * 1024 + 10);
+}
--- a/tests/testsuite/flooded.rs
+++ b/tests/testsuite/flooded.rs
@@ -137,6 +137,8 @@
 
 // The whole relay stood still within a stream that had begun.
 #[test_case(STREAM, "0"; "zeros as chunk size")]
+#[test_case(STREAM, "6\r\n: on\n\n\r\n"; "comments")]
+#[test_case(STREAM, "1\r\n\n\r\n"; "blank lines")]
 #[actix_rt::test]
 async fn stream_without_end_hangs_relay(first: &'static str, unit: &'static str) {
     let (world, floods) = world("flooded-stream", "llm", Flood { first, unit }).await;
