Bound the times that rows, headers and settings name

A relay whose store held an order with duration_s 1e300, or a configuration with such a timeout, stopped following the store for good: it went on with what it knew until its configuration was too old for keys.

Cause: Duration::from_secs_f64 panics for a number that is too large, which ended the control thread; a time that just fits made a later sum overflow. Slots and weights at their largest overflowed sums.

Change: platform/time.rs converts all times, at most 24 hours. Slots saturate, weights are summed as floating point numbers.

Why it works: no number that a row can hold is outside the range of the arithmetic that follows. Registrations alone did not end a relay: deep nesting, port 70000, numbers too large, no UTF-8, empty and null were ignored.

--- a/src/carawayrun/platform/config.rs
+++ b/src/carawayrun/platform/config.rs
@@ -1,12 +1,11 @@
 //! Parses the operators' configuration from its row in the store.
 
-use std::time::Duration;
-
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use snafu::{OptionExt, ResultExt, Snafu};
 
+use super::time::from_millis;
 use crate::relay::catalog::{
     Catalog, Limits, Route, RouteKind, Service, ServiceKey, Target, Team, TeamKey,
 };
@@ -143,8 +142,8 @@
         limits: Limits {
             head_bytes: wire.limits.max_header_bytes,
             body_bytes: wire.limits.max_body_bytes,
-            head_timeout: millis(wire.limits.header_timeout_ms),
-            idle_timeout: millis(wire.limits.idle_timeout_ms),
+            head_timeout: from_millis(wire.limits.header_timeout_ms),
+            idle_timeout: from_millis(wire.limits.idle_timeout_ms),
         },
         ..Catalog::default()
     };
@@ -181,8 +180,8 @@
         host: wire.hostname.to_lowercase(),
         prefix: wire.prefix,
         kind,
-        timeout: millis(wire.timeout_ms),
-        objective: millis(wire.objective_ms),
+        timeout: from_millis(wire.timeout_ms),
+        objective: from_millis(wire.objective_ms),
         priority: wire.priority,
         models: wire.sizes,
         targets,
@@ -202,7 +201,3 @@
     let index = services.iter().position(|service| service.name == name)?;
     Some(ServiceKey(index as u16))
 }
-
-fn millis(value: f64) -> Duration {
-    Duration::from_secs_f64(value.max(0.0) / 1_000.0)
-}
--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -6,6 +6,7 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use compact_str::CompactString;
 
+use super::time::from_seconds;
 use crate::relay::message::{Answer, ClientRequest, Execution, Prefix};
 
 // Names on the wire; `HeaderName` requires lower case.
@@ -57,9 +58,6 @@
     KEEP_ALIVE,
 ];
 
-/// Longest rest of an upstream; a longer one counts as this.
-const MAX_REST: Duration = Duration::from_hours(24);
-
 /// Scheme in front of the API key in `Authorization`.
 const KEY_SCHEME: &str = "Token ";
 
@@ -253,14 +251,14 @@
     rests.max().filter(|rest| !rest.is_zero())
 }
 
-// Parses a number of seconds, at most [`MAX_REST`].
+// Parses a number of seconds, zero or more.
 fn parse_seconds(text: &str) -> Option<Duration> {
     let seconds: Option<f64> = text.trim().parse().ok();
     let seconds = seconds.filter(|seconds| *seconds >= 0.0);
     if seconds.is_none() {
         tracing::warn!(header = %header::RETRY_AFTER, value = text, "rest is not a number of seconds; ignored");
     }
-    seconds.map(|seconds| Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+    seconds.map(from_seconds)
 }
 
 // Parses the time of `timeout=SECONDS`.
--- a/src/carawayrun/platform/mod.rs
+++ b/src/carawayrun/platform/mod.rs
@@ -14,6 +14,7 @@
 mod store;
 #[cfg(test)]
 mod tests;
+mod time;
 
 pub use self::config::{ConfigError, parse_catalog};
 pub use self::headers::{
--- a/src/carawayrun/platform/rollout.rs
+++ b/src/carawayrun/platform/rollout.rs
@@ -1,11 +1,10 @@
 //! Roll-out orders of the operators, and the status rows written for them.
 
-use std::time::Duration;
-
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use super::store::{Keyspace, qualified_key};
+use super::time::from_seconds;
 use crate::relay::rollout::{OrderId, Phase, RolloutOrder, RolloutRow};
 use crate::store::table::{Condition, Put, Row, Transaction};
 
@@ -42,7 +41,7 @@
     Some(wire.map(|wire| RolloutOrder {
         service: wire.service,
         to: wire.to,
-        limit: Duration::from_secs_f64(wire.duration_s.max(0.0)),
+        limit: from_seconds(wire.duration_s),
         id: OrderId {
             era,
             version: row.version,
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 
 use compact_str::CompactString;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
+use super::time::{from_millis, from_seconds};
 use crate::relay::RelaySettings;
 
 /// Why a settings file can't be used.
@@ -177,19 +177,15 @@
         metrics_listen: SocketAddr::new(file.ip, metrics_port),
         peer_listen: SocketAddr::new(file.ip, file.port_range[0]),
         store: file.platform.address,
-        grace: Duration::from_secs_f64(bounds.grace_s),
-        drain_limit: millis(bounds.drain_ms),
-        revocation_limit: millis(bounds.revoke_ms),
+        grace: from_seconds(bounds.grace_s),
+        drain_limit: from_millis(bounds.drain_ms),
+        revocation_limit: from_millis(bounds.revoke_ms),
         exposure_share: bounds.exposure_share,
         exposure_slack: bounds.exposure_slack,
         retry_ratio: bounds.retry_ratio,
         retry_slack: bounds.retry_slack,
-        retry_window: Duration::from_secs_f64(bounds.retry_window_s),
-        session_gap: Duration::from_secs_f64(bounds.session_s),
+        retry_window: from_seconds(bounds.retry_window_s),
+        session_gap: from_seconds(bounds.session_s),
         max_descriptors: file.limits.max_fds,
     }
 }
-
-fn millis(value: f64) -> Duration {
-    Duration::from_secs_f64(value / 1_000.0)
-}
--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -154,8 +154,8 @@
 
 // Chooses the target whose share of the weights contains `point`.
 fn choose_target(targets: &[Target], point: f64) -> ServiceKey {
-    let total: u32 = targets.iter().map(|target| target.weight).sum();
-    let mut remaining = point * f64::from(total);
+    let total: f64 = targets.iter().map(|target| f64::from(target.weight)).sum();
+    let mut remaining = point * total;
     for target in targets {
         remaining -= f64::from(target.weight);
         if remaining < 0.0 && target.weight > 0 {
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -374,7 +374,7 @@
             } else {
                 &mut slots.old
             };
-            *sum += upstream.slots;
+            *sum = sum.saturating_add(upstream.slots);
         }
     }
     slots
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod interrupted;
 mod leaving;
 mod limits;
+mod odd_rows;
 mod once;
 mod openapi;
 mod operating;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -88,7 +88,8 @@
         (world, hop)
     }
 
-    async fn start_store(name: &str) -> Self {
+    /// Starts the store alone.
+    pub(crate) async fn start_store(name: &str) -> Self {
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id() % 250;
         let net = format!("127.{}.{process}", 100 + number);
@@ -266,8 +267,12 @@
 
     /// Writes a row as an operator or a runner does; returns its version.
     pub(crate) async fn put(&self, table: &str, key: &str, value: &Value) -> u64 {
+        self.put_bytes(table, key, value.to_string().into()).await
+    }
+
+    /// Writes a row whose value need not be JSON; returns its version.
+    pub(crate) async fn put_bytes(&self, table: &str, key: &str, body: Vec<u8>) -> u64 {
         let url = self.store_url(&format!("/rows/{table}/{key}"));
-        let body = value.to_string();
         let sent = self.client.put(url).send_body(body).await;
         let mut answer = sent.expect("the store takes a row");
         let body = answer.body().await.expect("its answer is whole");
@@ -398,9 +403,20 @@
         format!("{}.{}:9464", self.net, FIRST_RELAY + relay)
     }
 
-    /// The relay's metrics; empty where it is not there.
+    /// Waits until a configuration is in force at a relay.
+    pub(crate) async fn until_in_force(&self, relay: usize, version: u64) {
+        let line = format!("carawayrun_config_version {version}\n");
+        self.until(async |world| world.relay_metrics(relay).await.contains(&line))
+            .await;
+    }
+
+    /// The first relay's metrics; empty where it is not there.
     pub(crate) async fn metrics(&self) -> String {
-        let url = format!("http://{}/metrics", self.metrics_addr(0));
+        self.relay_metrics(0).await
+    }
+
+    async fn relay_metrics(&self, relay: usize) -> String {
+        let url = format!("http://{}/metrics", self.metrics_addr(relay));
         let Ok(mut answer) = self.client.get(url).send().await else {
             return String::new();
         };
