Log an invalid row once a version

A row that is none was logged with each read of its table: 35 lines of one row in a test in which the store dropped its history three times.

Evidence: odd_rows::invalid_row_is_logged_with_each_read failed before (35 lines in place of 1).

Result: the test passes, with one line a version.

--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -19,6 +19,7 @@
 use crate::store::feed::{
     CallSnafu, Change, Changes, Cursor, FeedError, HistoryDroppedSnafu, Snapshot,
 };
+use crate::store::invalid_rows::InvalidRows;
 use crate::store::pool::ConnectionPool;
 use crate::store::table::{Row, TableError, Transaction};
 
@@ -64,6 +65,7 @@
 #[derive(Clone)]
 pub struct StoreClient {
     pool: Rc<ConnectionPool>,
+    invalid: Rc<InvalidRows>,
     base: CompactString,
 }
 
@@ -117,6 +119,7 @@
     pub fn new(addr: SocketAddr) -> Self {
         Self {
             pool: Rc::new(ConnectionPool::new()),
+            invalid: Rc::default(),
             base: CompactString::from(format!("http://{addr}")),
         }
     }
@@ -147,9 +150,10 @@
             snapshot.now = Duration::from_millis(page.now_ms);
             from = page.rows.last().map(key_after).unwrap_or_default();
             let has_more = page.has_more && !page.rows.is_empty();
+            let rows = page.rows.into_iter();
             snapshot
                 .rows
-                .extend(page.rows.into_iter().filter_map(parse_row));
+                .extend(rows.filter_map(|row| self.parse_row(table, row)));
             if !has_more {
                 return Ok(snapshot);
             }
@@ -207,7 +211,40 @@
                 version: body.ver,
             },
             now: Duration::from_millis(body.now_ms),
-            changes: body.rows.into_iter().map(parse_change).collect(),
+            changes: body
+                .rows
+                .into_iter()
+                .map(|row| self.parse_change(table, row))
+                .collect(),
+        })
+    }
+
+    /// Records an invalid row; returns true if this version of it was not recorded last,
+    /// so that it is to be logged.
+    pub fn record_invalid(&self, table: Keyspace, row: &Row) -> bool {
+        self.invalid.record(table.table(), &row.key, row.version)
+    }
+
+    fn parse_change(&self, table: Keyspace, wire: WireRow) -> Change {
+        if wire.deleted {
+            return Change::Deleted(wire.key);
+        }
+        // A row that can't be parsed counts as deleted.
+        let key = wire.key.clone();
+        self.parse_row(table, wire)
+            .map_or(Change::Deleted(key), Change::Put)
+    }
+
+    fn parse_row(&self, table: Keyspace, wire: WireRow) -> Option<Row> {
+        let WireRow { key, ver, .. } = &wire;
+        let value = decode_value(&wire.value);
+        if value.is_none() && self.invalid.record(table.table(), key, *ver) {
+            tracing::warn!(%key, version = ver, "store row is not valid JSON; ignored");
+        }
+        Some(Row {
+            version: wire.ver,
+            value: value?,
+            key: wire.key,
         })
     }
 
@@ -230,8 +267,9 @@
         match answer.status {
             StatusCode::OK => Ok(()),
             StatusCode::PRECONDITION_FAILED => {
-                let rows = parse_rows(&answer)?.rows;
-                let rows = rows.into_iter().filter_map(parse_row).collect();
+                let rows = parse_rows(&answer)?.rows.into_iter();
+                let rows = rows.filter_map(|row| self.parse_row(Keyspace::Rollouts, row));
+                let rows = rows.collect();
                 Err(TableError::Conflict { rows })
             }
             status => Err(call::invalid_status(status, &answer.body).into()),
@@ -306,27 +344,6 @@
     format!("{}\0", row.key)
 }
 
-fn parse_change(wire: WireRow) -> Change {
-    if wire.deleted {
-        return Change::Deleted(wire.key);
-    }
-    // A row that can't be parsed counts as deleted.
-    let key = wire.key.clone();
-    parse_row(wire).map_or(Change::Deleted(key), Change::Put)
-}
-
-fn parse_row(wire: WireRow) -> Option<Row> {
-    let value = decode_value(&wire.value);
-    if value.is_none() {
-        tracing::warn!(key = %wire.key, version = wire.ver, "store row is not valid JSON; ignored");
-    }
-    Some(Row {
-        version: wire.ver,
-        value: value?,
-        key: wire.key,
-    })
-}
-
 fn decode_value(encoded: &str) -> Option<Box<RawValue>> {
     let bytes = STANDARD.decode(encoded).ok()?;
     RawValue::from_string(String::from_utf8(bytes).ok()?).ok()
--- a/src/carawayrun/relay/follow/gateways.rs
+++ b/src/carawayrun/relay/follow/gateways.rs
@@ -73,11 +73,13 @@
             snapshot.now.saturating_sub(written) < ROW_LIFETIME
         };
         let rows = snapshot.rows.iter().filter_map(|row| {
-            serde_json::from_str::<GatewayRow>(row.value.get())
-                .inspect_err(
-                    |error| tracing::warn!(%error, key = %row.key, "gateway row invalid; ignored"),
-                )
-                .ok()
+            let parsed = serde_json::from_str::<GatewayRow>(row.value.get());
+            if let Err(error) = &parsed
+                && self.store.record_invalid(Keyspace::Gateways, row)
+            {
+                tracing::warn!(%error, key = %row.key, "gateway row invalid; ignored");
+            }
+            parsed.ok()
         });
         let peers = rows.filter(is_alive).map(|row| row.address).collect();
         self.handle(Event::GatewaysRead(peers));
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -75,17 +75,17 @@
         tracing::info!(key = %row.key, row_version = row.version, era = self.era(), "row of the operators read");
         match platform::parse_catalog(row) {
             Some(Ok(catalog)) => self.handle(Event::ConfigurationRead(Box::new(catalog))),
-            Some(Err(error)) => {
+            Some(Err(error)) if self.store.record_invalid(Keyspace::Orders, row) => {
                 tracing::error!(%error, row_version = row.version, "configuration is invalid; the previous one stays in force");
             }
-            None => {}
+            Some(Err(_)) | None => {}
         }
         match platform::parse_order(row, self.era()) {
             Some(Ok(order)) => self.handle(Event::OrderRead(order)),
-            Some(Err(error)) => {
+            Some(Err(error)) if self.store.record_invalid(Keyspace::Orders, row) => {
                 tracing::error!(%error, key = %row.key, "roll-out order is invalid; ignored");
             }
-            None => {}
+            Some(Err(_)) | None => {}
         }
     }
 }
--- a/src/carawayrun/relay/follow/registrations.rs
+++ b/src/carawayrun/relay/follow/registrations.rs
@@ -57,7 +57,8 @@
 
     async fn read_registrations(&self) -> Option<Cursor> {
         let snapshot = self.read_snapshot(Keyspace::Registrations).await?;
-        let registrations = snapshot.rows.iter().filter_map(parse_registration);
+        let rows = snapshot.rows.iter();
+        let registrations = rows.filter_map(|row| self.parse_registration(row));
         let registrations: Vec<Registration> = registrations.collect();
         self.with_table(Table::Registrations, |followed| {
             followed.clear();
@@ -73,7 +74,7 @@
     // Passes a change of a registration to the reducer.
     fn apply_registration_change(&self, change: Change) {
         let (key, registration) = match change {
-            Change::Put(row) => (row.key.clone(), parse_registration(&row)),
+            Change::Put(row) => (row.key.clone(), self.parse_registration(&row)),
             Change::Deleted(key) => (key, None),
         };
         self.with_table(Table::Registrations, |followed| match &registration {
@@ -85,6 +86,16 @@
             None => Event::UpstreamUnregistered(key),
         });
     }
+
+    fn parse_registration(&self, row: &Row) -> Option<Registration> {
+        let parsed = platform::parse_registration(row);
+        if let Err(error) = &parsed
+            && self.store.record_invalid(Keyspace::Registrations, row)
+        {
+            tracing::warn!(%error, "registration is invalid; ignored");
+        }
+        parsed.ok()
+    }
 }
 
 // Hash of what placement uses of a registration; the same after a heartbeat that
@@ -94,9 +105,3 @@
     upstream.hash(&mut hasher);
     hasher.finish()
 }
-
-fn parse_registration(row: &Row) -> Option<Registration> {
-    platform::parse_registration(row)
-        .inspect_err(|error| tracing::warn!(%error, "registration is invalid; ignored"))
-        .ok()
-}
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -79,7 +79,10 @@
         });
         match serde_json::from_str::<RolloutRow>(row.value.get()) {
             Ok(rollout) => self.handle(Event::RolloutRead(rollout, row.version)),
-            Err(error) => tracing::warn!(%error, key = %row.key, "roll-out row invalid; ignored"),
+            Err(error) if self.store.record_invalid(Keyspace::Rollouts, row) => {
+                tracing::warn!(%error, key = %row.key, "roll-out row invalid; ignored");
+            }
+            Err(_) => {}
         }
     }
 
--- a/src/carawayrun/store/mod.rs
+++ b/src/carawayrun/store/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod call;
 pub mod feed;
 mod hosts;
+pub mod invalid_rows;
 mod objects;
 pub(crate) mod pool;
 pub mod table;
--- a/tests/testsuite/odd_rows.rs
+++ b/tests/testsuite/odd_rows.rs
@@ -142,3 +142,33 @@
     }
     assert_served(&world, "after").await;
 }
+
+// The line came with each read of all rows.
+#[actix_rt::test]
+async fn invalid_row_is_logged_with_each_read() {
+    let mut world = PlatformWorld::start_store("odd-lines").await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    world.put("servers", "no-registration", &json!([])).await;
+    world.put_bytes("servers", "no-json", b"{".into()).await;
+    world.put("op", "rollout/no-order", &json!([])).await;
+    world.start_relay();
+    world.runner("app-1", "app", &[]).await;
+    world.until_ready().await;
+    for number in 0..3 {
+        world.post_store("/drop-history").await;
+        let id = format!("app-{}", number + 2);
+        world.runner(&id, "app", &[]).await;
+        world.until_ready().await;
+    }
+    for (name, text) in [
+        ("no-registration", "registration is invalid; ignored"),
+        ("no-json", "store row is not valid JSON; ignored"),
+        ("no-order", "roll-out order is invalid; ignored"),
+    ] {
+        assert_eq!(world.count_logged(0, &[name, text]), 1, "{name}");
+    }
+    world.put("servers", "no-registration", &json!([1])).await;
+    world
+        .until(async |world| world.count_logged(0, &["no-registration", "ignored"]) == 2)
+        .await;
+}
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -376,6 +376,16 @@
             .await
     }
 
+    /// Lines that a relay has logged with all of these texts.
+    pub(crate) fn count_logged(&self, index: usize, texts: &[&str]) -> usize {
+        let path = self.dir.join(format!("{}.log", relay_name(index)));
+        let log = std::fs::read_to_string(path).unwrap_or_default();
+        let lines = log.lines();
+        lines
+            .filter(|line| texts.iter().all(|text| line.contains(text)))
+            .count()
+    }
+
     /// Waits until all relays are ready, and the first one knows all registered
     /// runners.
     pub(crate) async fn until_ready(&self) {
