Believe nothing of an answer that isn't shown to belong to its request

Cause: Exchange::send acted on 421, a named limit, leaving, a rest and "not executed" before it compared the answer's id; an answer without an id was never compared.

Change: Answer::belongs_to decides before anything is believed. An answer without an id belongs to the request only on a connection without an earlier one; several unlike ids are none; a request without an id gets a new connection.

Why it works: a repeat can only come on a connection that had another request, and there only an answer with the request's own id counts.

--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 
 use super::time::from_seconds;
-use crate::relay::message::{Answer, ClientRequest, Execution, Prefix};
+use crate::relay::message::{Answer, AnswerId, ClientRequest, Execution, Prefix};
 
 // Names on the wire; `HeaderName` requires lower case.
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-carawayrun-request-id");
@@ -216,7 +216,7 @@
         Execution::MayHaveRun
     };
     Answer {
-        id: text(&REQUEST_ID).map(CompactString::from),
+        id: parse_answer_id(headers),
         execution,
         is_sealed: headers.contains_key(SEAL),
         is_encoded: headers.contains_key(header::CONTENT_ENCODING),
@@ -230,6 +230,17 @@
     }
 }
 
+fn parse_answer_id(headers: &HeaderMap) -> AnswerId {
+    let mut ids = headers.get_all(REQUEST_ID);
+    let Some(first) = ids.next() else {
+        return AnswerId::Missing;
+    };
+    match first.to_str() {
+        Ok(id) if ids.all(|other| other == first) => AnswerId::One(id.into()),
+        _ => AnswerId::Conflicting,
+    }
+}
+
 // Parses a number of requests per second.
 fn parse_rate_limit(text: &str) -> Option<f64> {
     let limit: Option<f64> = text.trim().parse().ok();
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -247,3 +247,21 @@
     head.headers.insert(name, HeaderValue::from_static(text));
     assert_eq!(parse_answer(&head).is_leaving, expected);
 }
+
+// A repeated answer to an earlier request was believed of the one just sent.
+#[test_case(&["r-1"], false, true; "its id")]
+#[test_case(&["r-0"], true, false; "another id on a new connection")]
+#[test_case(&["r-0"], false, false; "another id on a kept connection")]
+#[test_case(&[], true, true; "no id on a new connection")]
+#[test_case(&[], false, false; "no id on a kept connection")]
+#[test_case(&["r-1", "r-1"], false, true; "its id twice")]
+#[test_case(&["r-1", "r-0"], false, false; "two ids")]
+#[test_case(&["r-0", "r-1"], true, false; "two ids on a new connection")]
+fn answer_of_earlier_request_is_believed(ids: &[&'static str], is_first: bool, expected: bool) {
+    let mut head = ResponseHead::new(StatusCode::SERVICE_UNAVAILABLE);
+    for id in ids {
+        let name = HeaderName::from_static("x-carawayrun-request-id");
+        head.headers.append(name, HeaderValue::from_static(id));
+    }
+    assert_eq!(parse_answer(&head).belongs_to("r-1", is_first), expected);
+}
--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -101,6 +101,8 @@
     interim: usize,
     framing: FramingAllowance,
     turn: Turn,
+    /// Requests that were started.
+    requests: u64,
     has_written: bool,
     keep_alive: bool,
     /// True if answers to the request's method may have a body.
@@ -135,6 +137,7 @@
             interim: 0,
             framing: FramingAllowance::default(),
             turn: Turn::default(),
+            requests: 0,
             has_written: false,
             keep_alive: true,
             expects_body: true,
@@ -164,10 +167,16 @@
         self.codec = Codec::Head(codec);
         self.interim = 0;
         self.framing = FramingAllowance::default();
+        self.requests += 1;
         self.has_written = false;
         Ok(())
     }
 
+    /// Returns true if there was no request before the present one.
+    pub(crate) fn is_first_request(&self) -> bool {
+        self.requests <= 1
+    }
+
     /// Returns true once a byte of the request was written, so that it may run.
     pub(crate) fn has_written(&self) -> bool {
         self.has_written
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -98,10 +98,12 @@
         upstream: &Upstream,
     ) -> Result<UpstreamConnection, ConnectionError> {
         let is_once = route.kind == RouteKind::Once;
-        let idle = self
-            .traffic
-            .fleet(view, |fleet, _| fleet.take_idle(key, is_once));
-        if let Some(connection) = idle {
+        // The answer to a request without an ID can't be told from a repeated one.
+        let idle = (!self.request.id.is_empty()).then(|| {
+            self.traffic
+                .fleet(view, |fleet, _| fleet.take_idle(key, is_once))
+        });
+        if let Some(connection) = idle.flatten() {
             return Ok(connection);
         }
         let opened = self.traffic.connect(upstream.addr, CONNECT_TIMEOUT).await;
@@ -182,8 +184,13 @@
                 return AttemptOutcome::TimedOut;
             }
         };
-        guard.finish_prefill();
         let answer = platform::parse_answer(&head);
+        if !answer.belongs_to(&self.request.id, connection.is_first_request()) {
+            tracing::warn!(request = %self.request.id, upstream = %upstream.name, status = head.status.as_u16(), answered = ?answer.id, "upstream answered another request; connection dropped");
+            self.traffic.metrics.foreign_answers.inc();
+            return AttemptOutcome::Lost;
+        }
+        guard.finish_prefill();
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             tracing::info!(request = %self.request.id, upstream = %upstream.name, "another upstream has this address now");
             if let Some(name) = answer.instance.filter(|_| answer.is_leaving) {
@@ -201,10 +208,6 @@
         if answer.execution == Execution::NotRun {
             return AttemptOutcome::Refused(head.status);
         }
-        if answer.id.as_ref().is_some_and(|id| *id != self.request.id) {
-            tracing::warn!(request = %self.request.id, upstream = %upstream.name, "upstream answered another request; connection dropped");
-            return AttemptOutcome::Lost;
-        }
         if !head.status.is_server_error() {
             timer.record_answer();
         }
--- a/src/carawayrun/relay/message.rs
+++ b/src/carawayrun/relay/message.rs
@@ -66,11 +66,22 @@
     }
 }
 
+/// ID that an answer names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnswerId {
+    /// It names none.
+    Missing,
+    /// The ID of one request.
+    One(CompactString),
+    /// Several unlike IDs.
+    Conflicting,
+}
+
 /// Head of an upstream's answer, as the data path reads it.
 #[derive(Debug, Clone)]
 pub struct Answer {
-    /// ID of the request that it answers.
-    pub id: Option<CompactString>,
+    /// ID of the request that it answers, if it names just one.
+    pub id: AnswerId,
     /// Whether the request ran.
     pub execution: Execution,
     /// True if the answer comes from the upstream itself and not from an
@@ -95,3 +106,18 @@
     /// Length of the body, if given.
     pub body_length: Option<u64>,
 }
+
+impl Answer {
+    /// Returns true if the answer is shown to belong to the request with `id`. Nothing
+    /// that another answer says may be believed, neither about the request nor about the
+    /// upstream: a faulty upstream may repeat an earlier answer where the next one is
+    /// due. On a connection without an earlier request (`is_first`) there is none to
+    /// repeat, so an answer that names no ID belongs to the only request.
+    pub fn belongs_to(&self, id: &str, is_first: bool) -> bool {
+        match &self.id {
+            AnswerId::One(own) => own == id,
+            AnswerId::Missing => is_first,
+            AnswerId::Conflicting => false,
+        }
+    }
+}
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -76,6 +76,7 @@
     pub(crate) cascades: Counter,
     pub(crate) resumes: Counter,
     pub(crate) report_polls: Counter,
+    pub(crate) foreign_answers: Counter,
     pub(crate) store_calls: Counter,
     pub(crate) store_failures: Counter,
     pub(crate) config_version: Gauge,
@@ -110,6 +111,7 @@
             cascades: Counter::default(),
             resumes: Counter::default(),
             report_polls: Counter::default(),
+            foreign_answers: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             config_version: Gauge::default(),
@@ -201,6 +203,11 @@
             "Reports asked of upstreams that were silent",
             &self.report_polls,
         );
+        add(
+            "foreign_answers",
+            "Answers that are not shown to belong to the request that was sent",
+            &self.foreign_answers,
+        );
         add("store_calls", "Calls to the store", &self.store_calls);
         add(
             "store_failures",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod path;
 mod platform;
 mod policy;
+mod repeated;
 mod resources;
 mod resting;
 mod restored;
