Join to a stream only what goes on where it broke off

A stream whose first upstream had named a length was cut there.

Cause: any sealed success was taken for the rest of the stream. Its type was not looked at, and EventBuffer took all lines up to a blank one for an event. The first upstream's length was named to the client though other parts followed.

Change: a part needs the first one's status and media type, a seal and no encoding; its first event an id that goes on. After events with ids an event has data, and ids that are numbers rise. All else is a lost attempt. A stream whose last event has no id is not resumed; one that may be resumed is chunked.

--- a/src/carawayrun/platform/headers.rs
+++ b/src/carawayrun/platform/headers.rs
@@ -227,9 +227,16 @@
         instance: text(&INSTANCE).map(CompactString::from),
         idle_limit: text(&KEEP_ALIVE).and_then(parse_keep_alive),
         body_length: text(&header::CONTENT_LENGTH).and_then(|value| value.parse().ok()),
+        media_type: parse_media_type(text(&header::CONTENT_TYPE).unwrap_or_default()),
     }
 }
 
+// Media type of `TYPE; PARAMETER=VALUE`.
+fn parse_media_type(text: &str) -> CompactString {
+    let name = text.split(';').next().unwrap_or_default();
+    CompactString::from(name.trim().to_ascii_lowercase())
+}
+
 fn parse_answer_id(headers: &HeaderMap) -> AnswerId {
     let mut ids = headers.get_all(REQUEST_ID);
     let Some(first) = ids.next() else {
--- a/src/carawayrun/relay/events.rs
+++ b/src/carawayrun/relay/events.rs
@@ -21,6 +21,11 @@
     block: Block,
     last_id: Option<CompactString>,
     events: u64,
+    /// True if the last event named its id.
+    is_named: bool,
+    /// True until the first event of a resumed part is complete.
+    is_resumed: bool,
+    is_broken: bool,
 }
 
 /// Lines since the last blank line.
@@ -52,6 +57,16 @@
 }
 
 impl EventBuffer {
+    /// Creates a buffer for a stream that goes on after the event with ID `last`, or that
+    /// begins if there is none.
+    pub fn new(last: Option<&str>) -> Self {
+        Self {
+            last_id: last.map(CompactString::from),
+            is_resumed: last.is_some(),
+            ..Self::default()
+        }
+    }
+
     /// Appends bytes and returns all events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.pending.extend_from_slice(bytes);
@@ -60,11 +75,13 @@
             if !is_blank {
                 continue;
             }
-            let block = std::mem::take(&mut self.block);
-            if block.is_event() {
-                self.events += 1;
-                self.last_id = block.id.or_else(|| self.last_id.take());
+            if !self.block.is_event() {
+                self.block = Block::default();
+            } else if self.accept_event() {
                 whole = self.scanned;
+            } else {
+                self.is_broken = true;
+                break;
             }
         }
         self.scanned -= whole;
@@ -82,6 +99,12 @@
         self.events
     }
 
+    /// Returns true if another upstream can be told where to go on: no event is
+    /// complete, or the last one named its id.
+    pub fn is_resumable(&self) -> bool {
+        self.events == 0 || self.is_named
+    }
+
     /// Returns true if bytes of an incomplete event were received.
     pub fn is_within_event(&self) -> bool {
         self.block.is_event() || self.pending.len() > self.scanned
@@ -92,12 +115,20 @@
         self.pending.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns true if the next event can't follow the last one: its id does not go on,
+    /// or it is none.
+    pub fn is_broken(&self) -> bool {
+        self.is_broken
+    }
+
     /// Discards an incomplete event, before another upstream resumes the stream.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
         self.scanned = 0;
         self.searched = 0;
         self.block = Block::default();
+        self.is_broken = false;
+        self.is_resumed |= self.events > 0;
     }
 
     /// Removes and returns the comments after the last event.
@@ -125,4 +156,30 @@
         self.searched = end + 1;
         Some(is_blank)
     }
+
+    // Ends the event of the current block; returns false if it can't follow the last one.
+    fn accept_event(&mut self) -> bool {
+        let block = std::mem::take(&mut self.block);
+        if !self.can_follow(&block) {
+            return false;
+        }
+        self.events += 1;
+        self.is_resumed = false;
+        self.is_named = block.id.is_some();
+        self.last_id = block.id.or_else(|| self.last_id.take());
+        true
+    }
+
+    fn can_follow(&self, block: &Block) -> bool {
+        let Some(last) = &self.last_id else {
+            return true;
+        };
+        let Some(id) = &block.id else {
+            return block.has_data && !self.is_resumed;
+        };
+        match (last.parse::<u64>(), id.parse::<u64>()) {
+            (Ok(last), Ok(id)) => id > last,
+            _ => id != last || !self.is_resumed,
+        }
+    }
 }
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -110,6 +110,38 @@
     }
 }
 
+/// What each part of a stream has in common with the first one, whose head the client
+/// has.
+struct StreamHead {
+    status: StatusCode,
+    media_type: CompactString,
+    headers: HeaderMap,
+    /// Length of the body, if the stream is of one part and its upstream named it.
+    length: Option<u64>,
+}
+
+impl StreamHead {
+    fn new(first: &PendingAnswer, route: &Route) -> Self {
+        // The parts of a resumed stream are together of another length than the first
+        // upstream's answer, whose head is written by then.
+        let is_resumable = route.kind == RouteKind::Stream { resumable: true };
+        let length = first.answer.body_length.filter(|_| !is_resumable);
+        Self {
+            status: first.head.status,
+            media_type: first.answer.media_type.clone(),
+            headers: platform::answer_headers(&first.head.headers),
+            length,
+        }
+    }
+
+    /// Returns true if the body of `next` may go on where the stream was interrupted.
+    fn continues_in(&self, next: &PendingAnswer) -> bool {
+        next.is_genuine()
+            && next.head.status == self.status
+            && next.answer.media_type == self.media_type
+    }
+}
+
 /// An upstream's failure, delivered if no attempt succeeds.
 struct Failure {
     status: StatusCode,
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -5,13 +5,11 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use actix_http::header::HeaderMap;
 use compact_str::CompactString;
 use tokio::time::{Instant, timeout_at};
 
 use super::subjects::HELD_BACK_NOTE;
-use super::{AttemptOutcome, Delivery, Exchange, PendingAnswer, RequestProgress};
-use crate::platform;
+use super::{AttemptOutcome, Delivery, Exchange, PendingAnswer, RequestProgress, StreamHead};
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::events::EventBuffer;
 use crate::relay::losses::Loss;
@@ -44,23 +42,17 @@
         first: PendingAnswer,
         responder: &mut Responder<'_>,
     ) -> Delivery {
-        let status = first.head.status;
-        let length = first.answer.body_length;
-        let headers = platform::answer_headers(&first.head.headers);
+        let head = StreamHead::new(&first, route);
+        let status = head.status;
         progress.version = Some(first.upstream.version.clone());
         self.log.record_first_event(self.received.elapsed());
-        let mut events = EventBuffer::default();
+        let is_resumable = route.kind == RouteKind::Stream { resumable: true };
+        let requested = self.request.resume_after.as_deref();
+        let mut events = EventBuffer::new(requested.filter(|_| is_resumable));
         let mut current = Box::new(first);
         loop {
             let end = self
-                .forward_events(
-                    &mut current,
-                    &mut events,
-                    responder,
-                    status,
-                    &headers,
-                    length,
-                )
+                .forward_events(&mut current, &mut events, responder, &head)
                 .await;
             match end {
                 StreamEnd::Complete => {
@@ -68,7 +60,7 @@
                     let written = if responder.has_started() {
                         responder.write_last(rest).await
                     } else {
-                        responder.write_whole(status, headers, &rest).await
+                        responder.write_whole(status, head.headers, &rest).await
                     };
                     self.record_answer_success(&current);
                     self.record_whole();
@@ -102,7 +94,10 @@
             events.discard_partial();
             progress.excluded.push(current.key);
             drop(current);
-            match self.resume(route, progress, &events, responder).await {
+            match self
+                .resume(route, progress, &events, &head, responder)
+                .await
+            {
                 Ok(next) => current = next,
                 Err(delivery) => return delivery,
             }
@@ -115,9 +110,7 @@
         current: &mut PendingAnswer,
         events: &mut EventBuffer,
         responder: &mut Responder<'_>,
-        status: StatusCode,
-        headers: &HeaderMap,
-        length: Option<u64>,
+        head: &StreamHead,
     ) -> StreamEnd {
         let mut event_due = Instant::now() + EVENT_TIMEOUT;
         let mut has_begun = false;
@@ -144,11 +137,8 @@
                 Ok(Ok(Some(piece))) => piece,
             };
             let Some(whole) = events.push(&piece) else {
-                if events.is_oversized() {
-                    self.traffic
-                        .metrics
-                        .record_stopped_answer(MessagePart::Event);
-                    return StreamEnd::Interrupted("stream event too long");
+                if let Some(reason) = self.stream_fault(events) {
+                    return StreamEnd::Interrupted(reason);
                 }
                 continue;
             };
@@ -159,16 +149,33 @@
                 responder.write_chunk(whole).await
             } else {
                 responder
-                    .write_first(status, headers.clone(), length, &whole)
+                    .write_first(head.status, head.headers.clone(), head.length, &whole)
                     .await
             };
             if written.is_err() {
                 return StreamEnd::ClientDisconnected;
             }
+            if let Some(reason) = self.stream_fault(events) {
+                return StreamEnd::Interrupted(reason);
+            }
             event_due = Instant::now() + EVENT_TIMEOUT;
         }
     }
 
+    // Returns why no more of an upstream's stream can be forwarded, if so.
+    fn stream_fault(&self, events: &EventBuffer) -> Option<&'static str> {
+        if events.is_broken() {
+            return Some("stream event does not follow the last one");
+        }
+        if events.is_oversized() {
+            self.traffic
+                .metrics
+                .record_stopped_answer(MessagePart::Event);
+            return Some("stream event too long");
+        }
+        None
+    }
+
     fn record_stream_crash(&self, current: &PendingAnswer, has_begun: bool) {
         let PendingAnswer {
             key,
@@ -185,10 +192,10 @@
         route: &Route,
         progress: &mut RequestProgress,
         events: &EventBuffer,
+        head: &StreamHead,
         responder: &mut Responder<'_>,
     ) -> Result<Box<PendingAnswer>, Delivery> {
-        let requested = self.request.resume_after.clone();
-        let after = events.last_id().map(CompactString::from).or(requested);
+        let after = events.last_id().map(CompactString::from);
         loop {
             let has_begun = events.event_count() > 0;
             let verdict = self.verdict(progress, has_begun).await;
@@ -196,7 +203,8 @@
                 self.log.set_note(HELD_BACK_NOTE);
                 return Err(self.interrupt(route, progress, responder).await);
             }
-            let may_resume = route.kind == RouteKind::Stream { resumable: true };
+            let may_resume =
+                route.kind == RouteKind::Stream { resumable: true } && events.is_resumable();
             if !may_resume || !Self::may_retry(route, progress) {
                 return Err(self.interrupt(route, progress, responder).await);
             }
@@ -217,12 +225,13 @@
                 .await;
             progress.record_attempt(&attempt);
             match attempt {
-                AttemptOutcome::Answered(next) if next.is_genuine() => {
+                AttemptOutcome::Answered(next) if head.continues_in(&next) => {
                     self.record_outcome(&next.upstream, progress, false, Some(next.head_delay));
                     self.traffic.metrics.resumes.inc();
                     return Ok(next);
                 }
                 AttemptOutcome::Answered(next) => {
+                    tracing::info!(request = %self.request.id, upstream = %next.upstream.name, status = next.head.status.as_u16(), media_type = %next.answer.media_type, "answer does not continue the stream");
                     self.record_answer_failure(next.key);
                     self.record_outcome(&next.upstream, progress, true, None);
                 }
--- a/src/carawayrun/relay/message.rs
+++ b/src/carawayrun/relay/message.rs
@@ -105,6 +105,8 @@
     pub idle_limit: Option<Duration>,
     /// Length of the body, if given.
     pub body_length: Option<u64>,
+    /// Media type of the body in lower case, without parameters; empty if not given.
+    pub media_type: CompactString,
 }
 
 impl Answer {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod flooded;
 mod hosts;
 mod interrupted;
+mod joined;
 mod leaving;
 mod limits;
 mod odd_rows;
