Spoil answers in the soak with bytes without an end and earlier refusals

The links before upstreams add, each 1 to 6 s, one of ten kinds of junk to the answers that pass for 0.2 to 4 s: interim heads, blank lines, chunk sizes and extensions, comments and blank lines of streams without an end, and earlier refusals with their own id. The other faults of a seed stay the same.

--- a/tests/testsuite/soak/plan.rs
+++ b/tests/testsuite/soak/plan.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use crate::support::Passing;
+use crate::support::{Junk, Passing};
 
 /// Time between the starts of two faults. Most faults last longer, so they overlap.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..900;
@@ -30,6 +30,42 @@
 /// Time between two upstreams that say that they leave.
 const DEPARTURE_INTERVAL_MS: std::ops::Range<u64> = 2_000..9_000;
 
+/// Time between two upstreams whose answers are spoiled.
+const JUNK_INTERVAL_MS: std::ops::Range<u64> = 1_000..6_000;
+
+/// What spoils answers: bytes without an end, or an earlier answer once more. The latter
+/// name a request, as on a new connection an answer without an id is the present one.
+const JUNK: [Junk; 10] = [
+    endless("HTTP/1.1 100 Continue\r\n\r\n", true),
+    endless("HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n", true),
+    endless("\r\n", true),
+    endless("x", true),
+    endless("0", false),
+    endless("1;x", false),
+    endless("1\r\n\n\r\n", false),
+    endless("6\r\n: on\n\n\r\n", false),
+    Junk {
+        bytes: "HTTP/1.1 503 Service Unavailable\r\nx-carawayrun-request-id: earlier\r\n\
+            x-carawayrun-not-executed: full\r\ncontent-length: 0\r\n\r\n",
+        comes_first: true,
+        is_endless: false,
+    },
+    Junk {
+        bytes: "HTTP/1.1 421 Misdirected Request\r\nx-carawayrun-request-id: earlier\r\n\
+            content-length: 0\r\n\r\n",
+        comes_first: false,
+        is_endless: false,
+    },
+];
+
+const fn endless(bytes: &'static str, comes_first: bool) -> Junk {
+    Junk {
+        bytes,
+        comes_first,
+        is_endless: true,
+    }
+}
+
 /// Limits that upstreams name, in requests per ten seconds.
 const LIMITS: std::ops::Range<u32> = 5..60;
 
@@ -115,6 +151,7 @@
     plan.extend(plan_silences(seed, duration));
     plan.extend(plan_rests(seed, duration, sizes));
     plan.extend(plan_departures(seed, duration, sizes));
+    plan.extend(plan_junk(seed, duration, sizes));
     plan.extend(plan_deadly_requests(seed, duration));
     plan.sort_by_key(|(at, _)| *at);
     plan
@@ -189,6 +226,23 @@
     plan
 }
 
+fn plan_junk(seed: u64, duration: Duration, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(56));
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(JUNK_INTERVAL_MS));
+    while at < duration {
+        let upstream = rng.random_range(0..sizes.upstreams);
+        let junk = *JUNK.choose(&mut rng).expect("there are some");
+        let span = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        plan.push((
+            at,
+            Fault::UpstreamLink(upstream, Passing::Spoiled(junk), span),
+        ));
+        at += Duration::from_millis(rng.random_range(JUNK_INTERVAL_MS));
+    }
+    plan
+}
+
 /// Whether callers of a seed send requests that crash upstreams: those of one in three.
 pub(crate) fn has_deadly_requests(seed: u64) -> bool {
     seed % 3 == 1
--- a/tests/testsuite/support/relay.rs
+++ b/tests/testsuite/support/relay.rs
@@ -31,6 +31,42 @@
     Silent,
     /// Holds back what the target sends.
     NoAnswers,
+    /// Adds bytes that are no answer to each piece that the target sends.
+    Spoiled(Junk),
+}
+
+/// Longest junk on one connection.
+const MAX_JUNK_BYTES: usize = 64 << 20;
+
+/// Bytes that are no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Junk {
+    pub(crate) bytes: &'static str,
+    /// Whether they come before a piece, not after it.
+    pub(crate) comes_first: bool,
+    /// Whether they come without an end, until the connection is closed or
+    /// [`MAX_JUNK_BYTES`] were sent.
+    pub(crate) is_endless: bool,
+}
+
+impl Junk {
+    async fn write(self, writer: &mut OwnedWriteHalf) -> io::Result<()> {
+        if !self.is_endless {
+            return writer.write_all(self.bytes.as_bytes()).await;
+        }
+        let piece = self.bytes.repeat(PIECE / self.bytes.len());
+        for _ in 0..MAX_JUNK_BYTES / PIECE {
+            writer.write_all(piece.as_bytes()).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Direction in which bytes are passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    ToTarget,
+    FromTarget,
 }
 
 /// Passes bytes between its own address and a target until it is cut.
@@ -134,12 +170,9 @@
     let (near_reader, near_writer) = near.into_split();
     let (far_reader, far_writer) = far.into_split();
     let is_silenced = || number < hop.silenced.get();
-    let there = copy(near_reader, far_writer, &hop.passing, |passing| {
-        passing == Passing::Silent || is_silenced()
-    });
-    let back = copy(far_reader, near_writer, &hop.passing, |passing| {
-        matches!(passing, Passing::Silent | Passing::NoAnswers) || is_silenced()
-    });
+    let (to, from) = (Direction::ToTarget, Direction::FromTarget);
+    let there = copy(near_reader, far_writer, &hop.passing, to, is_silenced);
+    let back = copy(far_reader, near_writer, &hop.passing, from, is_silenced);
     tokio::select! {
         _ = cuts.changed() => {}
         _ = async { tokio::join!(there, back) } => {}
@@ -150,20 +183,37 @@
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
     passing: &Cell<Passing>,
-    is_held: impl Fn(Passing) -> bool,
+    direction: Direction,
+    is_silenced: impl Fn() -> bool,
 ) -> io::Result<()> {
+    let is_answer = direction == Direction::FromTarget;
+    let is_held = || match passing.get() {
+        Passing::Silent => true,
+        Passing::NoAnswers => is_answer,
+        _ => false,
+    };
     let mut piece = vec![0; PIECE];
     loop {
         let read = reader.read(&mut piece).await?;
         if let Passing::Delayed(delay) = passing.get() {
             actix_rt::time::sleep(delay).await;
         }
-        while is_held(passing.get()) {
+        while is_held() || is_silenced() {
             actix_rt::time::sleep(HELD_CHECK).await;
         }
         if read == 0 {
             return writer.shutdown().await;
         }
+        let junk = match passing.get() {
+            Passing::Spoiled(junk) if is_answer => Some(junk),
+            _ => None,
+        };
+        if let Some(junk) = junk.filter(|junk| junk.comes_first) {
+            junk.write(&mut writer).await?;
+        }
         writer.write_all(&piece[..read]).await?;
+        if let Some(junk) = junk.filter(|junk| !junk.comes_first) {
+            junk.write(&mut writer).await?;
+        }
     }
 }
