End what a restarted upstream takes over of its earlier incarnation

Cause: Departures::inherit carried the word of leaving over to the next incarnation, where it held without an end and was told on as the relay's own.

Change: an inherited word ends RESTART_LAG and the drain limit after it was said, and is not told on. A new word binds the new incarnation as before.

Why it works: if the word was the new incarnation's, that one has left by the end; if it was not, nothing else holds it back.

--- a/src/carawayrun/relay/departures.rs
+++ b/src/carawayrun/relay/departures.rs
@@ -25,6 +25,19 @@
     at: Duration,
     /// True if this gateway got the answer itself.
     is_own: bool,
+    /// End of a notice that may be about the incarnation before; `None` if it is known to
+    /// be about this one.
+    end: Option<Duration>,
+}
+
+impl Notice {
+    fn new(is_own: bool, now: Duration) -> Self {
+        Self {
+            at: now,
+            is_own,
+            end: None,
+        }
+    }
 }
 
 /// Upstreams that are leaving. Times are on the caller's clock.
@@ -37,22 +50,36 @@
     /// Records that an upstream said that it is leaving, in an answer to this gateway if
     /// `is_own`. Returns true if that is new.
     pub fn record(&mut self, incarnation: Incarnation, is_own: bool, now: Duration) -> bool {
-        let is_new = !self.notices.contains_key(&incarnation);
-        let notice = self.notices.entry(incarnation);
-        let notice = notice.or_insert(Notice { at: now, is_own });
-        if is_own && !notice.is_own {
-            *notice = Notice { at: now, is_own };
+        let known = self.notices.get(&incarnation);
+        let known = known.filter(|notice| notice.end.is_none());
+        if known.is_none_or(|notice| is_own && !notice.is_own) {
+            let is_new = known.is_none();
+            self.notices.insert(incarnation, Notice::new(is_own, now));
+            return is_new;
         }
-        is_new
+        false
     }
 
     /// Takes over what an upstream said a moment ago, now that it is known that it has
-    /// started again: one that leaves serves on for longer than that.
-    pub fn inherit(&mut self, before: Incarnation, after: Incarnation, now: Duration) {
+    /// started again: the word may be the new incarnation's. If it is, that one has left
+    /// once `drain_limit` has passed, for which a leaving upstream serves on; if it is
+    /// not, the new incarnation is in use from then on. The other gateways are not told.
+    pub fn inherit(
+        &mut self,
+        before: Incarnation,
+        after: Incarnation,
+        drain_limit: Duration,
+        now: Duration,
+    ) {
         if let Some(notice) = self.notices.get(&before).copied()
             && notice.at + RESTART_LAG > now
         {
-            self.notices.insert(after, notice);
+            let inherited = Notice {
+                is_own: false,
+                end: Some(notice.at + RESTART_LAG + drain_limit),
+                ..notice
+            };
+            self.notices.entry(after).or_insert(inherited);
         }
     }
 
@@ -73,10 +100,12 @@
         recent.into_iter().map(|(_, key)| key).collect()
     }
 
-    /// Forgets upstreams that are no longer registered, after a while.
+    /// Forgets upstreams that are no longer registered, after a while, and inherited
+    /// notices at their end.
     pub fn expire(&mut self, is_registered: impl Fn(Incarnation) -> bool, now: Duration) {
-        self.notices.retain(|incarnation, notice| {
-            notice.at + FORGET_AFTER > now || is_registered(*incarnation)
+        self.notices.retain(|incarnation, notice| match notice.end {
+            Some(end) => end > now,
+            None => notice.at + FORGET_AFTER > now || is_registered(*incarnation),
         });
     }
 }
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -100,7 +100,9 @@
 
 impl Fleet {
     /// Updates the upstreams to those of a newer view.
-    pub(super) fn update(&mut self, view: &View, now: Duration) {
+    ///
+    /// `drain_limit` is the time for which a leaving upstream serves on.
+    pub(super) fn update(&mut self, view: &View, drain_limit: Duration, now: Duration) {
         if Arc::ptr_eq(&self.upstreams, &view.upstreams) {
             return;
         }
@@ -122,7 +124,7 @@
                 let before = self.incarnations.insert(state.digest, after);
                 if let Some(before) = before.filter(|before| *before != after) {
                     self.rests.inherit(before, after, now);
-                    self.departures.inherit(before, after, now);
+                    self.departures.inherit(before, after, drain_limit, now);
                 }
             }
         }
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -236,7 +236,8 @@
         f: impl FnOnce(&mut Fleet, &mut SmallRng) -> T,
     ) -> T {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.update(view, self.now());
+        let drain_limit = self.shared.settings.load().drain_limit;
+        fleet.update(view, drain_limit, self.now());
         f(&mut fleet, &mut self.rng.borrow_mut())
     }
 
