Wait on for a silent stream that nothing better can follow

Cause: forward_events gave a stream up after 2.5 s without an event, whether or not another upstream could go on with it.

Change: a silent stream is given up only if the route and the events allow a resume and an attempt, the retry budget and another upstream are left. If not, it is asked again each half second.

Why it works: ending an answer helps its client only if another can follow; until then a late event is better than none, and the route's timeout still bounds it.

--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -10,6 +10,7 @@
 
 use super::subjects::HELD_BACK_NOTE;
 use super::{AttemptOutcome, Delivery, Exchange, PendingAnswer, RequestProgress, StreamHead};
+use crate::relay::budget::RetryCause;
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::events::EventBuffer;
 use crate::relay::losses::Loss;
@@ -18,12 +19,16 @@
 use crate::relay::quarantine::Verdict;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
+use crate::relay::view::UpstreamKey;
 
 /// Time without a complete event after which a stream is resumed at another upstream;
 /// clients disconnect after some seconds. Bytes that complete no event don't count, nor
 /// do comments: an upstream in trouble may send some now and then.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Interval at which a silent stream that can't be resumed is checked again.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How the part of a stream that came from one upstream ended.
 enum StreamEnd {
     Complete,
@@ -52,7 +57,7 @@
         let mut current = Box::new(first);
         loop {
             let end = self
-                .forward_events(&mut current, &mut events, responder, &head)
+                .forward_events(route, progress, &mut current, &mut events, responder, &head)
                 .await;
             match end {
                 StreamEnd::Complete => {
@@ -107,6 +112,8 @@
     // Forwards whole events from one upstream to the client until its stream ends.
     async fn forward_events(
         &mut self,
+        route: &Route,
+        progress: &RequestProgress,
         current: &mut PendingAnswer,
         events: &mut EventBuffer,
         responder: &mut Responder<'_>,
@@ -116,7 +123,14 @@
         let mut has_begun = false;
         loop {
             let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
-                Err(_) => return StreamEnd::Interrupted("no stream data in time"),
+                Err(_) if self.can_resume(route, progress, current.key, events) => {
+                    return StreamEnd::Interrupted("no stream data in time");
+                }
+                // A late event is better than none.
+                Err(_) => {
+                    event_due = Instant::now() + SILENCE_CHECK_INTERVAL;
+                    continue;
+                }
                 Ok(Err(error)) => {
                     self.count_stopped(&error);
                     let (upstream, fingerprint) = (&current.upstream.name, self.fingerprint());
@@ -162,6 +176,27 @@
         }
     }
 
+    // Returns true if another upstream could go on with the stream of `current`.
+    fn can_resume(
+        &self,
+        route: &Route,
+        progress: &RequestProgress,
+        current: UpstreamKey,
+        events: &EventBuffer,
+    ) -> bool {
+        let is_resumable =
+            route.kind == RouteKind::Stream { resumable: true } && events.is_resumable();
+        if !is_resumable || !Self::may_retry(route, progress) {
+            return false;
+        }
+        let service = self.service_name(&self.admitted.catalog);
+        let mut excluded = progress.excluded.clone();
+        excluded.push(current);
+        let view = self.traffic.view();
+        let next = self.choose_upstream(&view, route, progress, &excluded, service);
+        next.is_some() && self.traffic.retry_headroom(service, RetryCause::Failure) > 0.0
+    }
+
     // Returns why no more of an upstream's stream can be forwarded, if so.
     fn stream_fault(&self, events: &EventBuffer) -> Option<&'static str> {
         if events.is_broken() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod openapi;
 mod operating;
 mod path;
+mod paused;
 mod platform;
 mod policy;
 mod repeated;
