Let the stand-in of an upstream echo ids in its refusals

Change: the stand-in echoes it in 421, in refusals for lack of a slot and in those that ask for rest.

--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -232,6 +232,7 @@
         if is_misdirected {
             let mut answer = text(StatusCode::MISDIRECTED_REQUEST, "another instance\n");
             set_header(&mut answer, "x-carawayrun-instance-id", &self.id);
+            set_header(&mut answer, "x-carawayrun-request-id", &id);
             return answer;
         }
         let body = match read_body(request.take_payload(), MAX_BODY_BYTES).await {
@@ -242,12 +243,14 @@
         if !rest.is_empty() {
             let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "resting\n");
             set_header(&mut answer, "x-carawayrun-not-executed", "resting");
+            set_header(&mut answer, "x-carawayrun-request-id", &id);
             set_header(&mut answer, "retry-after", &rest);
             return answer;
         }
         let Some(slot) = self.take_slot(&id) else {
             let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "no slot is free\n");
             set_header(&mut answer, "x-carawayrun-not-executed", "full");
+            set_header(&mut answer, "x-carawayrun-request-id", &id);
             return answer;
         };
         let run = new_run(request, &body);
