Log what a drain knew of each request, and count how they ended

`cut` counted what was left when the process ended, but a stream is closed at the last moment for an answer, 100 ms before.

Now the line of a request has its connection's age and use and, where it was read within a drain, the drain's age, the time left, the expected time and the limit. No logic is changed.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -25,8 +25,9 @@
 use super::catalog::Limits;
 use super::connection::set_socket_options;
 use super::exchange::Exchange;
+use super::metrics::DrainEnd;
 use super::progress::{FramingAllowance, MessagePart, Turn};
-use super::request_log::{RequestLog, RequestOutcome};
+use super::request_log::{ConnectionUse, RequestLog, RequestOutcome};
 use super::responder::Responder;
 use super::traffic::Traffic;
 use crate::platform::{self, InboundRequest};
@@ -93,6 +94,9 @@
     writer: OwnedWriteHalf,
     codec: Codec,
     received: BytesMut,
+    accepted: Instant,
+    /// Number of requests that were read.
+    requests: u32,
     /// Counts the connection until its first request begins.
     unused: Option<Counted>,
 }
@@ -133,6 +137,8 @@
         reader,
         writer,
         received: BytesMut::new(),
+        accepted: Instant::now(),
+        requests: 0,
     };
     while connection.serve_next().await {}
 }
@@ -299,6 +305,7 @@
         let body = Bytes::from(format!("{error}\n"));
         let headers = match error {
             ReadError::Stopping { id } => {
+                self.traffic.metrics.record_drained(DrainEnd::Refused);
                 platform::refusal_headers(id, Some(self.traffic.stop_retry_after()))
             }
             _ => platform::refusal_headers("", None),
@@ -333,7 +340,12 @@
             request: client_request,
             headers,
         } = platform::parse_request(head);
-        let mut log = RequestLog::new(client_request.id.clone(), received);
+        let connection = ConnectionUse {
+            age: self.accepted.elapsed(),
+            requests: self.requests,
+        };
+        self.requests += 1;
+        let mut log = RequestLog::new(client_request.id.clone(), received, connection);
         log.session = client_request.session.clone().unwrap_or_default();
         let admitted = self.admit(head, &client_request, &mut log).await;
         let is_last = self.traffic.phases.get().drain().is_some() || !self.codec.keep_alive();
@@ -378,7 +390,8 @@
             keep_alive = served => keep_alive,
             () = wait_for_disconnect(&mut self.reader, &mut self.received) => false,
         };
-        log.finish(&self.traffic.metrics);
+        let is_draining = self.traffic.phases.get().drain().is_some();
+        log.finish(&self.traffic.metrics, is_draining);
         keep_alive && !is_last
     }
 
@@ -402,10 +415,11 @@
         log.catalog_version = admitted.catalog.version;
         let route = admitted.catalog.route(admitted.route);
         log.route.clone_from(&route.name);
-        if !self
-            .traffic
-            .has_time_for(route, request.time_limit(route.timeout))
-        {
+        let limit = request.time_limit(route.timeout);
+        if let Some(read) = self.traffic.drain_read(route, limit) {
+            log.record_drain(read);
+        }
+        if !self.traffic.has_time_for(route, limit) {
             return Err(Refusal::Stopping(self.traffic.stop_retry_after()));
         }
         Ok(admitted)
--- a/src/carawayrun/relay/drain.rs
+++ b/src/carawayrun/relay/drain.rs
@@ -67,6 +67,16 @@
         self.begun.elapsed() >= MIN_DRAIN_TIME
     }
 
+    /// Time since the drain began.
+    pub(super) fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Time until the last moment for an answer.
+    pub(super) fn time_left(&self) -> Duration {
+        self.answer_by.saturating_duration_since(Instant::now())
+    }
+
     /// Returns true if a request that takes `expected` from now on ends in time.
     pub(super) fn has_time_for(&self, expected: Duration) -> bool {
         Instant::now() + expected <= self.answer_by
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -532,12 +532,16 @@
         progress: &RequestProgress,
         responder: &mut Responder<'_>,
     ) -> bool {
+        let drain = self.traffic.phases.get().drain();
+        if drain.is_some_and(|drain| drain.time_left().is_zero()) {
+            self.log.set_note("last moment of the drain");
+        }
         if responder.has_started() {
             self.log
                 .set_outcome(RequestOutcome::Interrupted, StatusCode::GATEWAY_TIMEOUT);
             return false;
         }
-        let is_stopping = self.traffic.phases.get().drain().is_some();
+        let is_stopping = drain.is_some();
         let refusal = if progress.sends > 0 {
             Refusal::TimedOut
         } else if is_stopping {
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::progress::MessagePart;
+use super::request_log::RequestOutcome;
 
 /// Rate of request log lines, per second: an on-call engineer finds each failure
 /// of a usual day, and a flood stays below one megabyte a minute.
@@ -69,6 +70,38 @@
     part: MessagePart,
 }
 
+/// How a request ended that was under way, or came, within a drain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+pub(crate) enum DrainEnd {
+    Answered,
+    /// Refused with 503; it has not run.
+    Refused,
+    /// Ended with another failure of the relay; it may have run.
+    Failed,
+    /// The connection was closed within the answer.
+    Cut,
+    ClientDisconnected,
+}
+
+impl DrainEnd {
+    pub(super) fn new(outcome: RequestOutcome, status: StatusCode) -> Self {
+        match outcome {
+            RequestOutcome::Answered => Self::Answered,
+            RequestOutcome::Refused if status == StatusCode::SERVICE_UNAVAILABLE => Self::Refused,
+            RequestOutcome::Refused => Self::Failed,
+            RequestOutcome::Interrupted => Self::Cut,
+            RequestOutcome::ClientDisconnected => Self::ClientDisconnected,
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct DrainLabels {
+    end: DrainEnd,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -98,6 +131,7 @@
     lag: Histogram,
     sends: Family<SendLabels, Counter>,
     requests: Family<RequestLabels, Counter>,
+    drained: Family<DrainLabels, Counter>,
     duration: Histogram,
     first_event: Histogram,
     registry: Registry,
@@ -134,6 +168,7 @@
             lag: latency(),
             sends: Family::default(),
             requests: Family::default(),
+            drained: Family::default(),
             duration: latency(),
             first_event: latency(),
             registry: Registry::default(),
@@ -158,6 +193,11 @@
             "Requests by outcome and status",
             self.requests.clone(),
         );
+        registry.register(
+            "drain_requests",
+            "Requests that ended within a drain, by how they ended",
+            self.drained.clone(),
+        );
         registry.register(
             "stopped_answers",
             "Upstreams' answers stopped for bytes that bring no progress",
@@ -335,6 +375,16 @@
         }
     }
 
+    /// Counts a request that ended within a drain.
+    pub(super) fn record_drained(&self, end: DrainEnd) {
+        self.drained.get_or_create(&DrainLabels { end }).inc();
+    }
+
+    /// Number of requests that ended so within a drain.
+    pub(super) fn drained(&self, end: DrainEnd) -> u64 {
+        self.drained.get_or_create(&DrainLabels { end }).get()
+    }
+
     /// Encodes all metrics in the text format of `OpenMetrics`.
     pub(super) fn encode_text(&self) -> String {
         let mut text = String::new();
--- a/src/carawayrun/relay/request_log.rs
+++ b/src/carawayrun/relay/request_log.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use tokio::time::Instant;
 
-use super::metrics::Metrics;
+use super::metrics::{DrainEnd, Metrics};
 use super::view::Upstream;
 
 /// Outcome of a request.
@@ -36,6 +36,27 @@
     }
 }
 
+/// What a drain knew of a request when it was read.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct DrainRead {
+    /// Time since the drain began.
+    pub(super) age: Duration,
+    /// Time until the last moment for an answer.
+    pub(super) left: Duration,
+    /// Time that the answer was expected to take; `None` if nothing was known of the route.
+    pub(super) expected: Option<Duration>,
+    /// The request's own time limit.
+    pub(super) limit: Duration,
+}
+
+/// Use of a client's connection when a request was read from it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ConnectionUse {
+    pub(super) age: Duration,
+    /// Number of requests before this one.
+    pub(super) requests: u32,
+}
+
 /// Log record of one request, collected while it is served.
 #[derive(Debug)]
 pub(super) struct RequestLog {
@@ -52,12 +73,14 @@
     /// Time from the request to the first event of its answer.
     first_event: Option<Duration>,
     note: &'static str,
+    connection: ConnectionUse,
+    drain: Option<DrainRead>,
     outcome: RequestOutcome,
     status: StatusCode,
 }
 
 impl RequestLog {
-    pub(super) fn new(id: CompactString, received: Instant) -> Self {
+    pub(super) fn new(id: CompactString, received: Instant, connection: ConnectionUse) -> Self {
         Self {
             id,
             route: CompactString::default(),
@@ -71,6 +94,8 @@
             wait_ms: 0.0,
             first_event: None,
             note: "",
+            connection,
+            drain: None,
             // Remains if the request is dropped in flight.
             outcome: RequestOutcome::ClientDisconnected,
             status: StatusCode::OK,
@@ -104,6 +129,11 @@
         self.note = note;
     }
 
+    /// Records that the request was read within a drain.
+    pub(super) fn record_drain(&mut self, read: DrainRead) {
+        self.drain = Some(read);
+    }
+
     /// Sets the outcome and the logged status; they replace earlier ones.
     pub(super) fn set_outcome(&mut self, outcome: RequestOutcome, status: StatusCode) {
         self.outcome = outcome;
@@ -115,16 +145,21 @@
         self.outcome == RequestOutcome::Answered
     }
 
-    /// Counts the request and logs it: failures first, other requests as far as
-    /// the rate limit of log lines allows.
-    pub(super) fn finish(&self, metrics: &Metrics) {
+    /// Counts the request and logs it: failures and requests that end within a drain
+    /// first, others as far as the rate limit of log lines allows.
+    pub(super) fn finish(&self, metrics: &Metrics, is_draining: bool) {
         let took = self.received.elapsed();
         metrics.record_request(self.outcome.name(), self.status, took, self.first_event);
+        if is_draining {
+            metrics.record_drained(DrainEnd::new(self.outcome, self.status));
+        }
         let is_single_answer = self.outcome == RequestOutcome::Answered && self.sends <= 1;
         let has_failed = !is_single_answer || self.status.is_server_error();
-        if !metrics.log_limiter.take_line(has_failed) {
+        if !metrics.log_limiter.take_line(has_failed || is_draining) {
             return;
         }
+        let millis = |time: Duration| time.as_millis() as u64;
+        let drain = self.drain;
         tracing::info!(
             request = %self.id, session = %self.session,
             route = %self.route,
@@ -139,6 +174,13 @@
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             note = self.note,
+            connection_ms = millis(self.connection.age),
+            connection_requests = self.connection.requests,
+            is_draining,
+            drain_ms = drain.map(|read| millis(read.age)),
+            left_ms = drain.map(|read| millis(read.left)),
+            expected_ms = drain.and_then(|read| read.expected).map(millis),
+            limit_ms = drain.map(|read| millis(read.limit)),
             "request"
         );
     }
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -12,6 +12,7 @@
 
 use super::RelaySettings;
 use super::drain::Drain;
+use super::metrics::DrainEnd;
 use super::traffic::{SharedState, Traffic};
 use super::{client, follow, gossip, health_check, probe, stalls};
 
@@ -105,6 +106,8 @@
         traffic.phases.close(drain);
         tracing::info!(
             active = traffic.active_requests.get(),
+            begun = traffic.begun_requests.get(),
+            unused = traffic.new_connections.get(),
             "relay closed its port"
         );
         // Time for the accept task to take what waits in its queue.
@@ -113,8 +116,15 @@
             sleep(CLOSE_CHECK_INTERVAL).await;
         }
         let interrupted = traffic.active_requests.get();
-        let lines_dropped = traffic.metrics.log_limiter.dropped();
-        tracing::info!(cut = interrupted, lines_dropped, "relay stopped");
+        let metrics = &traffic.metrics;
+        tracing::info!(
+            cut = metrics.drained(DrainEnd::Cut) + interrupted as u64,
+            answered = metrics.drained(DrainEnd::Answered),
+            refused = metrics.drained(DrainEnd::Refused),
+            failed = metrics.drained(DrainEnd::Failed),
+            lines_dropped = metrics.log_limiter.dropped(),
+            "relay stopped"
+        );
         interrupted
     }
 }
--- a/src/carawayrun/relay/tests/drain.rs
+++ b/src/carawayrun/relay/tests/drain.rs
@@ -1,10 +1,13 @@
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use proptest::prelude::*;
 use test_case::test_case;
 use tokio::time::{Instant, advance};
 
 use crate::relay::drain::{Drain, Phase, Phases};
+use crate::relay::metrics::{DrainEnd, Metrics};
+use crate::relay::request_log::RequestOutcome;
 use crate::relay::service_time::ServiceTime;
 
 fn millis(ms: u64) -> Duration {
@@ -86,3 +89,16 @@
         prop_assert!(time.expected(false) <= longest * 2);
     }
 }
+
+// Streams that ended at the last moment were counted nowhere: `cut` was zero.
+#[test_case(RequestOutcome::Interrupted, 504, DrainEnd::Cut; "cut")]
+#[test_case(RequestOutcome::Refused, 503, DrainEnd::Refused; "refused")]
+#[test_case(RequestOutcome::Refused, 504, DrainEnd::Failed; "failed")]
+#[test_case(RequestOutcome::Answered, 200, DrainEnd::Answered; "answered")]
+#[test_case(RequestOutcome::ClientDisconnected, 200, DrainEnd::ClientDisconnected; "client gone")]
+fn cut_streams_are_not_counted(outcome: RequestOutcome, status: u16, end: DrainEnd) {
+    let metrics = Metrics::default();
+    let status = StatusCode::from_u16(status).expect("it is a status");
+    metrics.record_drained(DrainEnd::new(outcome, status));
+    assert_eq!(metrics.drained(end), 1);
+}
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -36,6 +36,7 @@
 use super::members::Members;
 use super::metrics::Metrics;
 use super::quarantine::Quarantine;
+use super::request_log::DrainRead;
 use super::service_time::ServiceTime;
 use super::session_lists::{SessionLists, WAIT_TTL};
 use super::sessions::{MAX_REPORTED_SESSIONS, Sessions};
@@ -269,11 +270,26 @@
         let Some(drain) = self.phases.get().drain() else {
             return true;
         };
+        let expected = self.expected_time(route);
+        drain.has_time_for(expected.map_or(limit, |expected| expected.min(limit)))
+    }
+
+    // Time within which answers of a route are expected to end, if any was seen.
+    fn expected_time(&self, route: &Route) -> Option<Duration> {
         let times = self.service_times.borrow();
-        let is_repeatable = route.kind.is_retryable();
         let known = times.get(&route.name);
-        let expected = known.map(|time| time.expected(is_repeatable));
-        drain.has_time_for(expected.map_or(limit, |expected| expected.min(limit)))
+        known.map(|time| time.expected(route.kind.is_retryable()))
+    }
+
+    /// Describes a request with a time limit that is read now; `None` outside a drain.
+    pub(super) fn drain_read(&self, route: &Route, limit: Duration) -> Option<DrainRead> {
+        let drain = self.phases.get().drain()?;
+        Some(DrainRead {
+            age: drain.age(),
+            left: drain.time_left(),
+            expected: self.expected_time(route),
+            limit,
+        })
     }
 
     /// Time since the relay started, which is the clock of the state held here.
