Show streams of drawn lengths that are cut in a planned stop

The new world has two relays before six upstreams, played by the test, whose streams take the time that their request names, drawn from an exponential of mean 1.2 s with a seed. One relay gets SIGTERM, new connections come each 40 ms. Times are the relay's own.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod deadly;
 mod departing;
 mod draining;
+mod drawn;
 mod flooded;
 mod hosts;
 mod interrupted;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -6,6 +6,7 @@
 mod history;
 pub(crate) mod limit;
 mod manifest;
+pub(crate) mod paced;
 pub(crate) mod platform;
 mod process;
 pub(crate) mod raw;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -455,11 +455,17 @@
 
     /// Waits for a relay's log line of a request and returns its record.
     pub(crate) async fn request_record(&self, relay: usize, id: &str) -> RequestRecord {
-        let text = format!("request={id} ");
-        let texts = [" request ", text.as_str(), "outcome="];
-        self.until(async |world| !world.logged(relay, &texts).is_empty())
+        self.until(async |world| world.logged_request(relay, id).is_some())
             .await;
-        RequestRecord::parse(&self.logged(relay, &texts)[0])
+        let record = self.logged_request(relay, id);
+        record.expect("a log line stays")
+    }
+
+    /// A relay's log line of a request, if it is there.
+    pub(crate) fn logged_request(&self, relay: usize, id: &str) -> Option<RequestRecord> {
+        let text = format!("request={id} ");
+        let lines = self.logged(relay, &[" request ", &text, "outcome="]);
+        lines.first().map(|line| RequestRecord::parse(line))
     }
 
     /// Waits until all relays are ready, and the first one knows all registered
