Take a request late in a drain only if it is certain to end

Cause: a drain took each request that it expected to end in time, by the mean and one mean deviation of its route. Lengths have long tails, so one in five or six takes longer. It shows where all or most relays stop at once, since the balancer then uses those that are not ready, too.

Change: until the balancer's clients are gone (two failed probes, half a second to connect and send: 2.5 s) as before; later a request is taken only if its own time limit ends by the last moment for an answer. That rests on no estimate.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -419,7 +419,7 @@
         if let Some(read) = self.traffic.drain_read(route, limit) {
             log.record_drain(read);
         }
-        if !self.traffic.has_time_for(route, limit) {
+        if !self.traffic.can_take(route, limit) {
             return Err(Refusal::Stopping(self.traffic.stop_retry_after()));
         }
         Ok(admitted)
--- a/src/carawayrun/relay/drain.rs
+++ b/src/carawayrun/relay/drain.rs
@@ -1,10 +1,10 @@
 //! Planned stop of a relay.
 //!
 //! A drain has an end that is known from its first moment. No request is answered later,
-//! so its deadline is the earlier of its own and the drain's. A request that is not
-//! expected to end by then is refused at once while the port is open, and so is any
-//! further attempt of one that is under way. The relay then closes its port, answers what
-//! it has read, and exits.
+//! so its deadline is the earlier of its own and the drain's. While the balancer still
+//! sends clients, a request is taken if it is expected to end by then, and later only if
+//! its own time limit ends by then; any other is refused at once while the port is open.
+//! The relay then closes its port, answers what it has read, and exits.
 
 use std::time::Duration;
 
@@ -16,9 +16,21 @@
 /// needs to connect.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_200);
 
-/// Delay between the start of a drain and the closing of idle connections: the
-/// balancer takes two failed probes, a second apart, to stop sending clients.
-const IDLE_DRAIN_DELAY: Duration = Duration::from_millis(2_500);
+/// Delay between the start of a drain and the moment at which the balancer's clients are
+/// gone: two failed probes, a second apart, and the time that a client which was sent
+/// before needs to connect and to send its request.
+const CLIENTS_GONE_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Delay after the signal to stop from which on a request that is sent must get a whole
+/// answer if it is taken.
+const WHOLE_ANSWER_DELAY: Duration = Duration::from_secs(3);
+
+/// Time for which the signal may wait for the processor.
+const SIGNAL_MARGIN: Duration = Duration::from_millis(500);
+
+const _: () = assert!(
+    CLIENTS_GONE_DELAY.as_millis() + SIGNAL_MARGIN.as_millis() <= WHOLE_ANSWER_DELAY.as_millis()
+);
 
 /// Part of the grace period reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
@@ -77,6 +89,13 @@
         self.answer_by.saturating_duration_since(Instant::now())
     }
 
+    /// Returns true if a request that was read now is taken. Its answer is expected to
+    /// take `expected` and ends after `limit` in any case.
+    pub(super) fn can_take(&self, expected: Duration, limit: Duration) -> bool {
+        let are_clients_gone = self.age() >= CLIENTS_GONE_DELAY;
+        self.has_time_for(if are_clients_gone { limit } else { expected })
+    }
+
     /// Returns true if a request that takes `expected` from now on ends in time.
     pub(super) fn has_time_for(&self, expected: Duration) -> bool {
         Instant::now() + expected <= self.answer_by
@@ -106,7 +125,7 @@
     pub(super) fn close_idle_at(&self, has_served: bool) -> Option<Instant> {
         match self {
             Self::Serving => None,
-            Self::Draining(drain) => has_served.then(|| drain.begun + IDLE_DRAIN_DELAY),
+            Self::Draining(drain) => has_served.then(|| drain.begun + CLIENTS_GONE_DELAY),
             Self::Closing(_, since) if has_served => Some(*since),
             Self::Closing(drain, since) => Some((*since + FIRST_BYTE_TIME).min(drain.answer_by)),
         }
--- a/src/carawayrun/relay/service_time.rs
+++ b/src/carawayrun/relay/service_time.rs
@@ -10,8 +10,8 @@
 /// Mean deviations above the mean within which nearly all answers end.
 const MOST_DEVIATIONS: f64 = 3.0;
 
-/// The same for requests that can be repeated: the client of one that is cut goes on
-/// elsewhere, so that fewer are refused.
+/// The same for requests that can be repeated, so that fewer are refused: one that is cut
+/// costs its caller time, but is not in doubt.
 const REPEATABLE_DEVIATIONS: f64 = 1.0;
 
 /// Moving mean and mean deviation of the time from a request to the end of its answer.
--- a/src/carawayrun/relay/tests/drain.rs
+++ b/src/carawayrun/relay/tests/drain.rs
@@ -3,7 +3,7 @@
 use actix_http::StatusCode;
 use proptest::prelude::*;
 use test_case::test_case;
-use tokio::time::{Instant, advance};
+use tokio::time::{Instant, advance, sleep_until};
 
 use crate::relay::drain::{Drain, Phase, Phases};
 use crate::relay::metrics::{DrainEnd, Metrics};
@@ -40,6 +40,36 @@
     assert!(!drain.has_time_for(millis(301)));
 }
 
+proptest! {
+    // A stream that was read 3 s and more after the signal was taken since most of its route
+    // end in time, and cut in the middle of its answer.
+    #[test]
+    fn request_taken_late_is_cut(
+        grace in 1_u64..60_000,
+        signal in 0_u64..500,
+        sent in 0_u64..60_000,
+        expected in 0_u64..30_000,
+        limit in 1_u64..30_000,
+        took in 0_u64..30_000,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime can be built");
+        let (taken, answer_by, ended) = runtime.block_on(async {
+            let signalled = Instant::now();
+            advance(millis(signal)).await;
+            let drain = Drain::begin(millis(grace));
+            sleep_until(signalled + millis(sent)).await;
+            let expected = millis(expected.min(limit));
+            let taken = drain.can_take(expected, millis(limit));
+            (taken, drain.answer_by, Instant::now() + millis(took.min(limit)))
+        });
+        prop_assert!(!taken || sent <= 3_000 || ended <= answer_by);
+    }
+}
+
 // A connection that was just accepted is no idle one: its client's request is on its way.
 #[tokio::test(start_paused = true)]
 async fn new_connection_is_closed_as_idle() {
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -264,14 +264,25 @@
             .or_insert_with(|| ServiceTime::new(took));
     }
 
-    /// Returns true unless the relay is stopping before a request of a route that begins
-    /// now would end. It takes at most `limit`, also where nothing is known of the route.
+    /// Returns true unless the relay is stopping and may not be able to answer a request
+    /// of a route that was read now. It takes at most `limit`.
+    pub(super) fn can_take(&self, route: &Route, limit: Duration) -> bool {
+        let drain = self.phases.get().drain();
+        drain.is_none_or(|drain| drain.can_take(self.expected_within(route, limit), limit))
+    }
+
+    /// Returns true unless the relay is stopping before an attempt for a request of a
+    /// route that begins now would end. It takes at most `limit`.
     pub(super) fn has_time_for(&self, route: &Route, limit: Duration) -> bool {
-        let Some(drain) = self.phases.get().drain() else {
-            return true;
-        };
+        let drain = self.phases.get().drain();
+        drain.is_none_or(|drain| drain.has_time_for(self.expected_within(route, limit)))
+    }
+
+    // Time that an answer of a route is expected to take, at most `limit`, also where
+    // nothing is known of the route.
+    fn expected_within(&self, route: &Route, limit: Duration) -> Duration {
         let expected = self.expected_time(route);
-        drain.has_time_for(expected.map_or(limit, |expected| expected.min(limit)))
+        expected.map_or(limit, |expected| expected.min(limit))
     }
 
     // Time within which answers of a route are expected to end, if any was seen.
