Stop several relays at once in the soak, beside answers of drawn times

After the faults of one seed in four, several or all relays get SIGTERM at once, while the stand-ins draw the time of each request (drawnWorkMs, exponential) and one body in five comes up to 2.5 s late.

check_stops judged no stop so far: the time without a process after a stop is recorded as a fault of that relay, begins at the stop's end, and so excused the stop itself. It no longer does, nor does the restart after another stop; other faults excuse as before. check_tests shows both.

--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -16,6 +16,9 @@
     pub(crate) down: bool,
     /// Delay before each call is handled, in milliseconds.
     pub(crate) slow_ms: u64,
+    /// Mean of an exponential distribution, in milliseconds, from which the time that a
+    /// runner works on each request is drawn; zero for equal times.
+    pub(crate) drawn_work_ms: u64,
     /// Number of next calls that take effect but whose answers are lost: the
     /// connection is closed instead.
     pub(crate) lose_answers: u32,
--- a/crates/lab/src/runner.rs
+++ b/crates/lab/src/runner.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fs::File;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -20,6 +21,8 @@
 use bytes::Bytes;
 use carawayrun::http::{json, read_body, stream, text};
 use futures_util::StreamExt;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
 use crate::command::Failure;
@@ -259,7 +262,7 @@
         self.record_run(&id, run);
         let is_stream = request.path().contains("stream");
         if !is_stream {
-            actix_rt::time::sleep(self.work_time).await;
+            actix_rt::time::sleep(self.work_time(&id, 1)).await;
         }
         if self.faults.take_lost_answer() {
             return lost_answer();
@@ -300,6 +303,19 @@
         answer
     }
 
+    // Time of work before each of so many parts of an answer.
+    fn work_time(&self, id: &str, parts: u32) -> Duration {
+        match self.faults.get().drawn_work_ms {
+            0 => self.work_time,
+            mean => {
+                let mut hasher = DefaultHasher::new();
+                id.hash(&mut hasher);
+                let share: f64 = StdRng::seed_from_u64(hasher.finish()).random();
+                Duration::from_millis(mean).mul_f64(-(1.0 - share).ln()) / parts
+            }
+        }
+    }
+
     fn process_end(&self, request: &Request) -> ProcessEnd {
         let faults = self.faults.get();
         let path = request.path();
@@ -398,7 +414,7 @@
                 "stream interrupted by the fault cutStreams",
             )));
         }
-        let work_time = self.work_time;
+        let work_time = self.work_time(&slot.id, EVENTS_PER_STREAM);
         let junk = junk.map(|(bytes, pause)| {
             let junk = futures_util::stream::iter(std::iter::repeat_n(bytes, MAX_JUNK_CHUNKS));
             junk.then(move |bytes| async move {
--- a/tests/testsuite/soak/callers.rs
+++ b/tests/testsuite/soak/callers.rs
@@ -27,6 +27,11 @@
 /// Share of the requests that use a revoked key, once there is one.
 const REVOKED_KEY_SHARE: f64 = 0.08;
 
+/// Share of the requests whose body comes late while relays are stopped together, and the
+/// longest pause before it.
+const SLOW_SHARE: f64 = 0.2;
+const MAX_UPLOAD_PAUSE_MS: u64 = 2_500;
+
 /// Share of the requests that crash upstreams, while there are any.
 const DEADLY_SHARE: f64 = 0.1;
 
@@ -54,7 +59,15 @@
         };
         let key = choose_key(&deployment, &mut rng);
         let id = format!("c{number}-{count}");
-        let exchange = send_request(&deployment, &mut connection, relay, kind, key, id).await;
+        let has_body = kind != RequestKind::Read;
+        let is_slow = deployment.is_stopping.get() && has_body && rng.random_bool(SLOW_SHARE);
+        let pause = if is_slow {
+            Duration::from_millis(rng.random_range(0..MAX_UPLOAD_PAUSE_MS))
+        } else {
+            Duration::ZERO
+        };
+        let to = (&mut connection, relay);
+        let exchange = send_request(&deployment, to, kind, key, id, pause).await;
         let is_served = exchange.complete && exchange.status.is_some_and(|status| status < 500);
         deployment.history.borrow_mut().exchanges.push(exchange);
         if !is_served {
@@ -82,14 +95,14 @@
     keys[rng.random_range(0..keys.len())].clone()
 }
 
-/// Sends one request and returns its outcome.
+/// Sends one request to a relay, its body after a pause, and returns its outcome.
 pub(crate) async fn send_request(
     deployment: &Deployment,
-    connection: &mut Connection,
-    relay: usize,
+    (connection, relay): (&mut Connection, usize),
     kind: RequestKind,
     key: String,
     id: String,
+    pause: Duration,
 ) -> Exchange {
     let mut exchange = Exchange {
         id,
@@ -104,13 +117,14 @@
         body: String::new(),
         echoed_id: None,
     };
-    let limit = Duration::from_millis(kind.deadline_ms()) + DEADLINE_MARGIN;
+    let limit = Duration::from_millis(kind.deadline_ms()) + DEADLINE_MARGIN + pause;
     let addr = deployment.client_addr(relay);
     let mut answer = Answer::default();
     let (head, body) = (request_head(&exchange), exchange.kind.body(&exchange.id));
-    let sent = connection.send(&addr, head, body.as_bytes(), &mut answer);
+    let sent = connection.send(&addr, head, (body.as_bytes(), pause), &mut answer);
     // After a timeout, `answer` holds what was received until then.
     let _result = timeout(limit, sent).await;
+    exchange.sent = answer.sent_ms.unwrap_or(exchange.sent);
     exchange.status = answer.status;
     exchange.complete = answer.complete;
     exchange.body = answer.body;
--- a/tests/testsuite/soak/check.rs
+++ b/tests/testsuite/soak/check.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 
 use super::check_bounds::find_bound_violations;
-use super::history::{EVENTS, Exchange, FaultTarget, History, RequestKind, Run};
+use super::history::{Disturbance, EVENTS, Exchange, FaultTarget, History, RequestKind, Run, Stop};
 use crate::support::limit;
 
 /// Bounds in milliseconds, the same as in the settings of the soak's relays.
@@ -21,6 +21,12 @@
 /// Time past its deadline within which a request must have its final answer.
 const DEADLINE_SLACK_MS: u64 = 500;
 
+/// Time after SIGTERM until which a request may be sent that the stop then cuts.
+const EARLY_MS: u64 = 3_000;
+
+/// `timeout_ms` of the routes.
+const TIMEOUT_MS: u64 = 6_000;
+
 /// Number of late requests from which they are a violation, if they are also more
 /// than a quarter of the requests that reached their deadline.
 const LATE_THRESHOLD: usize = 8;
@@ -302,7 +308,9 @@
     for stop in &history.stops {
         let (relay, requested) = (stop.relay, stop.requested);
         let others = history.disturbances.iter().filter(|other| {
-            other.from <= stop.ended && other.to >= requested.saturating_sub(CONTACT_MS)
+            other.from <= stop.ended
+                && other.to >= requested.saturating_sub(CONTACT_MS)
+                && !is_restart(history, other)
         });
         if others.count() > 0 {
             continue;
@@ -318,7 +326,8 @@
             other.relay == relay
                 && other.incarnation == stop.incarnation
                 && other.ended >= requested
-                && !other.complete
+                && !is_answered(other, stop)
+                && !(stop.is_drawn && is_excused(other, stop))
         });
         for exchange in interrupted.filter(|other| history.runs_of(&other.id).count() > 0) {
             violations.push(format!(
@@ -330,6 +339,30 @@
     violations
 }
 
+// The time without a process after a planned stop, which is no fault.
+fn is_restart(history: &History, disturbance: &Disturbance) -> bool {
+    let mut stops = history.stops.iter();
+    stops.any(|stop| {
+        disturbance.target == FaultTarget::Relay(stop.relay) && disturbance.from == stop.ended
+    })
+}
+
+// Where answers take drawn times, one that was given up is no answer to what was taken.
+fn is_answered(exchange: &Exchange, stop: &Stop) -> bool {
+    let is_given_up = matches!(exchange.status, Some(502 | 504));
+    exchange.complete && !(stop.is_drawn && is_given_up)
+}
+
+// A request that was sent early and still ran in the last sixth of the grace period, or
+// that reached its time limit.
+fn is_excused(exchange: &Exchange, stop: &Stop) -> bool {
+    let is_early = exchange.sent <= stop.requested + EARLY_MS;
+    let is_in_last_sixth = exchange.ended >= stop.requested + GRACE_MS - GRACE_MS / 6;
+    let limit = exchange.kind.deadline_ms().min(TIMEOUT_MS);
+    let is_timed_out = exchange.ended >= exchange.sent + limit;
+    (is_early && is_in_last_sixth) || is_timed_out
+}
+
 fn check_lost_answers(history: &History) -> Option<String> {
     let lost = history.exchanges.iter().filter(|exchange| {
         let relay = exchange.relay;
--- a/tests/testsuite/soak/check_tests.rs
+++ b/tests/testsuite/soak/check_tests.rs
@@ -234,9 +234,45 @@
         requested: SENT + 50,
         ended: SENT + 3_500,
         exit_code,
+        is_drawn: false,
     }
 }
 
+// Its own restart counted as a fault, so that no stop was judged.
+#[test]
+fn restart_after_a_stop_excuses_the_stop() {
+    let mut history = history(RequestKind::Switch);
+    history.stops.push(stop(None));
+    history.disturbances.push(Disturbance {
+        target: FaultTarget::Relay(0),
+        from: SENT + 3_500,
+        to: SENT + 4_000,
+    });
+    assert_violation(&history, "stopped with None");
+}
+
+#[test_case(2_900, 7_650, None, false; "sent early and cut in the last sixth")]
+#[test_case(4_000, 7_650, None, true; "sent late")]
+#[test_case(2_900, 6_000, None, true; "cut early")]
+#[test_case(3_200, 7_200, Some(504), false; "time limit")]
+#[test_case(3_200, 7_000, Some(502), true; "given up")]
+fn request_cut_by_stop_beside_drawn_times_is_reported(
+    sent: u64,
+    ended: u64,
+    status: Option<u16>,
+    is_violation: bool,
+) {
+    let mut history = history(RequestKind::Switch);
+    let mut stop = stop(Some(0));
+    (stop.requested, stop.ended, stop.is_drawn) = (SENT, SENT + 7_700, true);
+    history.stops.push(stop);
+    let exchange = &mut history.exchanges[0];
+    (exchange.sent, exchange.ended) = (SENT + sent, SENT + ended);
+    (exchange.status, exchange.complete) = (status, status.is_some());
+    let found = find_violations(&history);
+    assert_eq!(!found.is_empty(), is_violation, "{found:?}");
+}
+
 #[test]
 fn request_interrupted_by_stop_is_reported() {
     let mut history = history(RequestKind::Switch);
--- a/tests/testsuite/soak/connection.rs
+++ b/tests/testsuite/soak/connection.rs
@@ -4,6 +4,7 @@
 //! drives the codec itself.
 
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
@@ -14,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::support::now_ms;
+
 /// The part of an answer that was received.
 #[derive(Debug, Default)]
 pub(crate) struct Answer {
@@ -22,6 +25,9 @@
     pub(crate) body: String,
     /// Whether the answer was received to its end.
     pub(crate) complete: bool,
+    /// Time at which the request's last byte was written, in milliseconds since the Unix
+    /// epoch.
+    pub(crate) sent_ms: Option<u64>,
 }
 
 /// Connection for one request at a time, reused until a request fails or the relay
@@ -34,12 +40,12 @@
 
 impl Connection {
     /// Sends a request and reads the answer into `answer`, which holds what was
-    /// received even if the caller drops the future.
+    /// received even if the caller drops the future. The body follows after a pause.
     pub(crate) async fn send(
         &mut self,
         addr: &str,
         head: RequestHead,
-        body: &[u8],
+        (body, pause): (&[u8], Duration),
         answer: &mut Answer,
     ) -> io::Result<()> {
         let mut stream = match self.stream.take() {
@@ -57,10 +63,15 @@
             Message::Item((RequestHeadType::from(head), size)),
             &mut bytes,
         )?;
+        if !pause.is_zero() {
+            stream.write_all(&bytes.split()).await?;
+            actix_rt::time::sleep(pause).await;
+        }
         if size != BodySize::None {
             bytes.extend_from_slice(body);
         }
         stream.write_all(&bytes).await?;
+        answer.sent_ms = Some(now_ms());
         let head = loop {
             if let Some(head) = codec.decode(&mut self.received).map_err(io::Error::other)? {
                 break head;
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -35,6 +35,9 @@
 /// Number of answers that the stand-in of the store loses in one fault.
 const LOST_ANSWERS: u32 = 5;
 
+/// Mean of the drawn times of answers.
+const DRAWN_WORK_MS: u64 = 1_200;
+
 /// API keys that every configuration contains.
 pub(crate) const PERMANENT_KEYS: [&str; 2] = ["shop-key", "depot-key"];
 
@@ -57,6 +60,8 @@
     pub(crate) sends_deadly: Cell<bool>,
     /// True until the faults are over.
     has_faults: Cell<bool>,
+    /// True while relays are stopped together and answers take drawn times.
+    pub(crate) is_stopping: Cell<bool>,
 }
 
 /// A relay or upstream that is restarted in the course of a soak.
@@ -101,6 +106,7 @@
             version: Cell::new(1),
             sends_deadly: Cell::new(false),
             has_faults: Cell::new(true),
+            is_stopping: Cell::new(false),
             net,
         };
         deployment.bind_links(&store).await;
@@ -368,6 +374,7 @@
             requested,
             ended,
             exit_code,
+            is_drawn: self.is_stopping.get(),
         };
         self.history.borrow_mut().stops.push(stop);
         sleep(RESTART_DELAY).await;
@@ -378,6 +385,21 @@
         self.record_disturbance(FaultTarget::Relay(relay), ended);
     }
 
+    /// Stops the first relays at once while answers take drawn times, without other faults.
+    pub(crate) async fn stop_together(&self, count: usize) {
+        self.is_stopping.set(true);
+        let drawn = json!({"drawnWorkMs": DRAWN_WORK_MS});
+        for upstream in 0..self.sizes.upstreams {
+            self.set_upstream_faults(upstream, &drawn).await;
+        }
+        // Time for earlier faults to end, and for relays to see drawn times.
+        sleep(Duration::from_millis(super::check::CONTACT_MS + 500)).await;
+        let stops = (0..count).map(|relay| self.stop_relay(relay));
+        futures_util::future::join_all(stops).await;
+        self.is_stopping.set(false);
+        self.clear_upstream_faults().await;
+    }
+
     pub(crate) async fn freeze_relay(&self, relay: usize, duration: Duration) {
         let from = now_ms();
         self.freeze(&self.relays[relay], duration).await;
--- a/tests/testsuite/soak/history.rs
+++ b/tests/testsuite/soak/history.rs
@@ -141,6 +141,8 @@
     pub(crate) ended: u64,
     /// None if the process did not exit in time and was killed.
     pub(crate) exit_code: Option<i32>,
+    /// Whether answers took drawn times, so that some were too long for the stop.
+    pub(crate) is_drawn: bool,
 }
 
 /// Everything that was recorded in a soak.
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -32,7 +32,7 @@
 use self::connection::Connection;
 use self::deployment::{Deployment, PERMANENT_KEYS};
 use self::history::RequestKind;
-use self::plan::{Sizes, plan_faults};
+use self::plan::{Sizes, plan_faults, stops_together};
 use crate::support::now_ms;
 
 /// Default sizes, which keep a test at a few dozen processes at most.
@@ -114,6 +114,10 @@
         injection.await.expect("an injection does not panic");
     }
     deployment.clear_upstream_faults().await;
+    if let Some(count) = stops_together(seed, sizes) {
+        deployment.wait_for_recovery().await;
+        deployment.stop_together(count).await;
+    }
     let mut violations = check_recovery(&deployment).await;
     stopped.set(true);
     for caller in callers {
@@ -143,7 +147,8 @@
             for kind in [RequestKind::Read, RequestKind::Switch, RequestKind::Stream] {
                 let id = format!("after-{relay}-{number}-{kind:?}");
                 let key = keys[number % keys.len()].clone();
-                let served = send_request(deployment, &mut connection, relay, kind, key, id).await;
+                let to = (&mut connection, relay);
+                let served = send_request(deployment, to, kind, key, id, Duration::ZERO).await;
                 if served.status != Some(200) || !served.complete {
                     violations.push(format!("not served after the faults ended: {served:?}"));
                 }
--- a/tests/testsuite/soak/plan.rs
+++ b/tests/testsuite/soak/plan.rs
@@ -243,6 +243,18 @@
     plan
 }
 
+/// Number of relays that are stopped at once after the faults of a seed: several or all, in
+/// one seed of four.
+pub(crate) fn stops_together(seed: u64, sizes: Sizes) -> Option<usize> {
+    let several = sizes.relays.div_ceil(2);
+    let count = if seed.is_multiple_of(8) {
+        sizes.relays
+    } else {
+        several
+    };
+    seed.is_multiple_of(4).then_some(count)
+}
+
 /// Whether callers of a seed send requests that crash upstreams: those of one in three.
 pub(crate) fn has_deadly_requests(seed: u64) -> bool {
     seed % 3 == 1
