Tell refused clients to return when a relay serves

What callers saw: where all relays stop at once, a client that one of them refused came back after 0.05 to 0.15 s, met the next one that refused it, and had used up its retry. And relays that had ended all they had taken kept their ports open until 7.3 s, as clients went on coming, so that no relay was back for longer than needed.

Cause: a stopping relay took for granted that others serve. It waited for a moment without any request, its own refusals included.

Change: reports between relays carry the time in which the sender has probably stopped: 2.5 s and the longest expected time of its routes. Retry-After is as before where another relay serves, else the least of these times and a second for the start, with up to 1 s of spread (pure code in members.rs and drain.rs). The port is closed once what began before the balancer's clients were gone has ended.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -544,6 +544,10 @@
     /// Hashes of the incarnations of upstreams that said to the sender that they leave.
     #[prost(fixed64, repeated, tag = "11")]
     pub leaving: ::prost::alloc::vec::Vec<u64>,
+    /// Time until the sender has probably stopped, in milliseconds; absent while it
+    /// serves.
+    #[prost(uint32, optional, tag = "12")]
+    pub stops_in: ::core::option::Option<u32>,
 }
 /// What a relay saw itself of a part of prompts or of a request, and its quarantine as
 /// the relay knows it. Ages are in milliseconds.
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -150,6 +150,9 @@
         let traffic = Rc::clone(&self.traffic);
         let waited = self.wait_for_request(&limits).await;
         let _begun = Counted::new(&traffic, |traffic| &traffic.begun_requests);
+        let drain = traffic.phases.get().drain();
+        let is_early = drain.is_none_or(|drain| !drain.are_clients_gone());
+        let _early = is_early.then(|| Counted::new(&traffic, |traffic| &traffic.early_requests));
         self.unused = None;
         let read = match waited {
             Ok(()) => self.read_in_time(&limits).await,
--- a/src/carawayrun/relay/drain.rs
+++ b/src/carawayrun/relay/drain.rs
@@ -42,6 +42,22 @@
 /// first byte of a request.
 const FIRST_BYTE_TIME: Duration = Duration::from_millis(150);
 
+/// Shortest `Retry-After` of a request that is refused while another relay serves.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Time within which clients return once a relay serves again.
+const RETURN_SPREAD: Duration = Duration::from_secs(1);
+
+/// Time after which the client of a request that is refused in a drain returns. A relay
+/// serves in `wait`; `random` is in 0..1.
+pub(super) fn retry_after(wait: Duration, random: f64) -> Duration {
+    if wait.is_zero() {
+        MIN_RETRY_AFTER.mul_f64(2.0f64.mul_add(random, 1.0))
+    } else {
+        wait + RETURN_SPREAD.mul_f64(random)
+    }
+}
+
 /// Times of a drain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Drain {
@@ -74,6 +90,13 @@
         close_by.unwrap_or(self.begun).max(self.begun)
     }
 
+    /// Time until a relay whose longest answers take `longest` has probably stopped.
+    pub(super) fn stops_in(&self, longest: Duration) -> Duration {
+        let served = (CLIENTS_GONE_DELAY + longest).max(MIN_DRAIN_TIME);
+        let stops_at = (self.begun + served).min(self.end);
+        stops_at.saturating_duration_since(Instant::now())
+    }
+
     /// Returns true if the port may be closed, as far as the balancer's clients matter.
     pub(super) fn is_over(&self) -> bool {
         self.begun.elapsed() >= MIN_DRAIN_TIME
@@ -92,8 +115,16 @@
     /// Returns true if a request that was read now is taken. Its answer is expected to
     /// take `expected` and ends after `limit` in any case.
     pub(super) fn can_take(&self, expected: Duration, limit: Duration) -> bool {
-        let are_clients_gone = self.age() >= CLIENTS_GONE_DELAY;
-        self.has_time_for(if are_clients_gone { limit } else { expected })
+        self.has_time_for(if self.are_clients_gone() {
+            limit
+        } else {
+            expected
+        })
+    }
+
+    /// Returns true once the balancer sends no clients here, if it has others.
+    pub(super) fn are_clients_gone(&self) -> bool {
+        self.age() >= CLIENTS_GONE_DELAY
     }
 
     /// Returns true if a request that takes `expected` from now on ends in time.
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -14,6 +14,14 @@
 /// Time after which a gateway that is silent and not listed gets no more reports.
 const REPORT_TTL: Duration = Duration::from_secs(10);
 
+/// Age up to which a report says that its gateway serves: longer than the time in which a
+/// gateway among four hundred sends its report to all others.
+const SERVING_TTL: Duration = Duration::from_secs(3);
+
+/// Time from the end of a gateway's process to the next one's first request: the platform's
+/// restart, and the reading of the store.
+const START_TIME: Duration = Duration::from_secs(1);
+
 /// Other gateways and when each was last known to run. Times are on the caller's
 /// clock.
 #[derive(Debug, Default)]
@@ -28,14 +36,29 @@
     /// Last sign of life, a report or the store's list.
     at: Duration,
     reported_at: Option<Duration>,
+    /// Time by which it stops, if its last report said that it does.
+    stops_at: Option<Duration>,
+}
+
+impl LastSeen {
+    // Time until it takes requests; `None` if that is not known.
+    fn time_to_serve(&self, now: Duration) -> Option<Duration> {
+        let reported_at = self.reported_at?;
+        let serves_at = match self.stops_at {
+            Some(stops_at) => stops_at + START_TIME,
+            None => reported_at,
+        };
+        (now < serves_at + SERVING_TTL).then(|| serves_at.saturating_sub(now))
+    }
 }
 
 impl Members {
-    /// Records that a gateway sent a report.
-    pub fn record_report(&mut self, addr: SocketAddr, now: Duration) {
+    /// Records that a gateway sent a report, by which it stops within `stops_in`, if at all.
+    pub fn record_report(&mut self, addr: SocketAddr, stops_in: Option<Duration>, now: Duration) {
         let seen = LastSeen {
             at: now,
             reported_at: Some(now),
+            stops_at: stops_in.map(|stops_in| now + stops_in),
         };
         self.others.insert(addr, seen);
     }
@@ -47,6 +70,7 @@
             let seen = self.others.entry(*addr).or_insert(LastSeen {
                 at: now,
                 reported_at: None,
+                stops_at: None,
             });
             seen.at = now;
         }
@@ -84,6 +108,14 @@
         recent.map(|(addr, _)| *addr)
     }
 
+    /// Time until a gateway takes requests, zero if one other than `own` does now. `own`
+    /// itself stops within `stops_in`.
+    pub fn time_to_serve(&self, own: SocketAddr, stops_in: Duration, now: Duration) -> Duration {
+        let others = self.others.iter().filter(|(addr, _)| **addr != own);
+        let times = others.filter_map(|(_, seen)| seen.time_to_serve(now));
+        times.fold(stops_in + START_TIME, Duration::min)
+    }
+
     /// True once the gateways in the store were read.
     pub fn is_listed(&self) -> bool {
         self.is_listed
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -91,16 +91,19 @@
         self.traffic.reload(settings);
     }
 
-    /// Becomes unready, waits for the requests in flight until none is left or
-    /// the grace period ends, closes the port, and returns the number of interrupted
-    /// requests.
+    /// Becomes unready, waits for the requests that came before the balancer's clients
+    /// were gone until none is left or the grace period ends, closes the port, and returns
+    /// the number of interrupted requests. Clients that still come don't keep it: it serves
+    /// them better once it has started again.
     pub async fn drain(&self) -> usize {
         let traffic = &self.traffic;
         let drain = Drain::begin(traffic.settings().grace);
         traffic.phases.begin_drain(drain);
+        // Tells the other gateways at once.
+        traffic.load_changed.notify_one();
         tracing::info!(active = traffic.active_requests.get(), "relay draining");
         let has_time = || Instant::now() < drain.close_by();
-        while has_time() && (traffic.has_requests() || !drain.is_over()) {
+        while has_time() && (traffic.early_requests.get() > 0 || !drain.is_over()) {
             sleep(DRAIN_CHECK_INTERVAL).await;
         }
         traffic.phases.close(drain);
--- a/src/carawayrun/relay/tests/drain.rs
+++ b/src/carawayrun/relay/tests/drain.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::StatusCode;
@@ -5,7 +6,8 @@
 use test_case::test_case;
 use tokio::time::{Instant, advance, sleep_until};
 
-use crate::relay::drain::{Drain, Phase, Phases};
+use crate::relay::drain::{Drain, Phase, Phases, retry_after};
+use crate::relay::members::Members;
 use crate::relay::metrics::{DrainEnd, Metrics};
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::service_time::ServiceTime;
@@ -70,6 +72,38 @@
     }
 }
 
+fn relay(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7010))
+}
+
+// All relays stopped at once, and clients came back within 0.15 s to be refused again.
+#[test]
+fn clients_return_before_a_relay_serves() {
+    let (own, stops_in) = (relay(1), millis(5_000));
+    let mut members = Members::default();
+    let wait = |members: &Members, now| members.time_to_serve(own, stops_in, millis(now));
+    // Nothing is known of others: the relay itself starts again.
+    assert_eq!(wait(&members, 0), millis(6_000));
+    members.record_report(relay(2), Some(millis(1_000)), millis(100));
+    members.record_report(relay(3), Some(millis(3_000)), millis(100));
+    assert_eq!(wait(&members, 600), millis(1_500));
+    // It should have started again by now, though it was not heard since.
+    assert_eq!(wait(&members, 2_100), Duration::ZERO);
+    members.record_report(relay(2), Some(millis(4_000)), millis(2_200));
+    members.record_report(relay(3), None, millis(2_200));
+    assert_eq!(wait(&members, 2_300), Duration::ZERO);
+    // Silent for too long to count.
+    assert_eq!(wait(&members, 5_300), millis(1_900));
+}
+
+#[test]
+fn refused_clients_return_together() {
+    assert_eq!(retry_after(Duration::ZERO, 0.0), millis(50));
+    assert_eq!(retry_after(Duration::ZERO, 1.0), millis(150));
+    assert_eq!(retry_after(millis(2_000), 0.0), millis(2_000));
+    assert_eq!(retry_after(millis(2_000), 1.0), millis(3_000));
+}
+
 // A connection that was just accepted is no idle one: its client's request is on its way.
 #[tokio::test(start_paused = true)]
 async fn new_connection_is_closed_as_idle() {
--- a/src/carawayrun/relay/tests/rate_limit.rs
+++ b/src/carawayrun/relay/tests/rate_limit.rs
@@ -101,7 +101,7 @@
 fn silent_gateways_keep_their_shares() {
     let mut members = Members::default();
     members.record_listed(&[addr(0), addr(1), addr(2)], millis(0));
-    members.record_report(addr(3), millis(1_000));
+    members.record_report(addr(3), None, millis(1_000));
     members.expire(millis(60_000));
     let share = members.rate_share(addr(0), "i-1", 4.0);
     assert_eq!(share, RateShare::new(4.0, 0, 4));
@@ -113,8 +113,8 @@
 #[test]
 fn reports_go_to_recent_senders_and_listed_gateways() {
     let mut members = Members::default();
-    members.record_report(addr(2), millis(0));
-    members.record_report(addr(3), millis(5_000));
+    members.record_report(addr(2), None, millis(0));
+    members.record_report(addr(3), None, millis(5_000));
     members.record_listed(&[addr(0), addr(1)], millis(5_000));
     let listed = [addr(0), addr(1)];
     let targets = members.report_targets(&listed, addr(0), millis(9_000));
--- a/src/carawayrun/relay/tests/session_lists.rs
+++ b/src/carawayrun/relay/tests/session_lists.rs
@@ -43,8 +43,8 @@
 fn silent_gateway_is_not_waited_for() {
     let mut members = Members::default();
     let second = Duration::from_secs(1);
-    members.record_report(addr(1), second);
-    members.record_report(addr(2), second * 5);
+    members.record_report(addr(1), None, second);
+    members.record_report(addr(2), None, second * 5);
     members.record_listed(&[addr(3)], second * 5);
     let reporting: Vec<_> = members.reporting(addr(9), second * 5, WAIT_TTL).collect();
     assert_eq!(reporting, [addr(2)]);
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -26,7 +26,7 @@
 use super::budget::{RetryBudget, RetryCause};
 use super::catalog::Route;
 use super::connection::{ConnectionError, UpstreamConnection};
-use super::drain::Phases;
+use super::drain::{Phases, retry_after};
 use super::evidence::Outcomes;
 use super::fleet::Fleet;
 use super::gossip::{decode_order, decode_outcomes};
@@ -112,9 +112,6 @@
     }
 }
 
-/// Shortest `Retry-After` of a request that is refused because the relay stops.
-const MIN_STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// State of the traffic thread.
 pub(super) struct Traffic {
     pub(super) metrics: Arc<Metrics>,
@@ -125,6 +122,8 @@
     pub(super) new_connections: Cell<usize>,
     /// Number of requests whose first byte was read and that were not answered.
     pub(super) begun_requests: Cell<usize>,
+    /// Number of those that began before the clients of a drain were gone.
+    pub(super) early_requests: Cell<usize>,
     /// Number of requests that were read and not answered.
     pub(super) active_requests: Cell<usize>,
     /// Notified when the own load changes.
@@ -172,6 +171,7 @@
             phases: Phases::default(),
             new_connections: Cell::new(0),
             begun_requests: Cell::new(0),
+            early_requests: Cell::new(0),
             service_times: RefCell::default(),
             active_requests: Cell::new(0),
             load_changed: Notify::new(),
@@ -245,15 +245,10 @@
         }
     }
 
-    /// Returns true while a request is read or answered.
-    pub(super) fn has_requests(&self) -> bool {
-        self.begun_requests.get() > 0
-    }
-
     /// Returns true while a request is read or answered, or may come on a connection that
     /// was just accepted.
     pub(super) fn has_clients(&self) -> bool {
-        self.has_requests() || self.new_connections.get() > 0
+        self.begun_requests.get() > 0 || self.new_connections.get() > 0
     }
 
     /// Records the time that a whole answer of a route took.
@@ -331,10 +326,21 @@
         self.rng.borrow_mut().random()
     }
 
-    /// `Retry-After` of a request that is refused because the relay stops. Another one
-    /// takes it at once; it is spread, so that clients do not return together.
+    /// `Retry-After` of a request that is refused because the relay stops: until a relay
+    /// serves. It is spread, so that clients do not return together.
     pub(super) fn stop_retry_after(&self) -> Duration {
-        MIN_STOP_RETRY_AFTER.mul_f64(1.0 + 2.0 * self.random())
+        let stops_in = self.stops_in().unwrap_or_default();
+        let members = self.members.borrow();
+        let wait = members.time_to_serve(self.own_addr, stops_in, self.now());
+        retry_after(wait, self.random())
+    }
+
+    /// Time until the relay has probably stopped; `None` while it serves.
+    pub(super) fn stops_in(&self) -> Option<Duration> {
+        let drain = self.phases.get().drain()?;
+        let times = self.service_times.borrow();
+        let longest = times.values().map(|time| time.expected(true)).max();
+        Some(drain.stops_in(longest.unwrap_or_default()))
     }
 
     /// Returns the version to which a session is pinned.
@@ -453,7 +459,8 @@
     pub(super) fn receive_report(&self, report: &RelayReport, from: SocketAddr) {
         let now = self.now();
         let mut members = self.members.borrow_mut();
-        members.record_report(from, now);
+        let stops_in = report.stops_in.map(|ms| Duration::from_millis(ms.into()));
+        members.record_report(from, stops_in, now);
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.receive(report, now);
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
