Try kept connections and changed configurations with drawn lengths

Two places where a request can be cut were covered with fixed lengths, or not at all: the closing of kept connections, when idle and in a drain, and SIGHUP and a new configuration beside requests that are under way.

The tests play the upstreams themselves: a path names the time that its answer takes, drawn from exponential and lognormal lengths. They check that a request without an answer has not run, that a request that is refused has not run, and that unsafe requests and streams run once.

A client that half-closes its connection still counts as gone, since the relay can't tell the two apart before it writes; a test records that.

--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod budget;
 mod caller;
 mod history;
+pub(crate) mod lengths;
 pub(crate) mod limit;
 mod manifest;
 pub(crate) mod paced;
--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -108,6 +108,19 @@
     parse_answer(&String::from_utf8_lossy(&bytes))
 }
 
+/// Reads one answer and leaves its connection open; it isn't whole where the connection
+/// ends before.
+pub(crate) async fn read_framed(stream: &mut TcpStream) -> RawAnswer {
+    let mut bytes = Vec::new();
+    loop {
+        let read = stream.read_buf(&mut bytes).await;
+        let answer = parse_answer(&String::from_utf8_lossy(&bytes));
+        if answer.is_whole || !read.is_ok_and(|count| count > 0) {
+            return answer;
+        }
+    }
+}
+
 fn parse_answer(text: &str) -> RawAnswer {
     let (head, rest) = text.split_once("\r\n\r\n").unwrap_or_default();
     let head = head.to_lowercase();
