Tell callers of a stopping agent that a waiting run has not run

At the end of its drain an agent closed the connections of all runs in flight, also of those that still waited for a slot. Their gateways asked the agent whether they had run, which was gone by then, so their callers had 502 `answer_cut` with `ran: unknown`, and a plain call was neither sent elsewhere nor could its caller repeat it.

Now each run sees the end: one that waits is refused as not run, so that its gateway can send it elsewhere; one that has begun fails with what the agent knows of it, and its usage is reported. The process ends at most 1.1 s later.

--- a/src/carawayrun/traffic/agent/run.rs
+++ b/src/carawayrun/traffic/agent/run.rs
@@ -32,11 +32,14 @@
         Err(other) => return answer_not_dispatched(&worker, &run, frames, other).await,
     };
     let cancel = worker.cancels.register(ticket.key().request.clone());
+    // Runs that end give their slots to waiting ones, which must not begin then.
     let prepared = tokio::select! {
-        prepared = prepare(&worker, &run, ticket.key(), deadline) => prepared,
+        biased;
+        () = worker.ended() => Err(NotDispatched::Refused(stopping_refusal())),
         () = wait_for_cancel(&frames, &cancel) => {
             Err(NotDispatched::Refused(cancelled_refusal()))
         }
+        prepared = prepare(&worker, &run, ticket.key(), deadline) => prepared,
     };
     let prepared = match prepared {
         Ok(prepared) => prepared,
@@ -107,7 +110,7 @@
     deadline: Instant,
 ) -> Result<PreparedRun, NotDispatched> {
     if worker.is_draining() {
-        return Err(Refusal::new(Code::Draining, "the agent is stopping").into());
+        return Err(stopping_refusal().into());
     }
     check_deadline(deadline)?;
     let view = worker.view();
@@ -195,8 +198,8 @@
     }
 }
 
-// Exchanges the run with the upstream until it ends, its deadline passes or it
-// is cancelled.
+// Exchanges the run with the upstream until it ends, its deadline passes, it is
+// cancelled or the agent stops.
 async fn exchange_until_deadline(
     worker: &Worker,
     run: &Run,
@@ -218,6 +221,9 @@
         () = sleep_until(deadline) => {
             Failure::new(Code::Timeout, progress.ran(), "the deadline passed")
         }
+        () = worker.ended() => {
+            Failure::new(Code::AnswerCut, progress.ran(), "the agent stopped within the answer")
+        }
     };
     if backend == Backend::Engine {
         worker.client.cancel(&engine_request_id(run)).await;
@@ -271,6 +277,10 @@
     }
 }
 
+fn stopping_refusal() -> Refusal {
+    Refusal::new(Code::Draining, "the agent is stopping")
+}
+
 fn cancelled_refusal() -> Refusal {
     Refusal::new(
         Code::DeadlineExpired,
--- a/src/carawayrun/traffic/agent/server.rs
+++ b/src/carawayrun/traffic/agent/server.rs
@@ -39,6 +39,12 @@
 /// Time limit for connections to close after the last run.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time limit for the runs that a stop ends to say so.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for the last frames to be sent.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 const FRAMES_TYPE: &str = "application/octet-stream";
 
 /// Settings of an agent.
@@ -144,24 +150,34 @@
         info!(name: "agent.draining", in_flight = self.in_flight());
         self.status.draining.store(true, Ordering::Relaxed);
         self.handle.post(Event::StopRequested);
-        let end = Instant::now() + limit;
-        while self.in_flight() > 0 && Instant::now() < end {
-            sleep(DRAIN_POLL_PERIOD).await;
-        }
+        self.wait_for_runs(limit).await;
         self.stop().await
     }
 
-    /// Stops at once. Returns the number of runs that were interrupted.
+    /// Stops at once: the runs in flight are refused or fail, and their gateways are
+    /// told whether they ran. Returns the number of runs that were interrupted.
     pub async fn stop(&self) -> usize {
         let interrupted = self.in_flight();
         if interrupted > 0 {
             warn!(name: "agent.cut", runs = interrupted);
+            self.status.draining.store(true, Ordering::Relaxed);
+            self.status.ended.cancel();
+            self.wait_for_runs(END_TIMEOUT).await;
+            sleep(FLUSH_TIME).await;
         }
         self.listener.stop(interrupted == 0).await;
         self.handle.close().await;
         interrupted
     }
 
+    // Waits until no run is in flight, for at most `limit`.
+    async fn wait_for_runs(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        while self.in_flight() > 0 && Instant::now() < end {
+            sleep(DRAIN_POLL_PERIOD).await;
+        }
+    }
+
     fn in_flight(&self) -> usize {
         self.status.in_flight.load(Ordering::Relaxed)
     }
--- a/src/carawayrun/traffic/agent/worker.rs
+++ b/src/carawayrun/traffic/agent/worker.rs
@@ -9,6 +9,7 @@
 use actix_rt::time::{Instant, interval};
 use compact_str::CompactString;
 use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
 
 use super::admission::AdmissionControl;
 use super::cancel::CancelRegistry;
@@ -43,6 +44,8 @@
     pub(crate) draining: AtomicBool,
     /// Number of runs that are queued or running.
     pub(crate) in_flight: AtomicUsize,
+    /// Cancelled once the runs in flight must end.
+    pub(crate) ended: CancellationToken,
 }
 
 /// State of the agent's thread.
@@ -113,6 +116,11 @@
         self.status.draining.load(Ordering::Relaxed)
     }
 
+    /// Waits until the runs in flight must end because the process does.
+    pub(crate) async fn ended(&self) {
+        self.status.ended.cancelled().await;
+    }
+
     /// Returns the deadline of a run that is read now, less the time that it
     /// may have waited while this process was paused.
     pub(crate) fn deadline(&self, run: &Run) -> Instant {
--- a/tests/testsuite/stopping.rs
+++ b/tests/testsuite/stopping.rs
@@ -1,8 +1,9 @@
 //! A planned stop cuts no request, and who leaves gets no new work.
 
+use futures_util::future::join_all;
 use test_case::test_case;
 
-use crate::support::{Caller, LUZCENA_KEY, Traffic, WorldBuilder, eventually};
+use crate::support::{Call, Caller, LUZCENA_KEY, Ran, Traffic, World, WorldBuilder, eventually};
 
 #[test_case("agent")]
 #[test_case("gateway")]
@@ -47,3 +48,50 @@
     };
     assert_eq!(left.exit_code(), Some(0));
 }
+
+fn switch(mark: &str) -> Call {
+    Caller::post("/services/home/switch", "{}").header("x-effect", mark)
+}
+
+/// Number of calls with this mark that ran at the plain upstream.
+async fn runs(world: &World, mark: &str) -> u64 {
+    let effects = world.effects(world.first_plain()).await;
+    effects[mark].as_u64().unwrap_or(0)
+}
+
+async fn total_runs(world: &World) -> usize {
+    let effects = world.effects(world.first_plain()).await;
+    effects.as_object().map_or(0, |marks| marks.len())
+}
+
+// They were cut with the runs that had begun, and counted as possibly run.
+#[actix_rt::test]
+async fn waiting_runs_are_cut_at_the_end_of_the_agents_drain() {
+    let world = WorldBuilder::new("stop-waiting")
+        .engines(1)
+        .plain_arg("--call-ms", "6000")
+        .node_arg("--drain-s", "1")
+        .start()
+        .await;
+    let marks: Vec<String> = (0..14).map(|number| format!("call-{number}")).collect();
+    let calls = marks.iter().map(|mark| {
+        let caller = world.caller(0, LUZCENA_KEY);
+        let call = switch(mark);
+        actix_rt::spawn(async move { caller.send(call).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    eventually("all slots are used", || async {
+        total_runs(&world).await == 8
+    })
+    .await;
+    let plain = world.first_plain();
+    world.agents[plain].terminate();
+    for (mark, answer) in marks.iter().zip(join_all(calls).await) {
+        let answer = answer.expect("a caller does not panic");
+        let has_run = runs(&world, mark).await > 0;
+        let wanted = if has_run { Ran::Unknown } else { Ran::No };
+        assert!(!answer.code().is_empty(), "{mark}: {answer:?}");
+        assert_eq!(answer.ran(), wanted, "{mark}: {answer:?}");
+    }
+    assert_eq!(total_runs(&world).await, 8);
+}
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -41,6 +41,7 @@
     engine_args: Vec<String>,
     plain_args: Vec<String>,
     node_args: Vec<String>,
+    gateway_args: Vec<String>,
 }
 
 impl WorldBuilder {
@@ -53,6 +54,7 @@
             engine_args: Vec::new(),
             plain_args: Vec::new(),
             node_args: Vec::new(),
+            gateway_args: Vec::new(),
         }
     }
 
@@ -76,6 +78,24 @@
         self
     }
 
+    pub(crate) fn plain_arg(mut self, name: &str, value: &str) -> Self {
+        self.plain_args.extend([name.to_owned(), value.to_owned()]);
+        self
+    }
+
+    /// Adds an option of gateways and agents.
+    pub(crate) fn node_arg(mut self, name: &str, value: &str) -> Self {
+        self.node_args.extend([name.to_owned(), value.to_owned()]);
+        self
+    }
+
+    /// Adds an option of gateways.
+    pub(crate) fn gateway_arg(mut self, name: &str, value: &str) -> Self {
+        self.gateway_args
+            .extend([name.to_owned(), value.to_owned()]);
+        self
+    }
+
     /// Starts everything, applies the manifest and waits until it is in force.
     pub(crate) async fn start(self) -> World {
         let mut world = World::new(&self);
@@ -95,6 +115,7 @@
     dir: PathBuf,
     net: String,
     node_args: Vec<String>,
+    gateway_args: Vec<String>,
     pub(super) platform: Vec<Process>,
     upstreams: Vec<Process>,
     pub(crate) gateways: Vec<Process>,
@@ -149,6 +170,7 @@
             dir,
             net,
             node_args: builder.node_args.clone(),
+            gateway_args: builder.gateway_args.clone(),
             platform: Vec::new(),
             upstreams: Vec::new(),
             gateways: Vec::new(),
@@ -270,6 +292,7 @@
             "--operators".to_owned(),
             format!("tester={}", digest(OPERATOR_KEY)),
         ]);
+        args.extend(self.gateway_args.iter().cloned());
         let process = Process::spawn(&self.dir, &name, &product(), &args);
         put(&mut self.gateways, number, process);
     }
