Answer requests that outlast a gateway's drain

A request that was still under way at the end of `--drain-s` had a closed connection for an answer, or a stream without an end: the caller could not tell whether it had run. A slow upload was closed unread. PROMISES.md said that a planned stop cuts no request, which holds only where all end within the drain; deadlines of up to an hour are accepted, the drain is 120 s.

Each request now sees the end of the drain: it fails with `answer_cut` and `ran: unknown` if an attempt was sent, else with `draining` and `ran: no`; a stream ends with an error event. They have 1 s for that. An answer that ends while the gateway is leaving closes its connection, also where its request began before.

`--drain-s` is now what it says, an end.

--- a/src/carawayrun/traffic/gateway/admission.rs
+++ b/src/carawayrun/traffic/gateway/admission.rs
@@ -13,11 +13,16 @@
 /// requests, in milliseconds.
 const OVERLOAD_RETRY_MS: u64 = 1_000;
 
+/// Refusal of a request that has not run because the gateway stops.
+pub(super) fn draining() -> Refusal {
+    let refusal = Refusal::new(Code::Draining, "this gateway is stopping; use another");
+    refusal.retry_after(0)
+}
+
 /// Refuses a request if the gateway is draining, closed or full.
 pub(super) fn check(shared: &Shared) -> Result<(), Refusal> {
     if shared.is_draining() {
-        let refusal = Refusal::new(Code::Draining, "this gateway is stopping; use another");
-        return Err(refusal.retry_after(0));
+        return Err(draining());
     }
     if let Admission::Closed {
         code,
--- a/src/carawayrun/traffic/gateway/answer.rs
+++ b/src/carawayrun/traffic/gateway/answer.rs
@@ -34,6 +34,9 @@
 /// it.
 const SESSION_MOVED_HEADER: HeaderName = HeaderName::from_static("x-carawayrun-session-moved");
 
+/// Message of a request that is cut by the end of the gateway.
+pub(super) const STOPPED: &str = "the gateway stopped before the answer was whole";
+
 /// Session headers of a response, and how its answer is processed.
 #[derive(Debug, Default)]
 pub(super) struct AnswerMetadata {
@@ -206,7 +209,11 @@
             .remaining()
             .ok_or(AttemptError::Expired)?;
         match &mut self.stream {
-            Some(stream) => stream.answer.next(remaining).await,
+            Some(stream) => tokio::select! {
+                biased;
+                part = stream.answer.next(remaining) => part,
+                () = self.worker.shared.ended() => Err(AttemptError::Lost(STOPPED.into())),
+            },
             None => Ok(AnswerPart::End(Box::default())),
         }
     }
--- a/src/carawayrun/traffic/gateway/handler.rs
+++ b/src/carawayrun/traffic/gateway/handler.rs
@@ -21,6 +21,7 @@
 use super::tracker::RequestTracker;
 use super::{admission, models};
 use crate::http::{ReadBodyError, read_body, text};
+use crate::peer::message::Ran;
 use crate::policy::Pool;
 use crate::resource::{Backend, TeamKey};
 use crate::traffic::Code;
@@ -29,9 +30,8 @@
 ///
 /// While the gateway is leaving, every response closes its connection.
 pub(super) async fn handle(worker: Worker, request: Request) -> Response<BoxBody> {
-    let leaving = worker.shared.is_leaving();
     let mut response = match (request.method(), request.path()) {
-        (&Method::GET, "/health") => health(leaving),
+        (&Method::GET, "/health") => health(worker.shared.is_leaving()),
         (&Method::GET, "/v1/models") => models::list(&worker, &request),
         (&Method::POST, completion::PATH) => handle_chat(&worker, request).await,
         (_, path) if path.starts_with(plain::PREFIX) => handle_plain(&worker, request).await,
@@ -41,7 +41,7 @@
             early_refusal(&worker, &refusal)
         }
     };
-    if leaving {
+    if worker.shared.is_leaving() {
         response
             .head_mut()
             .set_connection_type(actix_http::ConnectionType::Close);
@@ -78,7 +78,9 @@
         Ok(admitted) => admitted,
         Err(refusal) => return early_refusal(worker, &refusal),
     };
-    match run_completion(worker, &mut request, &mut admitted).await {
+    let completion = run_completion(worker, &mut request, &mut admitted);
+    let completed = run_until_stop(worker, completion).await;
+    match completed.unwrap_or_else(|| Err(stopped(&admitted.tracker))) {
         Ok((reply, metadata)) if reply.stream.is_some() => {
             answer::stream_response(worker, reply, admitted.tracker, metadata)
         }
@@ -98,7 +100,9 @@
         Ok(admitted) => admitted,
         Err(refusal) => return early_refusal(worker, &refusal),
     };
-    match call_service(worker, &mut request, &mut admitted).await {
+    let call = call_service(worker, &mut request, &mut admitted);
+    let called = run_until_stop(worker, call).await;
+    match called.unwrap_or_else(|| Err(stopped(&admitted.tracker))) {
         Ok(reply) => {
             answer::complete_response(&reply, &mut admitted.tracker, &AnswerMetadata::default())
         }
@@ -106,6 +110,23 @@
     }
 }
 
+// Returns `None` if the gateway ends its requests before `work` is done.
+async fn run_until_stop<T>(worker: &Worker, work: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        output = work => Some(output),
+        () = worker.shared.ended() => None,
+    }
+}
+
+fn stopped(tracker: &RequestTracker) -> Refusal {
+    if tracker.may_have_run() {
+        Refusal::failure(Code::AnswerCut, answer::STOPPED, Ran::Unknown)
+    } else {
+        admission::draining()
+    }
+}
+
 fn admit(worker: &Worker, request: &Request) -> Result<Admitted, Refusal> {
     let snapshot = worker.shared.snapshot();
     let headers = RequestHeaders::read(request.headers())?;
--- a/src/carawayrun/traffic/gateway/server.rs
+++ b/src/carawayrun/traffic/gateway/server.rs
@@ -19,6 +19,9 @@
 /// stop.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// Maximum wait for the requests that a stop ends.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time for the last bytes of answers to be sent.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
@@ -134,15 +137,15 @@
     }
 
     /// Stops gracefully: refuses new requests, waits up to the drain time for
-    /// those in flight to finish, and then for their bills to be written.
+    /// those in flight to finish, ends the rest with a failure that says whether they
+    /// ran, and waits for their bills to be written.
     pub async fn stop(&self) -> StopOutcome {
         self.shared.set_leaving();
         self.shared.start_draining();
-        let deadline = Instant::now() + self.drain;
-        while self.shared.in_flight() > 0 && Instant::now() < deadline {
-            sleep(DRAIN_POLL_PERIOD).await;
-        }
+        self.wait_for_requests(self.drain).await;
         let interrupted = self.shared.in_flight();
+        self.shared.end_requests();
+        self.wait_for_requests(END_TIMEOUT).await;
         sleep(FLUSH_TIME).await;
         let _ = timeout(STOP_TIMEOUT, self.listener.stop(true)).await;
         let deadline = Instant::now() + BILLING_TIMEOUT;
@@ -155,6 +158,14 @@
         }
     }
 
+    // Waits until no request is in flight, for at most `limit`.
+    async fn wait_for_requests(&self, limit: Duration) {
+        let deadline = Instant::now() + limit;
+        while self.shared.in_flight() > 0 && Instant::now() < deadline {
+            sleep(DRAIN_POLL_PERIOD).await;
+        }
+    }
+
     /// Returns the outcome if the gateway stops now.
     pub fn abort_outcome(&self) -> StopOutcome {
         StopOutcome {
--- a/src/carawayrun/traffic/gateway/shared.rs
+++ b/src/carawayrun/traffic/gateway/shared.rs
@@ -13,6 +13,7 @@
 use compact_str::{CompactString, format_compact};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio_util::sync::CancellationToken;
 
 use super::limits::TeamLimits;
 use super::pins::Pins;
@@ -54,6 +55,7 @@
     in_flight: AtomicU64,
     leaving: AtomicBool,
     draining: AtomicBool,
+    ended: CancellationToken,
     snapshot: ArcSwap<RoutingSnapshot>,
     routing: Mutex<Routing>,
 }
@@ -88,6 +90,7 @@
             in_flight: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            ended: CancellationToken::new(),
             routing: Mutex::new(Routing {
                 in_flight: InFlightCounts::default(),
                 ejection: Ejection::default(),
@@ -151,6 +154,16 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Ends the requests in flight: each fails with what is known of it.
+    pub(super) fn end_requests(&self) {
+        self.ended.cancel();
+    }
+
+    /// Waits until the requests in flight must end because the process does.
+    pub(super) async fn ended(&self) {
+        self.ended.cancelled().await;
+    }
+
     /// Returns the snapshot of the current view, and rebuilds it if the view
     /// has changed.
     pub(super) fn snapshot(&self) -> Arc<RoutingSnapshot> {
--- a/src/carawayrun/traffic/gateway/tracker.rs
+++ b/src/carawayrun/traffic/gateway/tracker.rs
@@ -101,6 +101,11 @@
             .retain(|awaited| awaited.step != step || awaited.upstream != *upstream);
     }
 
+    /// Returns true if an attempt ran or may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        !self.awaited.is_empty() || !self.steps.is_empty()
+    }
+
     /// Records the usage of an attempt.
     pub(super) fn record_usage(&mut self, step: u32, upstream: &CompactString, usage: &Usage) {
         self.remove_awaited(step, upstream);
--- a/tests/testsuite/support/caller.rs
+++ b/tests/testsuite/support/caller.rs
@@ -100,6 +100,14 @@
         self.body.trim_end().ends_with("data: [DONE]")
     }
 
+    /// True where a stream ended with an error that says so.
+    pub(crate) fn ends_in_error(&self) -> bool {
+        let events = self.events();
+        events
+            .last()
+            .is_some_and(|event| event["error"]["code"].is_string())
+    }
+
     pub(crate) fn events(&self) -> Vec<Value> {
         let lines = self
             .body
