Wait for a silent upstream where no other attempt would be made

A safe request whose upstream was silent for three objectives, or a resumable stream for 2.5 s, was given up for an attempt at another upstream, whether or not that attempt would be made: with the retry budget spent, or with too little time before a planned stop, the client had 502 at once, though the sound upstream went on to answer in time.

Within a stream the same was mended before (`can_resume`); the wait for the head now asks the same questions: is there an upstream, a retry in the budget, and time before the stop. Both ask the budget whether it has a whole retry, not a part of one.

Two regression tests with an answer after 4.5 s failed before with 502, at 3 s without a retry left and in a drain; now 200 from the first upstream, with one run.

--- a/src/carawayrun/relay/budget.rs
+++ b/src/carawayrun/relay/budget.rs
@@ -79,10 +79,15 @@
         self.advance_window(now).first_sends += 1;
     }
 
+    /// Returns true if [`Self::take_retry`] would take one.
+    pub fn has_retry(&mut self, now: Duration, cause: RetryCause) -> bool {
+        self.retries(now) + 1.0 <= self.limit(now, cause)
+    }
+
     /// Takes one retry from the budget; returns false if the part that `cause` may
     /// use is spent. Cascades are refused while the reserve for failures is left.
     pub fn take_retry(&mut self, now: Duration, cause: RetryCause) -> bool {
-        if self.retries(now) + 1.0 > self.limit(now, cause) {
+        if !self.has_retry(now, cause) {
             return false;
         }
         self.advance_window(now).retries += 1;
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -9,6 +9,7 @@
 use super::head_timer::HeadTimer;
 use super::{AttemptOutcome, DELIVERY_RESERVE, Exchange, PendingAnswer, RequestProgress};
 use crate::platform::{self, OutboundHeaders};
+use crate::relay::budget::RetryCause;
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::losses::Loss;
@@ -228,8 +229,9 @@
         }
     }
 
-    // True if another upstream could be tried. If not, the attempt goes on
-    // waiting, as a late answer is better than none.
+    // True if another attempt would be made: there is an upstream, a retry in the budget
+    // and time before the relay stops. If not, this one goes on waiting, as a late answer
+    // is better than none.
     fn has_alternative(
         &self,
         route: &Route,
@@ -237,11 +239,15 @@
         key: UpstreamKey,
         upstream: &Upstream,
     ) -> bool {
+        if !self.has_time(route) {
+            return false;
+        }
         let mut excluded = progress.excluded.clone();
         excluded.push(key);
         let view = self.traffic.view();
-        let next = self.choose_upstream(&view, route, progress, &excluded, &upstream.service);
-        next.is_some()
+        let service = &upstream.service;
+        let next = self.choose_upstream(&view, route, progress, &excluded, service);
+        next.is_some() && self.traffic.has_retry(service, RetryCause::Failure)
     }
 
     // Timeout for the head of an answer before another upstream is tried; all the
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -201,7 +201,7 @@
         excluded.push(current);
         let view = self.traffic.view();
         let next = self.choose_upstream(&view, route, progress, &excluded, service);
-        next.is_some() && self.traffic.retry_headroom(service, RetryCause::Failure) > 0.0
+        next.is_some() && self.traffic.has_retry(service, RetryCause::Failure)
     }
 
     // Returns why no more of an upstream's stream can be forwarded, if so.
--- a/src/carawayrun/relay/tests/budget.rs
+++ b/src/carawayrun/relay/tests/budget.rs
@@ -83,3 +83,16 @@
     while budget.take_retry(secs(0.0), RetryCause::Cascade) {}
     assert!(budget.take_retry(secs(0.0), RetryCause::Failure));
 }
+
+// A sound attempt was given up where the budget had a part of a retry left.
+#[test]
+fn part_of_a_retry_counts_as_one() {
+    let mut budget = RetryBudget::new(0.9, 0.0, WINDOW);
+    for step in 0..100 {
+        let now = secs(f64::from(step) * 0.05);
+        budget.record_first_send(now);
+        let has_retry = budget.has_retry(now, RetryCause::Failure);
+        let taken = budget.take_retry(now, RetryCause::Failure);
+        assert_eq!(has_retry, taken, "after {step}");
+    }
+}
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -411,6 +411,11 @@
         is_taken
     }
 
+    /// Returns true if a service's retry budget allows a retry for `cause`.
+    pub(super) fn has_retry(&self, service: &str, cause: RetryCause) -> bool {
+        self.budget(service, |budget, now| budget.has_retry(now, cause))
+    }
+
     /// Share of a service's retry budget for `cause` that is left, 0 to 1.
     pub(super) fn retry_headroom(&self, service: &str, cause: RetryCause) -> f64 {
         self.budget(service, |budget, now| budget.headroom(now, cause))
--- a/tests/testsuite/paused.rs
+++ b/tests/testsuite/paused.rs
@@ -1,14 +1,16 @@
-//! Streams of sound engines that pause.
+//! Sound upstreams that pause, before or within an answer.
 
 use std::time::Duration;
 
 use actix_rt::net::{TcpListener, TcpStream};
 use awc::http::{Method, StatusCode};
+use futures_util::future::join_all;
 use serde_json::json;
 use test_case::test_case;
 use tokio::io::AsyncWriteExt;
 
-use crate::support::platform::{API_KEY, PlatformWorld, config};
+use crate::support::lengths::{Runs, start_upstream};
+use crate::support::platform::{API_KEY, PlatformWorld, Reply, config};
 use crate::support::raw::{events, read_head};
 
 /// Hosts of the engines that this test itself plays.
@@ -60,3 +62,57 @@
     assert_eq!(reply.status, StatusCode::OK);
     assert_eq!(reply.body, Some(events(1, 8)));
 }
+
+/// Silence before a sound answer: longer than one after which it is asked for elsewhere.
+const SILENCE_MS: u64 = 4_500;
+
+async fn silent_world(name: &str, runs: &Runs) -> PlatformWorld {
+    let world = PlatformWorld::start(name).await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    start_upstream(&world, "app", HOSTS[0], runs).await;
+    world.until_known(1).await;
+    world
+}
+
+async fn read_slowly(world: &PlatformWorld, id: &str) -> Reply {
+    let path = format!("/read/{SILENCE_MS}");
+    let request = world.request(Method::GET, &path, id);
+    world.send(request, "").await
+}
+
+// The connection to a sound upstream was closed for another attempt, which was then refused
+// for lack of budget: the client had 502.
+#[actix_rt::test]
+async fn silent_request_is_cut_without_a_retry_left() {
+    let runs = Runs::default();
+    let mut world = silent_world("silent-budget", &runs).await;
+    start_upstream(&world, "app", HOSTS[1], &runs).await;
+    world.until_known(2).await;
+    world.change_settings("retry_ratio = 0.9", "retry_ratio = 0.0");
+    world.change_settings("retry_slack = 600", "retry_slack = 1");
+    world.relay().hang_up();
+    world.until_logged("settings changed").await;
+    let reply = read_slowly(&world, "req-1").await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_eq!(runs.borrow()["req-1"], 1);
+}
+
+// The same where the relay stops before another attempt would end.
+#[actix_rt::test]
+async fn silent_request_is_cut_without_time_for_a_retry() {
+    let runs = Runs::default();
+    let mut world = silent_world("silent-drain", &runs).await;
+    // The relay learns what the route takes, from one upstream.
+    let ids: Vec<String> = (0..8).map(|number| format!("before-{number}")).collect();
+    let before = ids.iter().map(|id| read_slowly(&world, id));
+    for reply in join_all(before).await {
+        assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    }
+    start_upstream(&world, "app", HOSTS[1], &runs).await;
+    world.until_known(2).await;
+    world.relay().terminate();
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let reply = read_slowly(&world, "req-1").await;
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_eq!(runs.borrow()["req-1"], 1);
+}
