--- a/tests/testsuite/kept.rs
+++ b/tests/testsuite/kept.rs
@@ -127,7 +127,7 @@
         actix_rt::spawn(task)
     });
     let clients: Vec<_> = clients.collect();
-    sleep(Duration::from_millis(1_000)).await;
+    sleep(Duration::from_secs(1)).await;
     world.relay().terminate();
     // Past the closing of idle connections and of the port.
     sleep(Duration::from_millis(4_500)).await;
--- a/tests/testsuite/stopping.rs
+++ b/tests/testsuite/stopping.rs
@@ -73,7 +73,7 @@
 
 async fn total_runs(world: &World) -> usize {
     let effects = world.effects(world.first_plain()).await;
-    effects.as_object().map_or(0, |marks| marks.len())
+    effects.as_object().map_or(0, serde_json::Map::len)
 }
 
 // They were cut with the runs that had begun, and counted as possibly run.
@@ -165,11 +165,11 @@
             uploads.push((mark, actix_rt::spawn(upload)));
             continue;
         };
-        let send = async move {
+        let task = async move {
             sleep(at).await;
             caller.send(call).await
         };
-        sent.push((mark, actix_rt::spawn(send)));
+        sent.push((mark, actix_rt::spawn(task)));
     }
     sleep(Duration::from_millis(350)).await;
     world.gateways[0].terminate();
--- a/tests/testsuite/support/lengths.rs
+++ b/tests/testsuite/support/lengths.rs
@@ -122,12 +122,11 @@
 
     /// Sends a request; `None` where the port is closed.
     pub(crate) async fn send(&mut self, method: &str, path: &str, id: &str) -> Option<Sent> {
-        let mut stream = match self.stream.take() {
-            Some(stream) => stream,
-            None => {
-                self.opened += 1;
-                TcpStream::connect(&self.addr).await.ok()?
-            }
+        let mut stream = if let Some(stream) = self.stream.take() {
+            stream
+        } else {
+            self.opened += 1;
+            TcpStream::connect(&self.addr).await.ok()?
         };
         let head = request_head(method, path, id) + "content-length: 2\r\n\r\non";
         // A connection that the relay has closed meanwhile shows in the answer.
