Give the upstream of a route without an objective its time

A safe route without `objective_ms` gave its first upstreams no time at all for the head of an answer: the request was sent to one upstream after the other at once, up to `max_attempts`, each but the last cut within a millisecond of its send, and each repeat was taken from the retry budget. With one upstream alone the relay asked each millisecond whether there was another.

The timeout is three objectives, and zero objectives counted as known. Without an objective there is nothing to compare a silence with, so that an attempt has all the time left.

`request_without_an_objective_runs_at_all_upstreams`, an answer after 4.5 s: with two upstreams it ran twice before, now once; with one, the relay used 390 ms of processor time before, now 10 to 20 ms.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -29,8 +29,8 @@
 const MIN_STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Timeout for the head of an idempotent route's answer before another upstream
-/// is tried, in latency objectives. For a route without an objective it is zero,
-/// except on the last attempt, which has all the time left.
+/// is tried, in latency objectives. The last attempt, and a route without an objective,
+/// have all the time left.
 const HEAD_TIMEOUT_OBJECTIVES: u32 = 3;
 
 /// Maximum number of polls of a silent engine's load report per attempt.
@@ -266,7 +266,9 @@
             RouteKind::Stream { resumable: true } if !is_last => {
                 (route.objective * 2).max(MIN_STREAM_HEAD_TIMEOUT)
             }
-            RouteKind::Idempotent if !is_last => route.objective * HEAD_TIMEOUT_OBJECTIVES,
+            RouteKind::Idempotent if !is_last && !route.objective.is_zero() => {
+                route.objective * HEAD_TIMEOUT_OBJECTIVES
+            }
             _ => left,
         };
         head_timeout.min(left)
--- a/tests/testsuite/paused.rs
+++ b/tests/testsuite/paused.rs
@@ -116,3 +116,29 @@
     assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
     assert_eq!(runs.borrow()["req-1"], 1);
 }
+
+// Its upstream was given no time: the request was sent to one after the other at once, or,
+// with one alone, the relay asked each millisecond whether there was another.
+#[test_case(1)]
+#[test_case(2)]
+#[actix_rt::test]
+async fn request_without_an_objective_runs_at_all_upstreams(upstreams: usize) {
+    let runs = Runs::default();
+    let mut world = PlatformWorld::start("no-objective").await;
+    let mut config = config(5, &[API_KEY]);
+    let route = config["routes"][0].as_object_mut();
+    route.expect("a route is an object").remove("objective_ms");
+    world.put("op", "config", &config).await;
+    for host in &HOSTS[..upstreams] {
+        start_upstream(&world, "app", *host, &runs).await;
+    }
+    world.until_known(upstreams).await;
+    let before = world.relay().processor_ticks();
+    let reply = read_slowly(&world, "req-1").await;
+    let after = world.relay().processor_ticks();
+    assert_eq!(reply.status, StatusCode::OK, "{reply:?}");
+    assert_eq!(runs.borrow()["req-1"], 1);
+    let used = after.expect("it runs") - before.expect("it runs");
+    println!("{upstreams} upstreams: {used} ticks");
+    assert!(used < SILENCE_MS / 40, "{used} ticks of {SILENCE_MS} ms");
+}
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -82,6 +82,15 @@
         line.trim().trim_end_matches(" kB").parse().ok()
     }
 
+    /// Processor time that it used so far, in clock ticks of 10 ms; none once it has ended.
+    pub(crate) fn processor_ticks(&self) -> Option<u64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        // The name before may hold spaces.
+        let (_, fields) = stat.rsplit_once(") ")?;
+        let ticks = fields.split(' ').skip(11).take(2);
+        ticks.map(|ticks| ticks.parse::<u64>().ok()).sum()
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process ids fit");
         let pid = Pid::from_raw(id).expect("process ids are positive");
