Answer an operator's change that a stopping gateway has taken

A gateway closed the operators' listener at the end of its stop with all that was under way there: an `apply` that had been read had a closed connection for an answer, whether or not its transaction was made then.

Nothing counted the operators' calls; that they were over by then rested on the time that the drain of callers happened to take. A call counts before it asks whether the gateway stops, so that either sees the other.

--- a/src/bin/carawayrun/commands/gateway.rs
+++ b/src/bin/carawayrun/commands/gateway.rs
@@ -7,10 +7,9 @@
 
 use bpaf::Bpaf;
 use carawayrun::control::Event;
-use carawayrun::http::Listener;
 use carawayrun::node::{self, Handle};
 use carawayrun::ops::why::Decisions;
-use carawayrun::ops::{self, OperatorKey, Operators, ParseOperatorKeyError};
+use carawayrun::ops::{self, OperatorKey, OperatorListener, Operators, ParseOperatorKeyError};
 use carawayrun::traffic::gateway::{self, Gateway, GatewaySettings, StopOutcome};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tracing::{info, warn};
@@ -174,7 +173,7 @@
 
 async fn serve_until_stopped(
     gateway: &Gateway,
-    operators: &Listener,
+    operators: &OperatorListener,
     handle: &Handle,
     signals: &mut Signals,
 ) -> Result<(), CliError> {
@@ -188,7 +187,7 @@
         () = signals.recv() => gateway.abort_outcome(),
     };
     log_outcome(&outcome);
-    operators.stop(false).await;
+    operators.stop().await;
     handle.close().await;
     if sealed {
         return Err(CliError::failed(
--- a/src/carawayrun/ops/handler.rs
+++ b/src/carawayrun/ops/handler.rs
@@ -17,6 +17,7 @@
 use super::operators::Operators;
 use super::refusal::Refusal;
 use super::routes::Route;
+use super::server::Activity;
 use super::status::{resource_view, status_body};
 use super::store;
 use super::watch;
@@ -48,6 +49,7 @@
     /// Sequence number of the next write id, counted since the process started.
     pub(super) writes: Arc<AtomicU64>,
     pub(super) condition_times: ConditionTimes,
+    pub(super) activity: Arc<Activity>,
 }
 
 /// An authenticated operator's request.
@@ -63,7 +65,12 @@
     pub(super) async fn handle(self: Rc<Self>, request: Request) -> Response<BoxBody> {
         let counters = self.handle.counters();
         counters.count("operators.calls", 1);
-        let answer = self.route_request(request).await;
+        let _call = self.activity.begin();
+        let answer = if self.activity.is_stopping() {
+            Err(Refusal::stopping())
+        } else {
+            self.route_request(request).await
+        };
         answer.unwrap_or_else(|refusal| {
             counters.count(refusal.counter_name(), 1);
             refusal.to_response()
--- a/src/carawayrun/ops/mod.rs
+++ b/src/carawayrun/ops/mod.rs
@@ -30,5 +30,5 @@
 pub use self::handler::OPENAPI;
 pub use self::operators::{OperatorKey, Operators, ParseOperatorKeyError};
 pub use self::routes::{ROUTES, Route, RouteInfo};
-pub use self::server::{Options, bind};
+pub use self::server::{OperatorListener, Options, bind};
 pub use self::transaction::{NextAction, WriteError, WriteTransaction};
--- a/src/carawayrun/ops/refusal.rs
+++ b/src/carawayrun/ops/refusal.rs
@@ -37,6 +37,11 @@
         )
     }
 
+    pub(super) fn stopping() -> Self {
+        let message = "this gateway is stopping; nothing was changed; use another";
+        Self::new(StatusCode::SERVICE_UNAVAILABLE, "draining", message)
+    }
+
     pub(super) fn not_found(message: impl Into<String>) -> Self {
         Self::new(StatusCode::NOT_FOUND, "not_found", message)
     }
--- a/tests/testsuite/stopping.rs
+++ b/tests/testsuite/stopping.rs
@@ -4,17 +4,18 @@
 
 use actix_rt::net::TcpStream;
 use actix_rt::time::sleep;
+use awc::http::Method;
 use futures_util::future::join_all;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use serde_json::Value;
+use serde_json::{Value, json};
 use test_case::test_case;
 use tokio::io::AsyncWriteExt;
 
 use crate::support::lengths::draw_ms;
 use crate::support::raw::{RawAnswer, read_answer};
 use crate::support::{
-    Answer, Call, Caller, LUZCENA_KEY, Ran, Traffic, World, WorldBuilder, eventually,
+    Answer, Call, Caller, LUZCENA_KEY, Ran, Traffic, World, WorldBuilder, eventually, resource,
 };
 
 #[test_case("agent")]
@@ -208,3 +209,36 @@
     })
     .await;
 }
+
+// The operator had no answer, and could not tell whether the change was made.
+#[test_case(0)]
+#[test_case(150)]
+#[test_case(400)]
+#[actix_rt::test]
+async fn operators_change_is_cut_by_a_stop(after_ms: u64) {
+    let mut world = WorldBuilder::new("stop-operator")
+        .gateways(2)
+        .engines(1)
+        .gateway_arg("--linger-ms", "500")
+        .start()
+        .await;
+    world.table_faults(&json!({"slowMs": 1000})).await;
+    let team = json!([resource(
+        "Team",
+        "new-team",
+        &json!({"keyDigests": [], "versions": [], "services": ["home"],
+                "limits": {"rate": 1.0, "burst": 1.0, "concurrency": 1}}),
+    )]);
+    world.gateways[0].terminate();
+    sleep(Duration::from_millis(after_ms)).await;
+    let status = world
+        .operator_send(0, Method::POST, "/apis/v1/apply", &team)
+        .await;
+    assert!((200..300).contains(&status), "{status}");
+    eventually("the process ends", || {
+        let ended = world.gateways[0].ended();
+        async move { ended }
+    })
+    .await;
+    assert_eq!(world.gateways[0].exit_code(), Some(0));
+}
