--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -9,6 +9,7 @@
 use super::head_timer::HeadTimer;
 use super::{AttemptOutcome, DELIVERY_RESERVE, Exchange, PendingAnswer, RequestProgress};
 use crate::platform::{self, OutboundHeaders};
+use crate::relay::budget::RetryCause;
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::losses::Loss;
@@ -28,8 +29,8 @@
 const MIN_STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Timeout for the head of an idempotent route's answer before another upstream
-/// is tried, in latency objectives. For a route without an objective it is zero,
-/// except on the last attempt, which has all the time left.
+/// is tried, in latency objectives. The last attempt, and a route without an objective,
+/// have all the time left.
 const HEAD_TIMEOUT_OBJECTIVES: u32 = 3;
 
 /// Maximum number of polls of a silent engine's load report per attempt.
@@ -228,8 +229,9 @@
         }
     }
 
-    // True if another upstream could be tried. If not, the attempt goes on
-    // waiting, as a late answer is better than none.
+    // True if another attempt would be made: there is an upstream, a retry in the budget
+    // and time before the relay stops. If not, this one goes on waiting, as a late answer
+    // is better than none.
     fn has_alternative(
         &self,
         route: &Route,
@@ -237,11 +239,15 @@
         key: UpstreamKey,
         upstream: &Upstream,
     ) -> bool {
+        if !self.has_time(route) {
+            return false;
+        }
         let mut excluded = progress.excluded.clone();
         excluded.push(key);
         let view = self.traffic.view();
-        let next = self.choose_upstream(&view, route, progress, &excluded, &upstream.service);
-        next.is_some()
+        let service = &upstream.service;
+        let next = self.choose_upstream(&view, route, progress, &excluded, service);
+        next.is_some() && self.traffic.has_retry(service, RetryCause::Failure)
     }
 
     // Timeout for the head of an answer before another upstream is tried; all the
@@ -260,7 +266,9 @@
             RouteKind::Stream { resumable: true } if !is_last => {
                 (route.objective * 2).max(MIN_STREAM_HEAD_TIMEOUT)
             }
-            RouteKind::Idempotent if !is_last => route.objective * HEAD_TIMEOUT_OBJECTIVES,
+            RouteKind::Idempotent if !is_last && !route.objective.is_zero() => {
+                route.objective * HEAD_TIMEOUT_OBJECTIVES
+            }
             _ => left,
         };
         head_timeout.min(left)
