--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -113,13 +113,14 @@
     parse_answer(&String::from_utf8_lossy(&bytes))
 }
 
-/// Reads an answer to its end, or that of its connection.
+/// Reads one answer and leaves its connection open; it isn't whole where the connection
+/// ends before.
 pub(crate) async fn read_framed(stream: &mut TcpStream) -> RawAnswer {
     let mut bytes = Vec::new();
     loop {
         let read = stream.read_buf(&mut bytes).await;
         let answer = parse_answer(&String::from_utf8_lossy(&bytes));
-        if answer.is_whole || read.unwrap_or(0) == 0 {
+        if answer.is_whole || !read.is_ok_and(|count| count > 0) {
             return answer;
         }
     }
