Count a rest in the soak once its relay was told

The relay had never been told. A request that lies in the frozen upstream's socket is read when it wakes, and refused with the rest on a connection whose link holds the answer back for good; the relay gives the request up. The check counted the rest from the upstream's answer, which came 1 ms after the last fault.

The link before an upstream now notes the ids of the refusals that it passed on, on connections that the relay had not closed. A refusal that it did not pass on counts as no rest; all others count as before.

--- a/tests/testsuite/soak/check_bounds.rs
+++ b/tests/testsuite/soak/check_bounds.rs
@@ -58,7 +58,7 @@
             let targets = [FaultTarget::Relay(relay), FaultTarget::Upstream(upstream)];
             let is_disturbed =
                 |targets| self.history.is_disturbed(targets, asked.at_ms, other.at_ms);
-            is_disturbed(&targets)
+            !self.history.is_told(asked) || is_disturbed(&targets)
         });
         (most > rest::MOST).then(|| format!("{most} requests within a rest of an upstream"))
     }
@@ -152,7 +152,7 @@
 }
 
 // Index of the upstream in a name such as `u-3-1`.
-fn upstream_index(name: &str) -> usize {
+pub(super) fn upstream_index(name: &str) -> usize {
     let index = name.split('-').nth(1);
     index.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
--- a/tests/testsuite/soak/check_tests.rs
+++ b/tests/testsuite/soak/check_tests.rs
@@ -1,12 +1,16 @@
 //! Each check reports a history that violates its guarantee, and no other.
 
+use std::time::Duration;
+
+use actix_rt::time::sleep;
 use test_case::test_case;
 
 use super::check::{REVOKE_MS, find_violations, stream_body};
 use super::history::{
     Disturbance, Exchange, FaultTarget, History, Key, NamedLimit, RequestKind, Run, Stop,
 };
-use crate::support::platform::Arrival;
+use crate::support::platform::{Arrival, PlatformWorld};
+use crate::support::{Passing, Relay};
 
 const SENT: u64 = 100_000;
 
@@ -394,6 +398,51 @@
     assert_eq!(found.len(), violations, "{found:?}");
 }
 
+// Seed 117: the upstream was frozen, and by the time it refused, its open connections had
+// gone silent for good.
+#[test_case("0", 0; "by a request whose refusal was lost")]
+#[test_case("1", 1; "beside another request whose refusal was lost")]
+fn rest_counts_once_its_relay_was_told(lost: &str, violations: usize) {
+    let mut history = History::default();
+    let asked = arrival(0, SENT, 3_000, false);
+    history.untold = [(asked.runner.clone(), format!("r-{lost}"))].into();
+    add_arrival(&mut history, RequestKind::Read, SENT, asked);
+    for number in 1..=3 {
+        let at = SENT + 600 + number;
+        let reached = arrival(number, at, 0, false);
+        add_arrival(&mut history, RequestKind::Read, at, reached);
+    }
+    let found = find_violations(&history);
+    assert_eq!(found.len(), violations, "{found:?}");
+}
+
+#[actix_rt::test]
+async fn link_tells_passed_refusals_from_lost_ones() {
+    let mut world = PlatformWorld::start_store("told").await;
+    let faults = ["--faults", r#"{"rest":"3"}"#];
+    let host = world.unregistered_runner("app-0", &faults).await;
+    let listen = world.address(host + 1);
+    let link = Relay::bind(&listen, world.address(host)).await;
+    let client = awc::Client::builder()
+        .timeout(Duration::from_millis(500))
+        .finish();
+    let request = |id| {
+        let request = client.get(format!("http://{listen}/read/a"));
+        request
+            .insert_header(("x-carawayrun-request-id", id))
+            .send()
+    };
+    request("r-1").await.expect("the link passes an answer on");
+    assert!(link.has_passed_refusal("r-1"));
+    link.pass(Passing::NoAnswers);
+    let lost = request("r-2").await;
+    lost.expect_err("the link holds the answer back");
+    drop(client);
+    link.mend();
+    sleep(Duration::from_millis(100)).await;
+    assert!(!link.has_passed_refusal("r-2"));
+}
+
 #[test_case(1_900, false, 0; "within the drain time")]
 #[test_case(2_300, false, 1; "late")]
 #[test_case(2_300, true, 0; "late, by a relay that was frozen")]
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -8,10 +8,10 @@
 use actix_rt::time::sleep;
 use serde_json::{Value, json};
 
-use super::check_bounds::{RETRY_RATIO, RETRY_SLACK};
+use super::check_bounds::{RETRY_RATIO, RETRY_SLACK, upstream_index};
 use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop};
 use super::plan::{Sizes, has_deadly_requests};
-use crate::support::platform::{config, lab, read_arrivals};
+use crate::support::platform::{Arrival, config, lab, read_arrivals};
 use crate::support::{Passing, Process, Relay, now_ms};
 
 /// Delay between the end of a process and its restart.
@@ -802,11 +802,21 @@
             .lines()
             .filter_map(|line| serde_json::from_str::<Run>(line).ok());
         let arrivals = read_arrivals(&self.dir.join("arrivals.jsonl"));
+        let untold = arrivals.iter().filter(|arrival| self.is_untold(arrival));
+        let untold = untold.map(|arrival| (arrival.runner.clone(), arrival.id.clone()));
         let mut history = self.history.borrow_mut();
+        history.untold = untold.collect();
         history.runs = runs.collect();
         history.arrivals = arrivals;
     }
 
+    // Whether an upstream refused a request, and the link before it never passed that on.
+    fn is_untold(&self, arrival: &Arrival) -> bool {
+        let link = &self.upstream_links[upstream_index(&arrival.runner)];
+        let has_link = !has_deadly_requests(self.seed);
+        has_link && arrival.rest_ms > 0 && !link.has_passed_refusal(&arrival.id)
+    }
+
     /// Returns the directory of the logs, which is kept if the soak found a violation.
     pub(crate) fn dir(&self) -> &Path {
         &self.dir
--- a/tests/testsuite/soak/history.rs
+++ b/tests/testsuite/soak/history.rs
@@ -1,6 +1,8 @@
 //! Events recorded by callers, upstreams and the soak itself. Times are milliseconds
 //! since the Unix epoch, from the system clock that all processes share.
 
+use std::collections::HashSet;
+
 use serde::Deserialize;
 
 use crate::support::platform::Arrival;
@@ -157,6 +159,9 @@
     pub(crate) limits: Vec<NamedLimit>,
     /// Requests that reached upstreams, run or not.
     pub(crate) arrivals: Vec<Arrival>,
+    /// Refused requests whose refusal never reached the relay that had sent them, each with
+    /// the upstream's name and the id.
+    pub(crate) untold: HashSet<(String, String)>,
     /// Relays that exited unexpectedly or used too much memory, one line each.
     pub(crate) crashes: Vec<String>,
 }
@@ -169,6 +174,12 @@
             .any(|other| targets.contains(&other.target) && other.from <= to && other.to >= from)
     }
 
+    /// Whether the answer to a request can have reached the relay that had sent it.
+    pub(crate) fn is_told(&self, arrival: &Arrival) -> bool {
+        let request = (arrival.runner.clone(), arrival.id.clone());
+        !self.untold.contains(&request)
+    }
+
     pub(crate) fn runs_of<'a>(&'a self, id: &'a str) -> impl Iterator<Item = &'a Run> {
         self.runs.iter().filter(move |run| run.id == id)
     }
--- a/tests/testsuite/support/relay.rs
+++ b/tests/testsuite/support/relay.rs
@@ -1,6 +1,7 @@
 //! A TCP relay between two processes that a test can cut.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -79,6 +80,7 @@
     /// Connections that were accepted before this many hold everything back.
     silenced: Rc<Cell<u64>>,
     accepted: Rc<Cell<u64>>,
+    refused: Rc<RefCell<HashSet<String>>>,
     cuts: watch::Sender<u64>,
     accepting: JoinHandle<()>,
 }
@@ -91,17 +93,20 @@
         let (cuts, _) = watch::channel(0);
         let silenced = Rc::new(Cell::new(0));
         let accepted = Rc::new(Cell::new(0));
+        let refused = Rc::default();
         let hop = Hop {
             target,
             passing: Rc::clone(&passing),
             silenced: Rc::clone(&silenced),
             accepted: Rc::clone(&accepted),
+            refused: Rc::clone(&refused),
         };
         let accepting = accept(listener, hop, cuts.clone());
         Self {
             passing,
             silenced,
             accepted,
+            refused,
             cuts,
             accepting: actix_rt::spawn(accepting),
         }
@@ -132,6 +137,12 @@
         self.accepted.get()
     }
 
+    /// Returns true if an answer of 503 to this request was passed on, on a connection that
+    /// was open on both sides.
+    pub(crate) fn has_passed_refusal(&self, id: &str) -> bool {
+        self.refused.borrow().contains(id)
+    }
+
     /// Changes what becomes of all bytes from now on.
     pub(crate) fn pass(&self, passing: Passing) {
         self.passing.set(passing);
@@ -144,6 +155,15 @@
     }
 }
 
+/// Id of the request that an answer with 503 names, where a piece begins with its head.
+fn parse_refused_id(piece: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(piece);
+    let head = text.strip_prefix("HTTP/1.1 503 ")?;
+    let mut lines = head.lines().take_while(|line| !line.is_empty());
+    let id = lines.find_map(|line| line.strip_prefix("x-carawayrun-request-id: "));
+    id.map(String::from)
+}
+
 /// What the connections of a relay share.
 #[derive(Clone)]
 struct Hop {
@@ -151,6 +171,8 @@
     passing: Rc<Cell<Passing>>,
     silenced: Rc<Cell<u64>>,
     accepted: Rc<Cell<u64>>,
+    /// Ids of the requests whose refusals were passed on.
+    refused: Rc<RefCell<HashSet<String>>>,
 }
 
 async fn accept(listener: TcpListener, hop: Hop, cuts: watch::Sender<u64>) {
@@ -170,22 +192,26 @@
     let (near_reader, near_writer) = near.into_split();
     let (far_reader, far_writer) = far.into_split();
     let is_silenced = || number < hop.silenced.get();
+    let is_left = Cell::new(false);
     let (to, from) = (Direction::ToTarget, Direction::FromTarget);
-    let there = copy(near_reader, far_writer, &hop.passing, to, is_silenced);
-    let back = copy(far_reader, near_writer, &hop.passing, from, is_silenced);
+    let there = copy(near_reader, far_writer, &hop, to, &is_left, is_silenced);
+    let back = copy(far_reader, near_writer, &hop, from, &is_left, is_silenced);
     tokio::select! {
         _ = cuts.changed() => {}
         _ = async { tokio::join!(there, back) } => {}
     }
 }
 
+// `is_left` becomes true once the near side has closed its connection.
 async fn copy(
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
-    passing: &Cell<Passing>,
+    hop: &Hop,
     direction: Direction,
+    is_left: &Cell<bool>,
     is_silenced: impl Fn() -> bool,
 ) -> io::Result<()> {
+    let passing = &hop.passing;
     let is_answer = direction == Direction::FromTarget;
     let is_held = || match passing.get() {
         Passing::Silent => true,
@@ -194,7 +220,11 @@
     };
     let mut piece = vec![0; PIECE];
     loop {
-        let read = reader.read(&mut piece).await?;
+        let read = reader.read(&mut piece).await;
+        if !is_answer && !matches!(read, Ok(1..)) {
+            is_left.set(true);
+        }
+        let read = read?;
         if let Passing::Delayed(delay) = passing.get() {
             actix_rt::time::sleep(delay).await;
         }
@@ -212,6 +242,10 @@
             junk.write(&mut writer).await?;
         }
         writer.write_all(&piece[..read]).await?;
+        if is_answer && !is_left.get() {
+            let refused = parse_refused_id(&piece[..read]);
+            hop.refused.borrow_mut().extend(refused);
+        }
         if let Some(junk) = junk.filter(|junk| !junk.comes_first) {
             junk.write(&mut writer).await?;
         }
