Wait in tests until each relay knows the upstreams

resting::upstream_asked_again_while_it_rests failed once in a run of the whole suite with 32 threads (load 69): three requests refused in a world with four upstreams. The second relay's log shows it ready with app-0 alone; app-1 to app-3 were registered there at 44.470 s, 56 ms after it had refused the first request: the test asked it though only the first relay had been waited for. until_ready now waits until all relays know all registrations, which makes no check weaker.

--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -462,21 +462,24 @@
         RequestRecord::parse(&self.logged(relay, &texts)[0])
     }
 
-    /// Waits until all relays are ready, and the first one knows all registered
-    /// runners.
+    /// Waits until all relays are ready and know all registered runners.
     pub(crate) async fn until_ready(&self) {
-        self.until_known(self.runners.len()).await;
-        for relay in 1..self.relays.len() {
-            self.until(async |world| world.is_relay_ready(relay).await)
-                .await;
+        for relay in 0..self.relays.len() {
+            self.until_relay_known(relay, self.runners.len()).await;
         }
     }
 
-    /// Waits until the relay is ready and knows so many registrations.
+    /// Waits until the first relay is ready and knows so many registrations.
     pub(crate) async fn until_known(&self, registrations: usize) {
+        self.until_relay_known(0, registrations).await;
+    }
+
+    async fn until_relay_known(&self, relay: usize, registrations: usize) {
         let line = format!("carawayrun_upstreams {registrations}\n");
-        self.until(async |world| world.is_ready().await && world.metrics().await.contains(&line))
-            .await;
+        self.until(async |world| {
+            world.is_relay_ready(relay).await && world.relay_metrics(relay).await.contains(&line)
+        })
+        .await;
     }
 
     /// Address of the first relay with one of its ports.
