Give each test world addresses that no other process uses

Worlds took their addresses and folder from the process id modulo 250. Of two test processes whose ids are alike modulo 250, the second one's stand-ins and relays ended with "Address already in use", and its tests went on against the first one's world, since a health check there was answered.

That the earlier failures had this cause can't be shown any more, as their logs are gone.

A world now claims a network by listening at an address in it, and takes the next one where that, or a store that a killed test left behind, is in use. Worlds, platform worlds and soaks share one order; before, the 81st platform world of a process had the addresses of its first soak. Folders carry the whole process id.

--- a/tests/testsuite/limits.rs
+++ b/tests/testsuite/limits.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
-use crate::support::{limit, now_ms};
+use crate::support::{Net, limit, now_ms};
 
 const RELAYS: usize = 3;
 
@@ -115,6 +115,14 @@
     }
 }
 
+// Processes whose ids were alike modulo 250 shared a world: each test got a part of a limit.
+#[test]
+fn two_worlds_shared_their_addresses() {
+    let first = Net::claim_from(0);
+    let second = Net::claim_from(0);
+    assert_ne!(first.to_string(), second.to_string());
+}
+
 #[actix_rt::test]
 async fn limit_exceeded_where_no_other_upstream_is_left() {
     let limit = 4.0;
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -12,7 +12,7 @@
 use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop};
 use super::plan::{Sizes, has_deadly_requests};
 use crate::support::platform::{Arrival, config, lab, read_arrivals};
-use crate::support::{Passing, Process, Relay, now_ms};
+use crate::support::{Net, Passing, Process, Relay, now_ms};
 
 /// Delay between the end of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
@@ -44,7 +44,6 @@
     pub(crate) sizes: Sizes,
     pub(crate) history: RefCell<History>,
     dir: PathBuf,
-    net: String,
     client: awc::Client,
     store: Process,
     store_links: Vec<Relay>,
@@ -57,6 +56,8 @@
     pub(crate) sends_deadly: Cell<bool>,
     /// True until the faults are over.
     has_faults: Cell<bool>,
+    /// Its addresses, until all its processes have ended.
+    net: Net,
 }
 
 /// A relay or upstream that is restarted in the course of a soak.
@@ -78,7 +79,7 @@
 
 impl Deployment {
     /// Starts all processes and waits until all relays are ready.
-    pub(crate) async fn start(seed: u64, sizes: Sizes, net: String) -> Rc<Self> {
+    pub(crate) async fn start(seed: u64, sizes: Sizes, net: Net) -> Rc<Self> {
         let process = std::process::id();
         let dir = std::env::temp_dir().join(format!("carawayrun-soak-{process}-{seed}"));
         std::fs::create_dir_all(&dir).expect("the soak's directory can be created");
@@ -123,7 +124,7 @@
     }
 
     async fn bind_links(&mut self, store: &str) {
-        let net = self.net.clone();
+        let net = self.net.to_string();
         for relay in 0..self.sizes.relays {
             let listen = format!("{net}.1:{}", 7_100 + relay);
             self.store_links
--- a/tests/testsuite/soak/mod.rs
+++ b/tests/testsuite/soak/mod.rs
@@ -33,7 +33,7 @@
 use self::deployment::{Deployment, PERMANENT_KEYS};
 use self::history::RequestKind;
 use self::plan::{Sizes, plan_faults};
-use crate::support::now_ms;
+use crate::support::{Net, now_ms};
 
 /// Default sizes, which keep a test at a few dozen processes at most.
 const DEFAULT_SIZES: Sizes = Sizes {
@@ -82,14 +82,9 @@
 /// Number of soaks that one test runs at the same time.
 const PARALLEL_SOAKS: usize = 3;
 
-/// Number of networks used so far; each soak of this process has addresses of its own.
-static NETWORKS_USED: AtomicU64 = AtomicU64::new(0);
-
 /// Runs the soak of a seed and returns the violations, one line each.
 async fn run_soak(seed: u64, duration: Duration, sizes: Sizes) -> Vec<String> {
-    let net = NETWORKS_USED.fetch_add(1, Ordering::Relaxed) % 50;
-    let net = format!("127.{}.{}", 180 + net, std::process::id() % 250);
-    let deployment = Deployment::start(seed, sizes, net).await;
+    let deployment = Deployment::start(seed, sizes, Net::claim()).await;
     let stopped = Rc::new(Cell::new(false));
     let callers = (0..CALLERS_PER_RELAY * sizes.relays).map(|number| {
         actix_rt::spawn(send_requests(
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -12,10 +12,11 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use super::net::Net;
 use super::process::Process;
 use super::relay::Relay;
 
-/// Worlds of this process, each with addresses of its own.
+/// Worlds of this process so far.
 static WORLDS: AtomicU16 = AtomicU16::new(1);
 
 /// Time within which a condition must come to hold.
@@ -34,8 +35,6 @@
 
 pub(crate) struct PlatformWorld {
     dir: PathBuf,
-    /// First three numbers of its addresses.
-    net: String,
     client: Client,
     /// Relays at the hosts from [`FIRST_RELAY`] on.
     relays: Vec<Process>,
@@ -45,6 +44,8 @@
     runners: Vec<Process>,
     /// Name and arguments of each runner.
     runner_args: Vec<(String, Vec<String>)>,
+    /// Its addresses, until all its processes have ended.
+    net: Net,
 }
 
 /// A request that reached a runner.
@@ -132,8 +133,8 @@
     /// Starts the store alone.
     pub(crate) async fn start_store(name: &str) -> Self {
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
-        let process = std::process::id() % 250;
-        let net = format!("127.{}.{process}", 100 + number);
+        let process = std::process::id();
+        let net = Net::claim();
         let dir = std::env::temp_dir().join(format!("carawayrun-{name}-{process}-{number}"));
         std::fs::create_dir_all(&dir).expect("the world's folder can be made");
         let store = lab(
@@ -148,12 +149,12 @@
         let world = Self {
             dir,
             store_addr: format!("{net}.1:7000"),
-            net,
             client,
             relays: Vec::new(),
             _store: store,
             runners: Vec::new(),
             runner_args: Vec::new(),
+            net,
         };
         let health = world.store_url("/health");
         world
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -8,6 +8,7 @@
 
 use super::caller::{read_json, send_json};
 use super::manifest::{self, digest};
+use super::net::Net;
 use super::process::Process;
 use super::relay::Relay;
 
@@ -93,7 +94,6 @@
 #[derive(Debug)]
 pub(crate) struct World {
     dir: PathBuf,
-    net: String,
     node_args: Vec<String>,
     pub(super) platform: Vec<Process>,
     upstreams: Vec<Process>,
@@ -103,6 +103,8 @@
     pub(crate) relays: Vec<Relay>,
     /// Name and service of each upstream.
     pub(super) slots: Vec<Slot>,
+    /// Its addresses, until all its processes have ended.
+    net: Net,
 }
 
 /// The place of one upstream and its agent.
@@ -135,19 +137,11 @@
     fn new(builder: &WorldBuilder) -> Self {
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
-        // Each world has a loopback network of its own, so ports are fixed and
-        // worlds of tests that run at the same time do not meet.
-        let net = format!(
-            "127.{}.{}",
-            1 + process % 250,
-            (process / 250 * 16 + number) % 256
-        );
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("{}-{process}-{number}", builder.name));
         std::fs::create_dir_all(&dir).expect("world directory is made");
         Self {
             dir,
-            net,
             node_args: builder.node_args.clone(),
             platform: Vec::new(),
             upstreams: Vec::new(),
@@ -155,6 +149,7 @@
             agents: Vec::new(),
             relays: Vec::new(),
             slots: Self::slots(builder),
+            net: Net::claim(),
         }
     }
 
