--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -8,11 +8,11 @@
 use actix_rt::time::sleep;
 use serde_json::{Value, json};
 
-use super::check_bounds::{RETRY_RATIO, RETRY_SLACK};
+use super::check_bounds::{RETRY_RATIO, RETRY_SLACK, upstream_index};
 use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop};
 use super::plan::{Sizes, has_deadly_requests};
-use crate::support::platform::{config, lab, read_arrivals};
-use crate::support::{Passing, Process, Relay, now_ms};
+use crate::support::platform::{Arrival, config, lab, read_arrivals};
+use crate::support::{Net, Passing, Process, Relay, now_ms};
 
 /// Delay between the end of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
@@ -47,7 +47,6 @@
     pub(crate) sizes: Sizes,
     pub(crate) history: RefCell<History>,
     dir: PathBuf,
-    net: String,
     client: awc::Client,
     store: Process,
     store_links: Vec<Relay>,
@@ -62,6 +61,8 @@
     has_faults: Cell<bool>,
     /// True while relays are stopped together and answers take drawn times.
     pub(crate) is_stopping: Cell<bool>,
+    /// Its addresses, until all its processes have ended.
+    net: Net,
 }
 
 /// A relay or upstream that is restarted in the course of a soak.
@@ -83,7 +84,7 @@
 
 impl Deployment {
     /// Starts all processes and waits until all relays are ready.
-    pub(crate) async fn start(seed: u64, sizes: Sizes, net: String) -> Rc<Self> {
+    pub(crate) async fn start(seed: u64, sizes: Sizes, net: Net) -> Rc<Self> {
         let process = std::process::id();
         let dir = std::env::temp_dir().join(format!("carawayrun-soak-{process}-{seed}"));
         std::fs::create_dir_all(&dir).expect("the soak's directory can be created");
@@ -129,7 +130,7 @@
     }
 
     async fn bind_links(&mut self, store: &str) {
-        let net = self.net.clone();
+        let net = self.net.to_string();
         for relay in 0..self.sizes.relays {
             let listen = format!("{net}.1:{}", 7_100 + relay);
             self.store_links
@@ -824,11 +825,21 @@
             .lines()
             .filter_map(|line| serde_json::from_str::<Run>(line).ok());
         let arrivals = read_arrivals(&self.dir.join("arrivals.jsonl"));
+        let untold = arrivals.iter().filter(|arrival| self.is_untold(arrival));
+        let untold = untold.map(|arrival| (arrival.runner.clone(), arrival.id.clone()));
         let mut history = self.history.borrow_mut();
+        history.untold = untold.collect();
         history.runs = runs.collect();
         history.arrivals = arrivals;
     }
 
+    // Whether an upstream refused a request, and the link before it never passed that on.
+    fn is_untold(&self, arrival: &Arrival) -> bool {
+        let link = &self.upstream_links[upstream_index(&arrival.runner)];
+        let has_link = !has_deadly_requests(self.seed);
+        has_link && arrival.rest_ms > 0 && !link.has_passed_refusal(&arrival.id)
+    }
+
     /// Returns the directory of the logs, which is kept if the soak found a violation.
     pub(crate) fn dir(&self) -> &Path {
         &self.dir
--- a/tests/testsuite/support/world.rs
+++ b/tests/testsuite/support/world.rs
@@ -8,6 +8,7 @@
 
 use super::caller::{read_json, send_json};
 use super::manifest::{self, digest};
+use super::net::Net;
 use super::process::Process;
 use super::relay::Relay;
 
@@ -113,7 +114,6 @@
 #[derive(Debug)]
 pub(crate) struct World {
     dir: PathBuf,
-    net: String,
     node_args: Vec<String>,
     gateway_args: Vec<String>,
     pub(super) platform: Vec<Process>,
@@ -124,6 +124,8 @@
     pub(crate) relays: Vec<Relay>,
     /// Name and service of each upstream.
     pub(super) slots: Vec<Slot>,
+    /// Its addresses, until all its processes have ended.
+    net: Net,
 }
 
 /// The place of one upstream and its agent.
@@ -156,19 +158,11 @@
     fn new(builder: &WorldBuilder) -> Self {
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
-        // Each world has a loopback network of its own, so ports are fixed and
-        // worlds of tests that run at the same time do not meet.
-        let net = format!(
-            "127.{}.{}",
-            1 + process % 250,
-            (process / 250 * 16 + number) % 256
-        );
         let dir = Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("{}-{process}-{number}", builder.name));
         std::fs::create_dir_all(&dir).expect("world directory is made");
         Self {
             dir,
-            net,
             node_args: builder.node_args.clone(),
             gateway_args: builder.gateway_args.clone(),
             platform: Vec::new(),
@@ -177,6 +171,7 @@
             agents: Vec::new(),
             relays: Vec::new(),
             slots: Self::slots(builder),
+            net: Net::claim(),
         }
     }
 
