Hold a removal that was read against the rows of a restored copy

A copy's row was told from a later one by its sequence. The digest that confirms rows leaves the sequence out, so a relay that isn't the reader knows it only as of its own last read, and the copy's row looked newer than the removal. A relay that did ignore a row had the same digest as a reader that used it, and never read its next write.

Now what was read of a registration is one record with the era of the read, and a row counts as the copy's by the era and its version, which every relay has: at or below the newest version in the first answer of the new era. Such a row undoes no removal and brings no earlier process back. The digest is over what a row stands for at the relay, so relays that differ read on until they agree; no relay reads beats for it.

Changed tests: Event::StoreRestored carries the newest version, and a registration its row's version, so the reducer tests name them; the "later write of the same process" is now a row above the copy's version, as any row is that a feed brings after a restore.

--- a/src/carawayrun/platform/registrations.rs
+++ b/src/carawayrun/platform/registrations.rs
@@ -76,5 +76,6 @@
     Ok(Registration {
         upstream,
         sequence: wire.sequence,
+        version: row.version,
     })
 }
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -22,10 +22,10 @@
 use super::rollout::{RolloutOrder, RolloutRow, TrafficOutlook};
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 
-/// Time after a restore of the store within which operators and upstreams write
-/// again what the copy lacks. An order that repeats a known one is the same order
-/// until then, and a registration may be one of the copy. The users' recovery time
-/// is 12 s; a gateway may notice the restore that long before the operators do.
+/// Time after a restore of the store within which operators write again what the copy
+/// lacks. An order that repeats a known one is the same order until then. The users'
+/// recovery time is 12 s; a gateway may notice the restore that long before the operators
+/// do.
 const REWRITE_TIME: Duration = Duration::from_secs(30);
 
 /// Longest delay of a gateway's write of a roll-out's next phase.
@@ -38,6 +38,8 @@
     pub upstream: Upstream,
     /// Number of writes of the registration by the upstream's process, if given.
     pub sequence: Option<u64>,
+    /// Version of the row.
+    pub version: u64,
 }
 
 /// Input of the reducer. Times are on the boot clock, except for those of
@@ -62,8 +64,9 @@
     /// The store answered again after an outage of this length.
     StoreRecovered(Duration),
     /// The store was restored from a copy: versions of rows that were read before
-    /// have no meaning any more, and rows written shortly before are gone.
-    StoreRestored,
+    /// have no meaning any more, and rows written shortly before are gone. Its newest
+    /// version was this one when the restore was learned of.
+    StoreRestored(u64),
     /// The row of a roll-out was read, with its version.
     RolloutRead(RolloutRow, u64),
     /// Request outcomes that another gateway counted for an open roll-out were
@@ -195,7 +198,7 @@
             Event::OrderRead(order) => self.apply_order(order, now, &mut effects),
             Event::OrderRemoved(service) => self.remove_order(&service, &mut effects),
             Event::UpstreamRegistered(registration) => {
-                self.register_upstream(registration, now);
+                self.register_upstream(registration);
                 self.publish_upstreams(&mut effects);
             }
             Event::UpstreamUnregistered(name) => {
@@ -215,7 +218,10 @@
                 );
                 self.recovered_at = Some(now);
             }
-            Event::StoreRestored => self.forget_versions(now),
+            Event::StoreRestored(copy_version) => {
+                self.history.begin_era(copy_version);
+                self.forget_versions(now);
+            }
             Event::RolloutRead(row, version) => self.apply_row(row, version, now, &mut effects),
             Event::OutcomesReceived { node, outcomes } => self.set_peer_outcomes(node, &outcomes),
             Event::RolloutsSynced => {
@@ -291,7 +297,7 @@
         }
     }
 
-    // True while rows may be those of a restored copy.
+    // True while operators may write again what a restored copy lacks.
     fn is_recently_restored(&self, now: Duration) -> bool {
         self.restored_at
             .is_some_and(|at| now.saturating_sub(at) < REWRITE_TIME)
@@ -308,7 +314,7 @@
             .collect();
         for name in expired {
             tracing::info!(upstream = %name, "upstream removed; it did not register again after the store outage");
-            self.remove_upstream(&name, now);
+            self.remove_upstream(&name);
         }
         self.history.expire(now);
         self.publish_upstreams(effects);
--- a/src/carawayrun/relay/control/registrations.rs
+++ b/src/carawayrun/relay/control/registrations.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use super::{Effect, Registration, State};
+use crate::relay::view::Upstream;
 
 /// Time after a store outage within which upstreams whose registrations lapsed
 /// may register again.
@@ -17,12 +18,25 @@
 const LAPSED_DRAIN_FRACTION: f64 = 0.6;
 
 impl State {
+    /// Upstream that a registration which was read stands for. One that is outdated
+    /// stands for what is known already: for none if its removal is known.
+    pub fn resolve<'a>(&'a self, registration: &'a Registration) -> Option<&'a Upstream> {
+        if !self.history.is_outdated(registration) {
+            return Some(&registration.upstream);
+        }
+        let name = &registration.upstream.name;
+        let known = self.by_name.get(name);
+        let known = known.filter(|_| !self.lapsed.contains_key(name));
+        known.and_then(|key| self.upstreams.get(*key))
+    }
+
     // Adds an upstream or updates it; another incarnation gets a new key.
-    pub(super) fn register_upstream(&mut self, registration: Registration, now: Duration) {
-        if self.is_recently_restored(now) && self.history.is_outdated(&registration) {
+    pub(super) fn register_upstream(&mut self, registration: Registration) {
+        if self.history.is_outdated(&registration) {
             tracing::info!(
                 upstream = %registration.upstream.name,
                 sequence = registration.sequence,
+                version = registration.version,
                 "registration of the restored copy is outdated; ignored"
             );
             return;
@@ -63,6 +77,7 @@
     // Removes an upstream; one that wasn't leaving is kept for some time if its
     // registration lapsed around a store outage.
     pub(super) fn unregister_upstream(&mut self, name: CompactString, now: Duration) {
+        self.history.record_removal(&name, now);
         let Some(key) = self.by_name.get(&name).copied() else {
             return;
         };
@@ -75,12 +90,11 @@
             return;
         }
         tracing::info!(upstream = %name, was_leaving = is_leaving, "upstream unregistered");
-        self.remove_upstream(&name, now);
+        self.remove_upstream(&name);
     }
 
-    pub(super) fn remove_upstream(&mut self, name: &str, now: Duration) {
+    pub(super) fn remove_upstream(&mut self, name: &str) {
         self.lapsed.remove(name);
-        self.history.record_removal(name, now);
         if let Some(key) = self.by_name.remove(name) {
             self.upstreams.remove(key);
         }
@@ -96,7 +110,7 @@
             })
             .collect();
         for registration in registrations {
-            self.register_upstream(registration, now);
+            self.register_upstream(registration);
         }
         for name in missing {
             self.unregister_upstream(name, now);
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -260,10 +260,11 @@
         cursor.filter(|cursor| cursor.era == self.era())
     }
 
-    // Counts an answer that the store gave at its time `store_now`, and updates the
-    // estimate of its clock. Returns false if the answer is from before a restore
-    // that is already known.
-    fn accept_answer(&self, era: u64, store_now: Duration) -> bool {
+    // Counts an answer up to `cursor` that the store gave at its time `store_now`, and
+    // updates the estimate of its clock. Returns false if the answer is from before a
+    // restore that is already known.
+    fn accept_answer(&self, cursor: Cursor, store_now: Duration) -> bool {
+        let Cursor { era, version } = cursor;
         self.shared.metrics.store_calls.inc();
         self.answered_at.set(boot_clock::now());
         let before = self.era.get();
@@ -290,7 +291,7 @@
                 before,
                 "era of the store changed: it was restored from a copy; reading all rows again"
             );
-            self.handle(Event::StoreRestored);
+            self.handle(Event::StoreRestored(version));
             self.updates_recorded.notify_waiters();
         }
         true
@@ -300,7 +301,7 @@
     async fn read_snapshot(&self, keyspace: Keyspace) -> Option<Snapshot> {
         let begun = boot_clock::now();
         let error = match self.store.snapshot(keyspace).await {
-            Ok(snapshot) if self.accept_answer(snapshot.cursor.era, snapshot.now) => {
+            Ok(snapshot) if self.accept_answer(snapshot.cursor, snapshot.now) => {
                 return Some(snapshot);
             }
             Ok(_) => OUTDATED_ANSWER.to_owned(),
@@ -343,7 +344,7 @@
     // those up to `after`. Otherwise all rows must be read again.
     fn continues(&self, table: Table, after: Cursor, feed: &Changes) -> bool {
         let Cursor { era, version } = feed.cursor;
-        if !self.accept_answer(era, feed.now) {
+        if !self.accept_answer(feed.cursor, feed.now) {
             return false;
         }
         let continues = era == after.era && version >= after.version;
--- a/src/carawayrun/relay/follow/registrations.rs
+++ b/src/carawayrun/relay/follow/registrations.rs
@@ -62,7 +62,8 @@
         let registrations: Vec<Registration> = registrations.collect();
         self.with_table(Table::Registrations, |followed| {
             followed.clear();
-            for Registration { upstream, .. } in &registrations {
+            let state = self.state.borrow();
+            for upstream in registrations.iter().filter_map(|row| state.resolve(row)) {
                 followed.insert_row(&upstream.name, content_hash(upstream));
             }
         });
@@ -77,9 +78,12 @@
             Change::Put(row) => (row.key.clone(), self.parse_registration(&row)),
             Change::Deleted(key) => (key, None),
         };
-        self.with_table(Table::Registrations, |followed| match &registration {
-            Some(known) => followed.insert_row(&key, content_hash(&known.upstream)),
-            None => followed.remove_row(&key),
+        self.with_table(Table::Registrations, |followed| {
+            let state = self.state.borrow();
+            match registration.as_ref().and_then(|row| state.resolve(row)) {
+                Some(upstream) => followed.insert_row(&key, content_hash(upstream)),
+                None => followed.remove_row(&key),
+            }
         });
         self.handle(match registration {
             Some(registration) => Event::UpstreamRegistered(registration),
@@ -99,7 +103,9 @@
 }
 
 // Hash of what placement uses of a registration; the same after a heartbeat that
-// changes nothing else.
+// changes nothing else. Gateways whose hashes differ read on, so it is taken of what a row
+// stands for here: one that is ignored as the copy's by this gateway only is read again
+// until all agree.
 fn content_hash(upstream: &Upstream) -> u64 {
     let mut hasher = FxHasher::default();
     upstream.hash(&mut hasher);
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -9,6 +9,9 @@
 use crate::relay::rollout::{OrderId, Phase, RolloutOrder, RolloutRow};
 use crate::relay::view::{OutcomesView, Upstream};
 
+/// Newest version of a copy of the store.
+const COPY_VERSION: u64 = 100;
+
 fn state() -> State {
     State::new("edge-1", 0.15, Duration::from_secs(2))
 }
@@ -31,6 +34,7 @@
     Registration {
         upstream,
         sequence: Some(1),
+        version: COPY_VERSION,
     }
 }
 
@@ -404,7 +408,7 @@
 fn withdrawal_forgotten_after_order_is_written_again(version: u64) {
     let mut state = state();
     let mut row = reverted(&mut state);
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     assert!(share(&state).abs() < f64::EPSILON);
     state.handle(Event::RolloutsSynced, millis(5_100));
     state.handle(Event::OrderRead(order_in(1, version)), millis(5_200));
@@ -427,7 +431,7 @@
     let row = reverted(&mut state);
     let mut canary = row.clone();
     canary.phase = Phase::Canary;
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     state.handle(Event::RolloutRead(canary, 9), millis(5_100));
     state.handle(Event::RolloutsSynced, millis(5_100));
     state.handle(Event::OrderRead(order_in(1, 3)), millis(5_200));
@@ -451,7 +455,7 @@
         stepped_ms: 0,
         ..row.clone()
     };
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     state.handle(Event::OrderRead(earlier), millis(5_050));
     state.handle(Event::RolloutRead(earlier_row, 2), millis(5_100));
     state.handle(Event::RolloutsSynced, millis(5_100));
@@ -471,7 +475,7 @@
     let mut state = state();
     reverted(&mut state);
     for era in 1..=2 {
-        state.handle(Event::StoreRestored, millis(5_000 * era));
+        state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000 * era));
         state.handle(Event::RolloutsSynced, millis(5_000 * era));
         let mut earlier = order_in(era, 1);
         earlier.to = CompactString::from("v1");
@@ -486,7 +490,7 @@
 fn order_of_another_version_after_restore_starts_rollout() {
     let mut state = state();
     reverted(&mut state);
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     state.handle(Event::RolloutsSynced, millis(5_100));
     let mut next = order_in(1, 2);
     next.to = CompactString::from("v3");
@@ -503,7 +507,7 @@
 fn same_order_long_after_restore_starts_rollout() {
     let mut state = state();
     reverted(&mut state);
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     state.handle(Event::RolloutsSynced, millis(5_100));
     state.handle(Event::OrderRead(order_in(1, 2)), millis(5_200));
     state.handle(Event::OrderRead(order_in(1, 50)), millis(40_000));
@@ -527,13 +531,14 @@
     if removed {
         state.handle(Event::UpstreamUnregistered("i-1".into()), millis(900));
     }
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     state.handle(Event::RegistrationsRead(vec![copied]), millis(5_100));
     let upstreams = state.view().upstreams;
     assert!(upstreams.values().all(|known| known.is_leaving));
     // A later write of the same process counts.
     let mut alive = upstream("i-1", 10);
     alive.sequence = Some(3);
+    alive.version = COPY_VERSION + 1;
     state.handle(Event::UpstreamRegistered(alive), millis(6_000));
     let upstreams = state.view().upstreams;
     assert!(upstreams.values().any(|known| !known.is_leaving));
@@ -544,7 +549,122 @@
 fn upstream_missing_in_copy_is_kept_until_it_writes_again() {
     let mut state = state();
     state.handle(Event::UpstreamRegistered(upstream("i-1", 10)), millis(0));
-    state.handle(Event::StoreRestored, millis(5_000));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
     state.handle(Event::RegistrationsRead(Vec::new()), millis(5_100));
     assert_eq!(names(&state), ["i-1"]);
 }
+
+/// A state that has read the registration of an upstream once and then that it is gone.
+fn removed() -> State {
+    let mut state = state();
+    state.handle(Event::UpstreamRegistered(upstream("i-1", 10)), millis(0));
+    state.handle(Event::UpstreamUnregistered("i-1".into()), millis(900));
+    state
+}
+
+/// Registration of a restored copy with a write that no gateway but the reader has read.
+fn copied() -> Registration {
+    Registration {
+        sequence: Some(20),
+        ..upstream("i-1", 10)
+    }
+}
+
+// See review/3: a copy held a beat that one gateway had not read.
+#[test]
+fn removed_upstream_used_again_by_unread_write_of_copy() {
+    let mut state = removed();
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
+    // The second read is one after the store dropped its history.
+    for now_ms in [5_100, 200_000] {
+        state.handle(Event::RegistrationsRead(vec![copied()]), millis(now_ms));
+        state.handle(Event::Tick { store_now: None }, millis(now_ms));
+        assert!(names(&state).is_empty());
+    }
+    let mut alive = copied();
+    alive.version = COPY_VERSION + 1;
+    state.handle(Event::RegistrationsRead(vec![alive]), millis(201_000));
+    assert_eq!(names(&state), ["i-1"]);
+}
+
+#[test]
+fn removed_upstream_used_again_after_second_restore() {
+    let mut state = removed();
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
+    state.handle(Event::RegistrationsRead(vec![copied()]), millis(5_100));
+    state.handle(Event::StoreRestored(COPY_VERSION + 5), millis(9_000));
+    state.handle(Event::RegistrationsRead(vec![copied()]), millis(9_100));
+    assert!(names(&state).is_empty());
+}
+
+#[test]
+fn upstream_that_returned_before_restore_is_used_by_copy() {
+    let mut state = removed();
+    state.handle(
+        Event::UpstreamRegistered(upstream("i-1", 10)),
+        millis(2_000),
+    );
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
+    state.handle(Event::RegistrationsRead(vec![copied()]), millis(5_100));
+    assert_eq!(names(&state), ["i-1"]);
+}
+
+#[test]
+fn restarted_upstream_is_used_by_copy() {
+    let mut state = removed();
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
+    let restarted = upstream("i-1", 20);
+    state.handle(Event::RegistrationsRead(vec![restarted]), millis(5_100));
+    assert_eq!(names(&state), ["i-1"]);
+}
+
+// The copy's row of the earlier process replaced the one that runs.
+#[test]
+fn earlier_process_of_copy_replaces_restarted_upstream() {
+    let mut state = state();
+    state.handle(Event::UpstreamRegistered(upstream("i-1", 10)), millis(0));
+    state.handle(Event::UpstreamRegistered(upstream("i-1", 20)), millis(900));
+    let before: Vec<_> = state.view().upstreams.keys().collect();
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
+    state.handle(Event::RegistrationsRead(vec![copied()]), millis(5_100));
+    let after: Vec<_> = state.view().upstreams.keys().collect();
+    assert_eq!(after, before);
+}
+
+// The copy's row made an upstream whose absence had been read count as back.
+#[test]
+fn lapsed_upstream_kept_by_copy() {
+    let mut state = state();
+    state.handle(Event::UpstreamRegistered(upstream("i-1", 10)), millis(0));
+    state.handle(Event::StoreRecovered(millis(4_000)), millis(10_000));
+    state.handle(Event::UpstreamUnregistered("i-1".into()), millis(10_100));
+    state.handle(Event::StoreRestored(COPY_VERSION), millis(10_500));
+    state.handle(Event::RegistrationsRead(vec![copied()]), millis(10_600));
+    state.handle(Event::Tick { store_now: None }, millis(11_400));
+    assert!(names(&state).is_empty());
+}
+
+// Gateways whose digests differ read the table again and again.
+#[test]
+fn copy_resolves_alike_for_reader_and_others() {
+    let beat = |sequence| Registration {
+        sequence: Some(sequence),
+        ..upstream("i-1", 10)
+    };
+    let (mut reader, mut other) = (state(), state());
+    for sequence in 1..=30 {
+        reader.handle(Event::UpstreamRegistered(beat(sequence)), millis(0));
+    }
+    other.handle(Event::UpstreamRegistered(beat(1)), millis(0));
+    for is_removed in [false, true] {
+        for state in [&mut reader, &mut other] {
+            if is_removed {
+                state.handle(Event::UpstreamUnregistered("i-1".into()), millis(900));
+            }
+            state.handle(Event::StoreRestored(COPY_VERSION), millis(5_000));
+        }
+        let row = copied();
+        assert_eq!(reader.resolve(&row), other.resolve(&row));
+        assert_eq!(reader.resolve(&row).is_none(), is_removed);
+    }
+}
--- a/tests/testsuite/restored.rs
+++ b/tests/testsuite/restored.rs
@@ -17,6 +17,10 @@
 /// `contact_ms` and `rollback_ms` of the platform.
 const ROLLBACK_LIMIT: Duration = Duration::from_secs(3 + 5);
 
+/// Time within which an upstream that wrote its registration again is used: the interval
+/// of the reader, a report and a read of each other relay.
+const USE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Longest wait of a relay's feed call for configuration and registrations.
 const FEED_WAIT: Duration = Duration::from_millis(600);
 
@@ -204,3 +208,49 @@
     send_to_all(&world, "/read/a", "req", 40).await;
     assert_eq!(world.run_count(2).await, before);
 }
+
+// The copy held a beat of the removed upstream that one relay had not read.
+#[actix_rt::test]
+async fn removed_upstream_used_again_after_restore() {
+    let mut world = world("restored-removed").await;
+    world.runner("app-2", "app", &[]).await;
+    for relay in 0..RELAYS {
+        world.until_used(relay, 3).await;
+    }
+    let mut row = world.registration("app", 12);
+    for beat in 2..=5 {
+        row["sequence"] = json!(beat);
+        world.put("servers", "app-2", &row).await;
+    }
+    actix_rt::time::sleep(FEED_WAIT * 2).await;
+    let copied = world.put("other", "row", &json!(0)).await;
+    // The removal is read without the beats before it.
+    world.post_store("/drop-history").await;
+    world.remove("servers", "app-2").await;
+    for relay in 0..RELAYS {
+        world.until_used(relay, 2).await;
+    }
+    let before = world.run_count(2).await;
+    restore(&world, copied).await;
+    world.pass_version(copied + 5).await;
+    set_down(&world, false).await;
+    for relay in 0..RELAYS {
+        world
+            .until_relay_logged(relay, "era of the store changed")
+            .await;
+    }
+    actix_rt::time::sleep(FEED_WAIT * 2).await;
+    send_to_all(&world, "/read/a", "req", 40).await;
+    assert_eq!(world.run_count(2).await, before);
+    // Its next beat shows that it is there.
+    row["sequence"] = json!(6);
+    world.put("servers", "app-2", &row).await;
+    let back = Instant::now();
+    for relay in 0..RELAYS {
+        let id = format!("back-{relay}-");
+        while !(world.run_ids(2).await.iter()).any(|run| run.starts_with(&id)) {
+            assert!(back.elapsed() < USE_LIMIT, "relay {relay}");
+            send_to_all(&world, "/read/a", "back", 5).await;
+        }
+    }
+}
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -335,6 +335,13 @@
         serde_json::from_slice(&body).expect("it answers with the version")
     }
 
+    /// Removes a row.
+    pub(crate) async fn remove(&self, table: &str, key: &str) {
+        let url = self.store_url(&format!("/rows/{table}/{key}"));
+        let sent = self.client.delete(url).send().await;
+        sent.expect("the store takes a removal");
+    }
+
     /// Writes rows of no interest until the newest version is above `version`.
     pub(crate) async fn pass_version(&self, version: u64) {
         while self.put("other", "row", &json!(0)).await <= version {}
@@ -479,6 +486,13 @@
             .await;
     }
 
+    /// Waits until a relay uses so many registrations.
+    pub(crate) async fn until_used(&self, relay: usize, registrations: usize) {
+        let line = format!("carawayrun_upstreams {registrations}\n");
+        self.until(async |world| world.relay_metrics(relay).await.contains(&line))
+            .await;
+    }
+
     /// Address of the first relay with one of its ports.
     pub(crate) fn relay_address(&self, port: u16) -> String {
         format!("{}.{FIRST_RELAY}:{port}", self.net)
