Wait in a test until both relays know the upstreams

PlatformWorld::until_ready waits for the registrations at the first relay only. The logs show the second one with app-0 alone, the upstream that refuses as it leaves, at the first request; it reads the other three up to 0.8 s after the first relay, so its 503 was right.

The test waits now until each relay uses all four; its checks are the same.

--- a/tests/testsuite/departing.rs
+++ b/tests/testsuite/departing.rs
@@ -34,6 +34,9 @@
         world.runner(&id, service, &more).await;
     }
     world.until_ready().await;
+    for relay in 0..RELAYS {
+        world.until_used(relay, 4).await;
+    }
     let leaving = format!("{service}-0");
     world.faults(&world.runner_url(0), &faults).await;
     let begun = Instant::now();
