--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -151,7 +151,7 @@
         let waited = self.wait_for_request(&limits).await;
         let _begun = Counted::new(&traffic, |traffic| &traffic.begun_requests);
         let drain = traffic.phases.get().drain();
-        let is_early = drain.is_none_or(|drain| !drain.are_clients_gone());
+        let is_early = drain.is_none_or(|drain| drain.is_early());
         let _early = is_early.then(|| Counted::new(&traffic, |traffic| &traffic.early_requests));
         self.unused = None;
         let read = match waited {
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -14,10 +14,6 @@
 /// Time after which a gateway that is silent and not listed gets no more reports.
 const REPORT_TTL: Duration = Duration::from_secs(10);
 
-/// Age up to which a report says that its gateway serves: longer than the time in which a
-/// gateway among four hundred sends its report to all others.
-const SERVING_TTL: Duration = Duration::from_secs(3);
-
 /// Time from the end of a gateway's process to the next one's first request: the platform's
 /// restart, and the reading of the store.
 const START_TIME: Duration = Duration::from_secs(1);
@@ -41,14 +37,10 @@
 }
 
 impl LastSeen {
-    // Time until it takes requests; `None` if that is not known.
-    fn time_to_serve(&self, now: Duration) -> Option<Duration> {
-        let reported_at = self.reported_at?;
-        let serves_at = match self.stops_at {
-            Some(stops_at) => stops_at + START_TIME,
-            None => reported_at,
-        };
-        (now < serves_at + SERVING_TTL).then(|| serves_at.saturating_sub(now))
+    // Time until it takes requests. One that is silent may only be cut off from here.
+    fn time_to_serve(&self, now: Duration) -> Duration {
+        let serves_at = self.stops_at.map(|stops_at| stops_at + START_TIME);
+        serves_at.unwrap_or_default().saturating_sub(now)
     }
 }
 
@@ -108,11 +100,11 @@
         recent.map(|(addr, _)| *addr)
     }
 
-    /// Time until a gateway takes requests, zero if one other than `own` does now. `own`
+    /// Time until a gateway takes requests, zero if one other than `own` may do now. `own`
     /// itself stops within `stops_in`.
     pub fn time_to_serve(&self, own: SocketAddr, stops_in: Duration, now: Duration) -> Duration {
         let others = self.others.iter().filter(|(addr, _)| **addr != own);
-        let times = others.filter_map(|(_, seen)| seen.time_to_serve(now));
+        let times = others.map(|(_, seen)| seen.time_to_serve(now));
         times.fold(stops_in + START_TIME, Duration::min)
     }
 
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -91,10 +91,10 @@
         self.traffic.reload(settings);
     }
 
-    /// Becomes unready, waits for the requests that came before the balancer's clients
-    /// were gone until none is left or the grace period ends, closes the port, and returns
-    /// the number of interrupted requests. Clients that still come don't keep it: it serves
-    /// them better once it has started again.
+    /// Becomes unready, waits for the requests that came early in the drain until none is
+    /// left or the grace period ends, closes the port, and returns the number of interrupted
+    /// requests. Clients that come later don't keep it: it refuses most of them, and takes
+    /// them all once it has started again.
     pub async fn drain(&self) -> usize {
         let traffic = &self.traffic;
         let drain = Drain::begin(traffic.settings().grace);
--- a/src/carawayrun/relay/service_time.rs
+++ b/src/carawayrun/relay/service_time.rs
@@ -11,7 +11,7 @@
 const MOST_DEVIATIONS: f64 = 3.0;
 
 /// The same for requests that can be repeated, so that fewer are refused: one that is cut
-/// costs its caller time, but is not in doubt.
+/// may be sent again.
 const REPEATABLE_DEVIATIONS: f64 = 1.0;
 
 /// Moving mean and mean deviation of the time from a request to the end of its answer.
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -28,6 +28,7 @@
         parts: Vec::new(),
         crashes: Vec::new(),
         requests: Vec::new(),
+        stops_in: None,
         leaving: Vec::new(),
     }
 }
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -122,7 +122,7 @@
     pub(super) new_connections: Cell<usize>,
     /// Number of requests whose first byte was read and that were not answered.
     pub(super) begun_requests: Cell<usize>,
-    /// Number of those that began before the clients of a drain were gone.
+    /// Number of those that began before a drain or early in it.
     pub(super) early_requests: Cell<usize>,
     /// Number of requests that were read and not answered.
     pub(super) active_requests: Cell<usize>,
@@ -339,7 +339,9 @@
     pub(super) fn stops_in(&self) -> Option<Duration> {
         let drain = self.phases.get().drain()?;
         let times = self.service_times.borrow();
-        let longest = times.values().map(|time| time.expected(true)).max();
+        let is_needed = drain.is_early() || self.early_requests.get() > 0;
+        let expected = times.values().map(|time| time.expected(true));
+        let longest = expected.max().filter(|_| is_needed);
         Some(drain.stops_in(longest.unwrap_or_default()))
     }
 
