Send nothing more to data centres that operators order out

Change: the row reaches each relay with the configuration. The reducer keeps the last time at which the order was surely not there; from the read on the share of the data centre falls, to zero at half of `evacuate_ms` after that time. It is checked at the choice of an upstream and once more right before the send, and before polls of load reports and health checks of restarted upstreams. Slots and upstreams of roll-outs are counted without it. The view is now the latest one in both checks before a send.

--- a/src/carawayrun/platform/mod.rs
+++ b/src/carawayrun/platform/mod.rs
@@ -6,6 +6,7 @@
 //! the program. The `backends` of a route in the configuration are services.
 
 mod config;
+mod evacuation;
 mod headers;
 mod registrations;
 mod report;
@@ -17,6 +18,7 @@
 mod time;
 
 pub use self::config::{ConfigError, parse_catalog};
+pub(crate) use self::evacuation::evacuated_data_centre;
 pub use self::headers::{
     InboundRequest, OutboundHeaders, answer_headers, parse_answer, parse_request, refusal_headers,
     request_id, upstream_request,
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -73,6 +73,8 @@
     grace_s: f64,
     drain_ms: f64,
     revoke_ms: f64,
+    /// Absent on deployments whose zones are not taken out of service.
+    evacuate_ms: Option<f64>,
     /// Absent on deployments without roll-outs.
     #[serde(default = "default_exposure")]
     exposure_share: f64,
@@ -138,6 +140,11 @@
         (bounds.grace_s > 0.0, "bounds.grace_s", POSITIVE),
         (bounds.drain_ms > 0.0, "bounds.drain_ms", POSITIVE),
         (bounds.revoke_ms > 0.0, "bounds.revoke_ms", POSITIVE),
+        (
+            bounds.evacuate_ms.is_none_or(|ms| ms > 0.0),
+            "bounds.evacuate_ms",
+            POSITIVE,
+        ),
         (
             bounds.retry_window_s > 0.0,
             "bounds.retry_window_s",
@@ -179,6 +186,7 @@
         store: file.platform.address,
         grace: from_seconds(bounds.grace_s),
         drain_limit: from_millis(bounds.drain_ms),
+        evacuation_limit: bounds.evacuate_ms.map(from_millis),
         revocation_limit: from_millis(bounds.revoke_ms),
         exposure_share: bounds.exposure_share,
         exposure_slack: bounds.exposure_slack,
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -1,6 +1,7 @@
 //! The reducer of a relay: takes events read from the store and returns what to
 //! publish and to write. It does no I/O and reads no clock.
 
+mod evacuations;
 mod history;
 mod orders;
 mod registrations;
@@ -14,12 +15,13 @@
 use rustc_hash::FxHashMap;
 use slotmap::SlotMap;
 
+use self::evacuations::Evacuations;
 use self::history::RegistrationHistory;
 use self::rollout::{DueInput, Rollout, VersionSlots};
 use super::catalog::Catalog;
 use super::evidence::Outcomes;
 use super::readers::Confirmation;
-use super::rollout::{RolloutOrder, RolloutRow, TrafficOutlook};
+use super::rollout::{OrderId, RolloutOrder, RolloutRow, TrafficOutlook};
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 
 /// Time after a restore of the store within which operators write again what the copy
@@ -55,6 +57,12 @@
     OrderRead(RolloutOrder),
     /// The roll-out order of a service was removed.
     OrderRemoved(CompactString),
+    /// An order that takes a data centre out of service was read.
+    EvacuationRead(CompactString, OrderId),
+    /// The order that takes a data centre out of service was removed.
+    EvacuationRemoved(CompactString),
+    /// All orders that take data centres out of service were read; others were removed.
+    EvacuationsRead(Vec<(CompactString, OrderId)>),
     /// The registration of an upstream was read.
     UpstreamRegistered(Registration),
     /// A registration was removed, or describes no usable upstream.
@@ -124,6 +132,7 @@
     /// at which they are removed.
     lapsed: FxHashMap<CompactString, Duration>,
     history: RegistrationHistory,
+    evacuations: Evacuations,
     recovered_at: Option<Duration>,
     /// Time of the last restore of the store.
     restored_at: Option<Duration>,
@@ -156,6 +165,7 @@
             by_name: FxHashMap::default(),
             lapsed: FxHashMap::default(),
             history: RegistrationHistory::default(),
+            evacuations: Evacuations::default(),
             recovered_at: None,
             restored_at: None,
             rollouts: FxHashMap::default(),
@@ -197,6 +207,13 @@
             Event::ConfigurationConfirmed(at) => self.confirm_configuration(at, &mut effects),
             Event::OrderRead(order) => self.apply_order(order, now, &mut effects),
             Event::OrderRemoved(service) => self.remove_order(&service, &mut effects),
+            Event::EvacuationRead(data_centre, id) => {
+                self.begin_evacuation(data_centre, id, now, &mut effects);
+            }
+            Event::EvacuationRemoved(data_centre) => {
+                self.end_evacuation(&data_centre, now, &mut effects);
+            }
+            Event::EvacuationsRead(orders) => self.sync_evacuations(orders, now, &mut effects),
             Event::UpstreamRegistered(registration) => {
                 self.register_upstream(registration);
                 self.publish_upstreams(&mut effects);
@@ -220,6 +237,7 @@
             }
             Event::StoreRestored(copy_version) => {
                 self.history.begin_era(copy_version);
+                self.evacuations.begin_era();
                 self.forget_versions(now);
             }
             Event::RolloutRead(row, version) => self.apply_row(row, version, now, &mut effects),
@@ -317,13 +335,14 @@
             self.remove_upstream(&name);
         }
         self.history.expire(now);
+        self.expire_evacuations(now, effects);
         self.publish_upstreams(effects);
         let write_delay = self.write_delay;
         let mut has_changed = false;
         let mut writes = Vec::new();
         let is_write_due = self.restored_at.is_none_or(|at| now >= at + write_delay);
         for rollout in self.rollouts.values_mut() {
-            let slots = count_slots(&self.upstreams, &rollout.order);
+            let slots = count_slots(&self.upstreams, &self.evacuations, &rollout.order);
             has_changed |= rollout.evaluate(slots, now);
             let stored = self.rows.get(&rollout.order.service);
             if rollout.is_confirmed && !self.has_stale_rows {
@@ -353,6 +372,7 @@
     fn publish(&mut self, effects: &mut Vec<Effect>) {
         self.view.catalog.clone_from(&self.catalog);
         self.view.confirmed_at = self.confirmed_at;
+        self.view.evacuations = self.evacuations.list();
         self.view.is_synced =
             self.catalog.is_some() && self.registrations_synced && self.rollouts_synced;
         let open = self.rollouts.values().filter(|rollout| rollout.is_open());
@@ -369,11 +389,17 @@
     }
 }
 
-// Slots of the upstreams of a roll-out's service, by version.
-fn count_slots(upstreams: &SlotMap<UpstreamKey, Upstream>, order: &RolloutOrder) -> VersionSlots {
+// Slots of the upstreams of a roll-out's service, by version, without those of data centres
+// that are ordered out.
+fn count_slots(
+    upstreams: &SlotMap<UpstreamKey, Upstream>,
+    evacuations: &Evacuations,
+    order: &RolloutOrder,
+) -> VersionSlots {
     let mut slots = VersionSlots::default();
     for upstream in upstreams.values() {
-        if upstream.service == order.service && !upstream.is_leaving {
+        let is_counted = !upstream.is_leaving && !evacuations.contains(&upstream.data_centre);
+        if upstream.service == order.service && is_counted {
             let is_new = upstream.version == order.to;
             let sum = if is_new {
                 &mut slots.new
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -58,7 +58,8 @@
         let Ok(connection) = self.acquire_connection(view, route, key, &upstream).await else {
             return AttemptOutcome::NotSent;
         };
-        // It may have asked for rest while this request waited for a connection.
+        // It may have asked for rest, or its data centre may have been evacuated, while this
+        // request waited for a connection.
         if !self.traffic.accepts(key) {
             return AttemptOutcome::NotSent;
         }
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -27,6 +27,8 @@
 enum ReportError {
     #[snafu(display("{source}"))]
     Wire { source: ConnectionError },
+    #[snafu(display("it accepts no requests now"))]
+    NotAccepting,
     #[snafu(display("invalid load report: {source}"))]
     Unreadable { source: serde_json::Error },
 }
@@ -45,7 +47,7 @@
         if !route.kind.is_stream() || !self.traffic.take_send(key) {
             return false;
         }
-        let report = timeout(REPORT_TIMEOUT, fetch_report(upstream, self.traffic)).await;
+        let report = timeout(REPORT_TIMEOUT, fetch_report(key, upstream, self.traffic)).await;
         self.traffic.metrics.report_polls.inc();
         let has =
             matches!(&report, Ok(Ok((_, report))) if report.may_have_request(&self.request.id));
@@ -59,11 +61,13 @@
 
 // Also returns whether the engine says that it is leaving.
 async fn fetch_report(
+    key: UpstreamKey,
     upstream: &Upstream,
     traffic: &Traffic,
 ) -> Result<(bool, EngineReport), ReportError> {
     let connection = traffic.connect(upstream.addr, CONNECT_TIMEOUT).await;
     let mut connection = connection.context(WireSnafu)?;
+    snafu::ensure!(traffic.accepts(key), NotAcceptingSnafu);
     let head = platform::report_request(upstream);
     connection.start_request(head, b"").context(WireSnafu)?;
     let head = connection.read_head().await.context(WireSnafu)?;
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -12,6 +12,7 @@
 
 use super::connection::UpstreamConnection;
 use super::departures::Departures;
+use super::evacuation::Evacuation;
 use super::health::Health;
 use super::loads::{PeerLoads, upstream_digest};
 use super::members::Members;
@@ -80,6 +81,8 @@
     rests: Rests,
     departures: Departures,
     restarts: Restarts,
+    /// Data centres that are ordered out, with their present shares of their usual requests.
+    evacuated: Vec<(CompactString, f64)>,
     /// Last known incarnation by the key of the upstream in reports.
     incarnations: FxHashMap<u32, Incarnation>,
     /// Load that the other gateways placed on the upstreams.
@@ -134,6 +137,49 @@
         }
     }
 
+    /// Updates the shares of the data centres that are ordered out; `limit` is the time
+    /// after an order from which it must be obeyed, `now` is on the boot clock.
+    pub(super) fn update_evacuations(
+        &mut self,
+        evacuations: &[Evacuation],
+        limit: Option<Duration>,
+        now: Duration,
+    ) {
+        self.evacuated.clear();
+        if let Some(limit) = limit {
+            let shares = evacuations.iter();
+            let shares = shares.map(|order| (order.data_centre.clone(), order.share(limit, now)));
+            self.evacuated.extend(shares);
+        }
+    }
+
+    // Share of its usual requests that an upstream's data centre gets, if it is ordered out.
+    fn evacuation_share(&self, key: UpstreamKey) -> Option<f64> {
+        let upstream = self.upstreams.get(key)?;
+        let mut shares = self.evacuated.iter();
+        let known = shares.find(|(data_centre, _)| *data_centre == upstream.data_centre);
+        known.map(|(_, share)| *share)
+    }
+
+    /// Returns true if nothing may be sent to an upstream, whose data centre is ordered out.
+    pub(super) fn is_evacuated(&self, key: UpstreamKey) -> bool {
+        self.evacuation_share(key).is_some_and(|share| share <= 0.0)
+    }
+
+    // Leaves out the upstreams of data centres that are ordered out, each data centre with
+    // the chance of the part that has gone elsewhere, and only while others are left.
+    fn shift_evacuated(&self, keys: Vec<UpstreamKey>, rng: &mut SmallRng) -> Vec<UpstreamKey> {
+        if self.evacuated.is_empty() {
+            return keys;
+        }
+        let shares = self.evacuated.iter();
+        let away = shares.filter(|(_, share)| !rng.random_bool(share.clamp(0.0, 1.0)));
+        let away: Vec<&CompactString> = away.map(|(data_centre, _)| data_centre).collect();
+        let is_kept = |key: &UpstreamKey| !away.contains(&&self.upstreams[*key].data_centre);
+        let kept: Vec<UpstreamKey> = keys.iter().copied().filter(is_kept).collect();
+        if kept.is_empty() { keys } else { kept }
+    }
+
     pub(super) fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
     }
@@ -157,7 +203,7 @@
         let available: Vec<UpstreamKey> = available.collect();
         let eligible = self.eligible_upstreams(&available, query, rollouts);
         // After the choice of the version, as a request must not change it for a limit.
-        let eligible = eligible.into_iter();
+        let eligible = self.shift_evacuated(eligible, rng).into_iter();
         let within_limits: Vec<UpstreamKey> = eligible
             .filter(|key| self.states[*key].has_token(now))
             .collect();
@@ -393,9 +439,12 @@
         self.is_present(key) && self.rest_left(key, now).is_zero()
     }
 
-    // True if an upstream is registered and is not leaving, by its registration or by its
-    // own word.
+    // True if an upstream is registered, its data centre is not evacuated, and it is not
+    // leaving, by its registration or by its own word.
     fn is_present(&self, key: UpstreamKey) -> bool {
+        if self.is_evacuated(key) {
+            return false;
+        }
         let (upstream, state) = (self.upstreams.get(key), self.states.get(key));
         upstream.is_some_and(|upstream| !upstream.is_leaving)
             && state.is_some_and(|state| !self.departures.contains(state.incarnation))
@@ -410,6 +459,7 @@
     /// what was heard before is their own word.
     pub(super) fn take_restarted(&mut self) -> Vec<(UpstreamKey, Upstream)> {
         let keys = self.restarts.take_unasked().into_iter();
+        let keys = keys.filter(|key| !self.is_evacuated(*key));
         let known = keys.filter_map(|key| Some((key, self.upstreams.get(key)?.clone())));
         known.collect()
     }
@@ -535,10 +585,16 @@
     // Keeps the upstreams of the new version that get its part of the traffic. All
     // gateways choose the same ones.
     fn limit_to_partial(&self, new: &mut Vec<UpstreamKey>, rollout: &RolloutView) {
+        // Those of a data centre that is ordered out are not counted on from the order on.
+        let stays = |key: &UpstreamKey| self.evacuation_share(*key).is_none();
+        let has_staying = new.iter().any(stays);
+        if has_staying {
+            new.retain(stays);
+        }
         let known = self.by_service[&rollout.service].iter();
         let known = known.filter(|key| {
             let upstream = &self.upstreams[**key];
-            upstream.version == rollout.to && self.is_present(**key)
+            upstream.version == rollout.to && self.is_present(**key) && (stays(key) || !has_staying)
         });
         let count = count_partial_upstreams(known.count(), rollout.share);
         if count < new.len() {
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -1,4 +1,4 @@
-//! Follows the operators' configuration and roll-out orders.
+//! Follows the operators' configuration, roll-out orders and evacuations of data centres.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,6 +7,7 @@
 use crate::platform::{self, Keyspace};
 use crate::relay::control::Event;
 use crate::relay::readers::FollowedTable;
+use crate::relay::rollout::OrderId;
 use crate::store::feed::{Change, Cursor};
 use crate::store::table::Row;
 
@@ -43,6 +44,13 @@
     async fn read_orders(&self) -> Option<Cursor> {
         let snapshot = self.read_snapshot(Keyspace::Orders).await?;
         self.with_table(Table::Orders, FollowedTable::clear);
+        let era = snapshot.cursor.era;
+        let evacuations = snapshot.rows.iter();
+        let evacuations = evacuations.filter_map(|row| {
+            let data_centre = platform::evacuated_data_centre(&row.key)?;
+            Some((data_centre.into(), order_id(row, era)))
+        });
+        self.handle(Event::EvacuationsRead(evacuations.collect()));
         // Orders come first: with a configuration alone, requests would
         // go to any version.
         let is_order = |row: &&Row| platform::parse_order(row, snapshot.cursor.era).is_some();
@@ -54,7 +62,7 @@
         Some(snapshot.cursor)
     }
 
-    // Passes a change of the configuration or of a roll-out order to the reducer.
+    // Passes a change of the configuration or of an order to the reducer.
     fn apply_operator_change(&self, change: Change) {
         match change {
             Change::Put(row) => self.apply_operator_row(&row),
@@ -63,16 +71,23 @@
                 if let Some(service) = platform::order_service(&key) {
                     self.handle(Event::OrderRemoved(service.into()));
                 }
+                if let Some(data_centre) = platform::evacuated_data_centre(&key) {
+                    self.handle(Event::EvacuationRemoved(data_centre.into()));
+                }
             }
         }
     }
 
-    // Applies a row of the operators: the configuration or a roll-out order.
+    // Applies a row of the operators: the configuration or an order.
     fn apply_operator_row(&self, row: &Row) {
         self.with_table(Table::Orders, |followed| {
             followed.insert_row(&row.key, row.version);
         });
         tracing::info!(key = %row.key, row_version = row.version, era = self.era(), "row of the operators read");
+        if let Some(data_centre) = platform::evacuated_data_centre(&row.key) {
+            let id = order_id(row, self.era());
+            self.handle(Event::EvacuationRead(data_centre.into(), id));
+        }
         match platform::parse_catalog(row) {
             Some(Ok(catalog)) => self.handle(Event::ConfigurationRead(Box::new(catalog))),
             Some(Err(error)) if self.store.record_invalid(Keyspace::Orders, row) => {
@@ -89,3 +104,11 @@
         }
     }
 }
+
+// Identifies the order of a row that was read in `era`.
+fn order_id(row: &Row, era: u64) -> OrderId {
+    OrderId {
+        era,
+        version: row.version,
+    }
+}
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -18,6 +18,7 @@
 //! | [`rate_limit`] | shares of the rates that upstreams name |
 //! | [`departures`] | upstreams that say that they are leaving |
 //! | `drain` | planned stop |
+//! | [`evacuation`] | data centres that operators order out of service |
 //! | [`rests`] | rest that upstreams ask for |
 //! | `restarts` | upstreams that started again under their names |
 //! | [`health`] | health of upstreams, from own attempts |
@@ -37,6 +38,7 @@
 pub mod control;
 pub mod departures;
 mod drain;
+pub mod evacuation;
 pub mod events;
 pub mod evidence;
 mod exchange;
@@ -104,6 +106,9 @@
     pub grace: Duration,
     /// Time after which a leaving upstream must get no new work.
     pub drain_limit: Duration,
+    /// Time after the order from which a data centre out of service must get no new work;
+    /// `None` if operators give no such orders.
+    pub evacuation_limit: Option<Duration>,
     /// Time after which a withdrawn API key must be refused, also without the
     /// store.
     pub revocation_limit: Duration,
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -10,14 +10,16 @@
 use test_case::test_case;
 
 use crate::peer::message::UpstreamLimit;
+use crate::relay::evacuation::Evacuation;
 use crate::relay::fleet::{Fleet, UpstreamQuery};
 use crate::relay::loads::upstream_digest;
 use crate::relay::members::Members;
 use crate::relay::rate_limit::LimitNotice;
 use crate::relay::restarts::{DOUBT_TIME, RESTART_LAG};
 use crate::relay::rests::Incarnation;
+use crate::relay::rollout::OrderId;
 use crate::relay::sessions::VersionInput;
-use crate::relay::view::{Upstream, UpstreamKey, View};
+use crate::relay::view::{RolloutView, Upstream, UpstreamKey, View};
 
 const SERVICE: &str = "app";
 
@@ -337,3 +339,166 @@
         prop_assert!(!world.is_used(key));
     }
 }
+
+/// Time after an order from which it must be obeyed.
+const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
+
+/// Boot clock when the orders of the tests are read.
+const READ_AT: Duration = Duration::from_secs(100);
+
+impl World {
+    fn move_to(&mut self, number: u64, data_centre: &'static str) {
+        let key = self.key(number);
+        self.upstreams[key].data_centre = CompactString::const_new(data_centre);
+        self.update();
+    }
+
+    /// Orders data centres out; `age` is the time since the orders were read.
+    fn evacuate(&mut self, data_centres: &[&str], age: Duration) {
+        let orders = data_centres.iter().map(|name| Evacuation {
+            data_centre: CompactString::from(*name),
+            id: OrderId::default(),
+            read_at: READ_AT,
+            ordered_after: Some(READ_AT),
+        });
+        let orders: Vec<Evacuation> = orders.collect();
+        self.fleet
+            .update_evacuations(&orders, Some(EVACUATION_LIMIT), READ_AT + age);
+    }
+
+    /// Number of so many choices at a third data centre that fall on an upstream.
+    fn choices(&mut self, key: UpstreamKey, count: usize) -> usize {
+        let query = query(&[]);
+        let chosen = (0..count).filter(|_| {
+            let chosen = self
+                .fleet
+                .choose_upstream(&query, &[], "c", self.now, &mut self.rng);
+            chosen.is_some_and(|(chosen, _)| chosen == key)
+        });
+        chosen.count()
+    }
+}
+
+fn query(excluded: &[UpstreamKey]) -> UpstreamQuery<'_> {
+    UpstreamQuery {
+        service: SERVICE,
+        version_input: VersionInput::default(),
+        required_version: None,
+        prefix: None,
+        prefix_ms: 0.0,
+        excluded,
+        allows_ejected: true,
+    }
+}
+
+#[test]
+fn evacuated_upstream_gets_less_and_then_nothing() {
+    let mut world = World::new(2);
+    world.move_to(1, "b");
+    let evacuated = world.key(1);
+    let before = world.choices(evacuated, 1_000);
+    world.evacuate(&["b"], EVACUATION_LIMIT / 4);
+    let meanwhile = world.choices(evacuated, 1_000);
+    assert!(meanwhile > 0 && meanwhile < before, "{meanwhile}, {before}");
+    world.evacuate(&["b"], EVACUATION_LIMIT / 2);
+    assert_eq!(world.choices(evacuated, 1_000), 0);
+    assert!(!world.fleet.accepts(evacuated, world.now));
+    assert!(world.fleet.is_evacuated(evacuated));
+    world.evacuate(&[], EVACUATION_LIMIT);
+    assert!(world.choices(evacuated, 1_000) > meanwhile);
+}
+
+#[test]
+fn evacuated_upstream_is_no_last_resort() {
+    let mut world = World::new(2);
+    world.move_to(1, "b");
+    let (other, evacuated) = (world.key(0), world.key(1));
+    world.evacuate(&["b"], EVACUATION_LIMIT);
+    for _ in 0..20 {
+        let now = world.now;
+        let health = world.fleet.health_mut(other);
+        health.expect("it is registered").record_unreachable(now);
+    }
+    assert!(!world.is_used(evacuated));
+    let excluded = [other];
+    let query = query(&excluded);
+    let chosen = world
+        .fleet
+        .choose_upstream(&query, &[], "a", world.now, &mut world.rng);
+    assert!(chosen.is_none());
+}
+
+#[test]
+fn only_upstreams_left_serve_until_their_share_is_zero() {
+    let mut world = World::new(2);
+    world.evacuate(&["a"], EVACUATION_LIMIT.mul_f64(0.499));
+    assert_eq!(world.used().len(), 2);
+    world.evacuate(&["a"], EVACUATION_LIMIT / 2);
+    assert!(world.used().is_empty());
+    assert_eq!(world.fleet.time_to_token(SERVICE, world.now), None);
+}
+
+#[test]
+fn orders_have_no_effect_without_limit() {
+    let mut world = World::new(2);
+    let order = Evacuation {
+        data_centre: CompactString::const_new("a"),
+        id: OrderId::default(),
+        read_at: READ_AT,
+        ordered_after: None,
+    };
+    world.fleet.update_evacuations(&[order], None, READ_AT * 2);
+    assert_eq!(world.used().len(), 2);
+}
+
+#[test]
+fn restarted_upstream_in_evacuated_data_centre_is_not_asked() {
+    let mut world = World::new(2);
+    world.move_to(1, "b");
+    let before = world.key(1);
+    world.fleet.record_departure(before, world.now);
+    world.evacuate(&["b"], EVACUATION_LIMIT);
+    world.register(1, 2);
+    world.move_to(1, "b");
+    assert!(world.fleet.take_restarted().is_empty());
+}
+
+// The version's traffic goes to as many upstreams as if those were not there.
+#[test_case(Duration::ZERO; "from the order on")]
+#[test_case(EVACUATION_LIMIT; "once nothing is sent there")]
+fn part_of_new_version_is_counted_without_evacuated(age: Duration) {
+    let mut world = World::new(12);
+    for number in 0..10 {
+        let key = world.key(number);
+        world.upstreams[key].version = CompactString::const_new("v2");
+    }
+    for number in 0..5 {
+        world.move_to(number, "b");
+    }
+    world.evacuate(&["b"], age);
+    let rollout = RolloutView {
+        service: CompactString::const_new(SERVICE),
+        to: CompactString::const_new("v2"),
+        order: OrderId::default(),
+        is_open: true,
+        share: 0.4,
+        moves_sessions: true,
+        withdrawn: Vec::new(),
+        started_at: Duration::ZERO,
+    };
+    let mut used = Vec::new();
+    for _ in 0..400 {
+        let query = query(&[]);
+        let rollouts = std::slice::from_ref(&rollout);
+        let chosen = world
+            .fleet
+            .choose_upstream(&query, rollouts, "a", world.now, &mut world.rng);
+        let key = chosen.expect("five are left").0;
+        if !used.contains(&key) {
+            used.push(key);
+        }
+    }
+    assert_eq!(used.len(), 3);
+    let places = used.iter().map(|key| &world.upstreams[*key].data_centre);
+    assert!(places.clone().all(|place| place == "a"));
+}
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod departures;
 mod drain;
+mod evacuation;
 mod events;
 mod fingerprint;
 mod fleet;
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -108,10 +108,17 @@
         self.fleet.borrow_mut().own_departures(self.now())
     }
 
-    /// Returns true if requests may be sent to an upstream, which is not leaving and does
-    /// not rest.
+    /// Returns true if requests may be sent to an upstream, which is not leaving, does not
+    /// rest, and is in no data centre that is evacuated, as far as is known now.
     pub(in crate::relay) fn accepts(&self, key: UpstreamKey) -> bool {
-        self.fleet.borrow().accepts(key, self.now())
+        let view = self.view();
+        self.fleet(&view, |fleet, _| fleet.accepts(key, self.now()))
+    }
+
+    /// Returns true if nothing may be sent to an upstream, as its data centre is evacuated.
+    pub(in crate::relay) fn is_evacuated(&self, key: UpstreamKey) -> bool {
+        let view = self.view();
+        self.fleet(&view, |fleet, _| fleet.is_evacuated(key))
     }
 
     /// Time until one of a service's upstreams has rested; `None` unless all of them rest.
@@ -123,16 +130,18 @@
     /// upstream's limit, if it names one; returns false if the share is spent.
     pub(in crate::relay) fn take_send(&self, key: UpstreamKey) -> bool {
         let now = self.now();
-        let mut fleet = self.fleet.borrow_mut();
-        if !fleet.accepts(key, now) {
-            return false;
-        }
-        let is_limited = fleet.limit(key).is_some();
-        let has_token = fleet.take_token(key, now);
-        if is_limited && has_token {
-            self.metrics.limited_sends.inc();
-        }
-        has_token
+        let view = self.view();
+        self.fleet(&view, |fleet, _| {
+            if !fleet.accepts(key, now) {
+                return false;
+            }
+            let is_limited = fleet.limit(key).is_some();
+            let has_token = fleet.take_token(key, now);
+            if is_limited && has_token {
+                self.metrics.limited_sends.inc();
+            }
+            has_token
+        })
     }
 
     /// Time until the limits of a service's upstreams leave a request to this
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::RelaySettings;
+use super::boot_clock;
 use super::budget::{RetryBudget, RetryCause};
 use super::catalog::Route;
 use super::connection::{ConnectionError, UpstreamConnection};
@@ -311,6 +312,9 @@
     ) -> T {
         let mut fleet = self.fleet.borrow_mut();
         fleet.update(view, self.now());
+        // On the boot clock, as the host may have been suspended since the order.
+        let limit = self.shared.settings.load().evacuation_limit;
+        fleet.update_evacuations(&view.evacuations, limit, boot_clock::now());
         f(&mut fleet, &mut self.rng.borrow_mut())
     }
 
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -9,6 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::catalog::Catalog;
+use super::evacuation::Evacuation;
 use super::evidence::RolloutEvidence;
 use super::readers::Confirmation;
 use super::rollout::OrderId;
@@ -92,6 +93,8 @@
     pub upstreams: Arc<SlotMap<UpstreamKey, Upstream>>,
     /// Open roll-outs, and completed ones that still affect routing.
     pub rollouts: Vec<RolloutView>,
+    /// Data centres that are ordered out of service.
+    pub evacuations: Vec<Evacuation>,
     /// Confirmations of this gateway's own reads of the store's tables, by table
     /// number.
     pub reads: Vec<(u32, Confirmation)>,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod departing;
 mod draining;
 mod drawn;
+mod evacuated;
 mod flooded;
 mod hosts;
 mod interrupted;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -40,6 +40,8 @@
     relays: Vec<Process>,
     /// Address at which the relays reach the store.
     store_addr: String,
+    /// Further bounds in the settings of relays.
+    more_bounds: String,
     _store: Process,
     runners: Vec<Process>,
     /// Name and arguments of each runner.
@@ -149,6 +151,7 @@
         let world = Self {
             dir,
             store_addr: format!("{net}.1:7000"),
+            more_bounds: String::new(),
             client,
             relays: Vec::new(),
             _store: store,
@@ -163,6 +166,12 @@
         world
     }
 
+    /// Adds a bound to the settings of the relays that start from now on.
+    pub(crate) fn add_bound(&mut self, name: &str, value: u64) {
+        let line = format!("{name} = {value}\n");
+        self.more_bounds.push_str(&line);
+    }
+
     /// Starts one more relay.
     pub(crate) fn start_relay(&mut self) {
         let relay = self.spawn_relay(self.relays.len());
@@ -611,7 +620,10 @@
 
     fn settings(&self, index: usize) -> String {
         let Self {
-            net, store_addr, ..
+            net,
+            store_addr,
+            more_bounds,
+            ..
         } = self;
         let host = FIRST_RELAY + index;
         let number = index + 1;
@@ -622,7 +634,7 @@
              [limits]\nmax_fds = 4096\n\
              [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
              retry_ratio = 0.9\nretry_slack = 600\nretry_window_s = 10\n\
-             exposure_share = 0.15\nsession_s = 5\n\
+             exposure_share = 0.15\nsession_s = 5\n{more_bounds}\
              [platform]\naddress = \"{store_addr}\"\n"
         )
     }
