Keep all relays together to the allowance of cold upstreams

An upstream that has started, or that turned cold unnoticed, crashes if it gets more than warmup_per_s * warmup_overshoot + warmup_slack requests in a second from all relays. Each relay placed by load alone. Now the allowance is dealt out to the relays one request at a time and holds for warm upstreams too, since nobody learns in time that one has turned cold. A relay has no part until all others count it. A request without room waits for it, a second at most, or is refused at once. Services without warmup_per_s are served as before.

The literal of RelayReport in tests/loads.rs names the new field.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -548,6 +548,18 @@
     /// serves.
     #[prost(uint32, optional, tag = "12")]
     pub stops_in: ::core::option::Option<u32>,
+    /// Which relays the sender counts when it divides an upstream's allowance.
+    #[prost(message, optional, tag = "14")]
+    pub counted: ::core::option::Option<CountedRelays>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CountedRelays {
+    /// Sum of the hashes of all their report addresses, the sender's included.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Hashes of those that the sender began to count a moment ago.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub recent: ::prost::alloc::vec::Vec<u64>,
 }
 /// What a relay saw itself of a part of prompts or of a request, and its quarantine as
 /// the relay knows it. Ages are in milliseconds.
--- a/src/carawayrun/platform/config.rs
+++ b/src/carawayrun/platform/config.rs
@@ -90,6 +90,9 @@
     /// Set if its upstreams are model engines.
     engine: Option<serde::de::IgnoredAny>,
     health_path: Option<CompactString>,
+    /// Requests per second; zero if there is no limit.
+    #[serde(default)]
+    warmup_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -199,6 +202,7 @@
         name: wire.name,
         has_engines: wire.engine.is_some(),
         health_path: wire.health_path.unwrap_or(DEFAULT_HEALTH_PATH),
+        cold_rate: Some(wire.warmup_per_s).filter(|rate| *rate > 0.0),
     }
 }
 
--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -9,6 +9,7 @@
 
 use super::time::{from_millis, from_seconds};
 use crate::relay::RelaySettings;
+use crate::relay::allowance::ColdTolerance;
 
 /// Why a settings file can't be used.
 #[derive(Debug)]
@@ -87,6 +88,11 @@
     /// Absent on deployments without sessions.
     #[serde(default)]
     session_s: f64,
+    /// Absent, as the next one, on deployments whose upstreams have no limit while cold.
+    #[serde(default = "default_overshoot")]
+    warmup_overshoot: f64,
+    #[serde(default)]
+    warmup_slack: f64,
 }
 
 #[derive(Deserialize)]
@@ -99,6 +105,11 @@
     0.0975
 }
 
+// No more than the rate itself.
+fn default_overshoot() -> f64 {
+    1.0
+}
+
 // The window in the platform's documentation, in seconds.
 fn default_window() -> f64 {
     10.0
@@ -159,6 +170,16 @@
             "zero or more",
         ),
         (bounds.session_s >= 0.0, "bounds.session_s", "zero or more"),
+        (
+            bounds.warmup_overshoot > 0.0,
+            "bounds.warmup_overshoot",
+            POSITIVE,
+        ),
+        (
+            bounds.warmup_slack >= 0.0,
+            "bounds.warmup_slack",
+            "zero or more",
+        ),
         (file.limits.max_fds >= 512, "limits.max_fds", "512 or more"),
     ];
     checks
@@ -186,6 +207,10 @@
         retry_slack: bounds.retry_slack,
         retry_window: from_seconds(bounds.retry_window_s),
         session_gap: from_seconds(bounds.session_s),
+        cold_tolerance: ColdTolerance {
+            multiple: bounds.warmup_overshoot,
+            slack: bounds.warmup_slack,
+        },
         max_descriptors: file.limits.max_fds,
     }
 }
--- a/src/carawayrun/relay/catalog.rs
+++ b/src/carawayrun/relay/catalog.rs
@@ -117,6 +117,9 @@
     pub has_engines: bool,
     /// Path of its upstreams' health checks.
     pub health_path: CompactString,
+    /// Requests per second that one of its upstreams takes while it is cold; `None` if it
+    /// has no such limit.
+    pub cold_rate: Option<f64>,
 }
 
 /// A team of API key owners.
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -52,14 +52,14 @@
         else {
             return AttemptOutcome::NotSent;
         };
-        if !self.traffic.take_send(key) {
+        let Some(taken) = self.traffic.take_send(key) else {
             return AttemptOutcome::NotSent;
-        }
+        };
         let Ok(connection) = self.acquire_connection(view, route, key, &upstream).await else {
             return AttemptOutcome::NotSent;
         };
         // It may have asked for rest while this request waited for a connection.
-        if !self.traffic.accepts(key) {
+        if !self.traffic.renew_send(key, taken) {
             return AttemptOutcome::NotSent;
         }
         let catalog = Arc::clone(&self.admitted.catalog);
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -42,7 +42,7 @@
         route: &Route,
     ) -> bool {
         // The poll is a request too.
-        if !route.kind.is_stream() || !self.traffic.take_send(key) {
+        if !route.kind.is_stream() || self.traffic.take_send(key).is_none() {
             return false;
         }
         let report = timeout(REPORT_TIMEOUT, fetch_report(upstream, self.traffic)).await;
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -16,10 +16,11 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use compact_str::CompactString;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 pub(super) use self::subjects::Subjects;
 use super::admission::{AdmittedRequest, Refusal};
+use super::allowance;
 use super::boot_clock;
 use super::budget::RetryCause;
 use super::cascade::{self, AnswerEstimate, Timing};
@@ -59,6 +60,9 @@
 /// its own.
 const MAX_LIMIT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Shortest wait for the allowance of an upstream, as another request may come first.
+const MIN_ROOM_WAIT: Duration = Duration::from_millis(5);
+
 /// One request of a client, after it was read.
 pub(super) struct Exchange<'a> {
     pub(super) traffic: &'a Rc<Traffic>,
@@ -168,6 +172,8 @@
     may_have_run: bool,
     /// Sends whose connection ended without a whole answer.
     losses: u32,
+    /// Time that it waited for the allowances of upstreams.
+    held: Duration,
     /// True if it was admitted to see whether a quarantine can end.
     is_trial: bool,
     /// True if the next send is the first one, or was already taken from the budget.
@@ -344,6 +350,9 @@
             let view = self.traffic.view();
             let chosen = self.choose_with_wait(&view, route, progress, &progress.excluded, service);
             let Some((key, wait_ms)) = chosen else {
+                if self.wait_for_room(&view, route, progress).await {
+                    continue;
+                }
                 return self.give_up(route, progress, responder).await;
             };
             self.log.record_expected_wait(wait_ms);
@@ -421,6 +430,42 @@
         chosen.map(|(key, _)| key)
     }
 
+    // Waits until this gateway's part of an upstream's allowance leaves a request; returns
+    // false at once if that is longer than the request can wait, or allowances are not what
+    // keeps it from all upstreams.
+    //
+    // Load pattern: a part is a request or two a second, so a few requests that come
+    // together wait for a fraction of a second. A refusal would cost the client more.
+    async fn wait_for_room(
+        &self,
+        view: &View,
+        route: &Route,
+        progress: &mut RequestProgress,
+    ) -> bool {
+        let catalog = &self.admitted.catalog;
+        let service = self.service_name(catalog);
+        let now = self.traffic.now();
+        let excluded = &progress.excluded;
+        let wait = self.with_query(route, progress, excluded, view, service, |query| {
+            self.traffic.fleet(view, |fleet, _| {
+                fleet.time_to_room(query, &view.rollouts, now)
+            })
+        });
+        let longest = if route.objective.is_zero() {
+            allowance::WINDOW
+        } else {
+            allowance::WINDOW.min(route.objective)
+        };
+        let Some(wait) = wait.filter(|wait| progress.held + *wait <= longest) else {
+            return false;
+        };
+        let wait = wait.max(MIN_ROOM_WAIT);
+        self.traffic.metrics.held_sends.inc();
+        sleep(wait).await;
+        progress.held += wait;
+        true
+    }
+
     // Chooses an upstream; also returns the estimated time until it would begin to
     // read the prompt, in milliseconds.
     fn choose_with_wait(
@@ -431,6 +476,26 @@
         excluded: &[UpstreamKey],
         service: &str,
     ) -> Option<(UpstreamKey, f64)> {
+        let now = self.traffic.now();
+        let settings = self.traffic.settings();
+        let data_centre = settings.data_centre.as_str();
+        self.with_query(route, progress, excluded, view, service, |query| {
+            self.traffic.fleet(view, |fleet, rng| {
+                fleet.choose_upstream(query, &view.rollouts, data_centre, now, rng)
+            })
+        })
+    }
+
+    // Calls `f` with what the request requires of its upstream.
+    fn with_query<T>(
+        &self,
+        route: &Route,
+        progress: &RequestProgress,
+        excluded: &[UpstreamKey],
+        view: &View,
+        service: &str,
+        f: impl FnOnce(&UpstreamQuery<'_>) -> T,
+    ) -> T {
         let model = self.model_name(progress);
         let shared_prefixes = self.shared_prefixes();
         let shared: u32 = shared_prefixes.iter().map(|part| part.tokens).sum();
@@ -458,12 +523,7 @@
             excluded,
             allows_ejected: route.kind != RouteKind::Once || progress.sends == 0,
         };
-        let now = self.traffic.now();
-        let settings = self.traffic.settings();
-        let data_centre = settings.data_centre.as_str();
-        self.traffic.fleet(view, |fleet, rng| {
-            fleet.choose_upstream(&query, &view.rollouts, data_centre, now, rng)
-        })
+        f(&query)
     }
 
     // Ends a request without a further attempt: delivers the fallback answer or
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -254,6 +254,9 @@
             let Some(key) =
                 self.choose_upstream(&view, route, progress, &progress.excluded, service)
             else {
+                if self.wait_for_room(&view, route, progress).await {
+                    continue;
+                }
                 return Err(self.interrupt(route, progress, responder).await);
             };
             if !self.pay_for_send(progress, service) {
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -10,11 +10,13 @@
 use rustc_hash::FxHashMap;
 use slotmap::{SecondaryMap, SlotMap};
 
+use super::allowance::{ColdTolerance, SendLogs};
+use super::catalog::Catalog;
 use super::connection::UpstreamConnection;
 use super::departures::Departures;
 use super::health::Health;
 use super::loads::{PeerLoads, upstream_digest};
-use super::members::Members;
+use super::members::{Division, Members};
 use super::placement::{
     UpstreamCandidate, affinity_rank, choose_candidate, count_partial_upstreams, sample_candidates,
 };
@@ -60,15 +62,25 @@
 }
 
 impl UpstreamState {
-    fn has_token(&self, now: Duration) -> bool {
-        self.limiter.has_token(self.share, now)
-    }
-
     fn update_share(&mut self, upstream: &Upstream, members: &Members, own_addr: SocketAddr) {
         if let Some(limit) = self.limiter.limit() {
             self.share = members.rate_share(own_addr, &upstream.name, limit);
         }
     }
+
+    fn update_part(
+        &mut self,
+        upstream: &Upstream,
+        allowance: Option<u32>,
+        members: &Members,
+        own_addr: SocketAddr,
+        now: Duration,
+    ) {
+        self.part = allowance.map(|allowance| {
+            let name = &upstream.name;
+            members.part(own_addr, name, allowance, now)
+        });
+    }
 }
 
 /// Runtime state of the upstreams of one view.
@@ -80,6 +92,13 @@
     rests: Rests,
     departures: Departures,
     restarts: Restarts,
+    catalog: Option<Arc<Catalog>>,
+    /// Gateways for which the parts were worked out; `None` if they are out of date.
+    division: Option<Division>,
+    /// Requests a second that upstreams take from all gateways, by service.
+    allowances: FxHashMap<CompactString, u32>,
+    /// Own sends to upstreams with an allowance.
+    sends: SendLogs,
     /// Last known incarnation by the key of the upstream in reports.
     incarnations: FxHashMap<u32, Incarnation>,
     /// Load that the other gateways placed on the upstreams.
@@ -97,6 +116,8 @@
     limiter: RateLimiter,
     /// This gateway's share of the upstream's limit.
     share: RateShare,
+    /// This gateway's part of the upstream's allowance, if it has one.
+    part: Option<u32>,
     idle: Vec<UpstreamConnection>,
 }
 
@@ -107,6 +128,7 @@
             return;
         }
         self.upstreams = Arc::clone(&view.upstreams);
+        self.division = None;
         self.by_service.clear();
         if self.incarnations.len() > MAX_INCARNATIONS {
             self.incarnations.clear();
@@ -120,6 +142,8 @@
             if let Some(state) = self.states.entry(key) {
                 let state = state.or_default();
                 state.digest = upstream_digest(&upstream.name);
+                let has_allowance = self.allowances.contains_key(&upstream.service);
+                state.part = state.part.or(has_allowance.then_some(0));
                 state.incarnation = Incarnation::of(upstream);
                 let after = state.incarnation;
                 let before = self.incarnations.insert(state.digest, after);
@@ -134,6 +158,46 @@
         }
     }
 
+    /// Updates the allowances of the services' upstreams to those of a newer catalog, and
+    /// this gateway's parts in them.
+    pub(super) fn update_allowances(
+        &mut self,
+        catalog: Option<&Arc<Catalog>>,
+        tolerance: ColdTolerance,
+        members: &Members,
+        own_addr: SocketAddr,
+        now: Duration,
+    ) {
+        let division = Some(members.division(own_addr, now));
+        if self.knows_allowances(catalog) && self.division == division {
+            return;
+        }
+        self.division = division;
+        self.catalog = catalog.cloned();
+        self.allowances.clear();
+        for service in catalog.iter().flat_map(|catalog| &catalog.services) {
+            if let Some(rate) = service.cold_rate {
+                let allowance = tolerance.allowance(rate);
+                self.allowances.insert(service.name.clone(), allowance);
+            }
+        }
+        for (key, state) in &mut self.states {
+            if let Some(upstream) = self.upstreams.get(key) {
+                let allowance = self.allowances.get(&upstream.service).copied();
+                state.update_part(upstream, allowance, members, own_addr, now);
+            }
+        }
+    }
+
+    /// Returns true if the parts in the allowances of this catalog's services are known.
+    pub(super) fn knows_allowances(&self, catalog: Option<&Arc<Catalog>>) -> bool {
+        match (&self.catalog, catalog) {
+            (Some(known), Some(catalog)) => Arc::ptr_eq(known, catalog),
+            (None, None) => true,
+            _ => false,
+        }
+    }
+
     pub(super) fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
     }
@@ -149,18 +213,10 @@
         now: Duration,
         rng: &mut SmallRng,
     ) -> Option<(UpstreamKey, f64)> {
-        let known = self.by_service.get(query.service)?;
-        let available = known
-            .iter()
-            .copied()
-            .filter(|key| self.is_available(*key, query, now));
-        let available: Vec<UpstreamKey> = available.collect();
-        let eligible = self.eligible_upstreams(&available, query, rollouts);
         // After the choice of the version, as a request must not change it for a limit.
-        let eligible = eligible.into_iter();
-        let within_limits: Vec<UpstreamKey> = eligible
-            .filter(|key| self.states[*key].has_token(now))
-            .collect();
+        let eligible = self.eligible_for(query, rollouts, now).into_iter();
+        let within_limits: Vec<UpstreamKey> =
+            eligible.filter(|key| self.has_token(*key, now)).collect();
         let is_doubtful = |key: &UpstreamKey| self.restarts.is_doubtful(*key, now);
         let not_ejected = within_limits.iter().copied();
         let not_ejected = not_ejected.filter(|key| !self.is_ejected(*key, now));
@@ -184,6 +240,50 @@
         Some((keys[chosen.index], chosen.wait_ms()))
     }
 
+    /// Time until this gateway may send a request to one of the upstreams that it could
+    /// have now but for their allowances; `None` if there is no such upstream.
+    pub(super) fn time_to_room(
+        &self,
+        query: &UpstreamQuery<'_>,
+        rollouts: &[RolloutView],
+        now: Duration,
+    ) -> Option<Duration> {
+        let eligible = self.eligible_for(query, rollouts, now).into_iter();
+        let usable = eligible.filter(|key| !self.is_ejected(*key, now));
+        let times = usable.filter_map(|key| {
+            let state = &self.states[key];
+            let is_limited = !state.limiter.has_token(state.share, now);
+            let part = state.part.filter(|_| !is_limited)?;
+            self.sends.time_to_room(state.digest, part, now)
+        });
+        times.min()
+    }
+
+    fn eligible_for(
+        &self,
+        query: &UpstreamQuery<'_>,
+        rollouts: &[RolloutView],
+        now: Duration,
+    ) -> Vec<UpstreamKey> {
+        let known = self.by_service.get(query.service);
+        let known = known.into_iter().flatten().copied();
+        let available = known.filter(|key| self.is_available(*key, query, now));
+        let available: Vec<UpstreamKey> = available.collect();
+        if available.is_empty() {
+            return available;
+        }
+        self.eligible_upstreams(&available, query, rollouts)
+    }
+
+    // True if this gateway's shares of the upstream's limit and allowance leave a request.
+    fn has_token(&self, key: UpstreamKey, now: Duration) -> bool {
+        let Some(state) = self.states.get(key) else {
+            return false;
+        };
+        let has_room = |part| self.sends.has_room(state.digest, part, now);
+        state.limiter.has_token(state.share, now) && state.part.is_none_or(has_room)
+    }
+
     // Leaves out upstreams whose rest has just ended, in part and while others are left.
     fn hold_back_returning(
         &self,
@@ -357,19 +457,50 @@
         self.states.get(key)?.limiter.limit()
     }
 
-    /// Takes one request from the share of an upstream's limit, if it names one;
-    /// returns false if the share is spent.
+    /// Takes one request from the shares of an upstream's limit and allowance, if it has
+    /// any; returns false if one is spent.
     pub(super) fn take_token(&mut self, key: UpstreamKey, now: Duration) -> bool {
-        let Some(state) = self.states.get_mut(key) else {
-            return false;
-        };
-        let has_token = state.has_token(now);
-        if has_token {
+        let has_token = self.has_token(key, now);
+        if let Some(state) = self.states.get_mut(key).filter(|_| has_token) {
             state.limiter.take_token(state.share, now);
+            if state.part.is_some() {
+                self.sends.record(state.digest, now);
+            }
         }
         has_token
     }
 
+    /// Takes one request from the part of an upstream's allowance, if it has one; returns
+    /// false if that is spent.
+    pub(super) fn take_room(&mut self, key: UpstreamKey, now: Duration) -> bool {
+        let Some(state) = self.states.get(key) else {
+            return false;
+        };
+        let Some(part) = state.part else {
+            return true;
+        };
+        let has_room = self.sends.has_room(state.digest, part, now);
+        if has_room {
+            self.sends.record(state.digest, now);
+        }
+        has_room
+    }
+
+    /// Counts a request that was taken from an upstream's allowance at `taken` as sent now;
+    /// returns false if there is no room for it any more.
+    pub(super) fn renew_token(&mut self, key: UpstreamKey, taken: Duration, now: Duration) -> bool {
+        let Some(state) = self.states.get(key) else {
+            return false;
+        };
+        let part = state.part;
+        part.is_none_or(|part| self.sends.renew(state.digest, taken, part, now))
+    }
+
+    /// Forgets sends that count no more.
+    pub(super) fn expire_sends(&mut self, now: Duration) {
+        self.sends.expire(now);
+    }
+
     /// Time until the limits of a service's upstreams leave a request to this
     /// gateway; `None` if no upstream is known.
     pub(super) fn time_to_token(&self, service: &str, now: Duration) -> Option<Duration> {
@@ -378,7 +509,11 @@
         let states = present.map(|key| &self.states[*key]);
         let times = states.map(|state| {
             let time = state.limiter.time_to_token(state.share, now);
-            time.unwrap_or(Duration::MAX)
+            let room = state.part.map_or(Some(Duration::ZERO), |part| {
+                self.sends.time_to_room(state.digest, part, now)
+            });
+            let unlimited = Duration::MAX;
+            time.unwrap_or(unlimited).max(room.unwrap_or(unlimited))
         });
         times.min()
     }
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -93,6 +93,7 @@
             reads: view.reads.iter().map(encode_read).collect(),
             limits: traffic.own_limits(),
             leaving: traffic.own_departures(),
+            counted: Some(traffic.counted_relays()),
             stops_in: traffic.stops_in().map(|left| left.as_millis() as u32),
             ..RelayReport::default()
         };
--- a/src/carawayrun/relay/health_check.rs
+++ b/src/carawayrun/relay/health_check.rs
@@ -10,7 +10,7 @@
 use super::connection::ConnectionError;
 use super::message::{Answer, Execution};
 use super::traffic::Traffic;
-use super::view::Upstream;
+use super::view::{Upstream, UpstreamKey};
 use crate::platform;
 
 /// Time limit for connecting to the upstream and for the head of its answer.
@@ -28,6 +28,8 @@
     Unclear { status: StatusCode },
     #[snafu(display("another upstream has its address"))]
     Displaced,
+    #[snafu(display("its allowance leaves no request"))]
+    NoRoom,
 }
 
 /// Asks upstreams that started again, as soon as that is known, until the process ends.
@@ -37,7 +39,7 @@
         for (key, upstream) in traffic.take_restarted() {
             let traffic = Rc::clone(&traffic);
             actix_rt::spawn(async move {
-                let asked = timeout(CHECK_TIMEOUT, ask(&upstream, &traffic)).await;
+                let asked = timeout(CHECK_TIMEOUT, ask(key, &upstream, &traffic)).await;
                 match asked.unwrap_or_else(|_| TimedOutSnafu.fail()) {
                     Ok(answer) => {
                         traffic.record_word(key, &upstream, &answer);
@@ -55,9 +57,14 @@
 
 // Calls the health check of an upstream on a connection of its own, so that it is the
 // present incarnation that answers.
-async fn ask(upstream: &Upstream, traffic: &Traffic) -> Result<Answer, CheckError> {
+async fn ask(
+    key: UpstreamKey,
+    upstream: &Upstream,
+    traffic: &Traffic,
+) -> Result<Answer, CheckError> {
     let connection = traffic.connect(upstream.addr, CHECK_TIMEOUT).await;
     let mut connection = connection.context(WireSnafu)?;
+    snafu::ensure!(traffic.take_check(key), NoRoomSnafu);
     let path = traffic.health_path(&upstream.service);
     let head = platform::health_request(upstream, &path);
     connection.start_request(head, b"").context(WireSnafu)?;
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -2,10 +2,15 @@
 //! to the same upstreams.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustc_hash::FxHasher;
+
+use super::allowance::{self, WINDOW};
 use super::rate_limit::{RateShare, rank};
+use crate::peer::message::CountedRelays;
 
 /// Time for which a gateway counts after its last sign of life, as in the store:
 /// it may only be disconnected, and sends its share.
@@ -18,6 +23,23 @@
 /// restart, and the reading of the store.
 const START_TIME: Duration = Duration::from_secs(1);
 
+/// Time in which gateways that start together have read each other's rows.
+const LISTING_TIME: Duration = Duration::from_secs(2);
+
+/// Time in which all gateways that reach the store have read a row: they read each 30 s.
+const READING_TIME: Duration = Duration::from_secs(32);
+
+/// Most gateways in a report that are told to be counted, to leave room for the rest of a
+/// datagram.
+const MAX_REPORTED: usize = 32;
+
+/// Gateways among which allowances are dealt out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Division {
+    digest: u64,
+    is_counted: bool,
+}
+
 /// Other gateways and when each was last known to run. Times are on the caller's
 /// clock.
 #[derive(Debug, Default)]
@@ -25,18 +47,36 @@
     others: BTreeMap<SocketAddr, LastSeen>,
     /// True once the gateways in the store were read.
     is_listed: bool,
+    /// Time at which they were.
+    listed_at: Duration,
+    /// Time at which all others were known to count this gateway.
+    counted_at: Option<Duration>,
 }
 
 #[derive(Debug)]
 struct LastSeen {
+    /// First sign of life.
+    first_at: Duration,
     /// Last sign of life, a report or the store's list.
     at: Duration,
     reported_at: Option<Duration>,
+    /// True once it reported that it counts this gateway.
+    counts_own: bool,
     /// Time by which it stops, if its last report said that it does.
     stops_at: Option<Duration>,
 }
 
 impl LastSeen {
+    fn new(now: Duration) -> Self {
+        Self {
+            first_at: now,
+            at: now,
+            reported_at: None,
+            counts_own: false,
+            stops_at: None,
+        }
+    }
+
     // Time until it takes requests. One that is silent may only be cut off from here.
     fn time_to_serve(&self, now: Duration) -> Duration {
         let serves_at = self.stops_at.map(|stops_at| stops_at + START_TIME);
@@ -47,27 +87,98 @@
 impl Members {
     /// Records that a gateway sent a report, by which it stops within `stops_in`, if at all.
     pub fn record_report(&mut self, addr: SocketAddr, stops_in: Option<Duration>, now: Duration) {
-        let seen = LastSeen {
-            at: now,
-            reported_at: Some(now),
-            stops_at: stops_in.map(|stops_in| now + stops_in),
-        };
-        self.others.insert(addr, seen);
+        let seen = self.others.entry(addr).or_insert(LastSeen::new(now));
+        seen.at = now;
+        seen.reported_at = Some(now);
+        seen.stops_at = stops_in.map(|stops_in| now + stops_in);
+    }
+
+    /// Records which gateways a gateway that reported counts.
+    pub fn record_counted(&mut self, addr: SocketAddr, counted: &CountedRelays, own: SocketAddr) {
+        let counts_own =
+            counted.digest == self.digest(own) || counted.recent.contains(&addr_digest(own));
+        if let Some(seen) = self.others.get_mut(&addr) {
+            seen.counts_own |= counts_own;
+        }
+    }
+
+    /// Which gateways this one counts, `own` included. `position` is random in 0..1.
+    pub fn counted(&self, own: SocketAddr, position: f64, now: Duration) -> CountedRelays {
+        let others = self.others.iter().filter(|(addr, seen)| {
+            **addr != own && now.saturating_sub(seen.first_at) < READING_TIME
+        });
+        let mut recent: Vec<u64> = others.map(|(addr, _)| addr_digest(*addr)).collect();
+        // Each report has another part of them if there are many.
+        let start = (position * recent.len() as f64) as usize;
+        let count = recent.len();
+        recent.rotate_left(start.min(count));
+        recent.truncate(MAX_REPORTED);
+        CountedRelays {
+            digest: self.digest(own),
+            recent,
+        }
+    }
+
+    // Sum of the hashes of all gateways' addresses.
+    fn digest(&self, own: SocketAddr) -> u64 {
+        let others = self.others.keys().filter(|addr| **addr != own);
+        let sum = others.fold(0, |sum: u64, addr| sum.wrapping_add(addr_digest(*addr)));
+        sum.wrapping_add(addr_digest(own))
+    }
+
+    /// Determines whether all others count this gateway: each said so, or has read its row
+    /// in the store.
+    pub fn update_counted(&mut self, own: SocketAddr, now: Duration) {
+        if !self.is_listed || self.counted_at.is_some() {
+            return;
+        }
+        let mut others = self.others.iter().filter(|(addr, _)| **addr != own);
+        let listed_for = now.saturating_sub(self.listed_at);
+        let is_counted = listed_for >= LISTING_TIME && others.all(|(_, seen)| seen.counts_own);
+        if is_counted || listed_for >= READING_TIME {
+            self.counted_at = Some(now);
+        }
+    }
+
+    /// What the parts of the gateway `own` follow from: they change only with it.
+    pub fn division(&self, own: SocketAddr, now: Duration) -> Division {
+        Division {
+            digest: self.digest(own),
+            is_counted: self.is_counted(now),
+        }
+    }
+
+    fn is_counted(&self, now: Duration) -> bool {
+        self.counted_at.is_some_and(|at| at + WINDOW <= now)
+    }
+
+    /// Forgets that the others count this gateway, which was cut off for long.
+    pub fn forget_counted(&mut self, now: Duration) {
+        self.counted_at = None;
+        self.listed_at = now;
+        for seen in self.others.values_mut() {
+            seen.counts_own = false;
+        }
     }
 
     /// Records the gateways that are listed in the store.
     pub fn record_listed(&mut self, addrs: &[SocketAddr], now: Duration) {
-        self.is_listed = true;
+        if !self.is_listed {
+            self.is_listed = true;
+            self.listed_at = now;
+        }
         for addr in addrs {
-            let seen = self.others.entry(*addr).or_insert(LastSeen {
-                at: now,
-                reported_at: None,
-                stops_at: None,
-            });
+            let seen = self.others.entry(*addr).or_insert(LastSeen::new(now));
             seen.at = now;
         }
     }
 
+    /// Records that this gateway's row in the store was an earlier process's, whose place
+    /// it takes: all others count it.
+    pub fn record_own_row(&mut self, now: Duration) {
+        self.counted_at = self.counted_at.or(Some(now));
+    }
+
     /// Addresses to send reports to: those of gateways that reported recently and the
     /// `listed` ones, without the gateway's `own`.
     pub fn report_targets(
@@ -140,4 +251,24 @@
         let others = self.others.keys().filter(|addr| **addr != own);
         RateShare::new(limit, rank(upstream, own, others), gateways)
     }
+
+    /// Part of the gateway `own` in the allowance of an upstream; nothing before all
+    /// others count it, and for a window after that: until then their parts may have been
+    /// greater, or an earlier process of this gateway may have sent.
+    pub fn part(&self, own: SocketAddr, upstream: &str, allowance: u32, now: Duration) -> u32 {
+        let Some(gateways) = self.count(own).filter(|_| self.is_counted(now)) else {
+            return 0;
+        };
+        let others = self.others.keys().filter(|addr| **addr != own);
+        allowance::part(allowance, rank(upstream, own, others), gateways)
+    }
+}
+
+// Hash of a gateway's address.
+fn addr_digest(addr: SocketAddr) -> u64 {
+    let mut hasher = FxHasher::default();
+    addr.hash(&mut hasher);
+    // The sums of hashes of neighbouring addresses would be alike.
+    let mixed = hasher.finish().wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed ^ (mixed >> 29)
 }
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -122,6 +122,7 @@
     pub(crate) held_requests: Counter,
     pub(crate) rests_asked: Counter,
     pub(crate) limited_sends: Counter,
+    pub(crate) held_sends: Counter,
     pub(crate) repeated_sends: Counter,
     pub(crate) retries_taken: Counter,
     pub(crate) rollouts_begun: Counter,
@@ -159,6 +160,7 @@
             held_requests: Counter::default(),
             rests_asked: Counter::default(),
             limited_sends: Counter::default(),
+            held_sends: Counter::default(),
             repeated_sends: Counter::default(),
             retries_taken: Counter::default(),
             rollouts_begun: Counter::default(),
@@ -266,6 +268,11 @@
             "Sends to upstreams that name a limit of requests per second",
             &self.limited_sends,
         );
+        add(
+            "held_sends",
+            "Waits of requests for this relay's part of an upstream's allowance",
+            &self.held_sends,
+        );
         add(
             "repeated_sends",
             "Sends beyond the first of their request",
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -28,6 +28,7 @@
 //! | [`progress`] | limits on bytes that bring no progress |
 
 mod admission;
+pub mod allowance;
 mod boot_clock;
 pub mod budget;
 pub mod cascade;
@@ -80,6 +81,8 @@
 
 use compact_str::CompactString;
 
+use self::allowance::ColdTolerance;
+
 pub use self::probe::QUARANTINE_PATH;
 pub use self::serve::{BindError, Relay, bind};
 
@@ -120,6 +123,8 @@
     pub retry_window: Duration,
     /// Longest pause within a session.
     pub session_gap: Duration,
+    /// Requests that cold upstreams may get beyond the rate that their service names.
+    pub cold_tolerance: ColdTolerance,
     /// Limit of the process on open file descriptors.
     pub max_descriptors: u32,
 }
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -29,6 +29,7 @@
         crashes: Vec::new(),
         requests: Vec::new(),
         stops_in: None,
+        counted: None,
         leaving: Vec::new(),
     }
 }
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the relay's modules.
 
+mod allowance;
 mod budget;
 mod cascade;
 mod connection;
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -7,11 +7,16 @@
 use compact_str::CompactString;
 
 use super::Traffic;
-use crate::peer::message::UpstreamLimit;
+use crate::peer::message::{CountedRelays, UpstreamLimit};
+use crate::relay::boot_clock;
 use crate::relay::message::Answer;
 use crate::relay::rate_limit::LimitNotice;
 use crate::relay::view::{Upstream, UpstreamKey, View};
 
+/// Time without a confirmed configuration after which the other gateways may have ceased to
+/// count this one.
+const MAX_CUT: Duration = Duration::from_mins(1);
+
 impl Traffic {
     /// Records the limit that an upstream named in an answer, or that it named none.
     pub(in crate::relay) fn record_limit(
@@ -108,31 +113,40 @@
         self.fleet.borrow_mut().own_departures(self.now())
     }
 
-    /// Returns true if requests may be sent to an upstream, which is not leaving and does
-    /// not rest.
-    pub(in crate::relay) fn accepts(&self, key: UpstreamKey) -> bool {
-        self.fleet.borrow().accepts(key, self.now())
-    }
-
     /// Time until one of a service's upstreams has rested; `None` unless all of them rest.
     pub(in crate::relay) fn time_to_end_of_rest(&self, service: &str) -> Option<Duration> {
         self.fleet.borrow().time_to_end_of_rest(service, self.now())
     }
 
     /// Takes a send to an upstream that may be sent to from this gateway's share of the
-    /// upstream's limit, if it names one; returns false if the share is spent.
-    pub(in crate::relay) fn take_send(&self, key: UpstreamKey) -> bool {
+    /// upstream's limit and allowance, if it has any, and returns the time of it; `None` if
+    /// a share is spent.
+    pub(in crate::relay) fn take_send(&self, key: UpstreamKey) -> Option<Duration> {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         if !fleet.accepts(key, now) {
-            return false;
+            return None;
         }
         let is_limited = fleet.limit(key).is_some();
         let has_token = fleet.take_token(key, now);
         if is_limited && has_token {
             self.metrics.limited_sends.inc();
         }
-        has_token
+        has_token.then_some(now)
+    }
+
+    /// Takes a health check from this gateway's part of an upstream's allowance, if it has
+    /// one; returns false if that is spent.
+    pub(in crate::relay) fn take_check(&self, key: UpstreamKey) -> bool {
+        self.fleet.borrow_mut().take_room(key, self.now())
+    }
+
+    /// Counts a send that was taken at `taken` as made now, after which nothing may wait;
+    /// returns false if it must not be made any more.
+    pub(in crate::relay) fn renew_send(&self, key: UpstreamKey, taken: Duration) -> bool {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.accepts(key, now) && fleet.renew_token(key, taken, now)
     }
 
     /// Time until the limits of a service's upstreams leave a request to this
@@ -146,6 +160,14 @@
         self.fleet.borrow().own_limits(self.now())
     }
 
+    /// Which gateways this one counts, for the others.
+    pub(in crate::relay) fn counted_relays(&self) -> CountedRelays {
+        let position = self.random();
+        self.members
+            .borrow()
+            .counted(self.own_addr, position, self.now())
+    }
+
     /// Returns the addresses to which reports are sent.
     pub(in crate::relay) fn report_targets(&self, view: &View) -> Vec<SocketAddr> {
         let members = self.members.borrow();
@@ -157,12 +179,24 @@
         let now = self.now();
         let view = self.view();
         let mut members = self.members.borrow_mut();
+        let own = self.own_addr;
         if view.is_listed {
+            let had_row = !members.is_listed() && view.peers.contains(&own);
             members.record_listed(&view.peers, now);
+            if had_row {
+                members.record_own_row(now);
+            }
         }
         members.expire(now);
+        if boot_clock::now().saturating_sub(view.confirmed_at) > MAX_CUT {
+            members.forget_counted(now);
+        }
+        members.update_counted(own, now);
+        let tolerance = self.settings().cold_tolerance;
         let (limited, resting) = self.fleet(&view, |fleet, _| {
-            fleet.update_shares(&members, self.own_addr);
+            fleet.update_shares(&members, own);
+            fleet.expire_sends(now);
+            fleet.update_allowances(view.catalog.as_ref(), tolerance, &members, own, now);
             (fleet.limited_count(), fleet.resting_count(now))
         });
         self.metrics.limited_upstreams.set(limited as i64);
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -311,6 +311,13 @@
     ) -> T {
         let mut fleet = self.fleet.borrow_mut();
         fleet.update(view, self.now());
+        if !fleet.knows_allowances(view.catalog.as_ref())
+            && let Ok(members) = self.members.try_borrow()
+        {
+            let (own, tolerance) = (self.own_addr, self.settings().cold_tolerance);
+            let catalog = view.catalog.as_ref();
+            fleet.update_allowances(catalog, tolerance, &members, own, self.now());
+        }
         f(&mut fleet, &mut self.rng.borrow_mut())
     }
 
@@ -468,6 +475,9 @@
         let mut members = self.members.borrow_mut();
         let stops_in = report.stops_in.map(|ms| Duration::from_millis(ms.into()));
         members.record_report(from, stops_in, now);
+        if let Some(counted) = &report.counted {
+            members.record_counted(from, counted, self.own_addr);
+        }
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.receive(report, now);
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
