--- a/src/carawayrun/relay/health_check.rs
+++ b/src/carawayrun/relay/health_check.rs
@@ -30,6 +30,8 @@
     Evacuated,
     #[snafu(display("another upstream has its address"))]
     Displaced,
+    #[snafu(display("its allowance leaves no request"))]
+    NoRoom,
 }
 
 /// Asks upstreams that started again, as soon as that is known, until the process ends.
@@ -65,6 +67,7 @@
     let connection = traffic.connect(upstream.addr, CHECK_TIMEOUT).await;
     let mut connection = connection.context(WireSnafu)?;
     snafu::ensure!(!traffic.is_evacuated(key), EvacuatedSnafu);
+    snafu::ensure!(traffic.take_check(key), NoRoomSnafu);
     let path = traffic.health_path(&upstream.service);
     let head = platform::health_request(upstream, &path);
     connection.start_request(head, b"").context(WireSnafu)?;
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -315,6 +315,13 @@
         // On the boot clock, as the host may have been suspended since the order.
         let limit = self.shared.settings.load().evacuation_limit;
         fleet.update_evacuations(&view.evacuations, limit, boot_clock::now());
+        if !fleet.knows_allowances(view.catalog.as_ref())
+            && let Ok(members) = self.members.try_borrow()
+        {
+            let (own, tolerance) = (self.own_addr, self.settings().cold_tolerance);
+            let catalog = view.catalog.as_ref();
+            fleet.update_allowances(catalog, tolerance, &members, own, self.now());
+        }
         f(&mut fleet, &mut self.rng.borrow_mut())
     }
 
@@ -472,6 +479,9 @@
         let mut members = self.members.borrow_mut();
         let stops_in = report.stops_in.map(|ms| Duration::from_millis(ms.into()));
         members.record_report(from, stops_in, now);
+        if let Some(counted) = &report.counted {
+            members.record_counted(from, counted, self.own_addr);
+        }
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.receive(report, now);
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
