Return what is expected of a request with its upstream

Who waits for a place and who is refused is to be decided by when the answer would begin and end, and the choice of an upstream told only the wait as a bare number. `Expectation` names the wait and the times of the first byte and of the end; until the pace of engines is known the end is that of the first byte. The choice is as before.

--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -25,7 +25,7 @@
 use super::cascade::{self, AnswerEstimate, Timing};
 use super::catalog::{Catalog, Route, RouteKind};
 use super::connection::UpstreamConnection;
-use super::fleet::UpstreamQuery;
+use super::fleet::{Expectation, UpstreamQuery};
 use super::message::{Answer, ClientRequest};
 use super::metrics::SendReason;
 use super::quarantine::Verdict;
@@ -294,8 +294,8 @@
             model: Some(model.into()),
             ..RequestProgress::default()
         };
-        let Some((_, wait_ms)) = self.choose_with_wait(&view, route, &progress, excluded, service)
-        else {
+        let expected = self.choose_with_expectation(&view, route, &progress, excluded, service);
+        let Some(Expectation { wait_ms, .. }) = expected else {
             return AnswerEstimate {
                 timing: Timing::TooLate,
                 wait_ratio: 0.0,
@@ -342,11 +342,13 @@
                 return self.give_up(route, progress, responder).await;
             }
             let view = self.traffic.view();
-            let chosen = self.choose_with_wait(&view, route, progress, &progress.excluded, service);
-            let Some((key, wait_ms)) = chosen else {
+            let chosen =
+                self.choose_with_expectation(&view, route, progress, &progress.excluded, service);
+            let Some(expected) = chosen else {
                 return self.give_up(route, progress, responder).await;
             };
-            self.log.record_expected_wait(wait_ms);
+            let key = expected.key;
+            self.log.record_expected_wait(expected.wait_ms);
             if !self.pay_for_send(progress, service) {
                 return self.give_up(route, progress, responder).await;
             }
@@ -417,24 +419,25 @@
         excluded: &[UpstreamKey],
         service: &str,
     ) -> Option<UpstreamKey> {
-        let chosen = self.choose_with_wait(view, route, progress, excluded, service);
-        chosen.map(|(key, _)| key)
+        let chosen = self.choose_with_expectation(view, route, progress, excluded, service);
+        chosen.map(|expected| expected.key)
     }
 
-    // Chooses an upstream; also returns the estimated time until it would begin to
-    // read the prompt, in milliseconds.
-    fn choose_with_wait(
+    // Chooses an upstream and returns what is expected of the request there.
+    fn choose_with_expectation(
         &self,
         view: &View,
         route: &Route,
         progress: &RequestProgress,
         excluded: &[UpstreamKey],
         service: &str,
-    ) -> Option<(UpstreamKey, f64)> {
+    ) -> Option<Expectation> {
         let model = self.model_name(progress);
         let shared_prefixes = self.shared_prefixes();
         let shared: u32 = shared_prefixes.iter().map(|part| part.tokens).sum();
         let prefix_ms = self.traffic.prefill_ms(service, model, f64::from(shared));
+        let prompt_tokens = f64::from(self.request.prompt_tokens);
+        let prompt_ms = self.traffic.prefill_ms(service, model, prompt_tokens);
         let prefix = shared_prefixes.last();
         let prefix = prefix.map(|part| CompactString::from(format!("{} {model}", part.id)));
         let session = self.request.session.as_deref();
@@ -455,6 +458,7 @@
             required_version: progress.version.as_deref(),
             prefix,
             prefix_ms,
+            prompt_ms,
             excluded,
             allows_ejected: route.kind != RouteKind::Once || progress.sends == 0,
         };
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -54,11 +54,27 @@
     /// Prefill time of the shared prefixes, which affinity engines save, in
     /// milliseconds.
     pub(super) prefix_ms: f64,
+    /// Prefill time of the whole prompt, in milliseconds.
+    pub(super) prompt_ms: f64,
     pub(super) excluded: &'a [UpstreamKey],
     /// True if an ejected upstream is acceptable when no other is left.
     pub(super) allows_ejected: bool,
 }
 
+/// What is expected of a request at the upstream chosen for it, in milliseconds from
+/// now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Expectation {
+    pub(super) key: UpstreamKey,
+    /// Time until the prefill of its prompt begins.
+    pub(super) wait_ms: f64,
+    /// Time until the first byte of the answer.
+    pub(super) expected_first_ms: f64,
+    /// Time until the end of the answer; that of the first byte where the rest is not
+    /// known.
+    pub(super) expected_end_ms: f64,
+}
+
 impl UpstreamState {
     fn has_token(&self, now: Duration) -> bool {
         self.limiter.has_token(self.share, now)
@@ -138,9 +154,8 @@
         self.upstreams.get(key)
     }
 
-    /// Chooses an upstream and returns its key with the expected time until the
-    /// prefill of the request begins, in milliseconds; `None` if no suitable
-    /// upstream is known.
+    /// Chooses an upstream and returns what is expected of the request there; `None` if
+    /// no suitable upstream is known.
     pub(super) fn choose_upstream(
         &self,
         query: &UpstreamQuery<'_>,
@@ -148,7 +163,7 @@
         data_centre: &str,
         now: Duration,
         rng: &mut SmallRng,
-    ) -> Option<(UpstreamKey, f64)> {
+    ) -> Option<Expectation> {
         let known = self.by_service.get(query.service)?;
         let available = known
             .iter()
@@ -181,7 +196,14 @@
         let sampled = sample_candidates(&candidates, gateways, || rng.random());
         let index = choose_candidate(&sampled, query.prefix_ms, || rng.random())?;
         let chosen = &sampled[index];
-        Some((keys[chosen.index], chosen.wait_ms()))
+        let wait_ms = chosen.wait_ms();
+        let expected_first_ms = wait_ms + query.prompt_ms;
+        Some(Expectation {
+            key: keys[chosen.index],
+            wait_ms,
+            expected_first_ms,
+            expected_end_ms: expected_first_ms,
+        })
     }
 
     // Leaves out upstreams whose rest has just ended, in part and while others are left.
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -99,6 +99,7 @@
             required_version: None,
             prefix: None,
             prefix_ms: 0.0,
+            prompt_ms: 0.0,
             excluded: &[],
             allows_ejected: true,
         };
@@ -107,7 +108,7 @@
             let chosen = self
                 .fleet
                 .choose_upstream(&query, &[], "a", self.now, &mut self.rng);
-            let key = chosen.map(|(key, _)| key);
+            let key = chosen.map(|expected| expected.key);
             used.extend(key.filter(|key| !used.contains(key)));
         }
         used
