Learn each engine's own pace and place requests by it

Engines of one service differ in speed without a fault, and placement knew counts and prompts only: streams at slow engines paused for longer than their route allows while long prompts of a large model were read there.

Each relay compares the lower quartile of a stream's gaps between events with the usual one of its service and model, and tells the others what streams ended since its last report (`RelayReport.paces`, 15). Logarithms are added up by incarnation with a half-life of 10 s and four streams of usual pace. All times of a candidate are scaled by its pace, the own prompt and a part of the generation count, and prompts and expected outputs at an engine (`UpstreamLoad.kv_tokens`, 4) are held against its memory. Services without engines are placed as before. `choose_candidate` takes `Work` in place of the prefix's time alone; the existing tests of placement pass the same prefixes in it, and their bounds are unchanged.

The request line has `expected_first_ms` and `pace`, and `carawayrun_first_byte_ratio` the time of the first byte as seen over as expected.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -548,6 +548,22 @@
     /// serves.
     #[prost(uint32, optional, tag = "12")]
     pub stops_in: ::core::option::Option<u32>,
+    /// Streams of engines that ended since the last report.
+    #[prost(message, repeated, tag = "15")]
+    pub paces: ::prost::alloc::vec::Vec<UpstreamPace>,
+}
+/// Pace of an engine in the streams of one relay that ended since its last report.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct UpstreamPace {
+    /// Hash of the incarnation of the upstream.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Number of streams.
+    #[prost(uint32, tag = "2")]
+    pub streams: u32,
+    /// Mean natural logarithm of their steps' times, each relative to the usual one.
+    #[prost(float, tag = "3")]
+    pub log_ratio: f32,
 }
 /// What a relay saw itself of a part of prompts or of a request, and its quarantine as
 /// the relay knows it. Ages are in milliseconds.
@@ -671,6 +687,9 @@
     /// Time that the upstream needs to process the prompts that wait there.
     #[prost(uint32, tag = "3")]
     pub backlog_ms: u32,
+    /// Tokens of the prompts and expected answers of the requests there.
+    #[prost(uint32, tag = "4")]
+    pub kv_tokens: u32,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/src/carawayrun/platform/config.rs
+++ b/src/carawayrun/platform/config.rs
@@ -88,7 +88,7 @@
 struct WireService {
     name: CompactString,
     /// Set if its upstreams are model engines.
-    engine: Option<serde::de::IgnoredAny>,
+    engine: Option<serde_json::Value>,
     health_path: Option<CompactString>,
 }
 
@@ -195,9 +195,12 @@
 }
 
 fn convert_service(wire: WireService) -> Service {
+    let engine = wire.engine.as_ref();
+    let kv_capacity = engine.and_then(|engine| engine.get("kv_capacity")?.as_f64());
     Service {
         name: wire.name,
-        has_engines: wire.engine.is_some(),
+        has_engines: engine.is_some(),
+        kv_capacity: kv_capacity.map(|tokens| tokens as u32),
         health_path: wire.health_path.unwrap_or(DEFAULT_HEALTH_PATH),
     }
 }
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -160,6 +160,19 @@
     assert_eq!(shortest, Some(Duration::from_millis(40)));
 }
 
+#[test_case(&json!({"kv_capacity": 425_805, "batch_slots": 64}), Some(425_805); "named")]
+#[test_case(&json!({"batch_slots": 64}), None; "not named")]
+#[test_case(&json!({"kv_capacity": "many"}), None; "of another type")]
+fn memory_of_engines_is_parsed(engine: &serde_json::Value, expected: Option<u32>) {
+    let value = json!({
+        "version": 7, "routes": [], "services": [{"name": "s", "engine": engine}],
+        "limits": {"max_header_bytes": 1, "max_body_bytes": 2, "header_timeout_ms": 3, "idle_timeout_ms": 4},
+    });
+    let catalog = parse_catalog(&row("config", &value)).unwrap().unwrap();
+    assert!(catalog.services[0].has_engines);
+    assert_eq!(catalog.services[0].kv_capacity, expected);
+}
+
 #[test]
 fn configuration_with_an_unknown_service_is_rejected() {
     let value = json!({
--- a/src/carawayrun/relay/catalog.rs
+++ b/src/carawayrun/relay/catalog.rs
@@ -115,6 +115,8 @@
     pub name: CompactString,
     /// True if its upstreams are model engines.
     pub has_engines: bool,
+    /// Tokens that the memory of one of its engines holds, if the configuration says so.
+    pub kv_capacity: Option<u32>,
     /// Path of its upstreams' health checks.
     pub health_path: CompactString,
 }
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -151,7 +151,7 @@
         let tokens = f64::from(self.request.prompt_tokens);
         let model = self.model_name(progress);
         let backlog = self.traffic.prefill_ms(&upstream.service, model, tokens);
-        let mut guard = AttemptGuard::start(self.traffic, key, backlog);
+        let mut guard = AttemptGuard::start(self.traffic, key, backlog, self.kv_tokens());
         let prompt_tokens = self.request.prompt_tokens;
         let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
         let mut asked = 0;
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -28,6 +28,7 @@
 use super::fleet::{Expectation, UpstreamQuery};
 use super::message::{Answer, ClientRequest};
 use super::metrics::SendReason;
+use super::placement::Work;
 use super::quarantine::Verdict;
 use super::request_log::{RequestLog, RequestOutcome};
 use super::responder::Responder;
@@ -348,12 +349,13 @@
                 return self.give_up(route, progress, responder).await;
             };
             let key = expected.key;
-            self.log.record_expected_wait(expected.wait_ms);
+            self.log.record_expectation(&expected);
             if !self.pay_for_send(progress, service) {
                 return self.give_up(route, progress, responder).await;
             }
             let attempt = self.make_attempt(&view, route, progress, key, None).await;
             progress.record_attempt(&attempt);
+            self.record_first_ratio(expected.expected_first_ms, &attempt);
             match attempt {
                 AttemptOutcome::Answered(pending) => {
                     let delivered = self
@@ -400,6 +402,29 @@
         model.map_or("", |model| model.as_str())
     }
 
+    // Tokens of the answer that are expected.
+    fn answer_tokens(&self) -> u32 {
+        let most = self.request.output_tokens;
+        self.request
+            .expected_tokens
+            .map_or(most, |tokens| tokens.min(most))
+    }
+
+    // Tokens of the prompt and the expected answer.
+    fn kv_tokens(&self) -> u64 {
+        u64::from(self.request.prompt_tokens) + u64::from(self.answer_tokens())
+    }
+
+    // Records when an attempt's answer began, against the expectation.
+    fn record_first_ratio(&self, expected_first_ms: f64, attempt: &AttemptOutcome) {
+        if let AttemptOutcome::Answered(pending) = attempt {
+            let seen_ms = pending.head_delay.as_secs_f64() * 1_000.0;
+            self.traffic
+                .metrics
+                .record_first_ratio(expected_first_ms, seen_ms);
+        }
+    }
+
     // True if the request may be sent again: it has not run or may run more than
     // once, and no limit on its attempts is reached.
     fn may_retry(route: &Route, progress: &RequestProgress) -> bool {
@@ -438,6 +463,16 @@
         let prefix_ms = self.traffic.prefill_ms(service, model, f64::from(shared));
         let prompt_tokens = f64::from(self.request.prompt_tokens);
         let prompt_ms = self.traffic.prefill_ms(service, model, prompt_tokens);
+        let catalog = &self.admitted.catalog;
+        let kv_capacity = catalog.service(self.admitted.service).kv_capacity;
+        let work = Work {
+            prefix_ms,
+            prompt_ms,
+            generation_ms: self
+                .traffic
+                .generation_ms(service, model, self.answer_tokens()),
+            kv_tokens: self.kv_tokens(),
+        };
         let prefix = shared_prefixes.last();
         let prefix = prefix.map(|part| CompactString::from(format!("{} {model}", part.id)));
         let session = self.request.session.as_deref();
@@ -457,8 +492,8 @@
             version_input,
             required_version: progress.version.as_deref(),
             prefix,
-            prefix_ms,
-            prompt_ms,
+            work,
+            kv_capacity,
             excluded,
             allows_ejected: route.kind != RouteKind::Once || progress.sends == 0,
         };
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -15,10 +15,12 @@
 use crate::relay::events::EventBuffer;
 use crate::relay::losses::Loss;
 use crate::relay::metrics::SendReason;
+use crate::relay::pace::StreamGaps;
 use crate::relay::progress::MessagePart;
 use crate::relay::quarantine::Verdict;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
+use crate::relay::traffic::StreamTimes;
 use crate::relay::view::UpstreamKey;
 
 /// Time without a complete event after which a stream is resumed at another upstream;
@@ -121,6 +123,7 @@
     ) -> StreamEnd {
         let mut event_due = Instant::now() + EVENT_TIMEOUT;
         let mut has_begun = false;
+        let mut gaps = StreamGaps::default();
         loop {
             let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
                 Err(_) if self.can_resume(route, progress, current.key, events) => {
@@ -147,10 +150,16 @@
                     self.record_stream_crash(current, has_begun);
                     return StreamEnd::Interrupted("stream closed before its first event");
                 }
-                Ok(Ok(None)) => return StreamEnd::Complete,
+                Ok(Ok(None)) => {
+                    self.record_stream_times(progress, current, &gaps);
+                    return StreamEnd::Complete;
+                }
                 Ok(Ok(Some(piece))) => piece,
             };
-            let Some(whole) = events.push(&piece) else {
+            let count = events.event_count();
+            let whole = events.push(&piece);
+            gaps.record(events.event_count() - count, current.sent.elapsed());
+            let Some(whole) = whole else {
                 if let Some(reason) = self.stream_fault(events) {
                     return StreamEnd::Interrupted(reason);
                 }
@@ -176,6 +185,32 @@
         }
     }
 
+    // Records the pace of an engine in a stream that ended whole.
+    fn record_stream_times(
+        &self,
+        progress: &RequestProgress,
+        current: &PendingAnswer,
+        gaps: &StreamGaps,
+    ) {
+        let has_engines = self
+            .admitted
+            .catalog
+            .service(self.admitted.service)
+            .has_engines;
+        let Some(step_ms) = gaps.step_ms().filter(|_| has_engines) else {
+            return;
+        };
+        // Only a part of a resumed answer is this engine's.
+        let is_whole = progress.losses == 0 && self.request.resume_after.is_none();
+        let times = StreamTimes {
+            model: self.model_name(progress),
+            step_ms,
+            generation: current.sent.elapsed().saturating_sub(current.head_delay),
+            tokens: if is_whole { self.answer_tokens() } else { 0 },
+        };
+        self.traffic.record_stream(&current.upstream, &times);
+    }
+
     // Returns true if the route, the events, the limits on attempts and the time allow
     // another upstream to go on with the stream.
     fn may_resume(&self, route: &Route, progress: &RequestProgress, events: &EventBuffer) -> bool {
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -15,8 +15,10 @@
 use super::health::Health;
 use super::loads::{PeerLoads, upstream_digest};
 use super::members::Members;
+use super::pace::Paces;
 use super::placement::{
-    UpstreamCandidate, affinity_rank, choose_candidate, count_partial_upstreams, sample_candidates,
+    UpstreamCandidate, Work, affinity_rank, choose_candidate, count_partial_upstreams,
+    sample_candidates,
 };
 use super::rate_limit::{LimitNotice, RateLimiter, RateShare};
 use super::restarts::{RESTART_LAG, Restarts};
@@ -51,11 +53,9 @@
     pub(super) required_version: Option<&'a str>,
     /// Shared prompt prefix, with the name of the model.
     pub(super) prefix: Option<CompactString>,
-    /// Prefill time of the shared prefixes, which affinity engines save, in
-    /// milliseconds.
-    pub(super) prefix_ms: f64,
-    /// Prefill time of the whole prompt, in milliseconds.
-    pub(super) prompt_ms: f64,
+    pub(super) work: Work,
+    /// Tokens that an engine's memory holds, if known.
+    pub(super) kv_capacity: Option<u32>,
     pub(super) excluded: &'a [UpstreamKey],
     /// True if an ejected upstream is acceptable when no other is left.
     pub(super) allows_ejected: bool,
@@ -73,6 +73,8 @@
     /// Time until the end of the answer; that of the first byte where the rest is not
     /// known.
     pub(super) expected_end_ms: f64,
+    /// Time of the engine's steps relative to the usual one.
+    pub(super) pace: f64,
 }
 
 impl UpstreamState {
@@ -100,12 +102,15 @@
     incarnations: FxHashMap<u32, Incarnation>,
     /// Load that the other gateways placed on the upstreams.
     pub(super) peer_loads: PeerLoads,
+    /// Paces of the engines.
+    pub(super) paces: Paces,
 }
 
 #[derive(Default)]
 struct UpstreamState {
     in_flight: u32,
     backlog_ms: f64,
+    kv_tokens: u64,
     /// Key of the upstream in reports.
     digest: u32,
     incarnation: Incarnation,
@@ -188,21 +193,26 @@
             keys = within_limits;
         }
         let keys = self.hold_back_returning(keys, now, rng);
-        let candidates: Vec<UpstreamCandidate> = keys
+        let candidates = keys
             .iter()
-            .map(|key| self.candidate(*key, query, data_centre, now))
-            .collect();
+            .map(|key| (*key, self.candidate(*key, query, data_centre, now)));
+        let candidates: Vec<(UpstreamKey, UpstreamCandidate)> = candidates.collect();
+        let work = &query.work;
+        let any_has_room = candidates.iter().any(|(_, other)| other.has_room(work));
+        let candidates = candidates.into_iter();
+        let (keys, candidates): (Vec<UpstreamKey>, Vec<UpstreamCandidate>) = candidates
+            .filter(|(_, candidate)| !any_has_room || candidate.has_room(work))
+            .unzip();
         let gateways = self.peer_loads.gateway_count() + 1;
         let sampled = sample_candidates(&candidates, gateways, || rng.random());
-        let index = choose_candidate(&sampled, query.prefix_ms, || rng.random())?;
+        let index = choose_candidate(&sampled, work, || rng.random())?;
         let chosen = &sampled[index];
-        let wait_ms = chosen.wait_ms();
-        let expected_first_ms = wait_ms + query.prompt_ms;
         Some(Expectation {
             key: keys[chosen.index],
-            wait_ms,
-            expected_first_ms,
-            expected_end_ms: expected_first_ms,
+            wait_ms: chosen.wait_ms(),
+            expected_first_ms: chosen.first_ms(work),
+            expected_end_ms: chosen.end_ms(work),
+            pace: chosen.pace,
         })
     }
 
@@ -257,15 +267,17 @@
             upstream: state.digest,
             running: state.in_flight,
             backlog_ms: state.backlog_ms.round() as u32,
+            kv_tokens: u32::try_from(state.kv_tokens).unwrap_or(u32::MAX),
         });
         loads.collect()
     }
 
     /// Counts an attempt as in flight and adds its prompt to the backlog.
-    pub(super) fn begin_attempt(&mut self, key: UpstreamKey, backlog_ms: f64) {
+    pub(super) fn begin_attempt(&mut self, key: UpstreamKey, backlog_ms: f64, kv_tokens: u64) {
         if let Some(state) = self.states.get_mut(key) {
             state.in_flight += 1;
             state.backlog_ms += backlog_ms;
+            state.kv_tokens += kv_tokens;
         }
     }
 
@@ -277,9 +289,10 @@
     }
 
     /// Removes an attempt from those in flight.
-    pub(super) fn end_attempt(&mut self, key: UpstreamKey) {
+    pub(super) fn end_attempt(&mut self, key: UpstreamKey, kv_tokens: u64) {
         if let Some(state) = self.states.get_mut(key) {
             state.in_flight = state.in_flight.saturating_sub(1);
+            state.kv_tokens = state.kv_tokens.saturating_sub(kv_tokens);
         }
     }
 
@@ -589,6 +602,9 @@
             failure_rate: state.health.failure_rate(now),
             affinity_rank: prefix.map_or(0, |prefix| affinity_rank(prefix, &upstream.name)),
             is_local: upstream.data_centre == data_centre,
+            pace: self.paces.pace(state.incarnation.digest(), now),
+            kv_tokens: state.kv_tokens + peer_load.kv_tokens,
+            kv_capacity: query.kv_capacity,
         }
     }
 }
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -94,6 +94,7 @@
             limits: traffic.own_limits(),
             leaving: traffic.own_departures(),
             stops_in: traffic.stops_in().map(|left| left.as_millis() as u32),
+            paces: traffic.take_paces(),
             ..RelayReport::default()
         };
         traffic.report_crashes(&mut report);
--- a/src/carawayrun/relay/loads.rs
+++ b/src/carawayrun/relay/loads.rs
@@ -24,6 +24,8 @@
     pub in_flight: u32,
     /// Prefill time of the prompts that wait there, in milliseconds.
     pub backlog_ms: f64,
+    /// Tokens of the prompts and expected answers of the requests there.
+    pub kv_tokens: u64,
 }
 
 #[derive(Debug)]
@@ -104,6 +106,7 @@
                 let sum = self.sums.entry(*upstream).or_default();
                 sum.in_flight += load.in_flight;
                 sum.backlog_ms += load.backlog_ms;
+                sum.kv_tokens += load.kv_tokens;
             }
         }
     }
@@ -113,5 +116,6 @@
     Load {
         in_flight: load.running,
         backlog_ms: f64::from(load.backlog_ms),
+        kv_tokens: u64::from(load.kv_tokens),
     }
 }
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -134,6 +134,7 @@
     drained: Family<DrainLabels, Counter>,
     duration: Histogram,
     first_event: Histogram,
+    first_ratio: Histogram,
     registry: Registry,
 }
 
@@ -171,6 +172,8 @@
             drained: Family::default(),
             duration: latency(),
             first_event: latency(),
+            // 1/8 to 16.
+            first_ratio: Histogram::new(exponential_buckets(0.125, 2.0, 8)),
             registry: Registry::default(),
         };
         metrics.registry = metrics.build_registry();
@@ -218,6 +221,11 @@
             "Time from a request to its first event",
             self.first_event.clone(),
         );
+        registry.register(
+            "first_byte_ratio",
+            "Time to the first byte of an engine's answer relative to the expected one",
+            self.first_ratio.clone(),
+        );
         registry
     }
 
@@ -375,6 +383,13 @@
         }
     }
 
+    /// Records when an engine's answer began, against the expectation.
+    pub(super) fn record_first_ratio(&self, expected_ms: f64, seen_ms: f64) {
+        if expected_ms > 0.0 {
+            self.first_ratio.observe(seen_ms / expected_ms);
+        }
+    }
+
     /// Counts a request that ended within a drain.
     pub(super) fn record_drained(&self, end: DrainEnd) {
         self.drained.get_or_create(&DrainLabels { end }).inc();
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -13,6 +13,7 @@
 //! | [`rollout`] | phases of a roll-out |
 //! | [`evidence`] | evidence about the new version of a roll-out |
 //! | [`placement`] | choice of a request's upstream |
+//! | [`pace`] | pace of each engine relative to the usual one |
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
 //! | [`rate_limit`] | shares of the rates that upstreams name |
@@ -52,6 +53,7 @@
 pub mod members;
 pub mod message;
 mod metrics;
+pub mod pace;
 pub mod placement;
 mod probe;
 pub mod progress;
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -46,8 +46,30 @@
 /// fails or is slow by itself does not decide on its version.
 const MIN_PARTIAL_UPSTREAMS: usize = 3;
 
+/// Part of the time to generate an answer that counts as delay: events are passed on
+/// as they come, so only a route's pauses and time limit depend on it.
+const GENERATION_WEIGHT: f64 = 0.03;
+
+/// Part of a prompt's prefill time that each request already generating there is
+/// delayed by: a prompt is read in steps between their tokens.
+const PREFILL_HARM_WEIGHT: f64 = 0.03;
+
+/// What a request needs of an engine, in times at an engine of pace 1. All zero for
+/// an upstream that is no engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// Prefill time of the shared prefix, which affinity engines save, in milliseconds.
+    pub prefix_ms: f64,
+    /// Prefill time of the whole prompt, in milliseconds.
+    pub prompt_ms: f64,
+    /// Time to generate the answer, in milliseconds; zero if not known.
+    pub generation_ms: f64,
+    /// Tokens of the prompt and the expected answer.
+    pub kv_tokens: u64,
+}
+
 /// Upstream that is considered for a request.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct UpstreamCandidate {
     /// Index among all candidates; set by [`sample_candidates`].
     pub index: usize,
@@ -64,6 +86,29 @@
     pub affinity_rank: u64,
     /// True if it is in the gateway's data centre.
     pub is_local: bool,
+    /// Time of its steps relative to the usual one; 1 if not known or no engine.
+    pub pace: f64,
+    /// Tokens of the prompts and expected answers of the requests there.
+    pub kv_tokens: u64,
+    /// Tokens that its memory holds; `None` if not known or no engine.
+    pub kv_capacity: Option<u32>,
+}
+
+impl Default for UpstreamCandidate {
+    fn default() -> Self {
+        Self {
+            index: 0,
+            in_flight: 0,
+            slots: 0,
+            backlog_ms: 0.0,
+            failure_rate: 0.0,
+            affinity_rank: 0,
+            is_local: false,
+            pace: 1.0,
+            kv_tokens: 0,
+            kv_capacity: None,
+        }
+    }
 }
 
 /// Rendezvous hash of a shared prefix and an upstream.
@@ -127,18 +172,34 @@
     /// milliseconds.
     pub fn wait_ms(&self) -> f64 {
         let queued = (f64::from(self.in_flight) + 1.0 - f64::from(self.slots)).max(0.0);
-        self.backlog_ms + queued * QUEUED_DELAY_MS
+        (self.backlog_ms + queued * QUEUED_DELAY_MS) * self.pace
+    }
+
+    /// Returns true if its memory has room for a request, as far as it is known.
+    pub fn has_room(&self, work: &Work) -> bool {
+        let is_full = |capacity| self.kv_tokens + work.kv_tokens > u64::from(capacity);
+        !self.kv_capacity.is_some_and(is_full)
+    }
+
+    /// Expected time until the first byte of an answer, in milliseconds.
+    pub fn first_ms(&self, work: &Work) -> f64 {
+        self.wait_ms() + work.prompt_ms * self.pace
+    }
+
+    /// Expected time until the end of an answer, in milliseconds.
+    pub fn end_ms(&self, work: &Work) -> f64 {
+        self.first_ms(work) + work.generation_ms * self.pace
     }
 }
 
-/// Chooses the candidate with the least expected delay. `prefix_ms` is the
-/// prefill time of the shared prefix, which affinity engines save. `noise` returns
-/// a random number in 0..1 for each candidate, which adds a delay of up to
+/// Chooses the candidate with the least expected delay, to the request and to those
+/// already there. All times grow with an engine's pace, so an engine that is slower
+/// gets fewer requests, and the short ones first. `noise` returns a random number in 0..1 for each candidate, which adds a delay of up to
 /// `LOCALITY_BONUS_MS` (2.5 ms), so that gateways with the same knowledge do not
 /// all choose the same engine.
 pub fn choose_candidate(
     candidates: &[UpstreamCandidate],
-    prefix_ms: f64,
+    work: &Work,
     mut noise: impl FnMut() -> f64,
 ) -> Option<usize> {
     let min_rank = min_affinity_rank(candidates);
@@ -148,17 +209,21 @@
         let miss_delay = if candidate.affinity_rank >= min_rank {
             0.0
         } else {
-            prefix_ms * PREFIX_MISS_WEIGHT
+            work.prefix_ms * PREFIX_MISS_WEIGHT
         };
         let bonus = if candidate.is_local {
             LOCALITY_BONUS_MS
         } else {
             0.0
         };
+        let own_prefill = (work.prompt_ms - work.prefix_ms).max(0.0);
+        let at_usual_pace = in_flight * IN_FLIGHT_DELAY_MS * (1.0 + fill)
+            + miss_delay
+            + own_prefill * (1.0 + PREFILL_HARM_WEIGHT * in_flight)
+            + work.generation_ms * GENERATION_WEIGHT;
         candidate.wait_ms()
-            + in_flight * IN_FLIGHT_DELAY_MS * (1.0 + fill)
+            + at_usual_pace * candidate.pace
             + candidate.failure_rate * FAILURE_DELAY_MS
-            + miss_delay
             + noise * LOCALITY_BONUS_MS
             - bonus
     };
--- a/src/carawayrun/relay/request_log.rs
+++ b/src/carawayrun/relay/request_log.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use tokio::time::Instant;
 
+use super::fleet::Expectation;
 use super::metrics::{DrainEnd, Metrics};
 use super::view::Upstream;
 
@@ -69,7 +70,8 @@
     sends: u32,
     upstream: CompactString,
     upstream_status: Option<StatusCode>,
-    wait_ms: f64,
+    /// What was expected at the upstream that was chosen last.
+    expected: Option<Expectation>,
     /// Time from the request to the first event of its answer.
     first_event: Option<Duration>,
     note: &'static str,
@@ -91,7 +93,7 @@
             sends: 0,
             upstream: CompactString::default(),
             upstream_status: None,
-            wait_ms: 0.0,
+            expected: None,
             first_event: None,
             note: "",
             connection,
@@ -114,9 +116,9 @@
         self.upstream_status = Some(status);
     }
 
-    /// Records the expected wait at the upstream that was chosen last.
-    pub(super) fn record_expected_wait(&mut self, wait_ms: f64) {
-        self.wait_ms = wait_ms;
+    /// Records what is expected at the upstream that was chosen last.
+    pub(super) fn record_expectation(&mut self, expected: &Expectation) {
+        self.expected = Some(*expected);
     }
 
     /// Records the time from the request to the first event of its answer.
@@ -159,7 +161,7 @@
             return;
         }
         let millis = |time: Duration| time.as_millis() as u64;
-        let drain = self.drain;
+        let (drain, expected) = (self.drain, self.expected);
         tracing::info!(
             request = %self.id, session = %self.session,
             route = %self.route,
@@ -170,7 +172,9 @@
             upstream = %self.upstream,
             upstream_status = self.upstream_status.map_or(0, |status| status.as_u16()),
             sends = self.sends,
-            wait_ms = self.wait_ms as u64,
+            wait_ms = expected.map_or(0, |expected| expected.wait_ms as u64),
+            expected_first_ms = expected.map(|expected| expected.expected_first_ms as u64),
+            pace = expected.map(|expected| expected.pace),
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             note = self.note,
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -13,6 +13,7 @@
 use crate::relay::fleet::{Fleet, UpstreamQuery};
 use crate::relay::loads::upstream_digest;
 use crate::relay::members::Members;
+use crate::relay::placement::Work;
 use crate::relay::rate_limit::LimitNotice;
 use crate::relay::restarts::{DOUBT_TIME, RESTART_LAG};
 use crate::relay::rests::Incarnation;
@@ -98,8 +99,8 @@
             version_input: VersionInput::default(),
             required_version: None,
             prefix: None,
-            prefix_ms: 0.0,
-            prompt_ms: 0.0,
+            work: Work::default(),
+            kv_capacity: None,
             excluded: &[],
             allows_ejected: true,
         };
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -10,11 +10,13 @@
     let loads = loads
         .iter()
         .map(|(upstream, running, backlog_ms)| UpstreamLoad {
+            kv_tokens: 0,
             upstream: upstream_digest(upstream),
             running: *running,
             backlog_ms: *backlog_ms,
         });
     RelayReport {
+        paces: Vec::new(),
         node: Some(Node {
             name: node.into(),
             incarnation,
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod loads;
 mod losses;
+mod pace;
 mod placement;
 mod progress;
 mod quarantine;
--- a/src/carawayrun/relay/tests/placement.rs
+++ b/src/carawayrun/relay/tests/placement.rs
@@ -4,7 +4,8 @@
 use test_case::test_case;
 
 use crate::relay::placement::{
-    UpstreamCandidate, affinity_rank, choose_candidate, count_partial_upstreams, sample_candidates,
+    UpstreamCandidate, Work, affinity_rank, choose_candidate, count_partial_upstreams,
+    sample_candidates,
 };
 
 // The idle upstreams of a slow version answered as fast as the loaded ones of the old
@@ -18,6 +19,13 @@
     assert_eq!(count_partial_upstreams(upstreams, share), expected);
 }
 
+fn prefix_work(prefix_ms: f64) -> Work {
+    Work {
+        prefix_ms,
+        ..Work::default()
+    }
+}
+
 fn engine(name: &str, prefix: &str) -> UpstreamCandidate {
     UpstreamCandidate {
         slots: 48,
@@ -32,10 +40,10 @@
 
 #[test]
 fn requests_with_shared_prefix_use_same_engine() {
-    let first = choose_candidate(&engines("plan"), 150.0, || 0.5).unwrap();
+    let first = choose_candidate(&engines("plan"), &prefix_work(150.0), || 0.5).unwrap();
     for _ in 0..10 {
         assert_eq!(
-            choose_candidate(&engines("plan"), 150.0, || 0.5),
+            choose_candidate(&engines("plan"), &prefix_work(150.0), || 0.5),
             Some(first)
         );
     }
@@ -44,7 +52,13 @@
 #[test]
 fn prefixes_are_spread_over_engines() {
     let engines_used: std::collections::BTreeSet<usize> = (0..200)
-        .filter_map(|prefix| choose_candidate(&engines(&format!("part-{prefix}")), 150.0, || 0.5))
+        .filter_map(|prefix| {
+            choose_candidate(
+                &engines(&format!("part-{prefix}")),
+                &prefix_work(150.0),
+                || 0.5,
+            )
+        })
         .collect();
     assert!(
         engines_used.len() >= 16,
@@ -60,7 +74,7 @@
     let mut engines = engines("hot");
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..200 {
-        let index = choose_candidate(&engines, 60.0, || 0.5).unwrap();
+        let index = choose_candidate(&engines, &prefix_work(60.0), || 0.5).unwrap();
         engines[index].in_flight += 1;
         engines[index].backlog_ms += 20.0;
         used.insert(index);
@@ -76,14 +90,17 @@
 #[test]
 fn failing_upstream_is_avoided() {
     let mut engines = engines("a");
-    let affinity = choose_candidate(&engines, 150.0, || 0.5).unwrap();
+    let affinity = choose_candidate(&engines, &prefix_work(150.0), || 0.5).unwrap();
     engines[affinity].failure_rate = 0.5;
-    assert_ne!(choose_candidate(&engines, 150.0, || 0.5), Some(affinity));
+    assert_ne!(
+        choose_candidate(&engines, &prefix_work(150.0), || 0.5),
+        Some(affinity)
+    );
 }
 
 #[test]
 fn no_candidates_yield_none() {
-    assert_eq!(choose_candidate(&[], 0.0, || 0.5), None);
+    assert_eq!(choose_candidate(&[], &prefix_work(0.0), || 0.5), None);
 }
 
 // 27 gateways decide on the same reports and must not send all of their requests
@@ -101,7 +118,7 @@
     let mut chosen = 0;
     for _ in 0..27 {
         let sampled = sample_candidates(&engines, 27, || rng.random());
-        let index = choose_candidate(&sampled, 0.0, || rng.random()).unwrap();
+        let index = choose_candidate(&sampled, &prefix_work(0.0), || rng.random()).unwrap();
         chosen += u32::from(sampled[index].index == 13);
     }
     assert!((1..=6).contains(&chosen), "{chosen} of 27 chose it");
@@ -133,5 +150,27 @@
     pair[0].in_flight = 6;
     pair[1].in_flight = 5;
     pair[1].backlog_ms = 30.0;
-    assert_eq!(choose_candidate(&pair, 0.0, || 0.5), Some(1));
+    assert_eq!(choose_candidate(&pair, &prefix_work(0.0), || 0.5), Some(1));
+}
+
+// A request that doesn't fit in an engine's memory brings the engine down.
+#[test_case(90_000, 10_000, true; "it fits")]
+#[test_case(90_001, 10_000, false; "one token too many")]
+#[test_case(0, 100_001, false; "larger than the whole memory")]
+fn engine_without_memory_has_no_room(there: u64, needed: u64, expected: bool) {
+    let engine = UpstreamCandidate {
+        kv_tokens: there,
+        kv_capacity: Some(100_000),
+        ..UpstreamCandidate::default()
+    };
+    let work = Work {
+        kv_tokens: needed,
+        ..Work::default()
+    };
+    assert_eq!(engine.has_room(&work), expected);
+    let unknown = UpstreamCandidate {
+        kv_capacity: None,
+        ..engine
+    };
+    assert!(unknown.has_room(&work));
 }
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -35,15 +35,17 @@
 use super::losses::{Loss, LossTracker};
 use super::members::Members;
 use super::metrics::Metrics;
+use super::pace::StreamSample;
 use super::quarantine::Quarantine;
 use super::request_log::DrainRead;
+use super::rests::Incarnation;
 use super::service_time::ServiceTime;
 use super::session_lists::{SessionLists, WAIT_TTL};
 use super::sessions::{MAX_REPORTED_SESSIONS, Sessions};
 use super::stalls::StallMonitor;
 use super::usual_time::UsualTime;
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
-use crate::peer::message::{RelayReport, TableRead, UpstreamLoad};
+use crate::peer::message::{RelayReport, TableRead, UpstreamLoad, UpstreamPace};
 
 /// Outcomes by service and version, for the evaluation of roll-outs.
 pub(super) type OutcomeCounts = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
@@ -462,6 +464,34 @@
         fleet.own_loads()
     }
 
+    /// Takes the paces of engines in own streams since the last report.
+    pub(super) fn take_paces(&self) -> Vec<UpstreamPace> {
+        self.fleet.borrow_mut().paces.take_untold()
+    }
+
+    /// Records a stream of an engine that ended whole.
+    pub(super) fn record_stream(&self, upstream: &Upstream, stream: &StreamTimes<'_>) {
+        let is_reference = !self.is_evaluated(&upstream.service, &upstream.version);
+        let sample = StreamSample {
+            service: &upstream.service,
+            model: stream.model,
+            engine: Incarnation::of(upstream).digest(),
+            step_ms: stream.step_ms,
+            generation_ms: stream.generation.as_secs_f64() * 1_000.0,
+            tokens: stream.tokens,
+            is_reference,
+        };
+        let now = self.now();
+        self.fleet.borrow_mut().paces.record(&sample, now);
+    }
+
+    /// Time to generate an answer of a model at the usual pace, in milliseconds; zero
+    /// while it is not known.
+    pub(super) fn generation_ms(&self, service: &str, model: &str, tokens: u32) -> f64 {
+        let fleet = self.fleet.borrow();
+        fleet.paces.generation_ms(service, model, tokens)
+    }
+
     /// Records another gateway's report, received from `from`.
     pub(super) fn receive_report(&self, report: &RelayReport, from: SocketAddr) {
         let now = self.now();
@@ -472,6 +502,7 @@
         fleet.peer_loads.receive(report, now);
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
         fleet.record_peer_departures(&report.leaving, now);
+        fleet.paces.receive(&report.paces, now);
         drop((fleet, members));
         self.receive_crashes(report, from);
         self.sessions
@@ -630,6 +661,17 @@
     }
 }
 
+/// Times of a stream that ended whole at one engine.
+pub(super) struct StreamTimes<'a> {
+    pub(super) model: &'a str,
+    /// Typical gap between events, in milliseconds.
+    pub(super) step_ms: f64,
+    /// Time from the head of the answer to its end.
+    pub(super) generation: Duration,
+    /// Tokens of the answer that were expected.
+    pub(super) tokens: u32,
+}
+
 /// Measurements of one attempt.
 pub(super) struct AttemptSample<'a> {
     pub(super) service: &'a str,
@@ -650,16 +692,25 @@
     traffic: Rc<Traffic>,
     key: UpstreamKey,
     backlog_ms: f64,
+    kv_tokens: u64,
 }
 
 impl AttemptGuard {
-    pub(super) fn start(traffic: &Rc<Traffic>, key: UpstreamKey, backlog_ms: f64) -> Self {
-        traffic.fleet.borrow_mut().begin_attempt(key, backlog_ms);
+    pub(super) fn start(
+        traffic: &Rc<Traffic>,
+        key: UpstreamKey,
+        backlog_ms: f64,
+        kv_tokens: u64,
+    ) -> Self {
+        let mut fleet = traffic.fleet.borrow_mut();
+        fleet.begin_attempt(key, backlog_ms, kv_tokens);
+        drop(fleet);
         traffic.load_changed.notify_one();
         Self {
             traffic: Rc::clone(traffic),
             key,
             backlog_ms,
+            kv_tokens,
         }
     }
 
@@ -678,6 +729,7 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.finish_prefill();
-        self.traffic.fleet.borrow_mut().end_attempt(self.key);
+        let mut fleet = self.traffic.fleet.borrow_mut();
+        fleet.end_attempt(self.key, self.kv_tokens);
     }
 }
