--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -26,9 +26,10 @@
 use super::cascade::{self, AnswerEstimate, Timing};
 use super::catalog::{Catalog, Route, RouteKind};
 use super::connection::UpstreamConnection;
-use super::fleet::UpstreamQuery;
+use super::fleet::{Expectation, UpstreamQuery};
 use super::message::{Answer, ClientRequest};
 use super::metrics::SendReason;
+use super::placement::Work;
 use super::quarantine::Verdict;
 use super::request_log::{RequestLog, RequestOutcome};
 use super::responder::Responder;
@@ -301,8 +302,8 @@
             model: Some(model.into()),
             ..RequestProgress::default()
         };
-        let Some((_, wait_ms)) = self.choose_with_wait(&view, route, &progress, excluded, service)
-        else {
+        let expected = self.choose_with_expectation(&view, route, &progress, excluded, service);
+        let Some(Expectation { wait_ms, .. }) = expected else {
             return AnswerEstimate {
                 timing: Timing::TooLate,
                 wait_ratio: 0.0,
@@ -349,19 +350,22 @@
                 return self.give_up(route, progress, responder).await;
             }
             let view = self.traffic.view();
-            let chosen = self.choose_with_wait(&view, route, progress, &progress.excluded, service);
-            let Some((key, wait_ms)) = chosen else {
+            let chosen =
+                self.choose_with_expectation(&view, route, progress, &progress.excluded, service);
+            let Some(expected) = chosen else {
                 if self.wait_for_room(&view, route, progress).await {
                     continue;
                 }
                 return self.give_up(route, progress, responder).await;
             };
-            self.log.record_expected_wait(wait_ms);
+            let key = expected.key;
+            self.log.record_expectation(&expected);
             if !self.pay_for_send(progress, service) {
                 return self.give_up(route, progress, responder).await;
             }
             let attempt = self.make_attempt(&view, route, progress, key, None).await;
             progress.record_attempt(&attempt);
+            self.record_first_ratio(expected.expected_first_ms, &attempt);
             match attempt {
                 AttemptOutcome::Answered(pending) => {
                     let delivered = self
@@ -408,6 +412,29 @@
         model.map_or("", |model| model.as_str())
     }
 
+    // Tokens of the answer that are expected.
+    fn answer_tokens(&self) -> u32 {
+        let most = self.request.output_tokens;
+        self.request
+            .expected_tokens
+            .map_or(most, |tokens| tokens.min(most))
+    }
+
+    // Tokens of the prompt and the expected answer.
+    fn kv_tokens(&self) -> u64 {
+        u64::from(self.request.prompt_tokens) + u64::from(self.answer_tokens())
+    }
+
+    // Records when an attempt's answer began, against the expectation.
+    fn record_first_ratio(&self, expected_first_ms: f64, attempt: &AttemptOutcome) {
+        if let AttemptOutcome::Answered(pending) = attempt {
+            let seen_ms = pending.head_delay.as_secs_f64() * 1_000.0;
+            self.traffic
+                .metrics
+                .record_first_ratio(expected_first_ms, seen_ms);
+        }
+    }
+
     // True if the request may be sent again: it has not run or may run more than
     // once, and no limit on its attempts is reached.
     fn may_retry(route: &Route, progress: &RequestProgress) -> bool {
@@ -427,8 +454,8 @@
         excluded: &[UpstreamKey],
         service: &str,
     ) -> Option<UpstreamKey> {
-        let chosen = self.choose_with_wait(view, route, progress, excluded, service);
-        chosen.map(|(key, _)| key)
+        let chosen = self.choose_with_expectation(view, route, progress, excluded, service);
+        chosen.map(|expected| expected.key)
     }
 
     // Waits until this gateway's part of an upstream's allowance leaves a request; returns
@@ -467,16 +494,15 @@
         true
     }
 
-    // Chooses an upstream; also returns the estimated time until it would begin to
-    // read the prompt, in milliseconds.
-    fn choose_with_wait(
+    // Chooses an upstream and returns what is expected of the request there.
+    fn choose_with_expectation(
         &self,
         view: &View,
         route: &Route,
         progress: &RequestProgress,
         excluded: &[UpstreamKey],
         service: &str,
-    ) -> Option<(UpstreamKey, f64)> {
+    ) -> Option<Expectation> {
         let now = self.traffic.now();
         let settings = self.traffic.settings();
         let data_centre = settings.data_centre.as_str();
@@ -501,6 +527,18 @@
         let shared_prefixes = self.shared_prefixes();
         let shared: u32 = shared_prefixes.iter().map(|part| part.tokens).sum();
         let prefix_ms = self.traffic.prefill_ms(service, model, f64::from(shared));
+        let prompt_tokens = f64::from(self.request.prompt_tokens);
+        let prompt_ms = self.traffic.prefill_ms(service, model, prompt_tokens);
+        let catalog = &self.admitted.catalog;
+        let kv_capacity = catalog.service(self.admitted.service).kv_capacity;
+        let work = Work {
+            prefix_ms,
+            prompt_ms,
+            generation_ms: self
+                .traffic
+                .generation_ms(service, model, self.answer_tokens()),
+            kv_tokens: self.kv_tokens(),
+        };
         let prefix = shared_prefixes.last();
         let prefix = prefix.map(|part| CompactString::from(format!("{} {model}", part.id)));
         let session = self.request.session.as_deref();
@@ -520,7 +558,8 @@
             version_input,
             required_version: progress.version.as_deref(),
             prefix,
-            prefix_ms,
+            work,
+            kv_capacity,
             excluded,
             allows_ejected: route.kind != RouteKind::Once || progress.sends == 0,
         };
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -95,6 +95,7 @@
             leaving: traffic.own_departures(),
             counted: Some(traffic.counted_relays()),
             stops_in: traffic.stops_in().map(|left| left.as_millis() as u32),
+            paces: traffic.take_paces(),
             ..RelayReport::default()
         };
         traffic.report_crashes(&mut report);
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -14,6 +14,7 @@
 use crate::relay::fleet::{Fleet, UpstreamQuery};
 use crate::relay::loads::upstream_digest;
 use crate::relay::members::Members;
+use crate::relay::placement::Work;
 use crate::relay::rate_limit::LimitNotice;
 use crate::relay::restarts::{DOUBT_TIME, RESTART_LAG};
 use crate::relay::rests::Incarnation;
@@ -100,7 +101,8 @@
             version_input: VersionInput::default(),
             required_version: None,
             prefix: None,
-            prefix_ms: 0.0,
+            work: Work::default(),
+            kv_capacity: None,
             excluded: &[],
             allows_ejected: true,
         };
@@ -109,7 +111,7 @@
             let chosen = self
                 .fleet
                 .choose_upstream(&query, &[], "a", self.now, &mut self.rng);
-            let key = chosen.map(|(key, _)| key);
+            let key = chosen.map(|expected| expected.key);
             used.extend(key.filter(|key| !used.contains(key)));
         }
         used
