Show operators which data centres are out of service

Cause: whether all relays hold an order, and whether hosts there may be stopped, could be told from log lines only.

The changed test of the list of commands has the new command's line.

--- a/src/bin/carawayrun/commands/mod.rs
+++ b/src/bin/carawayrun/commands/mod.rs
@@ -7,6 +7,7 @@
 mod delete;
 mod describe;
 mod digest;
+mod evacuations;
 mod gateway;
 mod get;
 mod quarantine;
@@ -40,6 +41,7 @@
     Report(#[bpaf(external(report::cli))] report::Options),
     Why(#[bpaf(external(why::cli))] why::Options),
     Quarantine(#[bpaf(external(quarantine::cli))] quarantine::Options),
+    Evacuations(#[bpaf(external(evacuations::cli))] evacuations::Options),
     Check(#[bpaf(external(check::cli))] check::Options),
     Digest(#[bpaf(external(digest::cli))] digest::Options),
     Settings(#[bpaf(external(settings::cli))] settings::Options),
@@ -62,6 +64,7 @@
         Command::Report(options) => report::exec(options, output),
         Command::Why(options) => why::exec(options, output),
         Command::Quarantine(options) => quarantine::exec(options, output),
+        Command::Evacuations(options) => evacuations::exec(options, output),
         Command::Check(options) => check::exec(options, output),
         Command::Digest(options) => digest::exec(options, output),
         Command::Settings(_) => {
--- a/src/bin/carawayrun/commands/quarantine.rs
+++ b/src/bin/carawayrun/commands/quarantine.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 use carawayrun::relay::QUARANTINE_PATH;
 use carawayrun::relay::quarantine::{QuarantinedSubject, SubjectKind};
+use serde::de::DeserializeOwned;
 
 use crate::error::CliError;
 use crate::format::{Format, json_text, output_format, yaml_text};
@@ -37,7 +38,7 @@
 }
 
 pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), CliError> {
-    let subjects = block_on(fetch(options.metrics))?;
+    let subjects = block_on(fetch(options.metrics, QUARANTINE_PATH))?;
     match options.output {
         Format::Json => output.print(&json_text(&subjects)),
         Format::Yaml => output.print(&yaml_text(&subjects)),
@@ -46,8 +47,12 @@
     Ok(())
 }
 
-async fn fetch(metrics: SocketAddr) -> Result<Vec<QuarantinedSubject>, CliError> {
-    let url = format!("http://{metrics}{QUARANTINE_PATH}");
+/// Reads a list of a relay, whose metrics are served at `metrics`.
+pub(super) async fn fetch<T: DeserializeOwned>(
+    metrics: SocketAddr,
+    path: &str,
+) -> Result<Vec<T>, CliError> {
+    let url = format!("http://{metrics}{path}");
     let failed = |error: &dyn std::fmt::Display| {
         CliError::failed(format!(
             "no list from {metrics}: {error}; give the address of a relay's metrics"
--- a/src/carawayrun/relay/evacuation.rs
+++ b/src/carawayrun/relay/evacuation.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use super::rollout::OrderId;
 
@@ -46,3 +47,30 @@
         left.div_duration_f64(whole).min(1.0)
     }
 }
+
+/// A data centre that is out of service, as a gateway shows it to operators.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct EvacuatedDataCentre {
+    /// The data centre.
+    pub data_centre: CompactString,
+    /// Version of the order's row.
+    pub row_version: u64,
+    /// Restores of the store before the row was read.
+    pub era: u64,
+    /// Time since this gateway read the order first.
+    pub since_ms: u64,
+    /// Age of the last confirmation that the order stands.
+    pub confirmed_ms: u64,
+    /// Share of its usual requests that this gateway sends there.
+    pub share: f64,
+    /// Gateways that hold the same orders, with this one.
+    pub gateways: u32,
+    /// Gateways that this one hears of, with itself.
+    pub known_gateways: u32,
+    /// Upstreams there.
+    pub upstreams: u32,
+    /// Requests of all gateways that run there.
+    pub running: u32,
+}
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -166,6 +166,27 @@
         self.evacuation_share(key).is_some_and(|share| share <= 0.0)
     }
 
+    /// Number of upstreams in a data centre, and of all gateways' requests that run there.
+    pub(super) fn load_at(&self, data_centre: &str) -> (u32, u32) {
+        let there = self.upstreams.iter();
+        let there = there.filter(|(_, upstream)| upstream.data_centre == data_centre);
+        there.fold((0, 0), |(upstreams, running), (key, _)| {
+            let state = &self.states[key];
+            let others = self.peer_loads.upstream_load(state.digest).in_flight;
+            (upstreams + 1, running + state.in_flight + others)
+        })
+    }
+
+    /// Number of this gateway's requests that run in data centres that are ordered out.
+    pub(super) fn evacuated_requests(&self) -> u32 {
+        if self.evacuated.is_empty() {
+            return 0;
+        }
+        let there = self.states.iter();
+        let there = there.filter(|(key, _)| self.evacuation_share(*key).is_some());
+        there.map(|(_, state)| state.in_flight).sum()
+    }
+
     // Leaves out the upstreams of data centres that are ordered out, each data centre with
     // the chance of the part that has gone elsewhere, and only while others are left.
     fn shift_evacuated(&self, keys: Vec<UpstreamKey>, rng: &mut SmallRng) -> Vec<UpstreamKey> {
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -72,6 +72,9 @@
     }
 }
 
+/// Number of the table of the configuration and the orders in reports.
+pub(super) const ORDERS_TABLE: u32 = Table::Orders as u32;
+
 /// State of the control thread, shared by its tasks.
 struct Follower {
     settings: Arc<RelaySettings>,
@@ -246,6 +249,9 @@
         let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
         metrics.config_version.set(version as i64);
         metrics.upstreams.set(view.upstreams.len() as i64);
+        metrics
+            .evacuated_data_centres
+            .set(view.evacuations.len() as i64);
         self.shared.view.store(Arc::new(view));
         self.shared.view_published.notify_waiters();
     }
--- a/src/carawayrun/relay/loads.rs
+++ b/src/carawayrun/relay/loads.rs
@@ -88,6 +88,11 @@
         self.sums.get(&upstream).copied().unwrap_or_default()
     }
 
+    /// Names of the gateways with a report that has not expired.
+    pub fn gateways(&self) -> impl Iterator<Item = &CompactString> {
+        self.reports.keys()
+    }
+
     /// Number of gateways with a report that has not expired.
     pub fn gateway_count(&self) -> usize {
         self.reports.len()
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -117,6 +117,8 @@
     pub(crate) store_era: Gauge,
     pub(crate) limited_upstreams: Gauge,
     pub(crate) resting_upstreams: Gauge,
+    pub(crate) evacuated_data_centres: Gauge,
+    pub(crate) evacuated_requests: Gauge,
     pub(crate) quarantined_parts: Gauge,
     pub(crate) quarantined_requests: Gauge,
     pub(crate) held_requests: Counter,
@@ -154,6 +156,8 @@
             store_era: Gauge::default(),
             limited_upstreams: Gauge::default(),
             resting_upstreams: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
+            evacuated_requests: Gauge::default(),
             quarantined_parts: Gauge::default(),
             quarantined_requests: Gauge::default(),
             held_requests: Counter::default(),
@@ -319,6 +323,16 @@
             "Upstreams that asked this gateway for rest",
             self.resting_upstreams.clone(),
         );
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres that operators ordered out of service",
+            self.evacuated_data_centres.clone(),
+        );
+        registry.register(
+            "evacuated_requests",
+            "Requests of this gateway that run in such data centres",
+            self.evacuated_requests.clone(),
+        );
         registry.register(
             "quarantined_parts",
             "Prompt parts that are not sent, since upstreams crash under them",
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -82,7 +82,7 @@
 
 use compact_str::CompactString;
 
-pub use self::probe::QUARANTINE_PATH;
+pub use self::probe::{EVACUATIONS_PATH, QUARANTINE_PATH};
 pub use self::serve::{BindError, Relay, bind};
 
 /// Settings of a relay.
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -32,6 +32,9 @@
 /// Path of the list of requests and prompt parts in quarantine, beside the metrics.
 pub const QUARANTINE_PATH: &str = "/quarantine";
 
+/// Path of the list of data centres out of service, beside the metrics.
+pub const EVACUATIONS_PATH: &str = "/evacuations";
+
 /// Time limit for idle connections of a prober.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
@@ -74,10 +77,11 @@
 }
 
 fn metrics_response(traffic: &Traffic, request: &Request) -> Response<BoxBody> {
-    if request.path() == QUARANTINE_PATH {
-        return json(StatusCode::OK, &traffic.quarantined_subjects());
+    match request.path() {
+        QUARANTINE_PATH => json(StatusCode::OK, &traffic.quarantined_subjects()),
+        EVACUATIONS_PATH => json(StatusCode::OK, &traffic.evacuated_data_centres()),
+        _ => text(StatusCode::OK, traffic.metrics.encode_text()),
     }
-    text(StatusCode::OK, traffic.metrics.encode_text())
 }
 
 /// Serves readiness on `listener` until the process ends.
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -170,10 +170,12 @@
             members.record_listed(&view.peers, now);
         }
         members.expire(now);
-        let (limited, resting) = self.fleet(&view, |fleet, _| {
+        let (limited, resting, evacuated) = self.fleet(&view, |fleet, _| {
             fleet.update_shares(&members, self.own_addr);
-            (fleet.limited_count(), fleet.resting_count(now))
+            let evacuated = fleet.evacuated_requests();
+            (fleet.limited_count(), fleet.resting_count(now), evacuated)
         });
+        self.metrics.evacuated_requests.set(evacuated.into());
         self.metrics.limited_upstreams.set(limited as i64);
         self.metrics.resting_upstreams.set(resting as i64);
     }
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! State shared by all connections of the traffic thread.
 
+mod evacuations;
 mod limits;
 mod quarantine;
 
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -80,6 +80,7 @@
     report                   Prints a report, such as the burn of error budgets
     why                      Shows how a request was routed and how it ended
     quarantine               Lists what a relay does not send, since upstreams crash under it
+    evacuations              Lists the data centres that are out of service, as a relay knows them
     check                    Validates manifests and settings without changing anything
     digest                   Prints the SHA-256 digest of a key read from standard input
     settings                 Prints the reference of all commands and flags as Markdown
--- a/tests/testsuite/evacuated.rs
+++ b/tests/testsuite/evacuated.rs
@@ -65,6 +65,16 @@
     statuses
 }
 
+/// What the command lists of a relay.
+fn listed(world: &PlatformWorld, relay: usize) -> String {
+    let listed = std::process::Command::new(env!("CARGO_BIN_EXE_carawayrun"))
+        .args(["evacuations", &world.metrics_addr(relay)])
+        .output()
+        .expect("the command runs");
+    assert!(listed.status.success(), "{listed:?}");
+    String::from_utf8_lossy(&listed.stdout).into_owned()
+}
+
 /// Requests that reached data centre `b` in a time, in milliseconds since the Unix epoch.
 fn arrivals_there(world: &PlatformWorld, from_ms: u64, to_ms: u64) -> usize {
     let arrivals = world.arrivals();
@@ -94,6 +104,19 @@
     assert_eq!(failed.count(), 0, "of {}", statuses.len());
     assert_eq!(arrivals_there(&world, ordered + EVACUATE_MS, now_ms()), 0);
     assert!(arrivals_there(&world, ordered, ordered + EVACUATE_MS) > 0);
+    for relay in all {
+        let listed = listed(&world, relay);
+        let row: Vec<&str> = listed
+            .lines()
+            .nth(1)
+            .unwrap_or_default()
+            .split_whitespace()
+            .collect();
+        // All relays hold the order, nothing is sent to its two upstreams and nothing runs there.
+        let ["b", _, _, _, "3", "of", "3", "0.00", "2", "0"] = row[..] else {
+            panic!("{listed}");
+        };
+    }
     world.remove("op", "evacuate/b").await;
     for relay in all {
         world
