Test evacuations with a relay cut from the store, and their settings

A relay behind a cut store serves on as before, and sends nothing more to the data centre from the read of the order on; the bound comes from settings that change while it runs. The adapter's key and bound have tests of their own.

--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -265,3 +265,37 @@
     }
     assert_eq!(parse_answer(&head).belongs_to("r-1", is_first), expected);
 }
+
+#[test_case("evacuate/dub-a", Some("dub-a"); "an order")]
+#[test_case("evacuate/a/b", Some("a/b"); "a name with a slash")]
+#[test_case("evacuate/", None; "no name")]
+#[test_case("evacuate", None; "another row")]
+#[test_case("rollout/evacuate/a", None; "a roll-out")]
+fn order_names_evacuated_data_centre(key: &str, expected: Option<&str>) {
+    assert_eq!(super::evacuated_data_centre(key), expected);
+}
+
+#[test_case("", Some(None); "absent")]
+#[test_case("evacuate_ms = 5000", Some(Some(Duration::from_secs(5))); "given")]
+#[test_case("evacuate_ms = 0", None; "zero")]
+fn settings_hold_evacuation_limit(line: &str, expected: Option<Option<Duration>>) {
+    let name = format!("carawayrun-evacuate-{}-{}", std::process::id(), line.len());
+    let path = std::env::temp_dir().join(name);
+    let text = format!(
+        "node_name = \"edge-1\"\nip = \"10.0.0.1\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
+         [listen]\nfrontend = \"10.0.0.1:7001\"\nreadiness = \"10.0.0.1:7002\"\n\
+         [limits]\nmax_fds = 4096\n\
+         [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\n{line}\n\
+         [platform]\naddress = \"10.0.0.9:7000\"\n"
+    );
+    std::fs::write(&path, text).unwrap();
+    let loaded = load_settings(&path, 9464);
+    std::fs::remove_file(&path).unwrap();
+    match expected {
+        Some(limit) => assert_eq!(loaded.unwrap().evacuation_limit, limit),
+        None => {
+            let error = loaded.unwrap_err().to_string();
+            assert!(error.contains("bounds.evacuate_ms"), "{error}");
+        }
+    }
+}
--- a/tests/testsuite/evacuated.rs
+++ b/tests/testsuite/evacuated.rs
@@ -160,6 +160,40 @@
     assert_eq!(arrivals_there(&world, read, now_ms()), 0);
 }
 
+// Its last confirmation is from before the cut. The bound is read from changed settings.
+#[actix_rt::test]
+async fn relay_cut_from_store_uses_evacuated_data_centre_after_reading_order() {
+    let (mut world, hop) = PlatformWorld::start_behind_hop("evacuated-cut").await;
+    world.put("op", "config", &config(5, &[API_KEY])).await;
+    let arrivals = world.arrivals_path().to_string_lossy().into_owned();
+    for (id, zone) in [("app-0", "b"), ("app-2", "c")] {
+        let host = world
+            .unregistered_runner(id, &["--arrivals", &arrivals])
+            .await;
+        let mut row = world.registration("app", host);
+        row["zone"] = json!(zone);
+        world.put("servers", id, &row).await;
+    }
+    world.until_ready().await;
+    let bounds = format!("drain_ms = 2000\nevacuate_ms = {EVACUATE_MS}");
+    world.change_settings("drain_ms = 2000", &bounds);
+    world.relay().hang_up();
+    world.until_logged("settings changed").await;
+    hop.cut();
+    world.put("op", "evacuate/b", &json!({})).await;
+    let cut = now_ms();
+    let statuses = send_for(&world, &[0], "/switch/a", 3 * SECONDS).await;
+    assert!(statuses.iter().all(StatusCode::is_success), "{statuses:?}");
+    assert!(arrivals_there(&world, cut, now_ms()) > 0);
+    hop.mend();
+    world
+        .until_logged("data centre ordered out of service")
+        .await;
+    let read = now_ms();
+    send_for(&world, &[0], "/switch/a", SECONDS).await;
+    assert_eq!(arrivals_there(&world, read, now_ms()), 0);
+}
+
 #[actix_rt::test]
 async fn all_data_centres_ordered_out_leave_requests_waiting() {
     let world = start("evacuated-all", "app", &[]).await;
