--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -11,6 +11,7 @@
     OutboundHeaders, load_settings, parse_answer, parse_catalog, parse_order, parse_registration,
     parse_request, upstream_request,
 };
+use crate::relay::RelaySettings;
 use crate::relay::catalog::RouteKind;
 use crate::relay::message::Execution;
 use crate::store::table::Row;
@@ -278,3 +279,40 @@
     }
     assert_eq!(parse_answer(&head).belongs_to("r-1", is_first), expected);
 }
+
+#[test_case("evacuate/dub-a", Some("dub-a"); "an order")]
+#[test_case("evacuate/a/b", Some("a/b"); "a name with a slash")]
+#[test_case("evacuate/", None; "no name")]
+#[test_case("evacuate", None; "another row")]
+#[test_case("rollout/evacuate/a", None; "a roll-out")]
+fn order_names_evacuated_data_centre(key: &str, expected: Option<&str>) {
+    assert_eq!(super::evacuated_data_centre(key), expected);
+}
+
+fn load_with_bound(line: &str) -> Result<RelaySettings, String> {
+    let name = format!("carawayrun-evacuate-{}-{}", std::process::id(), line.len());
+    let path = std::env::temp_dir().join(name);
+    let text = format!(
+        "node_name = \"edge-1\"\nip = \"10.0.0.1\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
+         [listen]\nfrontend = \"10.0.0.1:7001\"\nreadiness = \"10.0.0.1:7002\"\n\
+         [limits]\nmax_fds = 4096\n\
+         [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\n{line}\n\
+         [platform]\naddress = \"10.0.0.9:7000\"\n"
+    );
+    std::fs::write(&path, text).unwrap();
+    let loaded = load_settings(&path, 9464);
+    std::fs::remove_file(&path).unwrap();
+    loaded.map_err(|error| error.to_string())
+}
+
+#[test_case("", None; "absent")]
+#[test_case("evacuate_ms = 5000", Some(Duration::from_secs(5)); "given")]
+fn settings_hold_evacuation_limit(line: &str, expected: Option<Duration>) {
+    assert_eq!(load_with_bound(line).unwrap().evacuation_limit, expected);
+}
+
+#[test]
+fn evacuation_limit_of_zero_is_out_of_range() {
+    let error = load_with_bound("evacuate_ms = 0").unwrap_err();
+    assert!(error.contains("bounds.evacuate_ms"), "{error}");
+}
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -87,7 +87,7 @@
 
 use self::allowance::ColdTolerance;
 
-pub use self::probe::QUARANTINE_PATH;
+pub use self::probe::{EVACUATIONS_PATH, QUARANTINE_PATH};
 pub use self::serve::{BindError, Relay, bind};
 
 /// Settings of a relay.
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -210,12 +210,14 @@
         }
         members.update_counted(own, now);
         let tolerance = self.settings().cold_tolerance;
-        let (limited, resting) = self.fleet(&view, |fleet, _| {
+        let (limited, resting, evacuated) = self.fleet(&view, |fleet, _| {
             fleet.update_shares(&members, own);
             fleet.expire_sends(now);
             fleet.update_allowances(view.catalog.as_ref(), tolerance, &members, own, now);
-            (fleet.limited_count(), fleet.resting_count(now))
+            let evacuated = fleet.evacuated_requests();
+            (fleet.limited_count(), fleet.resting_count(now), evacuated)
         });
+        self.metrics.evacuated_requests.set(evacuated.into());
         self.metrics.limited_upstreams.set(limited as i64);
         self.metrics.resting_upstreams.set(resting as i64);
     }
