--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -42,6 +42,8 @@
     pub sequence: Option<u64>,
     /// Version of the row.
     pub version: u64,
+    /// Time for which the upstream stays cold, as of the row.
+    pub cold_for: Duration,
 }
 
 /// Input of the reducer. Times are on the boot clock, except for those of
@@ -131,6 +133,8 @@
     /// Upstreams whose registrations lapsed around a store outage, with the time
     /// at which they are removed.
     lapsed: FxHashMap<CompactString, Duration>,
+    /// Upstreams that are cold, with the time until which they are.
+    cold: FxHashMap<CompactString, Duration>,
     history: RegistrationHistory,
     evacuations: Evacuations,
     recovered_at: Option<Duration>,
@@ -164,6 +168,7 @@
             upstreams: SlotMap::with_key(),
             by_name: FxHashMap::default(),
             lapsed: FxHashMap::default(),
+            cold: FxHashMap::default(),
             history: RegistrationHistory::default(),
             evacuations: Evacuations::default(),
             recovered_at: None,
@@ -215,7 +220,7 @@
             }
             Event::EvacuationsRead(orders) => self.sync_evacuations(orders, now, &mut effects),
             Event::UpstreamRegistered(registration) => {
-                self.register_upstream(registration);
+                self.register_upstream(registration, now);
                 self.publish_upstreams(&mut effects);
             }
             Event::UpstreamUnregistered(name) => {
@@ -336,6 +341,7 @@
         }
         self.history.expire(now);
         self.expire_evacuations(now, effects);
+        self.expire_cold(now);
         self.publish_upstreams(effects);
         let write_delay = self.write_delay;
         let mut has_changed = false;
