Test relays against crowds that hold more than their memory

A relay keeps each client's body whole, without a limit on all of them together, and its listeners for probes accept without a limit.

Change: `crowds::` starts a relay with `memory_mb = 64` and `max_fds = 640` in its settings and lets 24 clients with bodies of 4 MB, or 600 with connections, stay connected. Checked: it lives, its peak of memory stays under `memory_mb`, its sockets under what `max_fds` leaves beside files, an ordinary request is answered, and it is ready. The crowd runs one test at a time, after the others.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod commands;
 mod configuration;
 mod control;
+mod crowds;
 mod deadly;
 mod departing;
 mod draining;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -21,7 +21,7 @@
 pub(crate) use self::caller::{Answer, Call, Caller, Ran};
 pub(crate) use self::history::{CasOp, CasSpec, Recorder, Span, is_linearizable};
 pub(crate) use self::manifest::{ASSOCIATION_KEY, LUZCENA_KEY, resource};
-pub(crate) use self::net::Net;
+pub(crate) use self::net::{Net, unread_bytes};
 pub(crate) use self::process::Process;
 pub(crate) use self::relay::{Junk, Passing, Relay};
 pub(crate) use self::traffic::{Exchange, Traffic};
--- a/tests/testsuite/support/net.rs
+++ b/tests/testsuite/support/net.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 use std::io::ErrorKind;
-use std::net::TcpListener;
+use std::net::{SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Second and third numbers of the networks' addresses: so many of each.
@@ -75,3 +75,24 @@
         Err(error) => panic!("{addr}: {error}"),
     }
 }
+
+/// Bytes on all TCP connections between clients and `addr` that its server has not read.
+pub(crate) fn unread_bytes(addr: SocketAddrV4) -> u64 {
+    let ip = u32::from_ne_bytes(addr.ip().octets());
+    let addr = format!("{ip:08X}:{:04X}", addr.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table can be read");
+    let rows = table.lines().skip(1);
+    let unread = rows.map(|row| {
+        let fields: Vec<&str> = row.split_whitespace().collect();
+        let (unsent, unread) = fields[4].split_once(':').expect("a row has two queues");
+        let bytes = match (fields[1] == addr, fields[2] == addr, fields[3]) {
+            // The queue of a listener counts connections.
+            (true, _, "0A") => "0",
+            (true, _, _) => unread,
+            (_, true, _) => unsent,
+            _ => "0",
+        };
+        u64::from_str_radix(bytes, 16).expect("a queue is a number")
+    });
+    unread.sum()
+}
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -40,6 +40,8 @@
     relays: Vec<Process>,
     /// Address at which the relays reach the store.
     store_addr: String,
+    /// Fields of the relays' settings under `limits`.
+    limits: String,
     _store: Process,
     runners: Vec<Process>,
     /// Name and arguments of each runner.
@@ -111,6 +113,14 @@
         world
     }
 
+    /// As [`Self::start`], with other limits in the relay's settings.
+    pub(crate) async fn start_limited(name: &str, limits: &str) -> Self {
+        let mut world = Self::start_store(name).await;
+        world.limits = limits.into();
+        world.start_relay();
+        world
+    }
+
     /// Starts the store and so many relays; no configuration is there yet.
     pub(crate) async fn start_relays(name: &str, relays: usize) -> Self {
         let mut world = Self::start(name).await;
@@ -149,6 +159,7 @@
         let world = Self {
             dir,
             store_addr: format!("{net}.1:7000"),
+            limits: "max_fds = 4096".into(),
             client,
             relays: Vec::new(),
             _store: store,
@@ -611,7 +622,10 @@
 
     fn settings(&self, index: usize) -> String {
         let Self {
-            net, store_addr, ..
+            net,
+            store_addr,
+            limits,
+            ..
         } = self;
         let host = FIRST_RELAY + index;
         let number = index + 1;
@@ -619,7 +633,7 @@
             "node_name = \"edge-{number}\"\nip = \"{net}.{host}\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
              new_field = \"ignored\"\n\
              [listen]\nfrontend = \"{net}.{host}:7001\"\nreadiness = \"{net}.{host}:7002\"\n\
-             [limits]\nmax_fds = 4096\n\
+             [limits]\n{limits}\n\
              [bounds]\ngrace_s = 8\ndrain_ms = 2000\nrevoke_ms = 5000\ncontact_ms = 3000\n\
              retry_ratio = 0.9\nretry_slack = 600\nretry_window_s = 10\n\
              exposure_share = 0.15\nsession_s = 5\n\
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -82,6 +82,16 @@
         line.trim().trim_end_matches(" kB").parse().ok()
     }
 
+    /// Number of its open sockets.
+    pub(crate) fn open_sockets(&self) -> usize {
+        let dir = format!("/proc/{}/fd", self.child.id());
+        let files = std::fs::read_dir(dir).into_iter().flatten().flatten();
+        let targets = files.filter_map(|file| std::fs::read_link(file.path()).ok());
+        targets
+            .filter(|target| target.to_string_lossy().starts_with("socket:"))
+            .count()
+    }
+
     /// Processor time that it used so far, in clock ticks of 10 ms; none once it has ended.
     pub(crate) fn processor_ticks(&self) -> Option<u64> {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
