Bound the memory that a relay holds for clients and upstreams

Cause: each body was kept whole, in a buffer that doubled, and once more for the connection to its upstream; an answer too, and once more for its client. Nothing bounded all of them together, so some 20 clients ended a small host. Bodies of requests that no body could make proper were read first. The listeners of probes kept any number of connections.

Requests without progress give way, else the new one is refused as not run. Bodies are blocks that cost what arrived and are shared with the upstream's connection; answers are written block by block. No route, unknown key and an announced length over the limit are refused before the body is read. Readiness and metrics keep 32 connections each.

--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -66,6 +66,8 @@
 #[derive(Deserialize)]
 struct Limits {
     max_fds: u32,
+    /// Absent where the machine's whole memory may be used.
+    memory_mb: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -160,6 +162,13 @@
         ),
         (bounds.session_s >= 0.0, "bounds.session_s", "zero or more"),
         (file.limits.max_fds >= 512, "limits.max_fds", "512 or more"),
+        (
+            file.limits
+                .memory_mb
+                .is_none_or(|megabytes| megabytes >= 32),
+            "limits.memory_mb",
+            "32 or more",
+        ),
     ];
     checks
         .into_iter()
@@ -169,6 +178,7 @@
 
 fn convert_settings(file: SettingsFile, metrics_port: u16) -> RelaySettings {
     let bounds = file.bounds;
+    let memory_mb = file.limits.memory_mb;
     RelaySettings {
         node: file.node_name,
         data_centre: file.zone,
@@ -187,5 +197,17 @@
         retry_window: from_seconds(bounds.retry_window_s),
         session_gap: from_seconds(bounds.session_s),
         max_descriptors: file.limits.max_fds,
+        host_memory: memory_mb.map_or_else(machine_memory, |megabytes| megabytes << 20),
     }
 }
+
+// Memory of the machine in bytes; that of the smallest hosts where it can't be read.
+fn machine_memory() -> u64 {
+    const SMALLEST: u64 = 88 << 20;
+    let table = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let total = table
+        .lines()
+        .find_map(|line| line.strip_prefix("MemTotal:"));
+    let kilobytes = total.and_then(|total| total.trim().strip_suffix(" kB")?.parse().ok());
+    kilobytes.map_or(SMALLEST, |kilobytes: u64| kilobytes << 10)
+}
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -21,20 +21,23 @@
 use tokio_util::codec::Decoder;
 
 use super::admission::{AdmittedRequest, Refusal, admit};
+use super::body::{Body, BodyBuffer};
 use super::boot_clock;
 use super::catalog::Limits;
 use super::connection::set_socket_options;
 use super::exchange::Exchange;
+use super::memory::{MemoryFull, MemoryUse};
 use super::metrics::DrainEnd;
 use super::progress::{FramingAllowance, MessagePart, Turn};
 use super::request_log::{ConnectionUse, RequestLog, RequestOutcome};
 use super::responder::Responder;
-use super::traffic::Traffic;
+use super::traffic::{MemoryHold, Traffic};
+use super::view::View;
 use crate::platform::{self, InboundRequest};
 
 /// Maximum number of bytes that are read ahead while a request is served; a
 /// client that sends more is not read until the answer is written.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 
 /// Longest time for which bytes of a rejected request are read and dropped: to close a
 /// connection with unread bytes resets it, and the client may lose the answer.
@@ -44,6 +47,10 @@
 /// several round trips to the store.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Shortest `Retry-After` of a request for which there is no memory; the longest is
+/// three times as long. By then others have ended.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Buffer space reserved for each read.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -69,10 +76,24 @@
     /// The request with this ID, if known, was not read whole before the relay stops.
     #[snafu(display("this relay is stopping; the request has not run"))]
     Stopping { id: CompactString },
+    /// There is no memory for the request with this ID, if known.
+    #[snafu(display("this relay has no memory left; the request has not run"))]
+    MemoryFull { id: CompactString },
+    /// The request with this ID is refused whatever its body is.
+    #[snafu(display("{}", refusal.text().trim_end()))]
+    Refused { id: CompactString, refusal: Refusal },
     #[snafu(display("the connection failed: {source}"))]
     Io { source: io::Error },
 }
 
+impl From<MemoryFull> for ReadError {
+    fn from(_: MemoryFull) -> Self {
+        Self::MemoryFull {
+            id: CompactString::default(),
+        }
+    }
+}
+
 impl ReadError {
     fn status(&self) -> Option<StatusCode> {
         match self {
@@ -80,10 +101,20 @@
             Self::TooSlow => Some(StatusCode::REQUEST_TIMEOUT),
             Self::HeadTooLong => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
             Self::BodyTooLong => Some(StatusCode::PAYLOAD_TOO_LARGE),
-            Self::Stopping { .. } => Some(StatusCode::SERVICE_UNAVAILABLE),
+            Self::Stopping { .. } | Self::MemoryFull { .. } => {
+                Some(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            Self::Refused { refusal, .. } => Some(refusal.status()),
             Self::NoProgress { .. } | Self::Malformed { .. } => Some(StatusCode::BAD_REQUEST),
         }
     }
+
+    // Names the request that was not read whole.
+    fn set_id(&mut self, known: CompactString) {
+        if let Self::Stopping { id } | Self::MemoryFull { id } | Self::Refused { id, .. } = self {
+            *id = known;
+        }
+    }
 }
 
 struct Connection {
@@ -154,17 +185,20 @@
         let is_early = drain.is_none_or(|drain| drain.is_early());
         let _early = is_early.then(|| Counted::new(&traffic, |traffic| &traffic.early_requests));
         self.unused = None;
+        let hold = MemoryHold::open(&traffic, MemoryUse::Request);
         let read = match waited {
-            Ok(()) => self.read_in_time(&limits).await,
+            Ok(()) => self.read_in_time(&limits, &hold).await,
             Err(error) => Err(error),
         };
         let (request, body) = match read {
             Ok(read) => read,
             Err(error) => {
+                drop(hold);
                 self.reject(&error).await;
                 return false;
             }
         };
+        hold.finish_reading();
         let _active = Counted::new(&traffic, |traffic| &traffic.active_requests);
         self.serve_request(&request, body).await
     }
@@ -176,30 +210,39 @@
     }
 
     // Reads a request whole, or as far as it comes before the relay stops.
-    async fn read_in_time(&mut self, limits: &Limits) -> Result<(Request, Bytes), ReadError> {
+    async fn read_in_time(
+        &mut self,
+        limits: &Limits,
+        hold: &MemoryHold,
+    ) -> Result<(Request, Body), ReadError> {
         let traffic = Rc::clone(&self.traffic);
         let mut id = CompactString::default();
-        tokio::select! {
+        let read = tokio::select! {
             biased;
-            read = self.read_request(limits, &mut id) => read,
-            () = traffic.phases.answer_due() => StoppingSnafu { id }.fail(),
-        }
+            read = self.read_request(limits, hold, &mut id) => read,
+            () = traffic.phases.answer_due() => StoppingSnafu { id: "" }.fail(),
+        };
+        read.map_err(|mut error| {
+            error.set_id(id);
+            error
+        })
     }
 
     // Sets `id` once the head is known.
     async fn read_request(
         &mut self,
         limits: &Limits,
+        hold: &MemoryHold,
         id: &mut CompactString,
-    ) -> Result<(Request, Bytes), ReadError> {
+    ) -> Result<(Request, Body), ReadError> {
         let until = Instant::now() + limits.head_timeout;
-        let request = timeout_at(until, self.read_head(limits))
+        let request = timeout_at(until, self.read_head(limits, hold))
             .await
             .map_err(|_| ReadError::TooSlow)??;
         *id = platform::request_id(request.head());
         // The time limit of the body starts after the head.
         let until = Instant::now() + limits.head_timeout.max(limits.idle_timeout);
-        let body = timeout_at(until, self.read_body(&request, limits))
+        let body = timeout_at(until, self.read_body(&request, limits, hold))
             .await
             .map_err(|_| ReadError::TooSlow)??;
         Ok((request, body))
@@ -228,7 +271,11 @@
         Ok(())
     }
 
-    async fn read_head(&mut self, limits: &Limits) -> Result<Request, ReadError> {
+    async fn read_head(
+        &mut self,
+        limits: &Limits,
+        hold: &MemoryHold,
+    ) -> Result<Request, ReadError> {
         loop {
             self.turn.give_way().await;
             self.turn.record(self.received.len());
@@ -241,19 +288,37 @@
             if self.received.len() > limits.head_bytes {
                 return HeadTooLongSnafu.fail();
             }
-            self.fill().await?;
+            if self.received.len() > READ_BYTES {
+                hold.reserve(self.received.len())?;
+            }
+            self.fill(hold).await?;
         }
     }
 
-    async fn read_body(&mut self, request: &Request, limits: &Limits) -> Result<Bytes, ReadError> {
+    async fn read_body(
+        &mut self,
+        request: &Request,
+        limits: &Limits,
+        hold: &MemoryHold,
+    ) -> Result<Body, ReadError> {
         use actix_http::h1::MessageType;
         if self.codec.message_type() == MessageType::None {
-            return Ok(Bytes::new());
+            return Ok(Body::default());
+        }
+        let headers = &request.head().headers;
+        let announced = headers.get(header::CONTENT_LENGTH);
+        let announced: Option<usize> = announced.and_then(|text| text.to_str().ok()?.parse().ok());
+        if let Some(length) = announced {
+            snafu::ensure!(length <= limits.body_bytes, BodyTooLongSnafu);
+            hold.announce(length);
         }
-        if request.head().headers.contains_key(header::EXPECT) {
+        let mut is_checked = false;
+        if headers.contains_key(header::EXPECT) {
+            self.check_head(request.head())?;
+            is_checked = true;
             self.send_continue().await?;
         }
-        let mut body = BytesMut::new();
+        let mut body = BodyBuffer::default();
         let mut framing = FramingAllowance::default();
         loop {
             self.turn.give_way().await;
@@ -272,17 +337,38 @@
                 NoProgressSnafu { part }
             );
             match decoded {
-                Some(Message::Chunk(Some(piece))) => body.extend_from_slice(&piece),
+                Some(Message::Chunk(Some(piece))) => {
+                    let length = body.len() + piece.len();
+                    snafu::ensure!(length <= limits.body_bytes, BodyTooLongSnafu);
+                    hold.reserve(length)?;
+                    body.push(&piece);
+                }
                 Some(Message::Chunk(None)) => return Ok(body.freeze()),
                 Some(Message::Item(_)) => {
                     let source = ParseError::Incomplete;
                     return Err(ReadError::Malformed { source });
                 }
-                None => self.fill().await?,
+                None => {
+                    // Most bodies come with their head.
+                    if !std::mem::replace(&mut is_checked, true) {
+                        self.check_head(request.head())?;
+                    }
+                    self.fill(hold).await?;
+                }
             }
-            if body.len() > limits.body_bytes {
-                return BodyTooLongSnafu.fail();
+        }
+    }
+
+    // Refuses a request that no body could make proper. The verdict on the others is
+    // reached once they are read whole.
+    fn check_head(&self, head: &RequestHead) -> Result<(), ReadError> {
+        let view = self.traffic.view();
+        let request = platform::parse_request(head).request;
+        match self.judge(&view, head, &request) {
+            Err(refusal @ (Refusal::NoRoute | Refusal::UnknownKey)) => {
+                RefusedSnafu { id: "", refusal }.fail()
             }
+            _ => Ok(()),
         }
     }
 
@@ -291,8 +377,12 @@
         self.writer.write_all(line).await.context(IoSnafu)
     }
 
-    async fn fill(&mut self) -> Result<(), ReadError> {
-        let read = fill(&mut self.reader, &mut self.received).await;
+    async fn fill(&mut self, hold: &MemoryHold) -> Result<(), ReadError> {
+        let read = tokio::select! {
+            biased;
+            () = hold.evicted() => return MemoryFullSnafu { id: "" }.fail(),
+            read = fill(&mut self.reader, &mut self.received) => read,
+        };
         self.traffic.stalls.record_read(self.peer);
         match read.context(IoSnafu)? {
             0 => ClosedSnafu.fail(),
@@ -305,12 +395,22 @@
             return;
         };
         tracing::info!(status = status.as_u16(), %error, "failed to read a request");
-        let body = Bytes::from(format!("{error}\n"));
+        let body = Bytes::from(format!("{error}\n")).into();
         let headers = match error {
             ReadError::Stopping { id } => {
                 self.traffic.metrics.record_drained(DrainEnd::Refused);
                 platform::refusal_headers(id, Some(self.traffic.stop_retry_after()))
             }
+            ReadError::MemoryFull { id } => {
+                self.traffic.metrics.memory_refusals.inc();
+                self.record_refusal(id, status);
+                let wait = MEMORY_RETRY_AFTER.mul_f64(1.0 + 2.0 * self.traffic.random());
+                platform::refusal_headers(id, Some(wait))
+            }
+            ReadError::Refused { id, refusal } => {
+                self.record_refusal(id, status);
+                platform::refusal_headers(id, refusal.retry_after())
+            }
             _ => platform::refusal_headers("", None),
         };
         let mut responder = Responder::new(&mut self.writer, &mut self.codec, true);
@@ -322,6 +422,19 @@
         let _ = timeout(LINGER_TIME, self.linger()).await;
     }
 
+    // Counts and logs a request that was refused before its body was read.
+    fn record_refusal(&self, id: &CompactString, status: StatusCode) {
+        let connection = ConnectionUse {
+            age: self.accepted.elapsed(),
+            requests: self.requests,
+        };
+        let mut log = RequestLog::new(id.clone(), Instant::now(), connection);
+        log.set_outcome(RequestOutcome::Refused, status);
+        log.set_note("refused before its body was read");
+        let is_draining = self.traffic.phases.get().drain().is_some();
+        log.finish(&self.traffic.metrics, is_draining);
+    }
+
     // Ends the answer and drops what the client still sends of its request.
     async fn linger(&mut self) -> io::Result<()> {
         self.writer.shutdown().await?;
@@ -336,7 +449,7 @@
         }
     }
 
-    async fn serve_request(&mut self, request: &Request, body: Bytes) -> bool {
+    async fn serve_request(&mut self, request: &Request, body: Body) -> bool {
         let received = Instant::now();
         let head = request.head();
         let InboundRequest {
@@ -380,7 +493,7 @@
                     log.set_outcome(RequestOutcome::Refused, refusal.status());
                     let headers =
                         platform::refusal_headers(&client_request.id, refusal.retry_after());
-                    let body = Bytes::from_static(refusal.text().as_bytes());
+                    let body = Bytes::from_static(refusal.text().as_bytes()).into();
                     responder
                         .write_whole(refusal.status(), headers, &body)
                         .await
@@ -405,16 +518,8 @@
         log: &mut RequestLog,
     ) -> Result<AdmittedRequest, Refusal> {
         let view = self.traffic.synced_view(SYNC_TIMEOUT).await;
-        let now = boot_clock::now();
-        log.confirmed_age = now.saturating_sub(view.confirmed_at);
-        let host = head.headers.get(header::HOST);
-        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-        let name = host.split(':').next().unwrap_or_default();
-        let host = CompactString::from(name.to_ascii_lowercase());
-        let limit = self.traffic.settings().revocation_limit;
-        let admitted = self.traffic.fleet(&view, |_, rng| {
-            admit(&view, request, &host, head.uri.path(), now, limit, rng)
-        })?;
+        log.confirmed_age = boot_clock::now().saturating_sub(view.confirmed_at);
+        let admitted = self.judge(&view, head, request)?;
         log.catalog_version = admitted.catalog.version;
         let route = admitted.catalog.route(admitted.route);
         log.route.clone_from(&route.name);
@@ -427,6 +532,23 @@
         }
         Ok(admitted)
     }
+
+    fn judge(
+        &self,
+        view: &View,
+        head: &RequestHead,
+        request: &super::message::ClientRequest,
+    ) -> Result<AdmittedRequest, Refusal> {
+        let host = head.headers.get(header::HOST);
+        let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let name = host.split(':').next().unwrap_or_default();
+        let host = CompactString::from(name.to_ascii_lowercase());
+        let now = boot_clock::now();
+        let limit = self.traffic.settings().revocation_limit;
+        self.traffic.fleet(view, |_, rng| {
+            admit(view, request, &host, head.uri.path(), now, limit, rng)
+        })
+    }
 }
 
 async fn fill(reader: &mut OwnedReadHalf, received: &mut BytesMut) -> io::Result<usize> {
--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -5,6 +5,7 @@
 //! byte of a request was written, whether a body ended or was interrupted, and
 //! whether bytes arrived that belong to no request.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
@@ -23,6 +24,7 @@
 use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::body::Body;
 use super::progress::{FramingAllowance, MAX_HEAD_BYTES, MAX_INTERIM_BYTES, MessagePart, Turn};
 use super::stalls::StallMonitor;
 
@@ -51,6 +53,9 @@
 /// Most bytes of one read.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Longest body that is copied behind its head, to be written with it.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
 /// Error on a connection before the end of an answer.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -96,7 +101,7 @@
     config: ServiceConfig,
     codec: Codec,
     received: BytesMut,
-    unsent: BytesMut,
+    unsent: VecDeque<Bytes>,
     /// Bytes of interim heads before the answer.
     interim: usize,
     framing: FramingAllowance,
@@ -133,7 +138,7 @@
             config: config.clone(),
             codec: Codec::Done,
             received: BytesMut::new(),
-            unsent: BytesMut::new(),
+            unsent: VecDeque::new(),
             interim: 0,
             framing: FramingAllowance::default(),
             turn: Turn::default(),
@@ -150,7 +155,7 @@
     pub(crate) fn start_request(
         &mut self,
         head: RequestHead,
-        body: &[u8],
+        body: &Body,
     ) -> Result<(), ConnectionError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let has_no_body = body.is_empty() && matches!(head.method, Method::GET | Method::HEAD);
@@ -162,8 +167,16 @@
         };
         self.unsent.clear();
         let message = Message::Item((RequestHeadType::from(head), size));
-        codec.encode(message, &mut self.unsent).context(IoSnafu)?;
-        self.unsent.extend_from_slice(body);
+        let mut out = BytesMut::new();
+        codec.encode(message, &mut out).context(IoSnafu)?;
+        let is_copied = body.len() <= MAX_COPIED_BYTES;
+        for block in body.blocks().iter().filter(|_| is_copied) {
+            out.extend_from_slice(block);
+        }
+        self.unsent.push_back(out.freeze());
+        if !is_copied {
+            self.unsent.extend(body.blocks().iter().cloned());
+        }
         self.codec = Codec::Head(codec);
         self.interim = 0;
         self.framing = FramingAllowance::default();
@@ -366,10 +379,16 @@
     }
 
     fn write_unsent(&mut self) -> io::Result<()> {
-        match self.stream.try_write(&self.unsent) {
+        let Some(block) = self.unsent.front_mut() else {
+            return Ok(());
+        };
+        match self.stream.try_write(block) {
             Ok(count) => {
                 self.has_written |= count > 0;
-                let _ = self.unsent.split_to(count);
+                block.advance(count);
+                if block.is_empty() {
+                    self.unsent.pop_front();
+                }
                 Ok(())
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -1,18 +1,20 @@
 //! Handling and delivery of an upstream's answer.
 
-use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 
 use super::{Delivery, Exchange, Failure, Fallback, PendingAnswer, RequestProgress};
 use crate::platform;
+use crate::relay::body::{Body, BodyBuffer};
 use crate::relay::budget::RetryCause;
 use crate::relay::cascade;
 use crate::relay::catalog::Route;
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::losses::Loss;
+use crate::relay::memory::MemoryUse;
 use crate::relay::metrics::SendReason;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
+use crate::relay::traffic::MemoryHold;
 use crate::relay::view::UpstreamKey;
 
 /// Longest body of an answer that is buffered until it is whole, in bytes. A longer
@@ -122,7 +124,8 @@
         mut pending: PendingAnswer,
         responder: &mut Responder<'_>,
     ) -> Option<Delivery> {
-        let body = read_whole(&mut pending.connection, MAX_BUFFERED_BYTES).await;
+        let hold = MemoryHold::open(self.traffic, MemoryUse::Answer);
+        let body = read_held(&mut pending.connection, MAX_BUFFERED_BYTES, Some(&hold)).await;
         let body = body.inspect_err(|error| {
             self.count_stopped(error);
             let (upstream, fingerprint) = (&pending.upstream.name, self.fingerprint());
@@ -162,6 +165,7 @@
                 status: head.status,
                 headers,
                 body,
+                _hold: hold,
             });
             return None;
         }
@@ -180,13 +184,26 @@
 pub(super) async fn read_whole(
     connection: &mut UpstreamConnection,
     limit: usize,
-) -> Result<Bytes, ConnectionError> {
-    let mut whole = BytesMut::new();
+) -> Result<Body, ConnectionError> {
+    read_held(connection, limit, None).await
+}
+
+// As `read_whole`; the upstream waits while the memory for its answer is not there.
+async fn read_held(
+    connection: &mut UpstreamConnection,
+    limit: usize,
+    hold: Option<&MemoryHold>,
+) -> Result<Body, ConnectionError> {
+    let mut whole = BodyBuffer::default();
     while let Some(piece) = connection.read_chunk().await? {
-        if whole.len() + piece.len() > limit {
+        let length = whole.len() + piece.len();
+        if length > limit {
             return Err(ConnectionError::Closed);
         }
-        whole.extend_from_slice(&piece);
+        if let Some(hold) = hold {
+            hold.reserve_in_turn(length).await;
+        }
+        whole.push(&piece);
     }
     Ok(whole.freeze())
 }
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -9,6 +9,7 @@
 use super::answer::read_whole;
 use super::attempt::CONNECT_TIMEOUT;
 use crate::platform;
+use crate::relay::body::Body;
 use crate::relay::catalog::Route;
 use crate::relay::connection::ConnectionError;
 use crate::relay::message::EngineReport;
@@ -65,12 +66,14 @@
     let connection = traffic.connect(upstream.addr, CONNECT_TIMEOUT).await;
     let mut connection = connection.context(WireSnafu)?;
     let head = platform::report_request(upstream);
-    connection.start_request(head, b"").context(WireSnafu)?;
+    connection
+        .start_request(head, &Body::default())
+        .context(WireSnafu)?;
     let head = connection.read_head().await.context(WireSnafu)?;
     let is_leaving = platform::parse_answer(&head).is_leaving;
     let body = read_whole(&mut connection, MAX_REPORT_BYTES)
         .await
         .context(WireSnafu)?;
-    let report = platform::parse_report(&body).context(UnreadableSnafu)?;
+    let report = platform::parse_report(&body.to_vec()).context(UnreadableSnafu)?;
     Ok((is_leaving, report))
 }
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -20,6 +20,7 @@
 
 pub(super) use self::subjects::Subjects;
 use super::admission::{AdmittedRequest, Refusal};
+use super::body::Body;
 use super::boot_clock;
 use super::budget::RetryCause;
 use super::cascade::{self, AnswerEstimate, Timing};
@@ -32,7 +33,7 @@
 use super::request_log::{RequestLog, RequestOutcome};
 use super::responder::Responder;
 use super::sessions;
-use super::traffic::{AttemptGuard, Traffic};
+use super::traffic::{AttemptGuard, MemoryHold, Traffic};
 use super::view::{Upstream, UpstreamKey, View};
 use crate::platform;
 
@@ -64,7 +65,7 @@
     pub(super) traffic: &'a Rc<Traffic>,
     pub(super) head: &'a RequestHead,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: Body,
     pub(super) request: ClientRequest,
     pub(super) admitted: AdmittedRequest,
     pub(super) received: Instant,
@@ -146,7 +147,8 @@
 struct Failure {
     status: StatusCode,
     headers: HeaderMap,
-    body: Bytes,
+    body: Body,
+    _hold: MemoryHold,
 }
 
 /// Progress of a request over all its attempts.
@@ -557,7 +559,7 @@
         self.log
             .set_outcome(RequestOutcome::Refused, refusal.status());
         let headers = platform::refusal_headers(&self.request.id, refusal.retry_after());
-        let body = Bytes::from_static(refusal.text().as_bytes());
+        let body = Bytes::from_static(refusal.text().as_bytes()).into();
         let written = responder
             .write_whole(refusal.status(), headers, &body)
             .await;
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -65,7 +65,9 @@
                     let written = if responder.has_started() {
                         responder.write_last(rest).await
                     } else {
-                        responder.write_whole(status, head.headers, &rest).await
+                        responder
+                            .write_whole(status, head.headers, &rest.into())
+                            .await
                     };
                     self.record_answer_success(&current);
                     self.record_whole();
--- a/src/carawayrun/relay/exchange/subjects.rs
+++ b/src/carawayrun/relay/exchange/subjects.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use actix_http::header;
+use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use tokio::time::Instant;
 
@@ -69,7 +70,9 @@
         let path = uri.path_and_query();
         let path = path.map_or(uri.path(), |path| path.as_str());
         let method = self.head.method.as_str();
-        Fingerprint::new(method, &self.host(), path, self.team_name(), &self.body)
+        let blocks = self.body.blocks().iter().map(Bytes::as_ref);
+        let (host, team) = (self.host(), self.team_name());
+        Fingerprint::of_blocks(method, &host, path, team, self.body.len(), blocks)
     }
 
     fn host(&self) -> CompactString {
--- a/src/carawayrun/relay/fingerprint.rs
+++ b/src/carawayrun/relay/fingerprint.rs
@@ -14,13 +14,29 @@
     /// Computes the fingerprint of a request. Its id, deadline and resume position don't
     /// count, since they change each time that it is sent.
     pub fn new(method: &str, host: &str, path: &str, team: &str, body: &[u8]) -> Self {
+        Self::of_blocks(method, host, path, team, body.len(), [body])
+    }
+
+    /// As [`Self::new`], for a body of `length` bytes in blocks.
+    pub fn of_blocks<'b>(
+        method: &str,
+        host: &str,
+        path: &str,
+        team: &str,
+        length: usize,
+        blocks: impl IntoIterator<Item = &'b [u8]>,
+    ) -> Self {
         let [method, host, path, team] = [method, host, path, team].map(str::as_bytes);
         let mut hasher = Sha256::new();
-        for field in [method, host, path, team, body] {
+        for field in [method, host, path, team] {
             // The length keeps fields from running into each other.
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         }
+        hasher.update((length as u64).to_be_bytes());
+        for block in blocks {
+            hasher.update(block);
+        }
         let digest = hasher.finalize();
         let mut bytes = [0; 16];
         bytes.copy_from_slice(&digest[..16]);
--- a/src/carawayrun/relay/health_check.rs
+++ b/src/carawayrun/relay/health_check.rs
@@ -7,6 +7,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
+use super::body::Body;
 use super::connection::ConnectionError;
 use super::message::{Answer, Execution};
 use super::traffic::Traffic;
@@ -60,7 +61,9 @@
     let mut connection = connection.context(WireSnafu)?;
     let path = traffic.health_path(&upstream.service);
     let head = platform::health_request(upstream, &path);
-    connection.start_request(head, b"").context(WireSnafu)?;
+    connection
+        .start_request(head, &Body::default())
+        .context(WireSnafu)?;
     traffic.metrics.health_checks.inc();
     let head = connection.read_head().await.context(WireSnafu)?;
     let status = head.status;
--- /dev/null
+++ b/src/carawayrun/relay/memory.rs
@@ -0,0 +1,207 @@
+//! Account of the memory that is held for clients and upstreams.
+//!
+//! Load pattern: a crowd of clients sends bodies that are each within the limits and
+//! together exceed the host's memory. Most stop short of their end and stay connected.
+//! Those that bring no progress give way to the others; who does not fit is refused.
+
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+/// Share of the host's memory that may be held: 3/8. The rest is for the program itself,
+/// the kernel's buffers and the allocator.
+const LIMIT_PARTS: (u64, u64) = (3, 8);
+
+/// Largest holding that may use the whole limit, in bytes.
+const SMALL_BYTES: usize = 64 * 1024;
+
+/// Time without a byte after which a request that is being read gives way.
+const SILENCE: Duration = Duration::from_millis(250);
+
+/// Time that the rest of a body may take at its rate before it gives way.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+
+/// Rate below which a body of unknown length gives way, in bytes per second.
+const SLOW_RATE: f64 = 64.0 * 1024.0;
+
+new_key_type! {
+    /// Key of a holder in an account.
+    pub struct HolderKey;
+}
+
+/// What memory is held for. Each use may fill a part of the limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryUse {
+    /// A client's request.
+    Request,
+    /// An upstream's answer.
+    Answer,
+}
+
+impl MemoryUse {
+    // Part of `limit` that a holder of `bytes` may fill, together with all others.
+    fn ceiling(self, limit: usize, bytes: usize) -> usize {
+        match self {
+            _ if bytes <= SMALL_BYTES => limit,
+            Self::Request => limit / 8 * 5,
+            Self::Answer => limit / 8 * 7,
+        }
+    }
+}
+
+/// A request that is being read.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    began: Duration,
+    last_bytes: Duration,
+    /// Whole length, if the client announced it.
+    announced: Option<usize>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    purpose: MemoryUse,
+    bytes: usize,
+    /// `None` once it gives way to nobody.
+    reading: Option<Reading>,
+}
+
+/// A reservation does not fit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryFull;
+
+/// Memory held, by holder. Times are on the caller's clock.
+#[derive(Debug)]
+pub struct MemoryAccount {
+    limit: usize,
+    held: usize,
+    holders: SlotMap<HolderKey, Holder>,
+}
+
+impl MemoryAccount {
+    /// Creates the account of a host with so many bytes of memory.
+    pub fn new(host_memory: u64) -> Self {
+        Self {
+            limit: limit(host_memory),
+            held: 0,
+            holders: SlotMap::with_key(),
+        }
+    }
+
+    /// Changes the memory of the host. What is held stays.
+    pub fn set_host_memory(&mut self, host_memory: u64) {
+        self.limit = limit(host_memory);
+    }
+
+    /// Bytes that are held.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Adds a holder without memory. A request is being read until [`Self::finish_reading`].
+    pub fn open(&mut self, purpose: MemoryUse, now: Duration) -> HolderKey {
+        let reading = Reading {
+            began: now,
+            last_bytes: now,
+            announced: None,
+        };
+        self.holders.insert(Holder {
+            purpose,
+            bytes: 0,
+            reading: (purpose == MemoryUse::Request).then_some(reading),
+        })
+    }
+
+    /// Removes a holder and returns its memory.
+    pub fn close(&mut self, key: HolderKey) {
+        if let Some(holder) = self.holders.remove(key) {
+            self.held -= holder.bytes;
+        }
+    }
+
+    /// Returns true while a holder has not given way.
+    pub fn contains(&self, key: HolderKey) -> bool {
+        self.holders.contains_key(key)
+    }
+
+    /// Records the length that a client announced for its body.
+    pub fn announce(&mut self, key: HolderKey, length: usize) {
+        let reading = self.reading_mut(key);
+        if let Some(reading) = reading {
+            reading.announced = Some(length);
+        }
+    }
+
+    /// Records that a request was read whole: it may run, so it gives way to nobody.
+    pub fn finish_reading(&mut self, key: HolderKey) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            holder.reading = None;
+        }
+    }
+
+    /// Raises what a holder has to `bytes`; returns how many others gave way to it. Those
+    /// are no longer holders.
+    ///
+    /// # Errors
+    ///
+    /// [`MemoryFull`] if it does not fit and no one else gives way.
+    pub fn reserve(
+        &mut self,
+        key: HolderKey,
+        bytes: usize,
+        now: Duration,
+    ) -> Result<usize, MemoryFull> {
+        let holder = self.holders.get_mut(key).ok_or(MemoryFull)?;
+        if let Some(reading) = &mut holder.reading {
+            reading.last_bytes = now;
+        }
+        let added = bytes.saturating_sub(holder.bytes);
+        let ceiling = holder.purpose.ceiling(self.limit, bytes);
+        let mut evicted = 0;
+        while self.held + added > ceiling {
+            let victim = self.next_victim(key, now).ok_or(MemoryFull)?;
+            self.close(victim);
+            evicted += 1;
+        }
+        self.holders[key].bytes += added;
+        self.held += added;
+        Ok(evicted)
+    }
+
+    fn reading_mut(&mut self, key: HolderKey) -> Option<&mut Reading> {
+        self.holders.get_mut(key)?.reading.as_mut()
+    }
+
+    // The request that gives way first: the longest silent one, else the slowest.
+    fn next_victim(&self, asking: HolderKey, now: Duration) -> Option<HolderKey> {
+        let others = self
+            .holders
+            .iter()
+            .filter(|(key, holder)| *key != asking && holder.bytes > 0 && holder.reading.is_some());
+        let others = others.filter_map(|(key, holder)| Some((key, holder.bytes, holder.reading?)));
+        let silent = others.clone().filter_map(|(key, _, reading)| {
+            let silence = now.saturating_sub(reading.last_bytes);
+            (silence >= SILENCE).then_some((key, silence))
+        });
+        let longest = silent.max_by_key(|(_, silence)| *silence);
+        if let Some((key, _)) = longest {
+            return Some(key);
+        }
+        let slow = others.filter_map(|(key, bytes, reading)| {
+            let took = now.saturating_sub(reading.began).max(SILENCE);
+            let rate = bytes as f64 / took.as_secs_f64();
+            let rest = reading.announced.map(|length| length.saturating_sub(bytes));
+            let is_slow = rest.map_or(rate < SLOW_RATE, |rest| {
+                rest as f64 > rate * LONGEST_REST.as_secs_f64()
+            });
+            is_slow.then_some((key, rate))
+        });
+        let slowest = slow.min_by(|(_, one), (_, other)| one.total_cmp(other));
+        slowest.map(|(key, _)| key)
+    }
+}
+
+fn limit(host_memory: u64) -> usize {
+    let (part, whole) = LIMIT_PARTS;
+    usize::try_from(host_memory / whole * part).unwrap_or(usize::MAX)
+}
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -126,6 +126,8 @@
     pub(crate) retries_taken: Counter,
     pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
+    pub(crate) held_bytes: Gauge,
+    pub(crate) memory_refusals: Counter,
     pub(crate) log_limiter: LogLimiter,
     stopped_answers: Family<StoppedLabels, Counter>,
     lag: Histogram,
@@ -163,6 +165,8 @@
             retries_taken: Counter::default(),
             rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
+            held_bytes: Gauge::default(),
+            memory_refusals: Counter::default(),
             log_limiter: LogLimiter::new(),
             stopped_answers: Family::default(),
             lag: latency(),
@@ -255,6 +259,11 @@
             "Answers that are not shown to belong to the request that was sent",
             &self.foreign_answers,
         );
+        add(
+            "memory_refusals",
+            "Requests that were refused before they were read whole, for lack of memory",
+            &self.memory_refusals,
+        );
         add("store_calls", "Calls to the store", &self.store_calls);
         add(
             "store_failures",
@@ -330,6 +339,11 @@
             self.quarantined_requests.clone(),
         );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
+        registry.register(
+            "held_bytes",
+            "Memory held for clients' requests and upstreams' answers",
+            self.held_bytes.clone(),
+        );
     }
 
     /// Counts a send to an upstream of a service.
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -26,8 +26,10 @@
 //! | [`quarantine`] | requests and prompt parts under which upstreams crash |
 //! | [`events`] | framing of event streams |
 //! | [`progress`] | limits on bytes that bring no progress |
+//! | [`memory`] | account of the memory held for clients and upstreams |
 
 mod admission;
+mod body;
 mod boot_clock;
 pub mod budget;
 pub mod cascade;
@@ -50,6 +52,7 @@
 pub mod loads;
 pub mod losses;
 pub mod members;
+pub mod memory;
 pub mod message;
 mod metrics;
 pub mod placement;
@@ -122,6 +125,8 @@
     pub session_gap: Duration,
     /// Limit of the process on open file descriptors.
     pub max_descriptors: u32,
+    /// Memory of the host that the process may use, in bytes.
+    pub host_memory: u64,
 }
 
 impl RelaySettings {
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -1,5 +1,6 @@
 //! Listeners for readiness probes and metrics.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -14,6 +15,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use tokio_util::codec::Decoder;
 
@@ -35,6 +37,10 @@
 /// Time limit for idle connections of a prober.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 
+/// Connections of each listener; one more closes the oldest. A crowd on it would
+/// otherwise take the descriptors of clients, upstreams and the store.
+const MAX_CONNECTIONS: usize = 32;
+
 /// Longest head of a probe, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -98,10 +104,16 @@
     listener.set_nonblocking(true)?;
     let listener = tokio::net::TcpListener::from_std(listener)?;
     actix_rt::spawn(async move {
+        let mut connections = VecDeque::with_capacity(MAX_CONNECTIONS);
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    actix_rt::spawn(serve_connection(stream, Rc::clone(&traffic), answer));
+                    connections.retain(|connection: &JoinHandle<()>| !connection.is_finished());
+                    while connections.len() >= MAX_CONNECTIONS {
+                        connections.pop_front().inspect(JoinHandle::abort);
+                    }
+                    let serving = serve_connection(stream, Rc::clone(&traffic), answer);
+                    connections.push_back(actix_rt::spawn(serving));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "failed to accept a probe connection");
@@ -134,7 +146,10 @@
             }
         };
         let (head, body) = answer(&traffic, &request).into_parts();
-        let body = body.try_into_bytes().unwrap_or_else(|_| Bytes::new());
+        let body = body
+            .try_into_bytes()
+            .unwrap_or_else(|_| Bytes::new())
+            .into();
         let is_last = !codec.keep_alive();
         let mut responder = Responder::new(&mut writer, &mut codec, is_last);
         let headers = head.headers().clone();
--- a/src/carawayrun/relay/responder.rs
+++ b/src/carawayrun/relay/responder.rs
@@ -12,10 +12,15 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::Encoder;
 
+use super::body::Body;
+
 /// Time limit for a client to receive what is written; a client that reads
 /// nothing would occupy its upstream's slot.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Most bytes that are encoded before they are written.
+const MAX_WRITE_BYTES: usize = 64 * 1024;
+
 /// Writes one answer to a client's connection.
 pub(super) struct Responder<'a> {
     writer: &'a mut OwnedWriteHalf,
@@ -46,7 +51,7 @@
         &mut self,
         status: StatusCode,
         headers: HeaderMap,
-        body: &Bytes,
+        body: &Body,
     ) -> io::Result<()> {
         let mut out = BytesMut::new();
         self.encode_head(
@@ -55,10 +60,21 @@
             BodySize::Sized(body.len() as u64),
             &mut out,
         )?;
-        self.codec
-            .encode(Message::Chunk(Some(body.clone())), &mut out)?;
-        self.codec.encode(Message::Chunk(None), &mut out)?;
-        self.write(&out).await
+        let write_all = async {
+            for block in body.blocks() {
+                if out.len() + block.len() > MAX_WRITE_BYTES {
+                    self.write(&out).await?;
+                    out.clear();
+                }
+                let block = Message::Chunk(Some(block.clone()));
+                self.codec.encode(block, &mut out)?;
+            }
+            self.codec.encode(Message::Chunk(None), &mut out)?;
+            self.write(&out).await
+        };
+        tokio::time::timeout(WRITE_TIMEOUT, write_all)
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Writes the head and the first bytes of a body that goes on.
--- a/src/carawayrun/relay/tests/connection.rs
+++ b/src/carawayrun/relay/tests/connection.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::relay::body::Body;
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::progress::{MessagePart, TURN_BYTES};
 
@@ -73,7 +74,9 @@
 ) -> (UpstreamConnection, Option<Vec<u8>>) {
     let addr = upstream(answers, resets).await;
     let mut connection = connect(addr).await;
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     connection.read_head().await.unwrap();
     let body = body(&mut connection).await;
     (connection, body)
@@ -109,7 +112,9 @@
     let answer: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
     let (mut connection, _) = exchange(vec![answer, answer], false).await;
     assert!(connection.is_reusable());
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     connection.read_head().await.unwrap();
     assert_eq!(
         body(&mut connection).await.as_deref(),
@@ -128,7 +133,9 @@
 async fn request_counts_as_written_after_first_byte() {
     let addr = upstream(Vec::new(), false).await;
     let mut connection = connect(addr).await;
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     assert!(!connection.has_written());
     connection.read_head().await.unwrap_err();
     assert!(connection.has_written());
@@ -152,7 +159,9 @@
         sent
     });
     let mut connection = connect(addr).await;
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     connection.read_head().await.unwrap_err();
     drop(connection);
     // What was sent is bounded by the limit on heads and by the buffers of the kernel.
@@ -198,7 +207,9 @@
 ) {
     let (addr, sender) = flood(first, unit).await;
     let mut connection = connect(addr).await;
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     let mut result = connection.read_head().await.map(|_| None);
     while matches!(result, Ok(None | Some(_))) {
         result = connection.read_chunk().await;
@@ -219,7 +230,9 @@
 async fn long_body_keeps_other_tasks_from_running() {
     let (addr, _sender) = flood(CHUNKED, "8\r\nabcdefgh\r\n").await;
     let mut connection = connect(addr).await;
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     connection.read_head().await.unwrap();
     let turns = Rc::new(Cell::new(0));
     let count = Rc::clone(&turns);
@@ -244,7 +257,9 @@
 async fn interim_answer_that_is_none_is_passed_over(interim: &'static [u8]) {
     let addr = upstream(vec![interim], false).await;
     let mut connection = connect(addr).await;
-    connection.start_request(request(), b"").unwrap();
+    connection
+        .start_request(request(), &Body::default())
+        .unwrap();
     let error = connection.read_head().await.unwrap_err();
     assert!(matches!(error, ConnectionError::Head { .. }), "{error}");
 }
--- a/src/carawayrun/relay/tests/fingerprint.rs
+++ b/src/carawayrun/relay/tests/fingerprint.rs
@@ -33,3 +33,12 @@
     let malformed = "no digits".parse::<Fingerprint>();
     malformed.expect_err("it is no fingerprint");
 }
+
+// Relays agree on a fingerprint, however the body was cut.
+#[test]
+fn blocks_of_a_body_have_the_fingerprint_of_the_whole() {
+    let whole = Fingerprint::new("POST", "shop.example", "/a", "shops", b"one and two");
+    let blocks = [b"one".as_slice(), b" and ", b"two"];
+    let cut = Fingerprint::of_blocks("POST", "shop.example", "/a", "shops", 11, blocks);
+    assert_eq!(whole, cut);
+}
--- /dev/null
+++ b/src/carawayrun/relay/tests/memory.rs
@@ -0,0 +1,137 @@
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::relay::memory::{HolderKey, MemoryAccount, MemoryFull, MemoryUse};
+
+const MEGABYTE: usize = 1 << 20;
+
+/// Memory of a host: the limit is 24 MB, of these 15 MB for requests.
+const HOST_MEMORY: u64 = 64 << 20;
+const LIMIT: usize = 24 * MEGABYTE;
+
+const fn millis(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+// Opens a request that has received `bytes` of a body of `length`.
+fn request(account: &mut MemoryAccount, length: usize, bytes: usize, now: Duration) -> HolderKey {
+    let key = account.open(MemoryUse::Request, now);
+    account.announce(key, length);
+    account.reserve(key, bytes, now).unwrap();
+    key
+}
+
+fn full_account(now: Duration) -> (MemoryAccount, Vec<HolderKey>) {
+    let mut account = MemoryAccount::new(HOST_MEMORY);
+    let open = (0..15).map(|_| request(&mut account, MEGABYTE + 1, MEGABYTE, now));
+    let keys = open.collect();
+    (account, keys)
+}
+
+#[test]
+fn body_of_smallest_host_fits() {
+    let mut account = MemoryAccount::new(88 << 20);
+    let key = account.open(MemoryUse::Request, millis(0));
+    assert_eq!(account.reserve(key, 4 * MEGABYTE, millis(0)), Ok(0));
+}
+
+// Those that stop just short of their end stay connected.
+#[test]
+fn silent_requests_give_way() {
+    let (mut account, keys) = full_account(millis(0));
+    // All but the third go on.
+    for (index, key) in keys.iter().enumerate() {
+        if index != 2 {
+            assert_eq!(account.reserve(*key, MEGABYTE, millis(200)), Ok(0));
+        }
+    }
+    let key = account.open(MemoryUse::Request, millis(300));
+    assert_eq!(account.reserve(key, MEGABYTE, millis(300)), Ok(1));
+    assert!(!account.contains(keys[2]));
+    assert_eq!(
+        account.reserve(keys[2], MEGABYTE, millis(300)),
+        Err(MemoryFull)
+    );
+}
+
+#[test]
+fn request_about_to_end_keeps_its_memory() {
+    let (mut account, keys) = full_account(millis(0));
+    let key = account.open(MemoryUse::Request, millis(100));
+    assert_eq!(account.reserve(key, MEGABYTE, millis(100)), Err(MemoryFull));
+    assert!(keys.iter().all(|key| account.contains(*key)));
+}
+
+#[test]
+fn slowest_request_gives_way() {
+    let mut account = MemoryAccount::new(HOST_MEMORY);
+    let slow = request(&mut account, 4 * MEGABYTE, 100 * 1024, millis(0));
+    let fast = request(&mut account, 15 * MEGABYTE, 14 * MEGABYTE, millis(0));
+    assert_eq!(account.reserve(slow, 200 * 1024, millis(1_000)), Ok(0));
+    assert_eq!(account.reserve(fast, 14 * MEGABYTE, millis(1_000)), Ok(0));
+    let key = request(&mut account, MEGABYTE, 900 * 1024, millis(1_000));
+    assert!(!account.contains(slow));
+    assert!(account.contains(fast) && account.contains(key));
+}
+
+// A request that was read whole may run: to drop it would not be "not run".
+#[test]
+fn request_read_whole_gives_way_to_nobody() {
+    let (mut account, keys) = full_account(millis(0));
+    for key in &keys {
+        account.finish_reading(*key);
+    }
+    let key = account.open(MemoryUse::Request, millis(5_000));
+    assert_eq!(
+        account.reserve(key, MEGABYTE, millis(5_000)),
+        Err(MemoryFull)
+    );
+    assert!(keys.iter().all(|key| account.contains(*key)));
+}
+
+#[test]
+fn small_requests_and_answers_fit_beside_bodies() {
+    let (mut account, _) = full_account(millis(0));
+    let small = account.open(MemoryUse::Request, millis(0));
+    assert_eq!(account.reserve(small, 64 * 1024, millis(0)), Ok(0));
+    let answer = account.open(MemoryUse::Answer, millis(0));
+    assert_eq!(account.reserve(answer, 5 * MEGABYTE, millis(0)), Ok(0));
+    assert_eq!(
+        account.reserve(answer, 7 * MEGABYTE, millis(0)),
+        Err(MemoryFull)
+    );
+}
+
+#[test]
+fn closed_holders_return_their_memory() {
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut account = MemoryAccount::new(HOST_MEMORY);
+        let mut keys = Vec::new();
+        for step in 0..400 {
+            let now = millis(step * 20);
+            if keys.is_empty() || rng.random_bool(0.3) {
+                let purpose = if rng.random() {
+                    MemoryUse::Request
+                } else {
+                    MemoryUse::Answer
+                };
+                keys.push(account.open(purpose, now));
+            }
+            let index = rng.random_range(0..keys.len());
+            if rng.random_bool(0.2) {
+                account.close(keys.swap_remove(index));
+            } else {
+                let bytes = rng.random_range(0..4 * MEGABYTE);
+                let _ = account.reserve(keys[index], bytes, now);
+            }
+            assert!(account.held() <= LIMIT, "{seed}: {}", account.held());
+        }
+        for key in keys {
+            account.close(key);
+        }
+        assert_eq!(account.held(), 0, "{seed}");
+    }
+}
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the relay's modules.
 
+mod body;
 mod budget;
 mod cascade;
 mod connection;
@@ -12,6 +13,7 @@
 mod health;
 mod loads;
 mod losses;
+mod memory;
 mod placement;
 mod progress;
 mod quarantine;
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -1,8 +1,10 @@
 //! State shared by all connections of the traffic thread.
 
 mod limits;
+mod memory;
 mod quarantine;
 
+pub(super) use self::memory::MemoryHold;
 pub(super) use self::quarantine::LostRequest;
 
 use std::cell::{Cell, RefCell};
@@ -34,6 +36,7 @@
 use super::latency::LatencyEstimate;
 use super::losses::{Loss, LossTracker};
 use super::members::Members;
+use super::memory::MemoryAccount;
 use super::metrics::Metrics;
 use super::quarantine::Quarantine;
 use super::request_log::DrainRead;
@@ -128,6 +131,9 @@
     pub(super) active_requests: Cell<usize>,
     /// Notified when the own load changes.
     pub(super) load_changed: Notify,
+    memory: RefCell<MemoryAccount>,
+    /// Notified when held memory was returned or has to be.
+    memory_changed: Notify,
     shared: SharedState,
     fleet: RefCell<Fleet>,
     members: RefCell<Members>,
@@ -154,6 +160,7 @@
     pub(super) fn new(shared: SharedState) -> Self {
         let settings = shared.settings.load();
         let (session_gap, own_addr) = (settings.session_gap, settings.peer_listen);
+        let memory = RefCell::new(MemoryAccount::new(settings.host_memory));
         drop(settings);
         let sessions = RefCell::new(Sessions::new(session_gap));
         Self {
@@ -175,6 +182,8 @@
             service_times: RefCell::default(),
             active_requests: Cell::new(0),
             load_changed: Notify::new(),
+            memory,
+            memory_changed: Notify::new(),
             shared,
             fleet: RefCell::default(),
             members: RefCell::default(),
@@ -216,6 +225,9 @@
             "settings changed: bounds apply immediately, changed addresses need a restart"
         );
         self.budgets.borrow_mut().clear();
+        self.memory
+            .borrow_mut()
+            .set_host_memory(settings.host_memory);
         self.shared.settings.store(Arc::new(settings));
     }
 
