Deliver no part of an early answer as whole, and no answer without a status

Cause: the end of a connection counted as the end of an answer without a length, also where the peer had not read the request: once a FIN has come, Linux reports the end of the connection and not the reset behind it. `http` takes statuses up to 999. The body of a 204 or 304 that names a length was written behind its head, where the client's next answer is due.

Change: an answer without a length is broken off if a part of the request is unwritten, the socket has an error, or, for bodies over 16 KiB, one comes within 250 ms. A status above 599 is a malformed head; the agent reports such an upstream as failed. A 204 or 304 ends with its head.

--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -56,6 +56,13 @@
 /// Longest body that is copied behind its head, to be written with it.
 const MAX_COPIED_BYTES: usize = 16 * 1024;
 
+/// Time after the end of an answer without a length in which a peer that has not read the
+/// whole request resets the connection.
+const RESET_DELAY: Duration = Duration::from_millis(250);
+
+/// Greatest status that HTTP has.
+const MAX_STATUS: u16 = 599;
+
 /// Error on a connection before the end of an answer.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -109,6 +116,8 @@
     /// Requests that were started.
     requests: u64,
     has_written: bool,
+    /// Length of the request's body, in bytes.
+    request_bytes: usize,
     keep_alive: bool,
     /// True if answers to the request's method may have a body.
     expects_body: bool,
@@ -144,6 +153,7 @@
             turn: Turn::default(),
             requests: 0,
             has_written: false,
+            request_bytes: 0,
             keep_alive: true,
             expects_body: true,
             idle_since: Instant::now(),
@@ -174,6 +184,7 @@
             out.extend_from_slice(block);
         }
         self.unsent.push_back(out.freeze());
+        self.request_bytes = body.len();
         if !is_copied {
             self.unsent.extend(body.blocks().iter().cloned());
         }
@@ -246,6 +257,10 @@
                 return Ok(None);
             };
             let length = before - self.received.len();
+            if head.status.as_u16() > MAX_STATUS {
+                let source = ParseError::Status;
+                return Err(ConnectionError::Head { source });
+            }
             if !head.status.is_informational() {
                 snafu::ensure!(length <= MAX_HEAD_BYTES, NoProgressSnafu { part });
                 return Ok(Some(head));
@@ -287,11 +302,32 @@
             if !matches!(self.codec, Codec::UntilClose) {
                 return ClosedSnafu.fail();
             }
+            self.check_sound_end().await?;
             self.codec = Codec::Closed;
             return Ok(None);
         }
     }
 
+    // Fails unless the end of the connection shows that an answer without a length is
+    // whole. A peer that ended it with a part of the request unread has broken off; its
+    // system resets the connection, at times after the end of the answer.
+    async fn check_sound_end(&mut self) -> Result<(), ConnectionError> {
+        snafu::ensure!(self.unsent.is_empty(), ClosedSnafu);
+        self.check_reset()?;
+        if self.request_bytes > MAX_COPIED_BYTES {
+            let reset = self.stream.ready(Interest::ERROR);
+            // Without a reset by then, the peer has read the request.
+            let _ = tokio::time::timeout(RESET_DELAY, reset).await;
+            self.check_reset()?;
+        }
+        Ok(())
+    }
+
+    fn check_reset(&self) -> Result<(), ConnectionError> {
+        let error = self.stream.take_error().context(IoSnafu)?;
+        error.map_or(Ok(()), |source| Err(ConnectionError::Io { source }))
+    }
+
     // Decodes the next chunk of a framed body.
     fn decode_chunk(&mut self) -> Result<Decoded, ConnectionError> {
         let Codec::Body(codec) = &mut self.codec else {
@@ -333,9 +369,13 @@
             return;
         };
         self.keep_alive = codec.keep_alive();
-        if codec.message_type() == MessageType::Payload && has_framing(head) {
+        if !may_have_body(head) {
+            // Such an answer ends with its head, whatever length it names.
+            self.keep_alive &= !has_framing(head);
+            self.finish();
+        } else if codec.message_type() == MessageType::Payload && has_framing(head) {
             self.codec = Codec::Body(codec.into_payload_codec());
-        } else if self.expects_body && may_have_body(head) && !has_framing(head) {
+        } else if self.expects_body && !has_framing(head) {
             // `actix-http` treats such an HTTP/1.1 answer as one without a body.
             self.codec = Codec::UntilClose;
             self.keep_alive = false;
--- a/src/carawayrun/traffic/agent/exchange.rs
+++ b/src/carawayrun/traffic/agent/exchange.rs
@@ -36,6 +36,9 @@
 /// Delay before the first resume; doubles with each further one.
 const INITIAL_RESUME_DELAY: Duration = Duration::from_millis(20);
 
+/// Greatest status that HTTP has.
+const MAX_STATUS: u16 = 599;
+
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
 /// Outcome of one send of a run to the upstream.
@@ -100,6 +103,14 @@
     progress: &Progress,
 ) -> AttemptOutcome {
     progress.answered.set(true);
+    if answer.status().as_u16() > MAX_STATUS {
+        let message = format!(
+            "the service answered {}, which is no status",
+            answer.status()
+        );
+        let failure = Failure::new(Code::UpstreamFailed, Ran::Yes, message);
+        return AttemptOutcome::Failed(failure, Tokens::default());
+    }
     if run.method != "HEAD" && !is_framed(&answer) {
         let message = "the answer has neither a length nor chunks, so its end can't be told";
         let failure = Failure::new(Code::UpstreamFailed, Ran::Yes, message);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod departing;
 mod draining;
 mod drawn;
+mod early;
 mod flooded;
 mod hosts;
 mod interrupted;
