--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -5,6 +5,7 @@
 //! byte of a request was written, whether a body ended or was interrupted, and
 //! whether bytes arrived that belong to no request.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
@@ -23,6 +24,7 @@
 use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::body::Body;
 use super::progress::{FramingAllowance, MAX_HEAD_BYTES, MAX_INTERIM_BYTES, MessagePart, Turn};
 use super::stalls::StallMonitor;
 
@@ -51,6 +53,16 @@
 /// Most bytes of one read.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Longest body that is copied behind its head, to be written with it.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
+/// Time after the end of an answer without a length in which a peer that has not read the
+/// whole request resets the connection.
+const RESET_DELAY: Duration = Duration::from_millis(250);
+
+/// Greatest status that HTTP has.
+const MAX_STATUS: u16 = 599;
+
 /// Error on a connection before the end of an answer.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -96,7 +108,7 @@
     config: ServiceConfig,
     codec: Codec,
     received: BytesMut,
-    unsent: BytesMut,
+    unsent: VecDeque<Bytes>,
     /// Bytes of interim heads before the answer.
     interim: usize,
     framing: FramingAllowance,
@@ -104,6 +116,8 @@
     /// Requests that were started.
     requests: u64,
     has_written: bool,
+    /// Length of the request's body, in bytes.
+    request_bytes: usize,
     keep_alive: bool,
     /// True if answers to the request's method may have a body.
     expects_body: bool,
@@ -133,12 +147,13 @@
             config: config.clone(),
             codec: Codec::Done,
             received: BytesMut::new(),
-            unsent: BytesMut::new(),
+            unsent: VecDeque::new(),
             interim: 0,
             framing: FramingAllowance::default(),
             turn: Turn::default(),
             requests: 0,
             has_written: false,
+            request_bytes: 0,
             keep_alive: true,
             expects_body: true,
             idle_since: Instant::now(),
@@ -150,7 +165,7 @@
     pub(crate) fn start_request(
         &mut self,
         head: RequestHead,
-        body: &[u8],
+        body: &Body,
     ) -> Result<(), ConnectionError> {
         let mut codec = ClientCodec::new(self.config.clone());
         let has_no_body = body.is_empty() && matches!(head.method, Method::GET | Method::HEAD);
@@ -162,8 +177,17 @@
         };
         self.unsent.clear();
         let message = Message::Item((RequestHeadType::from(head), size));
-        codec.encode(message, &mut self.unsent).context(IoSnafu)?;
-        self.unsent.extend_from_slice(body);
+        let mut out = BytesMut::new();
+        codec.encode(message, &mut out).context(IoSnafu)?;
+        let is_copied = body.len() <= MAX_COPIED_BYTES;
+        for block in body.blocks().iter().filter(|_| is_copied) {
+            out.extend_from_slice(block);
+        }
+        self.unsent.push_back(out.freeze());
+        self.request_bytes = body.len();
+        if !is_copied {
+            self.unsent.extend(body.blocks().iter().cloned());
+        }
         self.codec = Codec::Head(codec);
         self.interim = 0;
         self.framing = FramingAllowance::default();
@@ -233,6 +257,10 @@
                 return Ok(None);
             };
             let length = before - self.received.len();
+            if head.status.as_u16() > MAX_STATUS {
+                let source = ParseError::Status;
+                return Err(ConnectionError::Head { source });
+            }
             if !head.status.is_informational() {
                 snafu::ensure!(length <= MAX_HEAD_BYTES, NoProgressSnafu { part });
                 return Ok(Some(head));
@@ -274,11 +302,32 @@
             if !matches!(self.codec, Codec::UntilClose) {
                 return ClosedSnafu.fail();
             }
+            self.check_sound_end().await?;
             self.codec = Codec::Closed;
             return Ok(None);
         }
     }
 
+    // Fails unless the end of the connection shows that an answer without a length is
+    // whole. A peer that ended it with a part of the request unread has broken off; its
+    // system resets the connection, at times after the end of the answer.
+    async fn check_sound_end(&mut self) -> Result<(), ConnectionError> {
+        snafu::ensure!(self.unsent.is_empty(), ClosedSnafu);
+        self.check_reset()?;
+        if self.request_bytes > MAX_COPIED_BYTES {
+            let reset = self.stream.ready(Interest::ERROR);
+            // Without a reset by then, the peer has read the request.
+            let _ = tokio::time::timeout(RESET_DELAY, reset).await;
+            self.check_reset()?;
+        }
+        Ok(())
+    }
+
+    fn check_reset(&self) -> Result<(), ConnectionError> {
+        let error = self.stream.take_error().context(IoSnafu)?;
+        error.map_or(Ok(()), |source| Err(ConnectionError::Io { source }))
+    }
+
     // Decodes the next chunk of a framed body.
     fn decode_chunk(&mut self) -> Result<Decoded, ConnectionError> {
         let Codec::Body(codec) = &mut self.codec else {
@@ -320,9 +369,13 @@
             return;
         };
         self.keep_alive = codec.keep_alive();
-        if codec.message_type() == MessageType::Payload && has_framing(head) {
+        if !may_have_body(head) {
+            // Such an answer ends with its head, whatever length it names.
+            self.keep_alive &= !has_framing(head);
+            self.finish();
+        } else if codec.message_type() == MessageType::Payload && has_framing(head) {
             self.codec = Codec::Body(codec.into_payload_codec());
-        } else if self.expects_body && may_have_body(head) && !has_framing(head) {
+        } else if self.expects_body && !has_framing(head) {
             // `actix-http` treats such an HTTP/1.1 answer as one without a body.
             self.codec = Codec::UntilClose;
             self.keep_alive = false;
@@ -366,10 +419,16 @@
     }
 
     fn write_unsent(&mut self) -> io::Result<()> {
-        match self.stream.try_write(&self.unsent) {
+        let Some(block) = self.unsent.front_mut() else {
+            return Ok(());
+        };
+        match self.stream.try_write(block) {
             Ok(count) => {
                 self.has_written |= count > 0;
-                let _ = self.unsent.split_to(count);
+                block.advance(count);
+                if block.is_empty() {
+                    self.unsent.pop_front();
+                }
                 Ok(())
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -28,9 +28,11 @@
 //! | [`quarantine`] | requests and prompt parts under which upstreams crash |
 //! | [`events`] | framing of event streams |
 //! | [`progress`] | limits on bytes that bring no progress |
+//! | [`memory`] | account of the memory held for clients and upstreams |
 
 mod admission;
 pub mod allowance;
+mod body;
 mod boot_clock;
 pub mod budget;
 pub mod cascade;
@@ -54,6 +56,7 @@
 pub mod loads;
 pub mod losses;
 pub mod members;
+pub mod memory;
 pub mod message;
 mod metrics;
 pub mod pace;
@@ -134,6 +137,8 @@
     pub cold_tolerance: ColdTolerance,
     /// Limit of the process on open file descriptors.
     pub max_descriptors: u32,
+    /// Memory of the host that the process may use, in bytes.
+    pub host_memory: u64,
 }
 
 impl RelaySettings {
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the relay's modules.
 
 mod allowance;
+mod body;
 mod budget;
 mod cascade;
 mod connection;
@@ -15,6 +16,7 @@
 mod loads;
 mod losses;
 mod pace;
+mod memory;
 mod placement;
 mod progress;
 mod quarantine;
