Let work wait in order for room at plain services

Under a burst all requests were sent at once to upstreams with few slots, which turned away or served late what is urgent and what is not alike, and one team took the room of all others.

Work beyond the places of a plain service's upstreams now waits at its relay. Relays tell their demand by rank and team; each takes its part of the places, the most urgent rank first, fairly among teams in the rank that doesn't fit. What can't have its turn in time is refused at once, with the time in which the queue is worked off. Nothing waits while there is room, and requests for engines don't wait.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -548,6 +548,29 @@
     /// serves.
     #[prost(uint32, optional, tag = "12")]
     pub stops_in: ::core::option::Option<u32>,
+    /// Requests of the sender for services' upstreams, the services that wait first.
+    #[prost(message, repeated, tag = "16")]
+    pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
+}
+/// Requests of a relay of one rank and team that need upstreams of a service.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceDemand {
+    /// Hash of the name of the service.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Urgency; zero is the most urgent.
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Requests that hold a place there.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait for one.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// Hash of the name of the team; zero for none, and for the sum of teams that are not
+    /// told one by one.
+    #[prost(fixed32, tag = "5")]
+    pub team: u32,
 }
 /// What a relay saw itself of a part of prompts or of a request, and its quarantine as
 /// the relay knows it. Ages are in milliseconds.
--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -35,6 +35,8 @@
     pub(crate) hash_point: f64,
     /// Urgency at an engine; zero is the most urgent.
     pub(crate) urgency: Option<u8>,
+    /// The same where the service has no engines, for the order in which requests wait.
+    pub(crate) rank: u8,
 }
 
 /// Reason for refusing a request.
@@ -137,6 +139,7 @@
         team,
         hash_point: hash_point(request),
         urgency: has_engines(service).then_some(urgency),
+        rank: urgency,
     })
 }
 
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -372,7 +372,10 @@
                     let keep_alive = exchange.run(&mut responder).await;
                     if log.has_answer() {
                         let took = received.elapsed();
-                        self.traffic.record_service_time(catalog.route(route), took);
+                        let route = catalog.route(route);
+                        self.traffic.record_service_time(route, took);
+                        let run_time = took.saturating_sub(log.queued);
+                        self.traffic.record_run_time(route, run_time);
                     }
                     keep_alive
                 }
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -121,7 +121,7 @@
     async fn send(
         &mut self,
         route: &Route,
-        progress: &RequestProgress,
+        progress: &mut RequestProgress,
         key: UpstreamKey,
         upstream: &Upstream,
         mut connection: UpstreamConnection,
@@ -149,9 +149,10 @@
             return AttemptOutcome::NotSent;
         }
         let tokens = f64::from(self.request.prompt_tokens);
+        let place = progress.place.take();
         let model = self.model_name(progress);
         let backlog = self.traffic.prefill_ms(&upstream.service, model, tokens);
-        let mut guard = AttemptGuard::start(self.traffic, key, backlog);
+        let mut guard = AttemptGuard::start(self.traffic, key, backlog, place);
         let prompt_tokens = self.request.prompt_tokens;
         let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
         let mut asked = 0;
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod engine_report;
 mod head_timer;
+mod place;
 mod stream;
 mod subjects;
 
@@ -18,6 +19,7 @@
 use compact_str::CompactString;
 use tokio::time::{Instant, timeout_at};
 
+use self::place::Turn;
 pub(super) use self::subjects::Subjects;
 use super::admission::{AdmittedRequest, Refusal};
 use super::boot_clock;
@@ -32,7 +34,7 @@
 use super::request_log::{RequestLog, RequestOutcome};
 use super::responder::Responder;
 use super::sessions;
-use super::traffic::{AttemptGuard, Traffic};
+use super::traffic::{AttemptGuard, Place, Traffic};
 use super::view::{Upstream, UpstreamKey, View};
 use crate::platform;
 
@@ -182,6 +184,10 @@
     failure: Option<Failure>,
     /// Low-confidence answer to deliver if no better one comes.
     fallback: Option<Fallback>,
+    /// Place for the next attempt.
+    place: Option<Place>,
+    /// `Retry-After` of a request that got no place in time.
+    retry_after: Option<Duration>,
 }
 
 impl RequestProgress {
@@ -341,6 +347,11 @@
             {
                 return self.give_up(route, progress, responder).await;
             }
+            match self.take_place(route, progress, service).await {
+                Turn::Ready => {}
+                Turn::Waited => continue,
+                Turn::Refused => return self.give_up(route, progress, responder).await,
+            }
             let view = self.traffic.view();
             let chosen = self.choose_with_wait(&view, route, progress, &progress.excluded, service);
             let Some((key, wait_ms)) = chosen else {
@@ -510,7 +521,8 @@
         } else if !self.has_time(route) {
             Refusal::Stopping(self.traffic.stop_retry_after())
         } else {
-            Refusal::NoCapacity(self.capacity_retry_after())
+            let wait = progress.retry_after;
+            Refusal::NoCapacity(wait.unwrap_or_else(|| self.capacity_retry_after()))
         };
         self.refuse(refusal, responder).await
     }
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -18,6 +18,7 @@
 use super::placement::{
     UpstreamCandidate, affinity_rank, choose_candidate, count_partial_upstreams, sample_candidates,
 };
+use super::queue::free_places;
 use super::rate_limit::{LimitNotice, RateLimiter, RateShare};
 use super::restarts::{RESTART_LAG, Restarts};
 use super::rests::{Incarnation, Rests};
@@ -239,6 +240,25 @@
         loads.collect()
     }
 
+    /// Free places of a service's upstreams that may be used; `None` if there are no such
+    /// upstreams. `hold` is the time for which a place is held.
+    pub(super) fn free_places(
+        &self,
+        service: &str,
+        hold: Option<Duration>,
+        now: Duration,
+    ) -> Option<f64> {
+        let keys = self.by_service.get(service)?.iter();
+        let usable = keys.filter(|key| self.accepts(**key, now) && !self.is_ejected(**key, now));
+        let free = usable.map(|key| {
+            let state = &self.states[*key];
+            let peer_load = self.peer_loads.upstream_load(state.digest);
+            let in_flight = state.in_flight + peer_load.in_flight;
+            free_places(self.upstreams[*key].slots, in_flight, hold)
+        });
+        free.reduce(|sum, free| sum + free)
+    }
+
     /// Counts an attempt as in flight and adds its prompt to the backlog.
     pub(super) fn begin_attempt(&mut self, key: UpstreamKey, backlog_ms: f64) {
         if let Some(state) = self.states.get_mut(key) {
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -56,6 +56,7 @@
             Ok((length, from)) => match RelayReport::decode(&buffer[..length]) {
                 Ok(report) => {
                     traffic.receive_report(&report, from);
+                    traffic.serve_queues();
                 }
                 Err(error) => tracing::debug!(%from, %error, "malformed report"),
             },
@@ -78,6 +79,8 @@
     let mut sent_reads = Vec::new();
     loop {
         number += 1;
+        traffic.serve_queues();
+        let demands = traffic.own_demands();
         let view = traffic.view();
         let (kept_sessions, complete) = traffic.pinned_sessions(&view);
         let outcomes = view.outcomes.iter().map(|outcomes| RolloutOutcomes {
@@ -93,6 +96,7 @@
             reads: view.reads.iter().map(encode_read).collect(),
             limits: traffic.own_limits(),
             leaving: traffic.own_departures(),
+            demands,
             stops_in: traffic.stops_in().map(|left| left.as_millis() as u32),
             ..RelayReport::default()
         };
--- a/src/carawayrun/relay/loads.rs
+++ b/src/carawayrun/relay/loads.rs
@@ -5,13 +5,15 @@
 //! load to each other several times a second. Expired reports are ignored, so a
 //! disconnected gateway stops counting.
 
+use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use compact_str::CompactString;
 use rustc_hash::{FxHashMap, FxHasher};
 
-use crate::peer::message::{RelayReport, UpstreamLoad};
+use super::queue::{Class, Demand};
+use crate::peer::message::{RelayReport, ServiceDemand, UpstreamLoad};
 
 /// Age at which a report expires: longer than the time in which a gateway among
 /// four hundred sends its report to all others.
@@ -32,6 +34,7 @@
     sequence: u64,
     received_at: Duration,
     loads: FxHashMap<u32, Load>,
+    demands: Vec<ServiceDemand>,
 }
 
 /// Latest report of each other gateway. Times are on the caller's clock.
@@ -39,12 +42,19 @@
 pub struct PeerLoads {
     reports: FxHashMap<CompactString, LoadReport>,
     sums: FxHashMap<u32, Load>,
+    /// Demand for services, by their digests.
+    demands: FxHashMap<u32, BTreeMap<Class, Demand>>,
 }
 
 /// Key of an upstream in reports.
 pub fn upstream_digest(upstream: &str) -> u32 {
+    name_digest(upstream)
+}
+
+/// Key of a service or team in reports.
+pub fn name_digest(name: &str) -> u32 {
     let mut hasher = FxHasher::default();
-    upstream.hash(&mut hasher);
+    name.hash(&mut hasher);
     (hasher.finish() >> 32) as u32
 }
 
@@ -69,6 +79,7 @@
             sequence: report.number,
             received_at: now,
             loads: loads.collect(),
+            demands: report.demands.clone(),
         };
         self.reports.insert(name, report);
         self.update_sums(now);
@@ -88,6 +99,11 @@
         self.sums.get(&upstream).copied().unwrap_or_default()
     }
 
+    /// Demand of all other gateways for a service.
+    pub fn demand(&self, service: u32) -> Option<&BTreeMap<Class, Demand>> {
+        self.demands.get(&service)
+    }
+
     /// Number of gateways with a report that has not expired.
     pub fn gateway_count(&self) -> usize {
         self.reports.len()
@@ -96,6 +112,7 @@
     // Recomputes the load at each upstream from the reports that have not expired.
     fn update_sums(&mut self, now: Duration) {
         self.sums.clear();
+        self.demands.clear();
         for report in self.reports.values() {
             if now.saturating_sub(report.received_at) > REPORT_TTL {
                 continue;
@@ -105,6 +122,14 @@
                 sum.in_flight += load.in_flight;
                 sum.backlog_ms += load.backlog_ms;
             }
+            for told in &report.demands {
+                let classes = self.demands.entry(told.service).or_default();
+                let rank = u8::try_from(told.rank).unwrap_or(u8::MAX);
+                let team = told.team;
+                let sum = classes.entry(Class { rank, team }).or_default();
+                sum.running = sum.running.saturating_add(told.running);
+                sum.waiting = sum.waiting.saturating_add(told.waiting);
+            }
         }
     }
 }
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::progress::MessagePart;
+use super::queue::RefusalReason;
 use super::request_log::RequestOutcome;
 
 /// Rate of request log lines, per second: an on-call engineer finds each failure
@@ -70,6 +71,19 @@
     part: MessagePart,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct QueueLabels {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct QueueRefusalLabels {
+    service: String,
+    reason: RefusalReason,
+}
+
 /// How a request ended that was under way, or came, within a drain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
@@ -129,6 +143,9 @@
     pub(crate) log_limiter: LogLimiter,
     stopped_answers: Family<StoppedLabels, Counter>,
     lag: Histogram,
+    queued: Histogram,
+    queue_lengths: Family<QueueLabels, Gauge>,
+    queue_refusals: Family<QueueRefusalLabels, Counter>,
     sends: Family<SendLabels, Counter>,
     requests: Family<RequestLabels, Counter>,
     drained: Family<DrainLabels, Counter>,
@@ -166,6 +183,9 @@
             log_limiter: LogLimiter::new(),
             stopped_answers: Family::default(),
             lag: latency(),
+            queued: latency(),
+            queue_lengths: Family::default(),
+            queue_refusals: Family::default(),
             sends: Family::default(),
             requests: Family::default(),
             drained: Family::default(),
@@ -208,6 +228,21 @@
             "Lateness of the timers of the thread that serves clients",
             self.lag.clone(),
         );
+        registry.register(
+            "queue_seconds",
+            "Time that requests waited for room at a service's upstreams",
+            self.queued.clone(),
+        );
+        registry.register(
+            "queue_length",
+            "Requests that wait for room, by service",
+            self.queue_lengths.clone(),
+        );
+        registry.register(
+            "queue_refusals",
+            "Requests refused since they would get no room in time, by service and reason",
+            self.queue_refusals.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time from a request to the end of its answer",
@@ -351,6 +386,28 @@
             .inc();
     }
 
+    /// Records the time that a request waited for a place.
+    pub(super) fn record_queued(&self, queued: Duration) {
+        self.queued.observe(queued.as_secs_f64());
+    }
+
+    /// Sets the number of requests that wait for a service's upstreams.
+    pub(super) fn set_queue_length(&self, service: &str, length: usize) {
+        let labels = QueueLabels {
+            service: service.into(),
+        };
+        self.queue_lengths.get_or_create(&labels).set(length as i64);
+    }
+
+    /// Counts a request that was refused since it would get no place in time.
+    pub(super) fn record_queue_refusal(&self, service: &str, reason: RefusalReason) {
+        let labels = QueueRefusalLabels {
+            service: service.into(),
+            reason,
+        };
+        self.queue_refusals.get_or_create(&labels).inc();
+    }
+
     /// Records how late a timer of the traffic thread was.
     pub(super) fn record_lag(&self, lag: Duration) {
         self.lag.observe(lag.as_secs_f64());
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -18,6 +18,8 @@
 //! | [`rate_limit`] | shares of the rates that upstreams name |
 //! | [`departures`] | upstreams that say that they are leaving |
 //! | `drain` | planned stop |
+//! | [`queue`] | order of requests that wait for room |
+//! | `shares` | fair shares among teams |
 //! | [`rests`] | rest that upstreams ask for |
 //! | `restarts` | upstreams that started again under their names |
 //! | [`health`] | health of upstreams, from own attempts |
@@ -56,6 +58,7 @@
 mod probe;
 pub mod progress;
 pub mod quarantine;
+pub mod queue;
 pub mod rate_limit;
 pub mod readers;
 mod request_log;
@@ -67,6 +70,7 @@
 mod service_time;
 mod session_lists;
 pub mod sessions;
+mod shares;
 mod stalls;
 pub mod store_clock;
 #[cfg(test)]
--- a/src/carawayrun/relay/request_log.rs
+++ b/src/carawayrun/relay/request_log.rs
@@ -70,6 +70,10 @@
     upstream: CompactString,
     upstream_status: Option<StatusCode>,
     wait_ms: f64,
+    /// Time that it waited for places.
+    pub(super) queued: Duration,
+    /// Requests that waited before it when it began to.
+    behind: u32,
     /// Time from the request to the first event of its answer.
     first_event: Option<Duration>,
     note: &'static str,
@@ -92,6 +96,8 @@
             upstream: CompactString::default(),
             upstream_status: None,
             wait_ms: 0.0,
+            queued: Duration::ZERO,
+            behind: 0,
             first_event: None,
             note: "",
             connection,
@@ -119,6 +125,12 @@
         self.wait_ms = wait_ms;
     }
 
+    /// Records a wait for a place, behind this many others.
+    pub(super) fn record_queued(&mut self, queued: Duration, behind: usize) {
+        self.queued += queued;
+        self.behind = behind as u32;
+    }
+
     /// Records the time from the request to the first event of its answer.
     pub(super) fn record_first_event(&mut self, after: Duration) {
         self.first_event = Some(after);
@@ -171,6 +183,8 @@
             upstream_status = self.upstream_status.map_or(0, |status| status.as_u16()),
             sends = self.sends,
             wait_ms = self.wait_ms as u64,
+            queued_ms = millis(self.queued),
+            behind = self.behind,
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             note = self.note,
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -30,6 +30,7 @@
         requests: Vec::new(),
         stops_in: None,
         leaving: Vec::new(),
+        demands: Vec::new(),
     }
 }
 
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod progress;
 mod quarantine;
+mod queue;
 mod rate_limit;
 mod readers;
 mod request_quarantine;
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -2,8 +2,11 @@
 
 mod limits;
 mod quarantine;
+mod queues;
 
 pub(super) use self::quarantine::LostRequest;
+pub(super) use self::queues::Place;
+use self::queues::Queues;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -139,6 +142,9 @@
     session_lists: RefCell<SessionLists>,
     usual_times: RefCell<FxHashMap<(CompactString, CompactString), UsualTime>>,
     service_times: RefCell<FxHashMap<CompactString, ServiceTime>>,
+    /// Times that answers take once they have a place, by route.
+    run_times: RefCell<FxHashMap<CompactString, ServiceTime>>,
+    queues: RefCell<Queues>,
     losses: RefCell<LossTracker>,
     quarantine: RefCell<Quarantine>,
     /// Requests lost at upstreams whose crash is not confirmed yet.
@@ -173,6 +179,8 @@
             begun_requests: Cell::new(0),
             early_requests: Cell::new(0),
             service_times: RefCell::default(),
+            run_times: RefCell::default(),
+            queues: RefCell::default(),
             active_requests: Cell::new(0),
             load_changed: Notify::new(),
             shared,
@@ -650,16 +658,25 @@
     traffic: Rc<Traffic>,
     key: UpstreamKey,
     backlog_ms: f64,
+    /// Freed once the attempt no longer counts.
+    _place: Option<Place>,
 }
 
 impl AttemptGuard {
-    pub(super) fn start(traffic: &Rc<Traffic>, key: UpstreamKey, backlog_ms: f64) -> Self {
+    pub(super) fn start(
+        traffic: &Rc<Traffic>,
+        key: UpstreamKey,
+        backlog_ms: f64,
+        place: Option<Place>,
+    ) -> Self {
         traffic.fleet.borrow_mut().begin_attempt(key, backlog_ms);
+        let place = place.map(Place::sent);
         traffic.load_changed.notify_one();
         Self {
             traffic: Rc::clone(traffic),
             key,
             backlog_ms,
+            _place: place,
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,4 +45,5 @@
 mod soak;
 mod stopping;
 mod unframed;
+mod waiting;
 mod writing;
