Begin a hopeless request while there is room for it

A request that had waited and could hardly end in time any more was refused also where its class had room by then. It is now refused only where more is asked for than there are places. The place of a whole answer is freed once the answer was read, not when the client has taken it.

--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -144,8 +144,11 @@
             connection,
             head,
             head_delay,
+            _guard: guard,
             ..
         } = pending;
+        // The upstream is done, however slowly the client reads.
+        drop(guard);
         let is_failure = head.status.is_server_error();
         self.record_whole();
         self.record_outcome(&upstream, progress, is_failure, Some(head_delay));
--- a/src/carawayrun/relay/queue.rs
+++ b/src/carawayrun/relay/queue.rs
@@ -238,7 +238,7 @@
             let class = job.class();
             let part = parts.get(&class).copied().unwrap_or(Part::Places(0.0));
             let ahead = ahead.entry(class).or_default();
-            let decision = if job.latest < now {
+            let decision = if part != Part::All && job.latest < now {
                 Decision::Refuse(RefusalReason::TooLate)
             } else if *ahead == 0 && self.has_room(class, part, room, free) {
                 free -= 1.0;
--- a/src/carawayrun/relay/tests/queue.rs
+++ b/src/carawayrun/relay/tests/queue.rs
@@ -147,6 +147,9 @@
     queue.wait(hopeless);
     let decided = queue.decide(&room(0.0), millis(200));
     assert_eq!(decided[0].1, Decision::Refuse(RefusalReason::TooLate));
+    queue.wait(hopeless);
+    let decided = queue.decide(&room(1.0), millis(200));
+    assert_eq!(decided[0].1, Decision::Start);
 }
 
 #[test]
