--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -554,6 +554,9 @@
     /// Streams of engines that ended since the last report.
     #[prost(message, repeated, tag = "15")]
     pub paces: ::prost::alloc::vec::Vec<UpstreamPace>,
+    /// Requests of the sender for services' upstreams, the services that wait first.
+    #[prost(message, repeated, tag = "16")]
+    pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CountedRelays {
@@ -577,6 +580,26 @@
     #[prost(float, tag = "3")]
     pub log_ratio: f32,
 }
+/// Requests of a relay of one rank and team that need upstreams of a service.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceDemand {
+    /// Hash of the name of the service.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Urgency; zero is the most urgent.
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Requests that hold a place there.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait for one.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+    /// Hash of the name of the team; zero for none, and for the sum of teams that are not
+    /// told one by one.
+    #[prost(fixed32, tag = "5")]
+    pub team: u32,
+}
 /// What a relay saw itself of a part of prompts or of a request, and its quarantine as
 /// the relay knows it. Ages are in milliseconds.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -122,7 +122,7 @@
     async fn send(
         &mut self,
         route: &Route,
-        progress: &RequestProgress,
+        progress: &mut RequestProgress,
         key: UpstreamKey,
         upstream: &Upstream,
         mut connection: UpstreamConnection,
@@ -150,9 +150,10 @@
             return AttemptOutcome::NotSent;
         }
         let tokens = f64::from(self.request.prompt_tokens);
+        let place = progress.place.take();
         let model = self.model_name(progress);
         let backlog = self.traffic.prefill_ms(&upstream.service, model, tokens);
-        let mut guard = AttemptGuard::start(self.traffic, key, backlog, self.kv_tokens());
+        let mut guard = AttemptGuard::start(self.traffic, key, backlog, self.kv_tokens(), place);
         let prompt_tokens = self.request.prompt_tokens;
         let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
         let mut asked = 0;
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -20,6 +20,8 @@
 //! | [`departures`] | upstreams that say that they are leaving |
 //! | `drain` | planned stop |
 //! | [`evacuation`] | data centres that operators order out of service |
+//! | [`queue`] | order of requests that wait for room |
+//! | `shares` | fair shares among teams |
 //! | [`rests`] | rest that upstreams ask for |
 //! | `restarts` | upstreams that started again under their names |
 //! | [`health`] | health of upstreams, from own attempts |
@@ -64,6 +66,7 @@
 mod probe;
 pub mod progress;
 pub mod quarantine;
+pub mod queue;
 pub mod rate_limit;
 pub mod readers;
 mod request_log;
@@ -75,6 +78,7 @@
 mod service_time;
 mod session_lists;
 pub mod sessions;
+mod shares;
 mod stalls;
 pub mod store_clock;
 #[cfg(test)]
--- a/src/carawayrun/relay/request_log.rs
+++ b/src/carawayrun/relay/request_log.rs
@@ -72,6 +72,10 @@
     upstream_status: Option<StatusCode>,
     /// What was expected at the upstream that was chosen last.
     expected: Option<Expectation>,
+    /// Time that it waited for places.
+    pub(super) queued: Duration,
+    /// Requests that waited before it when it began to.
+    behind: u32,
     /// Time from the request to the first event of its answer.
     first_event: Option<Duration>,
     note: &'static str,
@@ -94,6 +98,8 @@
             upstream: CompactString::default(),
             upstream_status: None,
             expected: None,
+            queued: Duration::ZERO,
+            behind: 0,
             first_event: None,
             note: "",
             connection,
@@ -121,6 +127,12 @@
         self.expected = Some(*expected);
     }
 
+    /// Records a wait for a place, behind this many others.
+    pub(super) fn record_queued(&mut self, queued: Duration, behind: usize) {
+        self.queued += queued;
+        self.behind = behind as u32;
+    }
+
     /// Records the time from the request to the first event of its answer.
     pub(super) fn record_first_event(&mut self, after: Duration) {
         self.first_event = Some(after);
@@ -175,6 +187,8 @@
             wait_ms = expected.map_or(0, |expected| expected.wait_ms as u64),
             expected_first_ms = expected.map(|expected| expected.expected_first_ms as u64),
             pace = expected.map(|expected| expected.pace),
+            queued_ms = millis(self.queued),
+            behind = self.behind,
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
             took_ms = took.as_millis() as u64,
             note = self.note,
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -33,6 +33,7 @@
         stops_in: None,
         counted: None,
         leaving: Vec::new(),
+        demands: Vec::new(),
     }
 }
 
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -4,9 +4,12 @@
 mod limits;
 mod memory;
 mod quarantine;
+mod queues;
 
 pub(super) use self::memory::MemoryHold;
 pub(super) use self::quarantine::LostRequest;
+pub(super) use self::queues::Place;
+use self::queues::Queues;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -149,6 +152,9 @@
     session_lists: RefCell<SessionLists>,
     usual_times: RefCell<FxHashMap<(CompactString, CompactString), UsualTime>>,
     service_times: RefCell<FxHashMap<CompactString, ServiceTime>>,
+    /// Times that answers take once they have a place, by route.
+    run_times: RefCell<FxHashMap<CompactString, ServiceTime>>,
+    queues: RefCell<Queues>,
     losses: RefCell<LossTracker>,
     quarantine: RefCell<Quarantine>,
     /// Requests lost at upstreams whose crash is not confirmed yet.
@@ -184,6 +190,8 @@
             begun_requests: Cell::new(0),
             early_requests: Cell::new(0),
             service_times: RefCell::default(),
+            run_times: RefCell::default(),
+            queues: RefCell::default(),
             active_requests: Cell::new(0),
             load_changed: Notify::new(),
             memory,
@@ -720,6 +728,8 @@
     key: UpstreamKey,
     backlog_ms: f64,
     kv_tokens: u64,
+    /// Freed once the attempt no longer counts.
+    _place: Option<Place>,
 }
 
 impl AttemptGuard {
@@ -728,16 +738,19 @@
         key: UpstreamKey,
         backlog_ms: f64,
         kv_tokens: u64,
+        place: Option<Place>,
     ) -> Self {
         let mut fleet = traffic.fleet.borrow_mut();
         fleet.begin_attempt(key, backlog_ms, kv_tokens);
         drop(fleet);
+        let place = place.map(Place::sent);
         traffic.load_changed.notify_one();
         Self {
             traffic: Rc::clone(traffic),
             key,
             backlog_ms,
             kv_tokens,
+            _place: place,
         }
     }
 
