--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -417,7 +417,11 @@
 
     // Records when an attempt's answer began, against the expectation.
     fn record_first_ratio(&self, expected_first_ms: f64, attempt: &AttemptOutcome) {
-        if let AttemptOutcome::Answered(pending) = attempt {
+        let catalog = &self.admitted.catalog;
+        let has_engines = catalog.service(self.admitted.service).has_engines;
+        if let AttemptOutcome::Answered(pending) = attempt
+            && has_engines
+        {
             let seen_ms = pending.head_delay.as_secs_f64() * 1_000.0;
             self.traffic
                 .metrics
