--- a/src/carawayrun/relay/tests/evacuation.rs
+++ b/src/carawayrun/relay/tests/evacuation.rs
@@ -237,6 +237,7 @@
         upstream,
         sequence: Some(1),
         version: number,
+        cold_for: Duration::ZERO,
     };
     state.handle(Event::UpstreamRegistered(registration), CONFIRMED);
 }
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -375,7 +375,7 @@
             let chosen = self
                 .fleet
                 .choose_upstream(&query, &[], "c", self.now, &mut self.rng);
-            chosen.is_some_and(|(chosen, _)| chosen == key)
+            chosen.is_some_and(|chosen| chosen.key == key)
         });
         chosen.count()
     }
@@ -387,7 +387,8 @@
         version_input: VersionInput::default(),
         required_version: None,
         prefix: None,
-        prefix_ms: 0.0,
+        work: Work::default(),
+        kv_capacity: None,
         excluded,
         allows_ejected: true,
     }
@@ -495,7 +496,7 @@
         let chosen = world
             .fleet
             .choose_upstream(&query, rollouts, "a", world.now, &mut world.rng);
-        let key = chosen.expect("five are left").0;
+        let key = chosen.expect("five are left").key;
         if !used.contains(&key) {
             used.push(key);
         }
