Count blocks by their capacity, and read no more than a buffer at once

Change: reads from clients are limited to 8 KiB each, and a reservation covers the capacity of the blocks.

--- a/src/carawayrun/relay/body.rs
+++ b/src/carawayrun/relay/body.rs
@@ -55,6 +55,18 @@
         self.length
     }
 
+    /// Memory of the blocks once `added` more bytes are copied, in bytes.
+    pub(super) fn cost_with(&self, added: usize) -> usize {
+        let full = self.length - self.last.len();
+        let begun = full + self.last.capacity();
+        let length = self.length + added;
+        if length <= begun {
+            return begun;
+        }
+        // Those that follow have no room left, but for the last one.
+        length + length.clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES)
+    }
+
     /// Copies `data` to the end.
     pub(super) fn push(&mut self, mut data: &[u8]) {
         while !data.is_empty() {
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -11,7 +11,7 @@
 use actix_http::h1::{Codec, Message};
 use actix_http::header;
 use actix_http::{Request, RequestHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
 use snafu::{ResultExt, Snafu};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -340,7 +340,7 @@
                 Some(Message::Chunk(Some(piece))) => {
                     let length = body.len() + piece.len();
                     snafu::ensure!(length <= limits.body_bytes, BodyTooLongSnafu);
-                    hold.reserve(length)?;
+                    hold.reserve(body.cost_with(piece.len()))?;
                     body.push(&piece);
                 }
                 Some(Message::Chunk(None)) => return Ok(body.freeze()),
@@ -553,7 +553,8 @@
 
 async fn fill(reader: &mut OwnedReadHalf, received: &mut BytesMut) -> io::Result<usize> {
     received.reserve(READ_BYTES);
-    reader.read_buf(received).await
+    // The buffer may have more room, and would keep growing with it.
+    reader.read_buf(&mut received.limit(READ_BYTES)).await
 }
 
 // Returns when the client has closed its side; bytes that it sends ahead are
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -201,7 +201,7 @@
             return Err(ConnectionError::Closed);
         }
         if let Some(hold) = hold {
-            hold.reserve_in_turn(length).await;
+            hold.reserve_in_turn(whole.cost_with(piece.len())).await;
         }
         whole.push(&piece);
     }
--- a/src/carawayrun/relay/tests/body.rs
+++ b/src/carawayrun/relay/tests/body.rs
@@ -14,7 +14,13 @@
             let piece: Vec<u8> = (0..rng.random_range(1..20_000))
                 .map(|_| rng.random())
                 .collect();
+            let cost = buffer.cost_with(piece.len());
             buffer.push(&piece);
+            assert!(cost >= buffer.cost_with(0), "{seed}");
+            assert!(
+                cost <= buffer.len() + buffer.len().clamp(1024, 64 * 1024),
+                "{seed}"
+            );
             expected.extend_from_slice(&piece);
         }
         let body = buffer.freeze();
