Count the window of a restarted relay from its start

A relay that takes the place of an earlier process waited 1.1 s after its first read of the list of relays. The earlier process sent nothing after the start of this one, so the window counts from there.

--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -185,8 +185,9 @@
 
     /// Records that this gateway's row in the store was an earlier process's, whose place
     /// it takes: all others count it.
-    pub fn record_own_row(&mut self, now: Duration) {
-        self.counted_at = self.counted_at.or(Some(now));
+    pub fn record_own_row(&mut self) {
+        // The earlier process sent nothing after the start of this one, which is zero.
+        self.counted_at = self.counted_at.or(Some(Duration::ZERO));
     }
 
     /// Addresses to send reports to: those of gateways that reported recently and the
--- a/src/carawayrun/relay/tests/allowance.rs
+++ b/src/carawayrun/relay/tests/allowance.rs
@@ -231,7 +231,7 @@
             let had_row = process.is_new && listed.contains(&own);
             process.members.record_listed(&listed, now);
             if had_row {
-                process.members.record_own_row(now);
+                process.members.record_own_row();
             }
             let interval = if process.is_new { 1_500 } else { READ_INTERVAL };
             process.next_read = self.now + interval;
@@ -379,7 +379,7 @@
 fn gateway_that_was_cut_off_for_long_has_no_part() {
     let mut members = Members::default();
     members.record_listed(&[addr(0), addr(1)], millis(0));
-    members.record_own_row(millis(0));
+    members.record_own_row();
     assert_eq!(members.part(addr(0), UPSTREAM, 24, WINDOW), 12);
     members.forget_counted(millis(70_000));
     members.update_counted(addr(0), millis(70_000));
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -191,7 +191,7 @@
             let had_row = !members.is_listed() && view.peers.contains(&own);
             members.record_listed(&view.peers, now);
             if had_row {
-                members.record_own_row(now);
+                members.record_own_row();
             }
         }
         members.expire(now);
