Mend what the review of the memory account found

Cause, by reading: answers that each held a part of their bodies could wait for each other until their deadlines; an asker that did not fit ended others in vain and did not wake them; a holder that needs no more was refused while answers filled the account; a request that had given way was served if its end came first; a refusal within a long upload was lost in the reset 0.2 s later.

Change: an announced answer takes its memory at once; those that give way are chosen before any is closed; the end of a body checks the hold; a refused upload is read and dropped for up to 2 s while it goes on.

--- a/src/carawayrun/relay/body.rs
+++ b/src/carawayrun/relay/body.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest block, in bytes.
-const MAX_BLOCK_BYTES: usize = 64 * 1024;
+pub(super) const MAX_BLOCK_BYTES: usize = 64 * 1024;
 
 /// Smallest block, in bytes.
 const MIN_BLOCK_BYTES: usize = 1024;
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -43,6 +43,9 @@
 /// connection with unread bytes resets it, and the client may lose the answer.
 const LINGER_TIME: Duration = Duration::from_millis(200);
 
+/// The same for a request that was refused within its body, while more of it arrives.
+const UPLOAD_LINGER_TIME: Duration = Duration::from_secs(2);
+
 /// Time for which a request waits for a starting process to learn its routes:
 /// several round trips to the store.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(250);
@@ -343,7 +346,11 @@
                     hold.reserve(body.cost_with(piece.len()))?;
                     body.push(&piece);
                 }
-                Some(Message::Chunk(None)) => return Ok(body.freeze()),
+                Some(Message::Chunk(None)) => {
+                    // It may have given way while others had their turn.
+                    hold.check()?;
+                    return Ok(body.freeze());
+                }
                 Some(Message::Item(_)) => {
                     let source = ParseError::Incomplete;
                     return Err(ReadError::Malformed { source });
@@ -419,7 +426,16 @@
             return;
         }
         // Time out or end of the connection: either way nothing is left to do.
-        let _ = timeout(LINGER_TIME, self.linger()).await;
+        let is_refused_upload = matches!(
+            error,
+            ReadError::Refused { .. } | ReadError::MemoryFull { .. }
+        );
+        let time = if is_refused_upload {
+            UPLOAD_LINGER_TIME
+        } else {
+            LINGER_TIME
+        };
+        let _ = timeout(time, self.linger()).await;
     }
 
     // Counts and logs a request that was refused before its body was read.
@@ -441,7 +457,8 @@
         loop {
             self.turn.give_way().await;
             self.received.clear();
-            let count = fill(&mut self.reader, &mut self.received).await?;
+            let read = timeout(LINGER_TIME, fill(&mut self.reader, &mut self.received));
+            let count = read.await.unwrap_or(Ok(0))?;
             if count == 0 {
                 return Ok(());
             }
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -1,10 +1,11 @@
 //! Handling and delivery of an upstream's answer.
 
+use actix_http::{Method, StatusCode};
 use compact_str::CompactString;
 
 use super::{Delivery, Exchange, Failure, Fallback, PendingAnswer, RequestProgress};
 use crate::platform;
-use crate::relay::body::{Body, BodyBuffer};
+use crate::relay::body::{Body, BodyBuffer, MAX_BLOCK_BYTES};
 use crate::relay::budget::RetryCause;
 use crate::relay::cascade;
 use crate::relay::catalog::Route;
@@ -115,6 +116,18 @@
             .update_health(key, |health| health.record_answer(now, true));
     }
 
+    // Length of the body that follows the head, if its upstream named one that is kept.
+    fn announced_length(&self, pending: &PendingAnswer) -> Option<usize> {
+        let is_empty = self.head.method == Method::HEAD
+            || matches!(
+                pending.head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        let length = pending.answer.body_length.filter(|_| !is_empty)?;
+        let length = usize::try_from(length).ok()?;
+        (length <= MAX_BUFFERED_BYTES).then_some(length)
+    }
+
     // Reads the whole body and delivers it. Returns `None` if another attempt is
     // to be made.
     pub(super) async fn deliver_whole(
@@ -125,6 +138,10 @@
         responder: &mut Responder<'_>,
     ) -> Option<Delivery> {
         let hold = MemoryHold::open(self.traffic, MemoryUse::Answer);
+        if let Some(length) = self.announced_length(&pending) {
+            // All at once: answers that each hold a part would wait for each other.
+            hold.reserve_in_turn(length + MAX_BLOCK_BYTES).await;
+        }
         let body = read_held(&mut pending.connection, MAX_BUFFERED_BYTES, Some(&hold)).await;
         let body = body.inspect_err(|error| {
             self.count_stopped(error);
--- a/src/carawayrun/relay/memory.rs
+++ b/src/carawayrun/relay/memory.rs
@@ -4,6 +4,7 @@
 //! together exceed the host's memory. Most stop short of their end and stay connected.
 //! Those that bring no progress give way to the others; who does not fit is refused.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use slotmap::{SlotMap, new_key_type};
@@ -156,48 +157,67 @@
             reading.last_bytes = now;
         }
         let added = bytes.saturating_sub(holder.bytes);
+        if added == 0 {
+            return Ok(0);
+        }
         let ceiling = holder.purpose.ceiling(self.limit, bytes);
-        let mut evicted = 0;
-        while self.held + added > ceiling {
-            let victim = self.next_victim(key, now).ok_or(MemoryFull)?;
-            self.close(victim);
-            evicted += 1;
+        let mut excess = (self.held + added).saturating_sub(ceiling);
+        let mut victims = Vec::new();
+        if excess > 0 {
+            for (victim, held) in self.victims(key, now) {
+                victims.push(victim);
+                excess = excess.saturating_sub(held);
+                if excess == 0 {
+                    break;
+                }
+            }
+        }
+        // Nobody gives way to one that does not fit all the same.
+        if excess > 0 {
+            return Err(MemoryFull);
+        }
+        for victim in &victims {
+            self.close(*victim);
         }
         self.holders[key].bytes += added;
         self.held += added;
-        Ok(evicted)
+        Ok(victims.len())
     }
 
     fn reading_mut(&mut self, key: HolderKey) -> Option<&mut Reading> {
         self.holders.get_mut(key)?.reading.as_mut()
     }
 
-    // The request that gives way first: the longest silent one, else the slowest.
-    fn next_victim(&self, asking: HolderKey, now: Duration) -> Option<HolderKey> {
-        let others = self
-            .holders
-            .iter()
-            .filter(|(key, holder)| *key != asking && holder.bytes > 0 && holder.reading.is_some());
-        let others = others.filter_map(|(key, holder)| Some((key, holder.bytes, holder.reading?)));
-        let silent = others.clone().filter_map(|(key, _, reading)| {
+    // The requests that give way and what they hold, in order: the longest silent first,
+    // then the slowest.
+    fn victims(&self, asking: HolderKey, now: Duration) -> Vec<(HolderKey, usize)> {
+        let mut silent = Vec::new();
+        let mut slow = Vec::new();
+        for (key, holder) in &self.holders {
+            let Some(reading) = holder.reading.filter(|_| key != asking && holder.bytes > 0) else {
+                continue;
+            };
             let silence = now.saturating_sub(reading.last_bytes);
-            (silence >= SILENCE).then_some((key, silence))
-        });
-        let longest = silent.max_by_key(|(_, silence)| *silence);
-        if let Some((key, _)) = longest {
-            return Some(key);
-        }
-        let slow = others.filter_map(|(key, bytes, reading)| {
+            if silence >= SILENCE {
+                silent.push((key, holder.bytes, silence));
+                continue;
+            }
             let took = now.saturating_sub(reading.began).max(SILENCE);
-            let rate = bytes as f64 / took.as_secs_f64();
-            let rest = reading.announced.map(|length| length.saturating_sub(bytes));
+            let rate = holder.bytes as f64 / took.as_secs_f64();
+            let rest = reading.announced;
+            let rest = rest.map(|length| length.saturating_sub(holder.bytes));
             let is_slow = rest.map_or(rate < SLOW_RATE, |rest| {
                 rest as f64 > rate * LONGEST_REST.as_secs_f64()
             });
-            is_slow.then_some((key, rate))
-        });
-        let slowest = slow.min_by(|(_, one), (_, other)| one.total_cmp(other));
-        slowest.map(|(key, _)| key)
+            if is_slow {
+                slow.push((key, holder.bytes, rate));
+            }
+        }
+        silent.sort_by_key(|(_, _, silence)| Reverse(*silence));
+        slow.sort_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
+        let silent = silent.into_iter().map(|(key, bytes, _)| (key, bytes));
+        let slow = slow.into_iter().map(|(key, bytes, _)| (key, bytes));
+        silent.chain(slow).collect()
     }
 }
 
--- a/src/carawayrun/relay/tests/memory.rs
+++ b/src/carawayrun/relay/tests/memory.rs
@@ -104,6 +104,31 @@
     );
 }
 
+// To end others for a request that is refused all the same helps nobody.
+#[test]
+fn nobody_gives_way_in_vain() {
+    let (mut account, keys) = full_account(millis(0));
+    for key in &keys[1..] {
+        account.finish_reading(*key);
+    }
+    let key = account.open(MemoryUse::Request, millis(500));
+    assert_eq!(
+        account.reserve(key, 2 * MEGABYTE, millis(500)),
+        Err(MemoryFull)
+    );
+    assert!(account.contains(keys[0]));
+    assert_eq!(account.reserve(key, MEGABYTE, millis(500)), Ok(1));
+}
+
+// Answers may fill more than requests; those that are read meanwhile go on.
+#[test]
+fn holder_that_needs_no_more_is_not_refused() {
+    let (mut account, keys) = full_account(millis(0));
+    let answer = account.open(MemoryUse::Answer, millis(0));
+    assert_eq!(account.reserve(answer, 5 * MEGABYTE, millis(0)), Ok(0));
+    assert_eq!(account.reserve(keys[0], MEGABYTE, millis(100)), Ok(0));
+}
+
 #[test]
 fn closed_holders_return_their_memory() {
     for seed in 0..50 {
--- a/src/carawayrun/relay/traffic/memory.rs
+++ b/src/carawayrun/relay/traffic/memory.rs
@@ -53,11 +53,17 @@
         self.traffic.memory.borrow_mut().finish_reading(self.key);
     }
 
+    /// Returns an error once the request has given way to others.
+    pub(in crate::relay) fn check(&self) -> Result<(), MemoryFull> {
+        let is_holder = self.traffic.memory.borrow().contains(self.key);
+        is_holder.then_some(()).ok_or(MemoryFull)
+    }
+
     /// Completes once the request must give way to others.
     pub(in crate::relay) async fn evicted(&self) {
         loop {
             let changed = self.traffic.memory_changed.notified();
-            if !self.traffic.memory.borrow().contains(self.key) {
+            if self.check().is_err() {
                 return;
             }
             changed.await;
