Mend what the review of the allowance and of the waiting found

Cause, by reading: relays that knew nobody yet counted as known to all and took the whole allowance while the store was slow; a poll of a load report was recorded before its connection and not renewed; a wait for room ignored the time that a request had left, and a fallback in hand; changed tolerances were not applied at a reload; waiting for room polled the data centre that is ordered out; a plain request in hand was given up for one that gets no place; places that were never used counted as held for no time.

Change: a relay needs a list with its own row before it counts as known; a poll renews its record; a wait fits the time left less the reserve; parts follow the tolerance; the others are as named.

None of these has a test of its own yet.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -244,6 +244,10 @@
         if !self.has_time(route) {
             return false;
         }
+        // It would wait behind those that can still be on time.
+        if self.admitted.urgency.is_none() && self.traffic.waiting_count(&upstream.service) > 0 {
+            return false;
+        }
         let mut excluded = progress.excluded.clone();
         excluded.push(key);
         let view = self.traffic.view();
--- a/src/carawayrun/relay/exchange/engine_report.rs
+++ b/src/carawayrun/relay/exchange/engine_report.rs
@@ -45,10 +45,12 @@
         route: &Route,
     ) -> bool {
         // The poll is a request too.
-        if !route.kind.is_stream() || self.traffic.take_send(key).is_none() {
+        let taken = route.kind.is_stream().then(|| self.traffic.take_send(key));
+        let Some(taken) = taken.flatten() else {
             return false;
-        }
-        let report = timeout(REPORT_TIMEOUT, fetch_report(key, upstream, self.traffic)).await;
+        };
+        let report = fetch_report(key, upstream, self.traffic, taken);
+        let report = timeout(REPORT_TIMEOUT, report).await;
         self.traffic.metrics.report_polls.inc();
         let has =
             matches!(&report, Ok(Ok((_, report))) if report.may_have_request(&self.request.id));
@@ -65,10 +67,11 @@
     key: UpstreamKey,
     upstream: &Upstream,
     traffic: &Traffic,
+    taken: Duration,
 ) -> Result<(bool, EngineReport), ReportError> {
     let connection = traffic.connect(upstream.addr, CONNECT_TIMEOUT).await;
     let mut connection = connection.context(WireSnafu)?;
-    snafu::ensure!(traffic.accepts(key), NotAcceptingSnafu);
+    snafu::ensure!(traffic.renew_send(key, taken), NotAcceptingSnafu);
     let head = platform::report_request(upstream);
     connection
         .start_request(head, &Body::default())
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -505,7 +505,16 @@
         } else {
             allowance::WINDOW.min(route.objective)
         };
-        let Some(wait) = wait.filter(|wait| progress.held + *wait <= longest) else {
+        let left = self
+            .deadline(route)
+            .saturating_duration_since(Instant::now());
+        let reserve = if progress.fallback.is_some() {
+            DELIVERY_RESERVE
+        } else {
+            MIN_TIME_LEFT
+        };
+        let fits = |wait: &Duration| progress.held + *wait <= longest && *wait + reserve < left;
+        let Some(wait) = wait.filter(fits) else {
             return false;
         };
         let wait = wait.max(MIN_ROOM_WAIT);
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -117,6 +117,8 @@
     catalog: Option<Arc<Catalog>>,
     /// Gateways for which the parts were worked out; `None` if they are out of date.
     division: Option<Division>,
+    /// Tolerance for which the allowances were worked out.
+    tolerance: Option<ColdTolerance>,
     /// Requests a second that upstreams take from all gateways, by service.
     allowances: FxHashMap<CompactString, u32>,
     /// Own sends to upstreams with an allowance.
@@ -258,10 +260,12 @@
         now: Duration,
     ) {
         let division = Some(members.division(own_addr, now));
-        if self.knows_allowances(catalog) && self.division == division {
+        let is_same = self.division == division && self.tolerance == Some(tolerance);
+        if is_same && self.knows_allowances(catalog) {
             return;
         }
         self.division = division;
+        self.tolerance = Some(tolerance);
         self.catalog = catalog.cloned();
         self.allowances.clear();
         for service in catalog.iter().flat_map(|catalog| &catalog.services) {
@@ -363,7 +367,13 @@
     ) -> Option<Duration> {
         let eligible = self.eligible_for(query, rollouts, now).into_iter();
         let usable = eligible.filter(|key| !self.is_ejected(*key, now));
-        let times = usable.filter_map(|key| {
+        let mut usable: Vec<UpstreamKey> = usable.collect();
+        // Those of a data centre that is ordered out are not waited for.
+        let stays = |key: &UpstreamKey| self.evacuation_share(*key).is_none();
+        if usable.iter().any(stays) {
+            usable.retain(stays);
+        }
+        let times = usable.into_iter().filter_map(|key| {
             let state = &self.states[key];
             let is_limited = !state.limiter.has_token(state.share, now);
             let part = state.part.filter(|_| !is_limited)?;
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -139,7 +139,11 @@
         }
         let mut others = self.others.iter().filter(|(addr, _)| **addr != own);
         let listed_for = now.saturating_sub(self.listed_at);
-        let is_counted = listed_for >= LISTING_TIME && others.all(|(_, seen)| seen.counts_own);
+        // A list with the own row was read after that was written, so it has all relays that
+        // started before.
+        let has_own_row = self.others.contains_key(&own);
+        let is_counted =
+            has_own_row && listed_for >= LISTING_TIME && others.all(|(_, seen)| seen.counts_own);
         if is_counted || listed_for >= READING_TIME {
             self.counted_at = Some(now);
         }
--- a/src/carawayrun/relay/queue.rs
+++ b/src/carawayrun/relay/queue.rs
@@ -179,15 +179,21 @@
 
     /// Frees the place of `job`, which held it for `held`.
     pub fn end(&mut self, job: &Job, held: Duration) {
+        self.release(job);
+        let newest = held.as_secs_f64();
+        let mean = self.hold.get_or_insert(newest);
+        *mean += HOLD_WEIGHT * (newest - *mean);
+    }
+
+    /// Frees the place of a request that was not sent, which tells nothing of how long
+    /// places are held.
+    pub fn release(&mut self, job: &Job) {
         if let Some(running) = self.running.get_mut(&job.class()) {
             *running = running.saturating_sub(1);
             if *running == 0 {
                 self.running.remove(&job.class());
             }
         }
-        let newest = held.as_secs_f64();
-        let mean = self.hold.get_or_insert(newest);
-        *mean += HOLD_WEIGHT * (newest - *mean);
     }
 
     /// Lets a request wait.
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -113,13 +113,6 @@
         self.fleet.borrow_mut().own_departures(self.now())
     }
 
-    /// Returns true if requests may be sent to an upstream, which is not leaving, does not
-    /// rest, and is in no data centre that is evacuated, as far as is known now.
-    pub(in crate::relay) fn accepts(&self, key: UpstreamKey) -> bool {
-        let view = self.view();
-        self.fleet(&view, |fleet, _| fleet.accepts(key, self.now()))
-    }
-
     /// Returns true if nothing may be sent to an upstream, as its data centre is evacuated.
     pub(in crate::relay) fn is_evacuated(&self, key: UpstreamKey) -> bool {
         let view = self.view();
--- a/src/carawayrun/relay/traffic/queues.rs
+++ b/src/carawayrun/relay/traffic/queues.rs
@@ -89,10 +89,15 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        let was_sent = self.is_sent;
         self.record_send();
         let mut queues = self.traffic.queues.borrow_mut();
         if let Some(queue) = queues.get_mut(&self.service) {
-            queue.queue.end(&self.job, self.since.elapsed());
+            if was_sent {
+                queue.queue.end(&self.job, self.since.elapsed());
+            } else {
+                queue.queue.release(&self.job);
+            }
         }
         drop(queues);
         self.traffic.serve_queue(&self.service);
