Try a retry without a place where it would get none in time

Cause: a safe request whose upstream was silent for 3 s was given up, found no place, as the ejection of that upstream had taken places away, and got 502 after 3.0 s.

Change: an upstream is given up only where another attempt would get a place at once; a request that may have run is tried without a place where it would be refused, as the refusal could not say that it has not run.

--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -245,7 +245,7 @@
             return false;
         }
         // It would wait behind those that can still be on time.
-        if self.admitted.urgency.is_none() && self.traffic.waiting_count(&upstream.service) > 0 {
+        if !self.has_place(route, progress, &upstream.service) {
             return false;
         }
         let mut excluded = progress.excluded.clone();
--- a/src/carawayrun/relay/exchange/place.rs
+++ b/src/carawayrun/relay/exchange/place.rs
@@ -56,6 +56,12 @@
                 progress.place = Some(place);
                 Turn::Waited
             }
+            // It can't be refused as not run any more, so it is tried without a place: the
+            // retry budget bounds such attempts.
+            Err(_) if progress.may_have_run => {
+                self.log.record_queued(begun.elapsed(), behind);
+                Turn::Ready
+            }
             Err(refused) => {
                 self.log.record_queued(begun.elapsed(), behind);
                 self.log.set_note(refused.reason.note());
@@ -65,6 +71,17 @@
         }
     }
 
+    // True if another attempt would get a place at once.
+    pub(super) fn has_place(
+        &self,
+        route: &Route,
+        progress: &RequestProgress,
+        service: &str,
+    ) -> bool {
+        let has_engines = self.admitted.urgency.is_some();
+        has_engines || self.traffic.has_place(service, &self.job(route, progress))
+    }
+
     // The next attempt as a job of the queue.
     fn job(&self, route: &Route, progress: &RequestProgress) -> Job {
         let now = self.traffic.now();
--- a/src/carawayrun/relay/queue.rs
+++ b/src/carawayrun/relay/queue.rs
@@ -160,16 +160,21 @@
     pub fn try_begin(&mut self, job: &Job, room: &Room) -> bool {
         let arrivals = self.arrivals.entry(job.class()).or_default();
         arrivals.record(job.arrived);
+        let fits = self.fits(job, room);
+        if fits {
+            self.begin(job);
+        }
+        fits
+    }
+
+    /// Returns true if a request would get a place at once.
+    pub fn fits(&self, job: &Job, room: &Room) -> bool {
         let is_first = self.waiting.values().all(|other| other.rank > job.rank);
         let demand = self.demand(room);
         let places = self.places(room);
         let before = demand.iter().filter(|(class, _)| class.rank <= job.rank);
         let before: u32 = before.map(|(_, (_, all))| all).sum();
-        let fits = is_first && f64::from(before) + 1.0 <= places;
-        if fits {
-            self.begin(job);
-        }
-        fits
+        is_first && f64::from(before) + 1.0 <= places
     }
 
     /// Takes a place, whether or not there is room.
--- a/src/carawayrun/relay/traffic/queues.rs
+++ b/src/carawayrun/relay/traffic/queues.rs
@@ -169,6 +169,16 @@
         }))
     }
 
+    /// Returns true if a request would get a place at a service's upstreams at once.
+    pub(in crate::relay) fn has_place(&self, service: &str, job: &Job) -> bool {
+        let mut queues = self.queues.borrow_mut();
+        let Some(queue) = queues.get_mut(service) else {
+            return true;
+        };
+        let room = self.room(service, queue);
+        room.is_none_or(|room| queue.queue.fits(job, &room))
+    }
+
     /// Number of requests that wait for a service.
     pub(in crate::relay) fn waiting_count(&self, service: &str) -> usize {
         let queues = self.queues.borrow();
