--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -17,6 +17,7 @@
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
 //! | [`rate_limit`] | shares of the rates that upstreams name |
+//! | [`allowance`] | parts of the requests that upstreams take which may be cold |
 //! | [`departures`] | upstreams that say that they are leaving |
 //! | `drain` | planned stop |
 //! | [`evacuation`] | data centres that operators order out of service |
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -194,9 +194,9 @@
 
 /// Chooses the candidate with the least expected delay, to the request and to those
 /// already there. All times grow with an engine's pace, so an engine that is slower
-/// gets fewer requests, and the short ones first. `noise` returns a random number in 0..1 for each candidate, which adds a delay of up to
-/// `LOCALITY_BONUS_MS` (2.5 ms), so that gateways with the same knowledge do not
-/// all choose the same engine.
+/// gets fewer requests, and the short ones first. `noise` returns a random number in 0..1 for
+/// each candidate, which adds a delay of up to `LOCALITY_BONUS_MS` (2.5 ms), so that gateways
+/// with the same knowledge do not all choose the same engine.
 pub fn choose_candidate(
     candidates: &[UpstreamCandidate],
     work: &Work,
