Add up the gateways' demands where they are read

Cause: each report of another gateway rebuilt the demands of all of them, though only requests to plain services read these.

Change: the sum is made by its reader, from the reports that have not expired. The expiry of a report is asked in one place. The test of a relay that died gives the time of its reads; what it asserts is unchanged.

Cost was not measured.

--- a/src/carawayrun/relay/loads.rs
+++ b/src/carawayrun/relay/loads.rs
@@ -39,13 +39,17 @@
     demands: Vec<ServiceDemand>,
 }
 
+impl LoadReport {
+    fn is_expired(&self, now: Duration) -> bool {
+        now.saturating_sub(self.received_at) > REPORT_TTL
+    }
+}
+
 /// Latest report of each other gateway. Times are on the caller's clock.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
     reports: FxHashMap<CompactString, LoadReport>,
     sums: FxHashMap<u32, Load>,
-    /// Demand for services, by their digests.
-    demands: FxHashMap<u32, BTreeMap<Class, Demand>>,
 }
 
 /// Key of an upstream in reports.
@@ -89,9 +93,8 @@
 
     /// Drops expired reports.
     pub fn expire(&mut self, now: Duration) {
-        let is_old = |report: &LoadReport| now.saturating_sub(report.received_at) > REPORT_TTL;
-        if self.reports.values().any(is_old) {
-            self.reports.retain(|_, report| !is_old(report));
+        if self.reports.values().any(|report| report.is_expired(now)) {
+            self.reports.retain(|_, report| !report.is_expired(now));
             self.update_sums(now);
         }
     }
@@ -106,9 +109,20 @@
         self.reports.keys()
     }
 
-    /// Demand of all other gateways for a service.
-    pub fn demand(&self, service: u32) -> Option<&BTreeMap<Class, Demand>> {
-        self.demands.get(&service)
+    /// Demand of all other gateways for a service, by its digest.
+    pub fn demand(&self, service: u32, now: Duration) -> BTreeMap<Class, Demand> {
+        let reports = self.reports.values();
+        let reports = reports.filter(|report| !report.is_expired(now));
+        let told = reports.flat_map(|report| &report.demands);
+        let mut demand: BTreeMap<Class, Demand> = BTreeMap::new();
+        for told in told.filter(|told| told.service == service) {
+            let rank = u8::try_from(told.rank).unwrap_or(u8::MAX);
+            let team = told.team;
+            let sum = demand.entry(Class { rank, team }).or_default();
+            sum.running = sum.running.saturating_add(told.running);
+            sum.waiting = sum.waiting.saturating_add(told.waiting);
+        }
+        demand
     }
 
     /// Number of gateways with a report that has not expired.
@@ -119,9 +133,8 @@
     // Recomputes the load at each upstream from the reports that have not expired.
     fn update_sums(&mut self, now: Duration) {
         self.sums.clear();
-        self.demands.clear();
         for report in self.reports.values() {
-            if now.saturating_sub(report.received_at) > REPORT_TTL {
+            if report.is_expired(now) {
                 continue;
             }
             for (upstream, load) in &report.loads {
@@ -130,14 +143,6 @@
                 sum.backlog_ms += load.backlog_ms;
                 sum.kv_tokens += load.kv_tokens;
             }
-            for told in &report.demands {
-                let classes = self.demands.entry(told.service).or_default();
-                let rank = u8::try_from(told.rank).unwrap_or(u8::MAX);
-                let team = told.team;
-                let sum = classes.entry(Class { rank, team }).or_default();
-                sum.running = sum.running.saturating_add(told.running);
-                sum.waiting = sum.waiting.saturating_add(told.waiting);
-            }
         }
     }
 }
--- a/src/carawayrun/relay/tests/queue.rs
+++ b/src/carawayrun/relay/tests/queue.rs
@@ -236,20 +236,22 @@
     loads.receive(&report(1, 20), millis(0));
     loads.receive(&report(2, 10), millis(100));
     assert_eq!(
-        loads.demand(7).map(|told| told[&class(1)]),
-        Some(demand(0, 10))
+        loads.demand(7, millis(100)).get(&class(1)),
+        Some(&demand(0, 10))
     );
     let mut queue = Queue::default();
     for _ in 0..10 {
         queue.wait(job(1, 300, 4_000));
     }
-    let seen = |loads: &PeerLoads| Room {
-        others: loads.demand(7).cloned().unwrap_or_default(),
+    let seen = |loads: &PeerLoads, now| Room {
+        others: loads.demand(7, now),
         ..room(10.0)
     };
-    assert!(is_near(places(&queue, &seen(&loads), class(1)), 5.0));
+    let before = seen(&loads, millis(100));
+    assert!(is_near(places(&queue, &before, class(1)), 5.0));
     loads.expire(millis(3_200));
-    assert!(is_near(places(&queue, &seen(&loads), class(1)), 10.0));
+    let after = seen(&loads, millis(3_200));
+    assert!(is_near(places(&queue, &after, class(1)), 10.0));
 }
 
 #[test_case(0, None, 12.0; "unknown")]
--- a/src/carawayrun/relay/traffic/queues.rs
+++ b/src/carawayrun/relay/traffic/queues.rs
@@ -276,7 +276,7 @@
             let loads = &fleet.peer_loads;
             Some(Room {
                 free: free - f64::from(queue.unsent),
-                others: loads.demand(digest).cloned().unwrap_or_default(),
+                others: loads.demand(digest, now),
                 rounding: queue.rounding,
             })
         })
@@ -313,9 +313,8 @@
     // True if a request of any gateway waits for a service.
     fn is_waited_for(&self, service: u32, queue: &ServiceQueue) -> bool {
         let fleet = self.fleet.borrow();
-        let others = fleet.peer_loads.demand(service);
-        let mut others = others.into_iter().flat_map(BTreeMap::values);
-        queue.queue.waiting_count() > 0 || others.any(|demand| demand.waiting > 0)
+        let others = fleet.peer_loads.demand(service, self.now());
+        queue.queue.waiting_count() > 0 || others.values().any(|demand| demand.waiting > 0)
     }
 
     /// Records the time that an answer of a route took, without its wait for a place.
