Keep the digest of the known gateways with them

Cause: the digest was added up from all addresses for each report that came, so that the work of all relays grew with the square of their number.

Change: it follows each address that is added or forgotten. Reports and the store's list share one record of a sign of life.

Cost was not measured.

--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct Members {
     others: BTreeMap<SocketAddr, LastSeen>,
+    /// Sum of the digests of their addresses.
+    digest: u64,
     /// True once the gateways in the store were read.
     is_listed: bool,
     /// Time at which they were.
@@ -92,12 +94,22 @@
 impl Members {
     /// Records that a gateway sent a report, by which it stops within `stops_in`, if at all.
     pub fn record_report(&mut self, addr: SocketAddr, stops_in: Option<Duration>, now: Duration) {
-        let seen = self.others.entry(addr).or_insert(LastSeen::new(now));
-        seen.at = now;
+        let seen = self.record_seen(addr, now);
         seen.reported_at = Some(now);
         seen.stops_at = stops_in.map(|stops_in| now + stops_in);
     }
 
+    // Records a sign of life.
+    fn record_seen(&mut self, addr: SocketAddr, now: Duration) -> &mut LastSeen {
+        let digest = &mut self.digest;
+        let seen = self.others.entry(addr).or_insert_with(|| {
+            *digest = digest.wrapping_add(addr_digest(addr));
+            LastSeen::new(now)
+        });
+        seen.at = now;
+        seen
+    }
+
     /// Records which gateways a gateway that reported counts.
     pub fn record_counted(&mut self, addr: SocketAddr, counted: &CountedRelays, own: SocketAddr) {
         let counts_own =
@@ -124,11 +136,13 @@
         }
     }
 
-    // Sum of the hashes of all gateways' addresses.
+    // Sum of the digests of all gateways' addresses, `own` included.
     fn digest(&self, own: SocketAddr) -> u64 {
-        let others = self.others.keys().filter(|addr| **addr != own);
-        let sum = others.fold(0, |sum: u64, addr| sum.wrapping_add(addr_digest(*addr)));
-        sum.wrapping_add(addr_digest(own))
+        if self.others.contains_key(&own) {
+            self.digest
+        } else {
+            self.digest.wrapping_add(addr_digest(own))
+        }
     }
 
     /// Determines whether all others count this gateway: each said so, or has read its row
@@ -182,8 +196,7 @@
             self.listed_at = now;
         }
         for addr in addrs {
-            let seen = self.others.entry(*addr).or_insert(LastSeen::new(now));
-            seen.at = now;
+            self.record_seen(*addr, now);
         }
     }
 
@@ -241,8 +254,14 @@
 
     /// Forgets gateways that gave no sign of life for long.
     pub fn expire(&mut self, now: Duration) {
-        self.others
-            .retain(|_, seen| now.saturating_sub(seen.at) < MEMBER_TTL);
+        let digest = &mut self.digest;
+        self.others.retain(|addr, seen| {
+            let is_kept = now.saturating_sub(seen.at) < MEMBER_TTL;
+            if !is_kept {
+                *digest = digest.wrapping_sub(addr_digest(*addr));
+            }
+            is_kept
+        });
     }
 
     /// Number of gateways, `own` included; `None` before the others are known.
