Work out once what each request asks, and only what is looked at

Cause: the times of routes with and without waits were two maps with the same update; the time left for an attempt was worked out in three places, and whether a service has engines in four, by two fields of which one follows from the other. The length of an answer was judged by rules that its connection has, too. Each look at the upstreams read the settings and the boot clock for evacuations, and each choice worked out the pace of all engines though it looks at a few. The expected end of an answer was worked out and read by nobody.

Change: `RouteTimes`, recorded by one call; `time_left` and `has_engines` of an exchange; one urgency of an admitted request, sent to engines only; `UpstreamConnection::has_body`. Shares of data centres are worked out while one is ordered out, and paces after the sample is drawn, which leaves the order of the random draws as it was. The expected end is gone.

Cost was not measured.

--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -33,10 +33,9 @@
     /// Hash in 0..1 that selects the version; the same for all requests of a
     /// session.
     pub(crate) hash_point: f64,
-    /// Urgency at an engine; zero is the most urgent.
-    pub(crate) urgency: Option<u8>,
-    /// The same where the service has no engines, for the order in which requests wait.
-    pub(crate) rank: u8,
+    /// Urgency at an engine, and among the requests that wait for a place; zero is the most
+    /// urgent.
+    pub(crate) urgency: u8,
 }
 
 /// Reason for refusing a request.
@@ -128,18 +127,15 @@
         let team = catalog.api_keys.get(api_key).copied();
         Some(team.ok_or(Refusal::UnknownKey)?)
     };
-    let has_engines = |service| catalog.service(service).has_engines;
     let service = choose_target(&route.targets, rng.random());
     let team_rank = team.and_then(|team| catalog.team(team).priority);
-    let urgency = urgency(team_rank, route.priority);
     Ok(AdmittedRequest {
         catalog: Arc::clone(catalog),
         route: key,
         service,
         team,
         hash_point: hash_point(request),
-        urgency: has_engines(service).then_some(urgency),
-        rank: urgency,
+        urgency: urgency(team_rank, route.priority),
     })
 }
 
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -27,6 +27,7 @@
 use super::connection::set_socket_options;
 use super::exchange::Exchange;
 use super::memory::{MemoryFull, MemoryUse};
+use super::message::ClientRequest;
 use super::metrics::DrainEnd;
 use super::progress::{FramingAllowance, MessagePart, Turn};
 use super::request_log::{ConnectionUse, RequestLog, RequestOutcome};
@@ -503,9 +504,7 @@
                     if log.has_answer() {
                         let took = received.elapsed();
                         let route = catalog.route(route);
-                        self.traffic.record_service_time(route, took);
-                        let run_time = took.saturating_sub(log.queued);
-                        self.traffic.record_run_time(route, run_time);
+                        self.traffic.record_service_time(route, took, log.queued);
                     }
                     keep_alive
                 }
@@ -557,7 +556,7 @@
         &self,
         view: &View,
         head: &RequestHead,
-        request: &super::message::ClientRequest,
+        request: &ClientRequest,
     ) -> Result<AdmittedRequest, Refusal> {
         let host = head.headers.get(header::HOST);
         let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -364,6 +364,11 @@
         read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns true while a body follows the head that was read.
+    pub(crate) fn has_body(&self) -> bool {
+        matches!(self.codec, Codec::Body(_) | Codec::UntilClose)
+    }
+
     fn begin_body(&mut self, head: &ResponseHead) {
         let Codec::Head(codec) = std::mem::replace(&mut self.codec, Codec::Done) else {
             return;
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -1,6 +1,5 @@
 //! Handling and delivery of an upstream's answer.
 
-use actix_http::{Method, StatusCode};
 use compact_str::CompactString;
 
 use super::{Delivery, Exchange, Failure, Fallback, PendingAnswer, RequestProgress};
@@ -117,13 +116,9 @@
     }
 
     // Length of the body that follows the head, if its upstream named one that is kept.
-    fn announced_length(&self, pending: &PendingAnswer) -> Option<usize> {
-        let is_empty = self.head.method == Method::HEAD
-            || matches!(
-                pending.head.status,
-                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-            );
-        let length = pending.answer.body_length.filter(|_| !is_empty)?;
+    fn announced_length(pending: &PendingAnswer) -> Option<usize> {
+        let length = pending.answer.body_length;
+        let length = length.filter(|_| pending.connection.has_body())?;
         let length = usize::try_from(length).ok()?;
         (length <= MAX_BUFFERED_BYTES).then_some(length)
     }
@@ -138,7 +133,7 @@
         responder: &mut Responder<'_>,
     ) -> Option<Delivery> {
         let hold = MemoryHold::open(self.traffic, MemoryUse::Answer);
-        if let Some(length) = self.announced_length(&pending) {
+        if let Some(length) = Self::announced_length(&pending) {
             // All at once: answers that each hold a part would wait for each other.
             hold.reserve_in_turn(length + MAX_BLOCK_BYTES).await;
         }
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::head_timer::HeadTimer;
-use super::{AttemptOutcome, DELIVERY_RESERVE, Exchange, PendingAnswer, RequestProgress};
+use super::{AttemptOutcome, Exchange, PendingAnswer, RequestProgress};
 use crate::platform::{self, OutboundHeaders};
 use crate::relay::budget::RetryCause;
 use crate::relay::catalog::{Route, RouteKind};
@@ -142,7 +142,7 @@
                     .map(|team| catalog.team(team).name.as_str()),
                 time_left: deadline.saturating_duration_since(sent),
                 model: progress.model.as_deref(),
-                urgency: self.admitted.urgency,
+                urgency: self.has_engines().then_some(self.admitted.urgency),
                 resume_after,
             },
         );
@@ -259,14 +259,7 @@
     // Timeout for the head of an answer before another upstream is tried; all the
     // time left if the request can't be sent again.
     fn head_timeout(&self, route: &Route, progress: &RequestProgress) -> Duration {
-        let left = self
-            .deadline(route)
-            .saturating_duration_since(Instant::now());
-        let left = if progress.fallback.is_some() {
-            left.saturating_sub(DELIVERY_RESERVE)
-        } else {
-            left
-        };
+        let left = self.time_left(route, progress);
         let is_last = progress.runs + 1 >= route.max_attempts;
         let head_timeout = match route.kind {
             RouteKind::Stream { resumable: true } if !is_last => {
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -415,10 +415,27 @@
         is_paid
     }
 
+    // Time left for attempts: that to deliver a fallback answer is reserved.
+    fn time_left(&self, route: &Route, progress: &RequestProgress) -> Duration {
+        let left = self
+            .deadline(route)
+            .saturating_duration_since(Instant::now());
+        if progress.fallback.is_some() {
+            left.saturating_sub(DELIVERY_RESERVE)
+        } else {
+            left
+        }
+    }
+
     // True if there is a fallback answer and no time left to wait for a better one.
     fn must_deliver_fallback(&self, route: &Route, progress: &RequestProgress) -> bool {
-        let until = self.deadline(route).checked_sub(DELIVERY_RESERVE);
-        progress.fallback.is_some() && until.is_none_or(|until| Instant::now() >= until)
+        progress.fallback.is_some() && self.time_left(route, progress).is_zero()
+    }
+
+    // True if the upstreams of the request's service are model engines.
+    fn has_engines(&self) -> bool {
+        let catalog = &self.admitted.catalog;
+        catalog.service(self.admitted.service).has_engines
     }
 
     // Model that the gateway chose, or else the one that the client requested; empty
@@ -443,10 +460,8 @@
 
     // Records when an attempt's answer began, against the expectation.
     fn record_first_ratio(&self, expected_first_ms: f64, attempt: &AttemptOutcome) {
-        let catalog = &self.admitted.catalog;
-        let has_engines = catalog.service(self.admitted.service).has_engines;
         if let AttemptOutcome::Answered(pending) = attempt
-            && has_engines
+            && self.has_engines()
         {
             let seen_ms = pending.head_delay.as_secs_f64() * 1_000.0;
             self.traffic
@@ -505,11 +520,9 @@
         } else {
             allowance::WINDOW.min(route.objective)
         };
-        let left = self
-            .deadline(route)
-            .saturating_duration_since(Instant::now());
+        let left = self.time_left(route, progress);
         let reserve = if progress.fallback.is_some() {
-            DELIVERY_RESERVE
+            Duration::ZERO
         } else {
             MIN_TIME_LEFT
         };
--- a/src/carawayrun/relay/exchange/place.rs
+++ b/src/carawayrun/relay/exchange/place.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use super::{DELIVERY_RESERVE, Exchange, RequestProgress};
+use super::{Exchange, RequestProgress};
 use crate::relay::catalog::Route;
 use crate::relay::loads::name_digest;
 use crate::relay::queue::{Class, Job, RefusalReason};
@@ -38,8 +38,7 @@
         service: &str,
     ) -> Turn {
         // Engines keep an order themselves.
-        let has_engines = self.admitted.urgency.is_some();
-        if progress.place.is_some() || has_engines {
+        if progress.place.is_some() || self.has_engines() {
             return Turn::Ready;
         }
         let job = self.job(route, progress);
@@ -78,24 +77,14 @@
         progress: &RequestProgress,
         service: &str,
     ) -> bool {
-        let has_engines = self.admitted.urgency.is_some();
-        has_engines || self.traffic.has_place(service, &self.job(route, progress))
+        self.has_engines() || self.traffic.has_place(service, &self.job(route, progress))
     }
 
     // The next attempt as a job of the queue.
     fn job(&self, route: &Route, progress: &RequestProgress) -> Job {
         let now = self.traffic.now();
-        let left = self
-            .deadline(route)
-            .saturating_duration_since(Instant::now());
-        let left = if progress.fallback.is_some() {
-            left.saturating_sub(DELIVERY_RESERVE)
-        } else {
-            left
-        };
-        let times = self.traffic.run_time(route);
-        let expected = times.map(|times| times.expected(true)).unwrap_or_default();
-        let latest = (now + left).saturating_sub(expected);
+        let expected = self.traffic.run_time(route).unwrap_or_default();
+        let latest = (now + self.time_left(route, progress)).saturating_sub(expected);
         let due = if route.objective.is_zero() {
             latest
         } else {
@@ -117,7 +106,7 @@
         let catalog = &self.admitted.catalog;
         let team = self.admitted.team;
         Class {
-            rank: self.admitted.rank,
+            rank: self.admitted.urgency,
             team: team.map_or(0, |team| name_digest(&catalog.team(team).name)),
         }
     }
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -194,12 +194,7 @@
         current: &PendingAnswer,
         gaps: &StreamGaps,
     ) {
-        let has_engines = self
-            .admitted
-            .catalog
-            .service(self.admitted.service)
-            .has_engines;
-        let Some(step_ms) = gaps.step_ms().filter(|_| has_engines) else {
+        let Some(step_ms) = gaps.step_ms().filter(|_| self.has_engines()) else {
             return;
         };
         // Only a part of a resumed answer is this engine's.
--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet.rs
@@ -74,9 +74,6 @@
     pub(super) wait_ms: f64,
     /// Time until the first byte of the answer.
     pub(super) expected_first_ms: f64,
-    /// Time until the end of the answer; that of the first byte where the rest is not
-    /// known.
-    pub(super) expected_end_ms: f64,
     /// Time of the engine's steps relative to the usual one.
     pub(super) pace: f64,
 }
@@ -201,6 +198,11 @@
         }
     }
 
+    /// Returns all data centres to service.
+    pub(super) fn end_evacuations(&mut self) {
+        self.evacuated.clear();
+    }
+
     // Share of its usual requests that an upstream's data centre gets, if it is ordered out.
     fn evacuation_share(&self, key: UpstreamKey) -> Option<f64> {
         let upstream = self.upstreams.get(key)?;
@@ -345,14 +347,17 @@
             .filter(|(_, candidate)| !any_has_room || candidate.has_room(work))
             .unzip();
         let gateways = self.peer_loads.gateway_count() + 1;
-        let sampled = sample_candidates(&candidates, gateways, || rng.random());
+        let mut sampled = sample_candidates(&candidates, gateways, || rng.random());
+        for candidate in &mut sampled {
+            let engine = self.states[keys[candidate.index]].incarnation.digest();
+            candidate.pace = self.paces.pace(engine, now);
+        }
         let index = choose_candidate(&sampled, work, || rng.random())?;
         let chosen = &sampled[index];
         Some(Expectation {
             key: keys[chosen.index],
             wait_ms: chosen.wait_ms(),
             expected_first_ms: chosen.first_ms(work),
-            expected_end_ms: chosen.end_ms(work),
             pace: chosen.pace,
         })
     }
@@ -857,7 +862,8 @@
             failure_rate: state.health.failure_rate(now),
             affinity_rank: prefix.map_or(0, |prefix| affinity_rank(prefix, &upstream.name)),
             is_local: upstream.data_centre == data_centre,
-            pace: self.paces.pace(state.incarnation.digest(), now),
+            // Worked out for those that are looked at.
+            pace: 1.0,
             kv_tokens: state.kv_tokens + peer_load.kv_tokens,
             kv_capacity: query.kv_capacity,
         }
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -185,11 +185,6 @@
     pub fn first_ms(&self, work: &Work) -> f64 {
         self.wait_ms() + work.prompt_ms * self.pace
     }
-
-    /// Expected time until the end of an answer, in milliseconds.
-    pub fn end_ms(&self, work: &Work) -> f64 {
-        self.first_ms(work) + work.generation_ms * self.pace
-    }
 }
 
 /// Chooses the candidate with the least expected delay, to the request and to those
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -47,7 +47,7 @@
 use super::quarantine::Quarantine;
 use super::request_log::DrainRead;
 use super::rests::Incarnation;
-use super::service_time::ServiceTime;
+use super::service_time::RouteTimes;
 use super::session_lists::{SessionLists, WAIT_TTL};
 use super::sessions::{MAX_REPORTED_SESSIONS, Sessions};
 use super::stalls::StallMonitor;
@@ -151,9 +151,9 @@
     sessions: RefCell<Sessions>,
     session_lists: RefCell<SessionLists>,
     usual_times: RefCell<FxHashMap<(CompactString, CompactString), UsualTime>>,
-    service_times: RefCell<FxHashMap<CompactString, ServiceTime>>,
-    /// Times that answers take once they have a place, by route.
-    run_times: RefCell<FxHashMap<CompactString, ServiceTime>>,
+    service_times: RefCell<RouteTimes>,
+    /// The same without the waits for places.
+    run_times: RefCell<RouteTimes>,
     queues: RefCell<Queues>,
     losses: RefCell<LossTracker>,
     quarantine: RefCell<Quarantine>,
@@ -275,12 +275,12 @@
         self.begun_requests.get() > 0 || self.new_connections.get() > 0
     }
 
-    /// Records the time that a whole answer of a route took.
-    pub(super) fn record_service_time(&self, route: &Route, took: Duration) {
-        let mut times = self.service_times.borrow_mut();
-        let time = times.entry(route.name.clone());
-        time.and_modify(|time| time.record(took))
-            .or_insert_with(|| ServiceTime::new(took));
+    /// Records the time that a whole answer of a route took, of which its request waited
+    /// for places for `queued`.
+    pub(super) fn record_service_time(&self, route: &Route, took: Duration, queued: Duration) {
+        self.service_times.borrow_mut().record(&route.name, took);
+        let run_time = took.saturating_sub(queued);
+        self.run_times.borrow_mut().record(&route.name, run_time);
     }
 
     /// Returns true unless the relay is stopping and may not be able to answer a request
@@ -307,8 +307,7 @@
     // Time within which answers of a route are expected to end, if any was seen.
     fn expected_time(&self, route: &Route) -> Option<Duration> {
         let times = self.service_times.borrow();
-        let known = times.get(&route.name);
-        known.map(|time| time.expected(route.kind.is_retryable()))
+        times.expected(&route.name, route.kind.is_retryable())
     }
 
     /// Describes a request with a time limit that is read now; `None` outside a drain.
@@ -335,9 +334,13 @@
     ) -> T {
         let mut fleet = self.fleet.borrow_mut();
         fleet.update(view, self.now());
-        // On the boot clock, as the host may have been suspended since the order.
-        let limit = self.shared.settings.load().evacuation_limit;
-        fleet.update_evacuations(&view.evacuations, limit, boot_clock::now());
+        if view.evacuations.is_empty() {
+            fleet.end_evacuations();
+        } else {
+            // On the boot clock, as the host may have been suspended since the order.
+            let limit = self.shared.settings.load().evacuation_limit;
+            fleet.update_evacuations(&view.evacuations, limit, boot_clock::now());
+        }
         if !fleet.knows_allowances(view.catalog.as_ref())
             && let Ok(members) = self.members.try_borrow()
         {
@@ -372,10 +375,9 @@
     /// Time until the relay has probably stopped; `None` while it serves.
     pub(super) fn stops_in(&self) -> Option<Duration> {
         let drain = self.phases.get().drain()?;
-        let times = self.service_times.borrow();
         let is_needed = drain.is_early() || self.early_requests.get() > 0;
-        let expected = times.values().map(|time| time.expected(true));
-        let longest = expected.max().filter(|_| is_needed);
+        let longest = self.service_times.borrow().longest(true);
+        let longest = longest.filter(|_| is_needed);
         Some(drain.stops_in(longest.unwrap_or_default()))
     }
 
--- a/src/carawayrun/relay/traffic/queues.rs
+++ b/src/carawayrun/relay/traffic/queues.rs
@@ -17,7 +17,6 @@
 use crate::relay::queue::{
     Class, Decision, Demand, Job, Queue, REPORT_AGE, RefusalReason, Room, Ticket,
 };
-use crate::relay::service_time::ServiceTime;
 
 /// Most entries of a report for demands, to leave room for the rest of a datagram.
 const MAX_REPORTED: usize = 40;
@@ -317,16 +316,9 @@
         queue.queue.waiting_count() > 0 || others.values().any(|demand| demand.waiting > 0)
     }
 
-    /// Records the time that an answer of a route took, without its wait for a place.
-    pub(in crate::relay) fn record_run_time(&self, route: &Route, took: Duration) {
-        let mut times = self.run_times.borrow_mut();
-        let time = times.entry(route.name.clone());
-        time.and_modify(|time| time.record(took))
-            .or_insert_with(|| ServiceTime::new(took));
-    }
-
-    /// Time that answers of a route take once they have a place, if any was seen.
-    pub(in crate::relay) fn run_time(&self, route: &Route) -> Option<ServiceTime> {
-        self.run_times.borrow().get(&route.name).copied()
+    /// Time within which answers of a route are expected to end once they have a place, if
+    /// any was seen.
+    pub(in crate::relay) fn run_time(&self, route: &Route) -> Option<Duration> {
+        self.run_times.borrow().expected(&route.name, true)
     }
 }
