Print a relay's lists by one piece of code

Cause: `evacuations` repeated the options, the call and the print of `quarantine`, and took its call from that command.

Change: `relay_list.rs` has them, for both.

--- a/src/bin/carawayrun/commands/evacuations.rs
+++ b/src/bin/carawayrun/commands/evacuations.rs
@@ -1,16 +1,12 @@
 //! `carawayrun evacuations`.
 
-use std::net::SocketAddr;
-
 use bpaf::Bpaf;
 use carawayrun::relay::EVACUATIONS_PATH;
 use carawayrun::relay::evacuation::EvacuatedDataCentre;
 
-use super::quarantine::fetch;
 use crate::error::CliError;
-use crate::format::{Format, json_text, output_format, yaml_text};
 use crate::output::Output;
-use crate::remote::block_on;
+use crate::relay_list::{RelayList, relay_list, seconds};
 use crate::table::Table;
 
 /// Lists the data centres that are out of service, as a relay knows them
@@ -26,21 +22,12 @@
 #[derive(Bpaf)]
 #[bpaf(command("evacuations"), generate(cli))]
 pub(crate) struct Options {
-    #[bpaf(external(output_format))]
-    output: Format,
-    /// Address of the relay's metrics
-    #[bpaf(positional("IP:PORT"))]
-    metrics: SocketAddr,
+    #[bpaf(external(relay_list))]
+    list: RelayList,
 }
 
 pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), CliError> {
-    let listed = block_on(fetch(options.metrics, EVACUATIONS_PATH))?;
-    match options.output {
-        Format::Json => output.print(&json_text(&listed)),
-        Format::Yaml => output.print(&yaml_text(&listed)),
-        Format::Table => output.print(&table(&listed).render()),
-    }
-    Ok(())
+    options.list.print(EVACUATIONS_PATH, table, output)
 }
 
 fn table(listed: &[EvacuatedDataCentre]) -> Table {
@@ -54,7 +41,6 @@
         "UPSTREAMS",
         "RUNNING",
     ]);
-    let seconds = |ms: u64| format!("{:.1}", ms as f64 / 1_000.0);
     for one in listed {
         table.add_row(vec![
             one.data_centre.to_string(),
--- a/src/bin/carawayrun/commands/quarantine.rs
+++ b/src/bin/carawayrun/commands/quarantine.rs
@@ -1,22 +1,14 @@
 //! `carawayrun quarantine`.
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
 use bpaf::Bpaf;
 use carawayrun::relay::QUARANTINE_PATH;
 use carawayrun::relay::quarantine::{QuarantinedSubject, SubjectKind};
-use serde::de::DeserializeOwned;
 
 use crate::error::CliError;
-use crate::format::{Format, json_text, output_format, yaml_text};
 use crate::output::Output;
-use crate::remote::block_on;
+use crate::relay_list::{RelayList, relay_list, seconds};
 use crate::table::Table;
 
-/// Time limit for the answer of a relay.
-const TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Lists what a relay does not send, since upstreams crash under it
 ///
 ///
@@ -30,42 +22,12 @@
 #[derive(Bpaf)]
 #[bpaf(command("quarantine"), generate(cli))]
 pub(crate) struct Options {
-    #[bpaf(external(output_format))]
-    output: Format,
-    /// Address of the relay's metrics
-    #[bpaf(positional("IP:PORT"))]
-    metrics: SocketAddr,
+    #[bpaf(external(relay_list))]
+    list: RelayList,
 }
 
 pub(crate) fn exec(options: &Options, output: &mut Output) -> Result<(), CliError> {
-    let subjects = block_on(fetch(options.metrics, QUARANTINE_PATH))?;
-    match options.output {
-        Format::Json => output.print(&json_text(&subjects)),
-        Format::Yaml => output.print(&yaml_text(&subjects)),
-        Format::Table => output.print(&table(&subjects).render()),
-    }
-    Ok(())
-}
-
-/// Reads a list of a relay, whose metrics are served at `metrics`.
-pub(super) async fn fetch<T: DeserializeOwned>(
-    metrics: SocketAddr,
-    path: &str,
-) -> Result<Vec<T>, CliError> {
-    let url = format!("http://{metrics}{path}");
-    let failed = |error: &dyn std::fmt::Display| {
-        CliError::failed(format!(
-            "no list from {metrics}: {error}; give the address of a relay's metrics"
-        ))
-    };
-    let client = awc::Client::builder().timeout(TIMEOUT).finish();
-    let mut answer = client
-        .get(url)
-        .send()
-        .await
-        .map_err(|error| failed(&error))?;
-    let subjects = answer.json().await;
-    subjects.map_err(|error| failed(&error))
+    options.list.print(QUARANTINE_PATH, table, output)
 }
 
 fn table(subjects: &[QuarantinedSubject]) -> Table {
@@ -79,7 +41,6 @@
         "LOST REQUESTS",
         "ROUTE",
     ]);
-    let seconds = |ms: u64| format!("{:.1}", ms as f64 / 1_000.0);
     for subject in subjects {
         let last = subject.crashes_ms.last().copied();
         let kind = match subject.kind {
--- a/src/bin/carawayrun/main.rs
+++ b/src/bin/carawayrun/main.rs
@@ -10,6 +10,7 @@
 mod manifests;
 mod output;
 mod progress;
+mod relay_list;
 mod remote;
 mod settings;
 mod table;
