Ask a gateway by hand in one place of the tests

Cause: two tests wrote the same request and read its answer.

Change: `read_home_status` beside the other calls by hand. What the tests assert is unchanged.

Measured: `testsuite early:: broken_off::` passed before and after.

--- a/tests/testsuite/broken_off.rs
+++ b/tests/testsuite/broken_off.rs
@@ -3,14 +3,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use actix_rt::net::TcpStream;
 use rustc_hash::FxHashMap;
 use serde_json::json;
 use test_case::test_case;
-use tokio::io::AsyncWriteExt;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
-use crate::support::raw::{End, Head, RawAnswer, events, read_answer, send_raw, serve_raw};
+use crate::support::raw::{End, Head, RawAnswer, events, read_home_status, send_raw, serve_raw};
 use crate::support::{LUZCENA_KEY, WorldBuilder};
 
 /// Hosts of the upstreams that this test itself plays; the last one answers whole.
@@ -292,14 +290,6 @@
         )
     }));
     let caller = world.caller(0, LUZCENA_KEY);
-    let request = format!(
-        "GET /services/home/status HTTP/1.1\r\nhost: gateway\r\nconnection: close\r\n\
-         authorization: Bearer {LUZCENA_KEY}\r\n\r\n"
-    );
-    let stream = TcpStream::connect(caller.addr()).await;
-    let mut stream = stream.expect("the gateway accepts");
-    let sent = stream.write_all(request.as_bytes()).await;
-    sent.expect("the gateway takes a request");
-    let answer = read_answer(&mut stream).await;
+    let answer = read_home_status(caller.addr(), LUZCENA_KEY).await;
     assert!(answer.status != 200 || !answer.is_whole, "{answer:?}");
 }
--- a/tests/testsuite/early.rs
+++ b/tests/testsuite/early.rs
@@ -11,7 +11,9 @@
 use tokio::io::AsyncWriteExt;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
-use crate::support::raw::{End, RawAnswer, read_answer, request_head, send_raw, serve_raw};
+use crate::support::raw::{
+    End, RawAnswer, read_answer, read_home_status, request_head, send_raw, serve_raw,
+};
 use crate::support::{LUZCENA_KEY, WorldBuilder};
 
 /// Host of the upstream that this test itself plays.
@@ -197,15 +199,7 @@
         (answer.into(), End::Closed)
     }));
     let caller = world.caller(0, LUZCENA_KEY);
-    let request = format!(
-        "GET /services/home/status HTTP/1.1\r\nhost: gateway\r\nconnection: close\r\n\
-         authorization: Bearer {LUZCENA_KEY}\r\n\r\n"
-    );
-    let stream = TcpStream::connect(caller.addr()).await;
-    let mut stream = stream.expect("the gateway accepts");
-    let sent = stream.write_all(request.as_bytes()).await;
-    sent.expect("the gateway takes a request");
-    let answer = read_answer(&mut stream).await;
+    let answer = read_home_status(caller.addr(), LUZCENA_KEY).await;
     assert!((500..600).contains(&answer.status), "{answer:?}");
 }
 
--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -105,6 +105,20 @@
     read_answer(&mut stream).await
 }
 
+/// Asks a gateway for the status of the plain service `home`, and reads until the connection
+/// ends.
+pub(crate) async fn read_home_status(addr: &str, key: &str) -> RawAnswer {
+    let request = format!(
+        "GET /services/home/status HTTP/1.1\r\nhost: gateway\r\nconnection: close\r\n\
+         authorization: Bearer {key}\r\n\r\n"
+    );
+    let stream = TcpStream::connect(addr).await;
+    let mut stream = stream.expect("the gateway accepts");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the gateway takes a request");
+    read_answer(&mut stream).await
+}
+
 /// Reads an answer until its connection ends.
 pub(crate) async fn read_answer(stream: &mut TcpStream) -> RawAnswer {
     let mut bytes = Vec::new();
