Move choices, allowances and evacuations to files of their own

Cause: `fleet.rs` had grown to 870 lines and `exchange/mod.rs` to 700, each with several subjects.

Change: `fleet/allowances.rs`, `fleet/evacuations.rs` and `exchange/choice.rs`. Only imports and visibility differ: all other lines were compared and stand as before.

--- a/src/carawayrun/relay/fleet.rs
+++ b/src/carawayrun/relay/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Upstreams of the traffic thread: idle connections, own load and health.
 
+mod allowances;
+mod evacuations;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,26 +13,25 @@
 use rustc_hash::FxHashMap;
 use slotmap::{SecondaryMap, SlotMap};
 
-use super::allowance::{ColdTolerance, SendLogs};
-use super::catalog::Catalog;
-use super::connection::UpstreamConnection;
-use super::departures::Departures;
-use super::evacuation::Evacuation;
-use super::health::Health;
-use super::loads::{PeerLoads, upstream_digest};
-use super::members::{Division, Members};
-use super::pace::Paces;
-use super::placement::{
+use crate::peer::message::{UpstreamLimit, UpstreamLoad};
+use crate::relay::allowance::{ColdTolerance, SendLogs};
+use crate::relay::catalog::Catalog;
+use crate::relay::connection::UpstreamConnection;
+use crate::relay::departures::Departures;
+use crate::relay::health::Health;
+use crate::relay::loads::{PeerLoads, upstream_digest};
+use crate::relay::members::{Division, Members};
+use crate::relay::pace::Paces;
+use crate::relay::placement::{
     UpstreamCandidate, Work, affinity_rank, choose_candidate, count_partial_upstreams,
     sample_candidates,
 };
-use super::queue::free_places;
-use super::rate_limit::{LimitNotice, RateLimiter, RateShare};
-use super::restarts::{RESTART_LAG, Restarts};
-use super::rests::{Incarnation, Rests};
-use super::sessions::{VersionInput, uses_new_version};
-use super::view::{RolloutView, Upstream, UpstreamKey, View};
-use crate::peer::message::{UpstreamLimit, UpstreamLoad};
+use crate::relay::queue::free_places;
+use crate::relay::rate_limit::{LimitNotice, RateLimiter, RateShare};
+use crate::relay::restarts::{RESTART_LAG, Restarts};
+use crate::relay::rests::{Incarnation, Rests};
+use crate::relay::sessions::{VersionInput, uses_new_version};
+use crate::relay::view::{RolloutView, Upstream, UpstreamKey, View};
 
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_CONNECTIONS: usize = 12;
@@ -84,20 +86,6 @@
             self.share = members.rate_share(own_addr, &upstream.name, limit);
         }
     }
-
-    fn update_part(
-        &mut self,
-        upstream: &Upstream,
-        allowance: Option<u32>,
-        members: &Members,
-        own_addr: SocketAddr,
-        now: Duration,
-    ) {
-        self.part = allowance.map(|allowance| {
-            let name = &upstream.name;
-            members.part(own_addr, name, allowance, now)
-        });
-    }
 }
 
 /// Runtime state of the upstreams of one view.
@@ -182,129 +170,6 @@
         }
     }
 
-    /// Updates the shares of the data centres that are ordered out; `limit` is the time
-    /// after an order from which it must be obeyed, `now` is on the boot clock.
-    pub(super) fn update_evacuations(
-        &mut self,
-        evacuations: &[Evacuation],
-        limit: Option<Duration>,
-        now: Duration,
-    ) {
-        self.evacuated.clear();
-        if let Some(limit) = limit {
-            let shares = evacuations.iter();
-            let shares = shares.map(|order| (order.data_centre.clone(), order.share(limit, now)));
-            self.evacuated.extend(shares);
-        }
-    }
-
-    /// Returns all data centres to service.
-    pub(super) fn end_evacuations(&mut self) {
-        self.evacuated.clear();
-    }
-
-    // Share of its usual requests that an upstream's data centre gets, if it is ordered out.
-    fn evacuation_share(&self, key: UpstreamKey) -> Option<f64> {
-        let upstream = self.upstreams.get(key)?;
-        let mut shares = self.evacuated.iter();
-        let known = shares.find(|(data_centre, _)| *data_centre == upstream.data_centre);
-        known.map(|(_, share)| *share)
-    }
-
-    /// Returns true if nothing may be sent to an upstream, whose data centre is ordered out.
-    pub(super) fn is_evacuated(&self, key: UpstreamKey) -> bool {
-        self.evacuation_share(key).is_some_and(|share| share <= 0.0)
-    }
-
-    /// Number of upstreams in a data centre, and of all gateways' requests that run there.
-    pub(super) fn load_at(&self, data_centre: &str) -> (u32, u32) {
-        let there = self.upstreams.iter();
-        let there = there.filter(|(_, upstream)| upstream.data_centre == data_centre);
-        there.fold((0, 0), |(upstreams, running), (key, _)| {
-            let state = &self.states[key];
-            let others = self.peer_loads.upstream_load(state.digest).in_flight;
-            (upstreams + 1, running + state.in_flight + others)
-        })
-    }
-
-    /// Number of this gateway's requests that run in data centres that are ordered out.
-    pub(super) fn evacuated_requests(&self) -> u32 {
-        if self.evacuated.is_empty() {
-            return 0;
-        }
-        let there = self.states.iter();
-        let there = there.filter(|(key, _)| self.evacuation_share(*key).is_some());
-        there.map(|(_, state)| state.in_flight).sum()
-    }
-
-    // Leaves out the upstreams of data centres that are ordered out, each data centre with
-    // the chance of the part that has gone elsewhere, and only while others are left.
-    fn shift_evacuated(&self, keys: Vec<UpstreamKey>, rng: &mut SmallRng) -> Vec<UpstreamKey> {
-        if self.evacuated.is_empty() {
-            return keys;
-        }
-        let shares = self.evacuated.iter();
-        let away = shares.filter(|(_, share)| !rng.random_bool(share.clamp(0.0, 1.0)));
-        let away: Vec<&CompactString> = away.map(|(data_centre, _)| data_centre).collect();
-        let is_kept = |key: &UpstreamKey| !away.contains(&&self.upstreams[*key].data_centre);
-        let kept: Vec<UpstreamKey> = keys.iter().copied().filter(is_kept).collect();
-        if kept.is_empty() { keys } else { kept }
-    }
-
-    /// Updates the allowances of the services' upstreams to those of a newer catalog, and
-    /// this gateway's parts in them.
-    pub(super) fn update_allowances(
-        &mut self,
-        catalog: Option<&Arc<Catalog>>,
-        tolerance: ColdTolerance,
-        members: &Members,
-        own_addr: SocketAddr,
-        now: Duration,
-    ) {
-        let division = Some(members.division(own_addr, now));
-        let is_same = self.division == division && self.tolerance == Some(tolerance);
-        if is_same && self.knows_allowances(catalog) {
-            return;
-        }
-        self.division = division;
-        self.tolerance = Some(tolerance);
-        self.catalog = catalog.cloned();
-        self.allowances.clear();
-        for service in catalog.iter().flat_map(|catalog| &catalog.services) {
-            if let Some(rate) = service.cold_rate {
-                let allowance = tolerance.allowance(rate);
-                self.allowances.insert(service.name.clone(), allowance);
-            }
-        }
-        for (key, state) in &mut self.states {
-            if let Some(upstream) = self.upstreams.get(key) {
-                let allowance = self.allowances.get(&upstream.service).copied();
-                state.update_part(upstream, allowance, members, own_addr, now);
-            }
-        }
-    }
-
-    /// Returns true if the upstreams of a service have an allowance, and this gateway's parts
-    /// in it are not known yet.
-    pub(super) fn awaits_parts(&self, service: &str) -> bool {
-        let has_parts = self.division.is_some_and(|division| division.is_counted);
-        !has_parts && self.allowances.contains_key(service)
-    }
-
-    /// Returns true if the upstreams of any service have an allowance.
-    pub(super) fn has_allowances(&self) -> bool {
-        !self.allowances.is_empty()
-    }
-
-    /// Returns true if the parts in the allowances of this catalog's services are known.
-    pub(super) fn knows_allowances(&self, catalog: Option<&Arc<Catalog>>) -> bool {
-        match (&self.catalog, catalog) {
-            (Some(known), Some(catalog)) => Arc::ptr_eq(known, catalog),
-            (None, None) => true,
-            _ => false,
-        }
-    }
-
     pub(super) fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
     }
@@ -362,31 +227,6 @@
         })
     }
 
-    /// Time until this gateway may send a request to one of the upstreams that it could
-    /// have now but for their allowances; `None` if there is no such upstream.
-    pub(super) fn time_to_room(
-        &self,
-        query: &UpstreamQuery<'_>,
-        rollouts: &[RolloutView],
-        now: Duration,
-    ) -> Option<Duration> {
-        let eligible = self.eligible_for(query, rollouts, now).into_iter();
-        let usable = eligible.filter(|key| !self.is_ejected(*key, now));
-        let mut usable: Vec<UpstreamKey> = usable.collect();
-        // Those of a data centre that is ordered out are not waited for.
-        let stays = |key: &UpstreamKey| self.evacuation_share(*key).is_none();
-        if usable.iter().any(stays) {
-            usable.retain(stays);
-        }
-        let times = usable.into_iter().filter_map(|key| {
-            let state = &self.states[key];
-            let is_limited = !state.limiter.has_token(state.share, now);
-            let part = state.part.filter(|_| !is_limited)?;
-            self.sends.time_to_room(state.digest, part, now)
-        });
-        times.min()
-    }
-
     fn eligible_for(
         &self,
         query: &UpstreamQuery<'_>,
@@ -403,15 +243,6 @@
         self.eligible_upstreams(&available, query, rollouts)
     }
 
-    // True if this gateway's shares of the upstream's limit and allowance leave a request.
-    fn has_token(&self, key: UpstreamKey, now: Duration) -> bool {
-        let Some(state) = self.states.get(key) else {
-            return false;
-        };
-        let has_room = |part| self.sends.has_room(state.digest, part, now);
-        state.limiter.has_token(state.share, now) && state.part.is_none_or(has_room)
-    }
-
     // Leaves out upstreams whose rest has just ended, in part and while others are left.
     fn hold_back_returning(
         &self,
@@ -620,37 +451,6 @@
         has_token
     }
 
-    /// Takes one request from the part of an upstream's allowance, if it has one; returns
-    /// false if that is spent.
-    pub(super) fn take_room(&mut self, key: UpstreamKey, now: Duration) -> bool {
-        let Some(state) = self.states.get(key) else {
-            return false;
-        };
-        let Some(part) = state.part else {
-            return true;
-        };
-        let has_room = self.sends.has_room(state.digest, part, now);
-        if has_room {
-            self.sends.record(state.digest, now);
-        }
-        has_room
-    }
-
-    /// Counts a request that was taken from an upstream's allowance at `taken` as sent now;
-    /// returns false if there is no room for it any more.
-    pub(super) fn renew_token(&mut self, key: UpstreamKey, taken: Duration, now: Duration) -> bool {
-        let Some(state) = self.states.get(key) else {
-            return false;
-        };
-        let part = state.part;
-        part.is_none_or(|part| self.sends.renew(state.digest, taken, part, now))
-    }
-
-    /// Forgets sends that count no more.
-    pub(super) fn expire_sends(&mut self, now: Duration) {
-        self.sends.expire(now);
-    }
-
     /// Time until the limits of a service's upstreams leave a request to this
     /// gateway; `None` if no upstream is known.
     pub(super) fn time_to_token(&self, service: &str, now: Duration) -> Option<Duration> {
