--- a/src/carawayrun/peer/tests.rs
+++ b/src/carawayrun/peer/tests.rs
@@ -157,7 +157,7 @@
         });
     }
     for _ in 0..8 {
-        closed.recv_timeout(Duration::from_secs(60)).unwrap();
+        closed.recv_timeout(Duration::from_mins(1)).unwrap();
     }
 }
 
