Weigh prompts that engines still hold against the wait

It waited for engines that had lost the prefix and passed by others that were sent it a moment before.

Change: each relay remembers which engines were sent which shared part, tells the others of new copies in its reports, and estimates the chance that a copy is still held from the tokens that engines take in. A miss costs the part that is probably lost; affinity engines count as having lost half where nothing is known. A crash or another incarnation is forgotten. In force for services whose configuration names an engine's memory. Log field kept_tokens, two counters, a note and a row. In tests/loads.rs and tests/fleet.rs the new fields are filled in; no check there is changed.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -557,6 +557,9 @@
     /// Requests of the sender for services' upstreams, the services that wait first.
     #[prost(message, repeated, tag = "16")]
     pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
+    /// Shared prompt parts that the sender sent to engines since the last report.
+    #[prost(message, repeated, tag = "17")]
+    pub copies: ::prost::alloc::vec::Vec<PromptCopy>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CountedRelays {
@@ -580,6 +583,16 @@
     #[prost(float, tag = "3")]
     pub log_ratio: f32,
 }
+/// Shared part of a prompt that was sent to an engine, which may keep it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PromptCopy {
+    /// Hash of the incarnation of the upstream.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Hash of the service, the model and the part.
+    #[prost(fixed32, tag = "2")]
+    pub part: u32,
+}
 /// Requests of a relay of one rank and team that need upstreams of a service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceDemand {
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -153,6 +153,12 @@
         let place = progress.place.take();
         let model = self.model_name(progress);
         let backlog = self.traffic.prefill_ms(&upstream.service, model, tokens);
+        let parts = self.prompt_parts(&upstream.service, model);
+        let kv_capacity = catalog.service(self.admitted.service).kv_capacity;
+        if let Some(capacity) = kv_capacity {
+            let tokens = self.kv_tokens();
+            self.traffic.record_prompt(key, &parts, tokens, capacity);
+        }
         let mut guard = AttemptGuard::start(self.traffic, key, backlog, self.kv_tokens(), place);
         let prompt_tokens = self.request.prompt_tokens;
         let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
--- a/src/carawayrun/relay/exchange/choice.rs
+++ b/src/carawayrun/relay/exchange/choice.rs
@@ -10,6 +10,7 @@
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::fleet::{Expectation, UpstreamQuery};
 use crate::relay::placement::Work;
+use crate::relay::prompts::{AFFINITY_LOSS, PartKey, PromptPart};
 use crate::relay::view::{UpstreamKey, View};
 use crate::relay::{allowance, boot_clock, sessions};
 
@@ -146,6 +147,16 @@
         })
     }
 
+    // Parts of the shared prompt prefix, in their order.
+    pub(super) fn prompt_parts(&self, service: &str, model: &str) -> Vec<PromptPart> {
+        let parts = self.shared_prefixes().iter();
+        let parts = parts.map(|part| PromptPart {
+            key: PartKey::of(service, model, &part.id),
+            tokens: part.tokens,
+        });
+        parts.collect()
+    }
+
     // Calls `f` with what the request requires of its upstream.
     fn with_query<T>(
         &self,
@@ -164,8 +175,10 @@
         let prompt_ms = self.traffic.prefill_ms(service, model, prompt_tokens);
         let catalog = &self.admitted.catalog;
         let kv_capacity = catalog.service(self.admitted.service).kv_capacity;
+        let parts = self.prompt_parts(service, model);
         let work = Work {
             prefix_ms,
+            affinity_loss: kv_capacity.map_or(0.0, |_| AFFINITY_LOSS),
             prompt_ms,
             generation_ms: self
                 .traffic
@@ -191,6 +204,7 @@
             version_input,
             required_version: progress.version.as_deref(),
             prefix,
+            parts: &parts,
             work,
             kv_capacity,
             excluded,
--- a/src/carawayrun/relay/fleet/mod.rs
+++ b/src/carawayrun/relay/fleet/mod.rs
@@ -26,6 +26,7 @@
     UpstreamCandidate, Work, affinity_rank, choose_candidate, count_partial_upstreams,
     sample_candidates,
 };
+use crate::relay::prompts::{CacheSpace, KeptPrompts, PromptPart, PromptSend};
 use crate::relay::queue::free_places;
 use crate::relay::rate_limit::{LimitNotice, RateLimiter, RateShare};
 use crate::relay::restarts::{RESTART_LAG, Restarts};
@@ -59,6 +60,8 @@
     pub(super) required_version: Option<&'a str>,
     /// Shared prompt prefix, with the name of the model.
     pub(super) prefix: Option<CompactString>,
+    /// Parts of the shared prompt prefix, in their order.
+    pub(super) parts: &'a [PromptPart],
     pub(super) work: Work,
     /// Tokens that an engine's memory holds, if known.
     pub(super) kv_capacity: Option<u32>,
@@ -78,6 +81,8 @@
     pub(super) expected_first_ms: f64,
     /// Time of the engine's steps relative to the usual one.
     pub(super) pace: f64,
+    /// Tokens of the shared prefix that it probably holds.
+    pub(super) kept_tokens: f64,
 }
 
 impl UpstreamState {
@@ -114,6 +119,8 @@
     pub(super) peer_loads: PeerLoads,
     /// Paces of the engines.
     pub(super) paces: Paces,
+    /// Prompt parts that the engines hold.
+    pub(super) prompts: KeptPrompts,
 }
 
 #[derive(Default)]
@@ -159,6 +166,9 @@
                 state.incarnation = Incarnation::of(upstream);
                 let after = state.incarnation;
                 let before = self.incarnations.insert(state.digest, after);
+                if let Some(before) = before.filter(|before| *before != after) {
+                    self.prompts.forget(before.digest());
+                }
                 let spoke_at = before.filter(|before| *before != after).and_then(|before| {
                     let rest = self.rests.asked_at(before, now);
                     rest.max(self.departures.heard_at(before))
@@ -204,7 +214,8 @@
         let candidates = keys
             .iter()
             .map(|key| (*key, self.candidate(*key, query, data_centre, now)));
-        let candidates: Vec<(UpstreamKey, UpstreamCandidate)> = candidates.collect();
+        let mut candidates: Vec<(UpstreamKey, UpstreamCandidate)> = candidates.collect();
+        self.estimate_kept(&mut candidates, query, now);
         let work = &query.work;
         let any_has_room = candidates.iter().any(|(_, other)| other.has_room(work));
         let candidates = candidates.into_iter();
@@ -224,9 +235,80 @@
             wait_ms: chosen.wait_ms(),
             expected_first_ms: chosen.first_ms(work),
             pace: chosen.pace,
+            kept_tokens: chosen.kept_share * count_tokens(query.parts),
         })
     }
 
+    // Works out what the engines that were sent a part of the prompt probably hold of it.
+    fn estimate_kept(
+        &self,
+        candidates: &mut [(UpstreamKey, UpstreamCandidate)],
+        query: &UpstreamQuery<'_>,
+        now: Duration,
+    ) {
+        let tokens = count_tokens(query.parts);
+        let Some(capacity) = query.kv_capacity.filter(|_| tokens > 0.0) else {
+            return;
+        };
+        let holders = self.prompts.holders(query.parts);
+        let intake = self.engine_intake(query.service, now);
+        for (key, candidate) in candidates {
+            let engine = self.states[*key].incarnation.digest();
+            if holders.binary_search(&engine).is_ok() {
+                let space = CacheSpace {
+                    tokens: f64::from(capacity) - candidate.kv_tokens as f64,
+                    intake,
+                };
+                let parts = query.parts;
+                let kept = self.prompts.expected_tokens(parts, engine, &space, now);
+                candidate.kept_share = kept / tokens;
+            }
+        }
+    }
+
+    // Tokens a second that all gateways send each engine of a service, which has to read or
+    // generate them. The gateways and the engines have about equal parts.
+    fn engine_intake(&self, service: &str, now: Duration) -> f64 {
+        let engines = self.by_service.get(service).map_or(0, Vec::len).max(1);
+        let gateways = self.peer_loads.gateway_count() + 1;
+        self.prompts.sent_per_second(service, now) * gateways as f64 / engines as f64
+    }
+
+    /// Records that a prompt is sent to an engine with this capacity; returns the tokens of
+    /// its shared prefix that the engine probably holds.
+    pub(super) fn record_prompt(
+        &mut self,
+        key: UpstreamKey,
+        parts: &[PromptPart],
+        kv_tokens: u64,
+        capacity: u32,
+        now: Duration,
+    ) -> f64 {
+        let (Some(upstream), Some(state)) = (self.upstreams.get(key), self.states.get(key)) else {
+            return 0.0;
+        };
+        let service = upstream.service.as_str();
+        let running = state.kv_tokens + self.peer_loads.upstream_load(state.digest).kv_tokens;
+        let send = PromptSend {
+            service,
+            engine: state.incarnation.digest(),
+            parts,
+            kv_tokens,
+            space: CacheSpace {
+                tokens: f64::from(capacity) - running as f64,
+                intake: self.engine_intake(service, now),
+            },
+        };
+        self.prompts.record_send(&send, now)
+    }
+
+    /// Forgets what an engine held, as it has crashed.
+    pub(super) fn forget_prompts(&mut self, key: UpstreamKey) {
+        if let Some(state) = self.states.get(key) {
+            self.prompts.forget(state.incarnation.digest());
+        }
+    }
+
     fn eligible_for(
         &self,
         query: &UpstreamQuery<'_>,
@@ -661,6 +743,7 @@
             backlog_ms: state.backlog_ms + peer_load.backlog_ms,
             failure_rate: state.health.failure_rate(now),
             affinity_rank: prefix.map_or(0, |prefix| affinity_rank(prefix, &upstream.name)),
+            kept_share: 0.0,
             is_local: upstream.data_centre == data_centre,
             // Worked out for those that are looked at.
             pace: 1.0,
@@ -669,3 +752,7 @@
         }
     }
 }
+
+fn count_tokens(parts: &[PromptPart]) -> f64 {
+    parts.iter().map(|part| f64::from(part.tokens)).sum()
+}
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -100,6 +100,7 @@
             demands,
             stops_in: traffic.stops_in().map(|left| left.as_millis() as u32),
             paces: traffic.take_paces(),
+            copies: traffic.take_copies(),
             ..RelayReport::default()
         };
         traffic.report_crashes(&mut report);
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -142,6 +142,8 @@
     pub(crate) held_sends: Counter,
     pub(crate) repeated_sends: Counter,
     pub(crate) retries_taken: Counter,
+    pub(crate) shared_tokens: Counter,
+    pub(crate) kept_tokens: Counter,
     pub(crate) rollouts_begun: Counter,
     pub(crate) upstreams: Gauge,
     pub(crate) held_bytes: Gauge,
@@ -189,6 +191,8 @@
             held_sends: Counter::default(),
             repeated_sends: Counter::default(),
             retries_taken: Counter::default(),
+            shared_tokens: Counter::default(),
+            kept_tokens: Counter::default(),
             rollouts_begun: Counter::default(),
             upstreams: Gauge::default(),
             held_bytes: Gauge::default(),
@@ -341,6 +345,16 @@
             "Sends taken from retry budgets",
             &self.retries_taken,
         );
+        add(
+            "shared_prompt_tokens",
+            "Tokens of shared prompt prefixes that were sent to engines",
+            &self.shared_tokens,
+        );
+        add(
+            "kept_prompt_tokens",
+            "Those of them that the engines were expected to hold",
+            &self.kept_tokens,
+        );
         add(
             "held_requests",
             "Times that a request was held back for a quarantine",
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -14,6 +14,7 @@
 //! | [`evidence`] | evidence about the new version of a roll-out |
 //! | [`placement`] | choice of a request's upstream |
 //! | [`pace`] | pace of each engine relative to the usual one |
+//! | [`prompts`] | shared prompt parts that engines still hold |
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
 //! | [`rate_limit`] | shares of the rates that upstreams name |
@@ -66,6 +67,7 @@
 pub mod placement;
 mod probe;
 pub mod progress;
+pub mod prompts;
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
--- a/src/carawayrun/relay/placement.rs
+++ b/src/carawayrun/relay/placement.rs
@@ -1,10 +1,10 @@
 //! Choice of the upstream that runs a request.
 //!
 //! Load pattern: many gateways place work on the same engines, and each knows
-//! only its own requests. Requests that share a prompt prefix go to the same few
-//! engines, chosen by rendezvous hashing, since these have the prefix in their KV
-//! cache. A hot prefix spreads to other engines once the backlog of its affinity
-//! engines exceeds the cost of computing the prefix again.
+//! only its own requests. Requests that share a prompt prefix go to the engines
+//! that are expected to have it in their KV cache, and as long as none is known to, to the
+//! same few, chosen by rendezvous hashing. A hot prefix spreads to other engines once the
+//! backlog of these exceeds the cost of computing the prefix again.
 
 use std::hash::{Hash, Hasher};
 
@@ -33,6 +33,10 @@
 /// considers on average.
 const MIN_SAMPLES: f64 = 3.0;
 
+/// Part of a prefix that an engine is expected to hold from which every decision considers
+/// it.
+const MIN_KEPT_SHARE: f64 = 0.5;
+
 /// Delay that a failure rate of 1 counts as, in milliseconds: about a failed
 /// attempt and the one after it.
 const FAILURE_DELAY_MS: f64 = 1_000.0;
@@ -58,8 +62,11 @@
 /// an upstream that is no engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
-    /// Prefill time of the shared prefix, which affinity engines save, in milliseconds.
+    /// Prefill time of the shared prefix, which engines that hold it save, in milliseconds.
     pub prefix_ms: f64,
+    /// Part of the prefix that affinity engines are taken to have lost where nothing is known
+    /// of them, 0 to 1.
+    pub affinity_loss: f64,
     /// Prefill time of the whole prompt, in milliseconds.
     pub prompt_ms: f64,
     /// Time to generate the answer, in milliseconds; zero if not known.
@@ -84,6 +91,8 @@
     /// Rendezvous hash with the shared prefix; the greatest have affinity. Zero
     /// without a prefix.
     pub affinity_rank: u64,
+    /// Part of the shared prefix that it is expected to hold, 0 to 1.
+    pub kept_share: f64,
     /// True if it is in the gateway's data centre.
     pub is_local: bool,
     /// Time of its steps relative to the usual one; 1 if not known or no engine.
@@ -103,6 +112,7 @@
             backlog_ms: 0.0,
             failure_rate: 0.0,
             affinity_rank: 0,
+            kept_share: 0.0,
             is_local: false,
             pace: 1.0,
             kv_tokens: 0,
@@ -132,7 +142,7 @@
 }
 
 /// Selects the candidates that one decision considers: the affinity engines of
-/// the prefix and a random sample of the others.
+/// the prefix, those that probably hold it, and a random sample of the others.
 ///
 /// Load pattern: between two reports all gateways see the same idle engine and
 /// would all send requests to it. Each gateway samples different engines, and
@@ -149,7 +159,8 @@
     let mut sampled = Vec::with_capacity(candidates.len());
     for (index, candidate) in candidates.iter().enumerate() {
         let has_affinity = candidate.affinity_rank > 0 && candidate.affinity_rank >= min_rank;
-        if has_affinity || random() < chance {
+        let is_holder = candidate.kept_share >= MIN_KEPT_SHARE;
+        if has_affinity || is_holder || random() < chance {
             sampled.push(UpstreamCandidate {
                 index,
                 ..*candidate
@@ -201,11 +212,13 @@
     let cost = |candidate: &UpstreamCandidate, noise: f64| {
         let in_flight = f64::from(candidate.in_flight);
         let fill = in_flight / f64::from(candidate.slots.max(1));
-        let miss_delay = if candidate.affinity_rank >= min_rank {
-            0.0
+        let presumed_loss = if candidate.affinity_rank >= min_rank {
+            work.affinity_loss
         } else {
-            work.prefix_ms * PREFIX_MISS_WEIGHT
+            1.0
         };
+        let lost_share = presumed_loss.min(1.0 - candidate.kept_share);
+        let miss_delay = lost_share * work.prefix_ms * PREFIX_MISS_WEIGHT;
         let bonus = if candidate.is_local {
             LOCALITY_BONUS_MS
         } else {
--- a/src/carawayrun/relay/request_log.rs
+++ b/src/carawayrun/relay/request_log.rs
@@ -187,6 +187,7 @@
             wait_ms = expected.map_or(0, |expected| expected.wait_ms as u64),
             expected_first_ms = expected.map(|expected| expected.expected_first_ms as u64),
             pace = expected.map(|expected| expected.pace),
+            kept_tokens = expected.map(|expected| expected.kept_tokens as u64),
             queued_ms = millis(self.queued),
             behind = self.behind,
             first_ms = self.first_event.map_or(0, |first| first.as_millis() as u64),
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -15,6 +15,7 @@
 use crate::relay::loads::upstream_digest;
 use crate::relay::members::Members;
 use crate::relay::placement::Work;
+use crate::relay::prompts::{AFFINITY_LOSS, PartKey, PromptPart};
 use crate::relay::rate_limit::LimitNotice;
 use crate::relay::restarts::{DOUBT_TIME, RESTART_LAG};
 use crate::relay::rests::Incarnation;
@@ -101,6 +102,7 @@
             version_input: VersionInput::default(),
             required_version: None,
             prefix: None,
+            parts: &[],
             work: Work::default(),
             kv_capacity: None,
             excluded: &[],
@@ -387,6 +389,7 @@
         version_input: VersionInput::default(),
         required_version: None,
         prefix: None,
+        parts: &[],
         work: Work::default(),
         kv_capacity: None,
         excluded,
@@ -505,3 +508,47 @@
     let places = used.iter().map(|key| &world.upstreams[*key].data_centre);
     assert!(places.clone().all(|place| place == "a"));
 }
+
+// An engine that was sent the prompt is chosen again, also if it has no affinity, until it
+// starts again.
+#[test]
+fn restarted_engine_holds_no_prompts() {
+    let mut world = World::new(18);
+    let parts = [PromptPart {
+        key: PartKey::of(SERVICE, "large", "5c1e07a2"),
+        tokens: 5_000,
+    }];
+    let capacity = 400_000;
+    let choose = |world: &mut World| {
+        let query = UpstreamQuery {
+            prefix: Some(CompactString::const_new("5c1e07a2 large")),
+            parts: &parts,
+            work: Work {
+                prefix_ms: 75.0,
+                affinity_loss: AFFINITY_LOSS,
+                prompt_ms: 180.0,
+                ..Work::default()
+            },
+            kv_capacity: Some(capacity),
+            ..query(&[])
+        };
+        let (now, rng) = (world.now, &mut world.rng);
+        let chosen = world.fleet.choose_upstream(&query, &[], "a", now, rng);
+        chosen.unwrap()
+    };
+    let with_affinity: Vec<UpstreamKey> = (0..50).map(|_| choose(&mut world).key).collect();
+    let other = (0..18).find(|number| !with_affinity.contains(&world.key(*number)));
+    let number = other.unwrap();
+    let key = world.key(number);
+    let now = world.now;
+    world
+        .fleet
+        .record_prompt(key, &parts, 12_000, capacity, now);
+    let chosen = choose(&mut world);
+    assert_eq!(chosen.key, key);
+    assert!(chosen.kept_tokens > 4_900.0);
+    let restarted = world.register(number, 2);
+    let chosen = choose(&mut world);
+    assert_ne!(chosen.key, restarted);
+    assert_eq!(chosen.kept_tokens, 0.0);
+}
--- a/src/carawayrun/relay/tests/loads.rs
+++ b/src/carawayrun/relay/tests/loads.rs
@@ -17,6 +17,7 @@
         });
     RelayReport {
         paces: Vec::new(),
+        copies: Vec::new(),
         node: Some(Node {
             name: node.into(),
             incarnation,
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -19,6 +19,7 @@
 mod pace;
 mod placement;
 mod progress;
+mod prompts;
 mod quarantine;
 mod queue;
 mod rate_limit;
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -44,6 +44,7 @@
 use super::memory::MemoryAccount;
 use super::metrics::Metrics;
 use super::pace::StreamSample;
+use super::prompts::PromptPart;
 use super::quarantine::Quarantine;
 use super::request_log::DrainRead;
 use super::rests::Incarnation;
@@ -53,7 +54,7 @@
 use super::stalls::StallMonitor;
 use super::usual_time::UsualTime;
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
-use crate::peer::message::{RelayReport, TableRead, UpstreamLoad, UpstreamPace};
+use crate::peer::message::{PromptCopy, RelayReport, TableRead, UpstreamLoad, UpstreamPace};
 
 /// Outcomes by service and version, for the evaluation of roll-outs.
 pub(super) type OutcomeCounts = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
@@ -498,6 +499,27 @@
         fleet.own_loads()
     }
 
+    /// Records that a prompt is sent to an engine.
+    pub(super) fn record_prompt(
+        &self,
+        key: UpstreamKey,
+        parts: &[PromptPart],
+        kv_tokens: u64,
+        capacity: u32,
+    ) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let kept = fleet.record_prompt(key, parts, kv_tokens, capacity, now);
+        let shared = parts.iter().map(|part| u64::from(part.tokens)).sum();
+        self.metrics.shared_tokens.inc_by(shared);
+        self.metrics.kept_tokens.inc_by(kept.round() as u64);
+    }
+
+    /// Takes the shared prompt parts that were sent to engines since the last report.
+    pub(super) fn take_copies(&self) -> Vec<PromptCopy> {
+        self.fleet.borrow_mut().prompts.take_untold()
+    }
+
     /// Takes the paces of engines in own streams since the last report.
     pub(super) fn take_paces(&self) -> Vec<UpstreamPace> {
         self.fleet.borrow_mut().paces.take_untold()
@@ -540,6 +562,7 @@
         fleet.record_peer_limits(&report.limits, &members, self.own_addr, now);
         fleet.record_peer_departures(&report.leaving, now);
         fleet.paces.receive(&report.paces, now);
+        fleet.prompts.receive(&report.copies, now);
         drop((fleet, members));
         self.receive_crashes(report, from);
         self.sessions
--- a/src/carawayrun/relay/traffic/quarantine.rs
+++ b/src/carawayrun/relay/traffic/quarantine.rs
@@ -60,6 +60,7 @@
         let lost = self.unconfirmed.borrow_mut().remove(&key);
         if let Err(error) = opened {
             tracing::info!(upstream = %upstream.name, %error, "upstream crashed while requests waited for their answers");
+            self.fleet.borrow_mut().forget_prompts(key);
             self.count_crash(&upstream, lost.unwrap_or_default());
         }
         self.crash_confirmed.notify_waiters();
