--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -153,12 +153,7 @@
         let place = progress.place.take();
         let model = self.model_name(progress);
         let backlog = self.traffic.prefill_ms(&upstream.service, model, tokens);
-        let parts = self.prompt_parts(&upstream.service, model);
-        let kv_capacity = catalog.service(self.admitted.service).kv_capacity;
-        if let Some(capacity) = kv_capacity {
-            let tokens = self.kv_tokens();
-            self.traffic.record_prompt(key, &parts, tokens, capacity);
-        }
+        self.record_prompt(key, &upstream.service, model);
         let mut guard = AttemptGuard::start(self.traffic, key, backlog, self.kv_tokens(), place);
         let prompt_tokens = self.request.prompt_tokens;
         let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
@@ -230,6 +225,16 @@
         }))
     }
 
+    // Records what is sent to an engine, which may keep it.
+    fn record_prompt(&self, key: UpstreamKey, service: &str, model: &str) {
+        let catalog = &self.admitted.catalog;
+        if let Some(capacity) = catalog.service(self.admitted.service).kv_capacity {
+            let parts = self.prompt_parts(service, model);
+            let tokens = self.kv_tokens();
+            self.traffic.record_prompt(key, &parts, tokens, capacity);
+        }
+    }
+
     // Counts an answer that was stopped for bytes without progress.
     pub(super) fn count_stopped(&self, error: &ConnectionError) {
         if let ConnectionError::NoProgress { part } = error {
