Share places among teams by the weights of the settings

Cause: where teams compete at a plain service all had the same share, as neither the configuration nor the settings could name another.

Change: `[team_weights]` in the settings, more than zero, applied at once by a reload; 1 for a team that isn't named, so nothing changes without the table. The max-min level is counted for a unit of weight.

--- a/src/carawayrun/platform/settings.rs
+++ b/src/carawayrun/platform/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file that the platform writes for each process.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -10,6 +11,7 @@
 use super::time::{from_millis, from_seconds};
 use crate::relay::RelaySettings;
 use crate::relay::allowance::ColdTolerance;
+use crate::relay::shares::TeamWeights;
 
 /// Why a settings file can't be used.
 #[derive(Debug)]
@@ -54,6 +56,9 @@
     limits: Limits,
     bounds: Bounds,
     platform: Platform,
+    /// Weights of tenants that compete for places; 1 for those that are not named.
+    #[serde(default)]
+    team_weights: BTreeMap<CompactString, f64>,
 }
 
 #[derive(Deserialize)]
@@ -189,6 +194,13 @@
             "bounds.warmup_slack",
             "zero or more",
         ),
+        (
+            file.team_weights
+                .values()
+                .all(|weight| weight.is_finite() && *weight > 0.0),
+            "team_weights",
+            "more than zero for each team",
+        ),
         (file.limits.max_fds >= 512, "limits.max_fds", "512 or more"),
         (
             file.limits
@@ -229,6 +241,11 @@
             multiple: bounds.warmup_overshoot,
             slack: bounds.warmup_slack,
         },
+        team_weights: TeamWeights::new(
+            file.team_weights
+                .iter()
+                .map(|(team, weight)| (team.as_str(), *weight)),
+        ),
         max_descriptors: file.limits.max_fds,
         host_memory: memory_mb.map_or_else(machine_memory, |megabytes| megabytes << 20),
     }
--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -13,7 +13,9 @@
 };
 use crate::relay::RelaySettings;
 use crate::relay::catalog::RouteKind;
+use crate::relay::loads::name_digest;
 use crate::relay::message::Execution;
+use crate::relay::shares::TeamWeights;
 use crate::store::table::Row;
 
 fn row(key: &str, value: &serde_json::Value) -> Row {
@@ -290,7 +292,8 @@
 }
 
 fn load_with_bound(line: &str) -> Result<RelaySettings, String> {
-    let name = format!("carawayrun-evacuate-{}-{}", std::process::id(), line.len());
+    let digest = name_digest(line);
+    let name = format!("carawayrun-settings-{}-{digest}", std::process::id());
     let path = std::env::temp_dir().join(name);
     let text = format!(
         "node_name = \"edge-1\"\nip = \"10.0.0.1\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
@@ -311,6 +314,25 @@
     assert_eq!(load_with_bound(line).unwrap().evacuation_limit, expected);
 }
 
+#[test_case("[team_weights]\nlarge = 2.5", &[("large", 2.5)]; "given")]
+#[test_case("", &[]; "absent")]
+fn settings_hold_weights_of_teams(table: &str, expected: &[(&str, f64)]) {
+    let weights = load_with_bound(table).unwrap().team_weights;
+    assert_eq!(weights, TeamWeights::new(expected.iter().copied()));
+}
+
+#[test_case("0"; "zero")]
+#[test_case("-1.0"; "negative")]
+#[test_case("nan"; "no number")]
+#[test_case("inf"; "infinite")]
+fn weight_of_team_is_more_than_zero(weight: &str) {
+    let error = load_with_bound(&format!("[team_weights]\nlarge = {weight}")).unwrap_err();
+    assert!(
+        error.contains("`team_weights` must be more than zero"),
+        "{error}"
+    );
+}
+
 #[test]
 fn evacuation_limit_of_zero_is_out_of_range() {
     let error = load_with_bound("evacuate_ms = 0").unwrap_err();
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -79,7 +79,7 @@
 mod service_time;
 mod session_lists;
 pub mod sessions;
-mod shares;
+pub mod shares;
 mod stalls;
 pub mod store_clock;
 #[cfg(test)]
@@ -94,6 +94,7 @@
 use compact_str::CompactString;
 
 use self::allowance::ColdTolerance;
+use self::shares::TeamWeights;
 
 pub use self::probe::{EVACUATIONS_PATH, QUARANTINE_PATH};
 pub use self::serve::{BindError, Relay, bind};
@@ -140,6 +141,8 @@
     pub session_gap: Duration,
     /// Requests that cold upstreams may get beyond the rate that their service names.
     pub cold_tolerance: ColdTolerance,
+    /// Weights of the teams that compete for places at plain services.
+    pub team_weights: TeamWeights,
     /// Limit of the process on open file descriptors.
     pub max_descriptors: u32,
     /// Memory of the host that the process may use, in bytes.
--- a/src/carawayrun/relay/queue.rs
+++ b/src/carawayrun/relay/queue.rs
@@ -13,7 +13,7 @@
 use rustc_hash::FxHashMap;
 use slotmap::{SlotMap, new_key_type};
 
-use super::shares;
+use super::shares::{self, Claim, TeamWeights};
 
 new_key_type! {
     /// Key of a request that waits.
@@ -103,6 +103,8 @@
     /// Number in 0..1 that rounds the own parts of the places, drawn by each gateway anew
     /// for each age of a report.
     pub rounding: f64,
+    /// Weights of the teams that compete for places.
+    pub weights: TeamWeights,
 }
 
 /// Own part of the places for one class.
@@ -283,24 +285,30 @@
     }
 
     /// Own parts of the places, by class: dealt to the most urgent rank first, and in the
-    /// rank that doesn't fit fairly among its teams, to each gateway by its demand.
+    /// rank that doesn't fit fairly among its teams by their weights, to each gateway by its
+    /// demand.
     pub fn parts(&self, room: &Room) -> BTreeMap<Class, Part> {
         let demand: Vec<_> = self.demand(room).into_iter().collect();
         let mut left = self.places(room).max(0.0);
         let mut parts = BTreeMap::new();
         for rank in demand.chunk_by(|(one, _), (other, _)| one.rank == other.rank) {
-            let counts: Vec<f64> = rank.iter().map(|(_, (_, all))| f64::from(*all)).collect();
-            let level = shares::fair_level(&counts, left);
-            for (class, (own, all)) in rank {
-                let (own, all) = (f64::from(*own), f64::from(*all));
-                let part = if all <= level {
+            let claim = |class: &Class, all: u32| Claim {
+                demand: f64::from(all),
+                weight: room.weights.weight(class.team),
+            };
+            let claims = rank.iter().map(|(class, (_, all))| claim(class, *all));
+            let claims: Vec<Claim> = claims.collect();
+            let level = shares::fair_level(&claims, left);
+            for ((class, (own, _)), claim) in rank.iter().zip(&claims) {
+                let share = level * claim.weight;
+                let part = if claim.demand <= share {
                     Part::All
                 } else {
-                    Part::Places(level * own / all)
+                    Part::Places(share * f64::from(*own) / claim.demand)
                 };
                 parts.insert(*class, part);
             }
-            left = (left - counts.iter().sum::<f64>()).max(0.0);
+            left = (left - claims.iter().map(|claim| claim.demand).sum::<f64>()).max(0.0);
         }
         parts
     }
--- a/src/carawayrun/relay/tests/queue.rs
+++ b/src/carawayrun/relay/tests/queue.rs
@@ -7,10 +7,11 @@
 use test_case::test_case;
 
 use crate::peer::message::{Node, RelayReport, ServiceDemand};
-use crate::relay::loads::PeerLoads;
+use crate::relay::loads::{PeerLoads, name_digest};
 use crate::relay::queue::{
     Class, Decision, Demand, Job, Part, Queue, RefusalReason, Room, Ticket, free_places,
 };
+use crate::relay::shares::TeamWeights;
 
 /// Time between two steps of a replay.
 const STEP: Duration = Duration::from_millis(5);
@@ -577,6 +578,45 @@
     assert!(after >= 0.95, "{after} on time, {before} before");
 }
 
+// Load pattern: three teams compete for 33 places, two of which want far more than there
+// is, at gateways with unlike parts of their requests. The one that wants little gets all
+// of it, and the others what is left by their weights, over all gateways.
+#[test_case(1.0, 1.0, 15.0, 15.0; "alike")]
+#[test_case(2.0, 1.0, 20.0, 10.0; "twice the weight")]
+#[test_case(1.0, 0.2, 25.0, 5.0; "a fifth of the weight")]
+#[test_case(0.5, 0.25, 20.0, 10.0; "both below the usual")]
+fn places_go_by_weight(first: f64, second: f64, first_places: f64, second_places: f64) {
+    let weights = TeamWeights::new([("first", first), ("second", second)]);
+    let teams = ["first", "second", "small"].map(name_digest);
+    let class = |team| Class { rank: 1, team };
+    let waiting = [[100, 10, 0], [20, 50, 2], [5, 100, 1]];
+    let mut parts = [0.0; 3];
+    for own in waiting {
+        let mut queue = Queue::default();
+        let mut others = BTreeMap::new();
+        for (index, team) in teams.into_iter().enumerate() {
+            let all: u32 = waiting.iter().map(|counts| counts[index]).sum();
+            others.insert(class(team), demand(0, all - own[index]));
+            for _ in 0..own[index] {
+                let job = job(1, 300, 4_000);
+                queue.wait(Job { team, ..job });
+            }
+        }
+        let room = Room {
+            others,
+            weights: weights.clone(),
+            ..room(33.0)
+        };
+        for (part, team) in parts.iter_mut().zip(teams) {
+            *part += places(&queue, &room, class(team));
+        }
+    }
+    let expected = [first_places, second_places, 3.0];
+    for (part, expected) in parts.into_iter().zip(expected) {
+        assert!((part - expected).abs() < 1e-3, "{part} of {expected}");
+    }
+}
+
 // Each half of the gateways knows only itself, so that both take all places: the service
 // has up to twice as many requests as places, and what is urgent still goes first.
 #[test]
--- a/src/carawayrun/relay/traffic/queues.rs
+++ b/src/carawayrun/relay/traffic/queues.rs
@@ -277,6 +277,7 @@
                 free: free - f64::from(queue.unsent),
                 others: loads.demand(digest, now),
                 rounding: queue.rounding,
+                weights: self.shared.settings.load().team_weights.clone(),
             })
         })
     }
