Keep what a confirmation said when a later one replaces it

Cause: a gateway keeps the newest confirmation of each peer only. As a row changes, the reader's confirmation has another digest, so the one that had confirmed the own rows until then was forgotten, and `confirmed_at` fell back to the gateway's own last read, seconds earlier.

Change: `FollowedTable` keeps the era and time as of which its rows were last known to be current; it never goes back within an era.

Measured: `readers::confirmation_outlasts_later_change` failed before (100 ms instead of 700 ms) and passes; all 721 unit tests pass.

--- a/src/carawayrun/relay/readers.rs
+++ b/src/carawayrun/relay/readers.rs
@@ -55,6 +55,9 @@
     rows: BTreeMap<CompactString, u64>,
     own: Option<Confirmation>,
     peers: BTreeMap<CompactString, Confirmation>,
+    /// Era and time as of which the rows were last known to be current. Kept, as a
+    /// peer's newer confirmation of other rows takes the place of the one it is from.
+    current_at: Option<(u64, Duration)>,
 }
 
 impl FollowedTable {
@@ -78,6 +81,7 @@
     pub fn record_read(&mut self, era: u64, at: Duration) {
         let digest = self.digest();
         self.own = Some(Confirmation { era, at, digest });
+        self.update_current_at();
     }
 
     /// Records a confirmation by another gateway; an older one than known is
@@ -87,6 +91,7 @@
         if confirmation.is_newer_than(newest) {
             *newest = confirmation;
         }
+        self.update_current_at();
     }
 
     /// Confirmation of this gateway's last read.
@@ -94,14 +99,23 @@
         self.own
     }
 
-    /// Latest time in `era` as of which the local rows are known to be current.
+    /// Latest time in `era` as of which the local rows are known to be current. It
+    /// never goes back within an era.
     pub fn confirmed_at(&self, era: u64) -> Option<Duration> {
-        let own = self.own.filter(|own| own.era == era)?;
+        let current = self.current_at.filter(|(known, _)| *known == era);
+        current.map(|(_, at)| at)
+    }
+
+    fn update_current_at(&mut self) {
+        let Some(own) = self.own else {
+            return;
+        };
         let peers = self.peers.values();
         let same = peers.filter(|confirmation| confirmation.has_same_rows(&own));
-        same.map(|confirmation| confirmation.at)
-            .chain([own.at])
-            .max()
+        let times = same.map(|confirmation| confirmation.at);
+        let at = times.fold(own.at, Duration::max);
+        // A later era comes first, whatever its clock.
+        self.current_at = self.current_at.max(Some((own.era, at)));
     }
 
     /// Decides whether this gateway, `node`, reads the table now. A confirmation
--- a/src/carawayrun/relay/tests/readers.rs
+++ b/src/carawayrun/relay/tests/readers.rs
@@ -77,6 +77,27 @@
     );
 }
 
+// A changed row of the reader took back what it had confirmed before: after the next
+// read it looked as if the store had been away since the own read before that. Seen on
+// mwlsa-lathe, scale-2.
+#[test]
+fn confirmation_outlasts_later_change() {
+    let mut b = followed(1, 100);
+    let mut a = followed(1, 700);
+    b.record_peer("a", confirmation(&a));
+    a.insert_row("config", 2);
+    a.record_read(ERA, millis(1_500));
+    b.record_peer("a", confirmation(&a));
+    assert_eq!(b.confirmed_at(ERA), Some(millis(700)));
+    b.insert_row("config", 2);
+    b.record_read(ERA, millis(1_530));
+    assert_eq!(b.confirmed_at(ERA), Some(millis(1_530)));
+    // Nor does it count in another era.
+    b.record_read(ERA + 1, millis(400));
+    assert_eq!(b.confirmed_at(ERA), None);
+    assert_eq!(b.confirmed_at(ERA + 1), Some(millis(400)));
+}
+
 #[test]
 fn older_confirmation_is_ignored() {
     let mut b = followed(1, 100);
