--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -262,11 +262,10 @@
                 self.publish(&mut effects);
             }
             Event::GatewaysRead(peers) => {
-                if self.view.peers != peers || !self.view.is_listed {
-                    self.view.peers = peers;
-                    self.view.is_listed = true;
-                    self.publish(&mut effects);
-                }
+                self.view.peers = peers;
+                self.view.is_listed = true;
+                self.view.listed_at = now;
+                self.publish(&mut effects);
             }
             Event::LimitsRead {
                 exposure_share,
