Revert "Merge the allowances of a store that is down"

The list of relays is read each 30 s, and a relay whose list is 36 s old while its configuration is confirmed by others has no part: a relay that is cut off from the store alone for as little as 6 s would send nothing to the engines. Where the store is down for all, one silent relay takes the parts of all after as little as 6 s, and for 60 s before. What it mends, an outage of over 60 s, is rarer than both.

Change: as before the merge.

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -262,10 +262,11 @@
                 self.publish(&mut effects);
             }
             Event::GatewaysRead(peers) => {
-                self.view.peers = peers;
-                self.view.is_listed = true;
-                self.view.listed_at = now;
-                self.publish(&mut effects);
+                if self.view.peers != peers || !self.view.is_listed {
+                    self.view.peers = peers;
+                    self.view.is_listed = true;
+                    self.publish(&mut effects);
+                }
             }
             Event::LimitsRead {
                 exposure_share,
--- a/src/carawayrun/relay/follow/gateways.rs
+++ b/src/carawayrun/relay/follow/gateways.rs
@@ -10,7 +10,6 @@
 use super::Follower;
 use crate::platform::{self, Keyspace};
 use crate::relay::control::Event;
-use crate::relay::members::alive_gateways;
 use crate::store::feed::Snapshot;
 
 /// Interval between two reads. Gateways that receive each other's reports learn
@@ -21,6 +20,9 @@
 /// comes before the others have written their rows.
 const FIRST_READ_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// Age at which a gateway's row is ignored.
+const ROW_LIFETIME: Duration = Duration::from_secs(90);
+
 /// Row that a gateway writes about itself.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -66,6 +68,10 @@
 
     // Passes the addresses of the gateways that are alive to the reducer.
     fn apply_gateways(&self, snapshot: &Snapshot) {
+        let is_alive = |row: &GatewayRow| {
+            let written = Duration::from_millis(row.written_ms);
+            snapshot.now.saturating_sub(written) < ROW_LIFETIME
+        };
         let rows = snapshot.rows.iter().filter_map(|row| {
             let parsed = serde_json::from_str::<GatewayRow>(row.value.get());
             if let Err(error) = &parsed
@@ -75,10 +81,7 @@
             }
             parsed.ok()
         });
-        let dated = rows.map(|row| (row.address, Duration::from_millis(row.written_ms)));
-        let dated: Vec<(SocketAddr, Duration)> = dated.collect();
-        let own = self.settings.peer_listen;
-        let peers = alive_gateways(&dated, own, snapshot.now);
+        let peers = rows.filter(is_alive).map(|row| row.address).collect();
         self.handle(Event::GatewaysRead(peers));
     }
 }
--- a/src/carawayrun/relay/members.rs
+++ b/src/carawayrun/relay/members.rs
@@ -26,39 +26,13 @@
 /// Time in which gateways that start together have read each other's rows.
 const LISTING_TIME: Duration = Duration::from_secs(2);
 
-/// Time in which all gateways that reach the store have read a row: they read each 30 s, and
-/// after a call that failed within 5 s.
-const READING_TIME: Duration = Duration::from_secs(37);
-
-/// Time without a confirmed configuration after which the store may be down.
-const MIN_OUTAGE: Duration = Duration::from_secs(2);
+/// Time in which all gateways that reach the store have read a row: they read each 30 s.
+const READING_TIME: Duration = Duration::from_secs(32);
 
 /// Longest time for which a gateway that has no parts yet is not ready for clients. All
 /// that run have told by then that they count it.
 const UNREADY_TIME: Duration = Duration::from_secs(4);
 
-/// Age at which a gateway's row in the store is ignored.
-const ROW_LIFETIME: Duration = Duration::from_secs(90);
-
-/// Time in which all gateways have written their rows again after an outage of the store,
-/// and greatest age of the newest row without one.
-const REWRITE_TIME: Duration = Duration::from_secs(10);
-const MAX_IDLE_TIME: Duration = Duration::from_secs(40);
-
-/// Longest outage of the store of which a gateway that starts takes account.
-const MAX_OUTAGE: Duration = Duration::from_hours(1);
-
-/// Time since a gateway read the rows after which it may miss one that others have waited for,
-/// so that it relies on the reports of those that count the same ones; under [`READING_TIME`].
-const MAX_CUT: Duration = Duration::from_secs(36);
-
-/// Time after its last sign of life for which a gateway is told to be counted. It goes on
-/// counting for half a minute, in which [`RENEWAL_TTL`] passes at a gateway that heard so.
-const TOLD_TTL: Duration = Duration::from_mins(1);
-
-/// Time for which a report holds by which its sender counts this gateway.
-const RENEWAL_TTL: Duration = Duration::from_secs(10);
-
 /// Most gateways in a report that are told to be counted, to leave room for the rest of a
 /// datagram.
 const MAX_REPORTED: usize = 32;
@@ -78,18 +52,10 @@
     others: BTreeMap<SocketAddr, LastSeen>,
     /// Sum of the digests of their addresses.
     digest: u64,
-    /// The same of those with a recent sign of life.
-    told_digest: u64,
-    /// True if a gateway was silent for long about counting this one, since the last update.
-    has_lapsed: bool,
     /// True once the gateways in the store were read.
     is_listed: bool,
     /// Time at which they were.
     listed_at: Duration,
-    /// True while it may not know a gateway that started in an outage of the store.
-    is_outdated: bool,
-    /// Last time at which the store was not known to be up.
-    down_at: Duration,
     /// Time at which all others were known to count this gateway.
     counted_at: Option<Duration>,
 }
@@ -103,10 +69,6 @@
     reported_at: Option<Duration>,
     /// True once it reported that it counts this gateway.
     counts_own: bool,
-    /// Time of its last report by which it counts the same ones as this gateway.
-    renewed_at: Option<Duration>,
-    /// True if it is in the digest that is told.
-    is_told: bool,
     /// Time by which it stops, if its last report said that it does.
     stops_at: Option<Duration>,
 }
@@ -118,8 +80,6 @@
             at: now,
             reported_at: None,
             counts_own: false,
-            renewed_at: None,
-            is_told: false,
             stops_at: None,
         }
     }
@@ -147,30 +107,15 @@
             LastSeen::new(now)
         });
         seen.at = now;
-        if !seen.is_told {
-            seen.is_told = true;
-            self.told_digest = self.told_digest.wrapping_add(addr_digest(addr));
-        }
         seen
     }
 
     /// Records which gateways a gateway that reported counts.
-    pub fn record_counted(
-        &mut self,
-        addr: SocketAddr,
-        counted: &CountedRelays,
-        own: SocketAddr,
-        now: Duration,
-    ) {
-        let counts_same = counted.digest == self.told_digest(own);
-        let Some(seen) = self.others.get_mut(&addr) else {
-            return;
-        };
-        seen.counts_own |= counts_same || counted.recent.contains(&addr_digest(own));
-        if counts_same {
-            // Reports that waited while this process stood still come late.
-            let last = seen.renewed_at.replace(now);
-            self.has_lapsed |= last.is_some_and(|last| last + RENEWAL_TTL <= now);
+    pub fn record_counted(&mut self, addr: SocketAddr, counted: &CountedRelays, own: SocketAddr) {
+        let counts_own =
+            counted.digest == self.digest(own) || counted.recent.contains(&addr_digest(own));
+        if let Some(seen) = self.others.get_mut(&addr) {
+            seen.counts_own |= counts_own;
         }
     }
 
@@ -186,7 +131,7 @@
         recent.rotate_left(start.min(count));
         recent.truncate(MAX_REPORTED);
         CountedRelays {
-            digest: self.told_digest(own),
+            digest: self.digest(own),
             recent,
         }
     }
@@ -200,42 +145,6 @@
         }
     }
 
-    // Sum of the digests of the gateways that are told to be counted, `own` included.
-    fn told_digest(&self, own: SocketAddr) -> u64 {
-        if self.others.get(&own).is_some_and(|seen| seen.is_told) {
-            self.told_digest
-        } else {
-            self.told_digest.wrapping_add(addr_digest(own))
-        }
-    }
-
-    /// Determines whether this gateway, whose configuration was confirmed `confirmed` and whose
-    /// list `listed` ago, may not know all that send, or not be counted by them. While the
-    /// store is down no gateway can start, and those that run tell each other whom they count.
-    pub fn update_cut(
-        &mut self,
-        own: SocketAddr,
-        confirmed: Duration,
-        listed: Duration,
-        now: Duration,
-    ) {
-        if confirmed > MIN_OUTAGE {
-            self.down_at = now;
-        }
-        // The store is back, and gateways may have started since.
-        self.is_outdated = listed > MAX_CUT && confirmed <= MIN_OUTAGE;
-        let has_lapsed = std::mem::take(&mut self.has_lapsed);
-        if listed > MAX_CUT && (has_lapsed || !self.is_renewed(own, now)) {
-            self.forget_counted(now);
-        }
-    }
-
-    // True if all others reported a moment ago that they count the same ones as this gateway.
-    fn is_renewed(&self, own: SocketAddr, now: Duration) -> bool {
-        let mut others = self.others.iter().filter(|(addr, _)| **addr != own);
-        others.all(|(_, seen)| seen.renewed_at.is_some_and(|at| now < at + RENEWAL_TTL))
-    }
-
     /// Determines whether all others count this gateway: each said so, or has read its row
     /// in the store.
     pub fn update_counted(&mut self, own: SocketAddr, now: Duration) {
@@ -249,11 +158,7 @@
         let has_own_row = self.others.contains_key(&own);
         let is_counted =
             has_own_row && listed_for >= LISTING_TIME && others.all(|(_, seen)| seen.counts_own);
-        // Nobody reads rows while the store is down.
-        let own_row_at = self.others.get(&own).map_or(now, |seen| seen.first_at);
-        let readable_at = own_row_at.max(self.listed_at).max(self.down_at);
-        let readable_for = now.saturating_sub(readable_at);
-        if is_counted || readable_for >= READING_TIME {
+        if is_counted || listed_for >= READING_TIME {
             self.counted_at = Some(now);
         }
     }
@@ -272,11 +177,11 @@
     }
 
     fn is_counted(&self, now: Duration) -> bool {
-        !self.is_outdated && self.counted_at.is_some_and(|at| at + WINDOW <= now)
+        self.counted_at.is_some_and(|at| at + WINDOW <= now)
     }
 
     /// Forgets that the others count this gateway, which was cut off for long.
-    fn forget_counted(&mut self, now: Duration) {
+    pub fn forget_counted(&mut self, now: Duration) {
         self.counted_at = None;
         self.listed_at = now;
         for seen in self.others.values_mut() {
@@ -349,14 +254,9 @@
 
     /// Forgets gateways that gave no sign of life for long.
     pub fn expire(&mut self, now: Duration) {
-        let (digest, told_digest) = (&mut self.digest, &mut self.told_digest);
+        let digest = &mut self.digest;
         self.others.retain(|addr, seen| {
-            let silent = now.saturating_sub(seen.at);
-            if seen.is_told && silent >= TOLD_TTL {
-                seen.is_told = false;
-                *told_digest = told_digest.wrapping_sub(addr_digest(*addr));
-            }
-            let is_kept = silent < MEMBER_TTL;
+            let is_kept = now.saturating_sub(seen.at) < MEMBER_TTL;
             if !is_kept {
                 *digest = digest.wrapping_sub(addr_digest(*addr));
             }
@@ -398,31 +298,6 @@
     }
 }
 
-/// Returns the gateways that count by their rows in the store, each with the time at which it
-/// was written; all times are on the store's clock.
-///
-/// Load pattern: after an outage of the store all rows are old, and a gateway that starts then
-/// would take those that go on for gone. So rows age only while others are written.
-pub fn alive_gateways(
-    rows: &[(SocketAddr, Duration)],
-    own: SocketAddr,
-    now: Duration,
-) -> Vec<SocketAddr> {
-    let age = |written: Duration| now.saturating_sub(written);
-    let ages = rows.iter().map(|(_, written)| age(*written));
-    // Rows that were written since the outage say nothing about those that were not yet.
-    let newest = ages.filter(|age| *age >= REWRITE_TIME).min();
-    let outage = newest.filter(|age| (MAX_IDLE_TIME..MAX_OUTAGE).contains(age));
-    let outage = outage.unwrap_or_default();
-    let is_alive = |(addr, written): &&(SocketAddr, Duration)| {
-        // The others may have forgotten an earlier process of this gateway.
-        let outage = if *addr == own { Duration::ZERO } else { outage };
-        age(*written) < ROW_LIFETIME + outage
-    };
-    let alive = rows.iter().filter(is_alive);
-    alive.map(|(addr, _)| *addr).collect()
-}
-
 // Hash of a gateway's address.
 fn addr_digest(addr: SocketAddr) -> u64 {
     let mut hasher = FxHasher::default();
--- a/src/carawayrun/relay/traffic/limits.rs
+++ b/src/carawayrun/relay/traffic/limits.rs
@@ -13,6 +13,10 @@
 use crate::relay::rate_limit::LimitNotice;
 use crate::relay::view::{Upstream, UpstreamKey, View};
 
+/// Time without a confirmed configuration after which the other gateways may have ceased to
+/// count this one.
+const MAX_CUT: Duration = Duration::from_mins(1);
+
 impl Traffic {
     /// Records the limit that an upstream named in an answer, or that it named none.
     pub(in crate::relay) fn record_limit(
@@ -201,8 +205,9 @@
             }
         }
         members.expire(now);
-        let age = |at| boot_clock::now().saturating_sub(at);
-        members.update_cut(own, age(view.confirmed_at), age(view.listed_at), now);
+        if boot_clock::now().saturating_sub(view.confirmed_at) > MAX_CUT {
+            members.forget_counted(now);
+        }
         members.update_counted(own, now);
         let tolerance = self.settings().cold_tolerance;
         let (limited, resting, evacuated) = self.fleet(&view, |fleet, _| {
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -533,7 +533,7 @@
         let stops_in = report.stops_in.map(|ms| Duration::from_millis(ms.into()));
         members.record_report(from, stops_in, now);
         if let Some(counted) = &report.counted {
-            members.record_counted(from, counted, self.own_addr, now);
+            members.record_counted(from, counted, self.own_addr);
         }
         let mut fleet = self.fleet.borrow_mut();
         fleet.peer_loads.receive(report, now);
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -106,8 +106,6 @@
     pub peers: Vec<SocketAddr>,
     /// True once the gateways that are listed in the store were read.
     pub is_listed: bool,
-    /// Time on the boot clock at which they last were.
-    pub listed_at: Duration,
     /// Time on the boot clock at which the configuration was known to be current.
     pub confirmed_at: Duration,
 }
