Take a gap between confirmations for an outage only after a failed call

Cause: an outage of the store was inferred from the age of the last confirmation alone.

Change: `outage.rs` decides: a gap of over 2.4 s is an outage if a read of this gateway failed within it, else it is logged as silence with its length, and keeps nothing.

--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -22,6 +22,7 @@
 use super::RelaySettings;
 use super::boot_clock;
 use super::control::{Effect, Event, State};
+use super::outage::{Gap, OutageDetector};
 use super::readers::{Confirmation, FollowedTable, ReadDecision};
 use super::stalls;
 use super::store_clock::StoreClock;
@@ -44,10 +45,6 @@
 const RETRY_PAUSE_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_millis(1_500));
 
-/// Gap between two confirmations of the registrations that counts as a store
-/// outage: two heartbeats of an upstream.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_400);
-
 /// Error of a call whose answer the store gave before a restore.
 const OUTDATED_ANSWER: &str = "answer from before the restore of the store";
 
@@ -91,8 +88,7 @@
     era: Cell<Option<u64>>,
     /// Time of the store's last answer to this gateway, on the boot clock.
     answered_at: Cell<Duration>,
-    /// Time as of which the registrations are known, on the boot clock.
-    registrations_at: Cell<Duration>,
+    outages: RefCell<OutageDetector>,
     rng: RefCell<SmallRng>,
 }
 
@@ -115,7 +111,7 @@
         writes: RefCell::default(),
         era: Cell::default(),
         answered_at: Cell::default(),
-        registrations_at: Cell::default(),
+        outages: RefCell::default(),
         rng: RefCell::new(SmallRng::from_os_rng()),
     });
     actix_rt::spawn(Rc::clone(&follower).receive_updates());
@@ -214,10 +210,14 @@
         match table {
             Table::Orders => self.handle(Event::ConfigurationConfirmed(at)),
             Table::Registrations => {
-                let before = self.registrations_at.replace(at);
-                let outage = at.saturating_sub(before);
-                if !before.is_zero() && outage > OUTAGE_THRESHOLD {
-                    self.handle(Event::StoreRecovered(outage));
+                let gap = self.outages.borrow_mut().record_confirmed(at);
+                match gap {
+                    Some(Gap::Outage(outage)) => self.handle(Event::StoreRecovered(outage)),
+                    Some(Gap::Silence(silence)) => tracing::warn!(
+                        silent_ms = silence.as_millis() as u64,
+                        "registrations were not confirmed, though no call to the store failed"
+                    ),
+                    None => {}
                 }
             }
             Table::Rollouts => {}
@@ -376,6 +376,8 @@
         self.shared.metrics.store_calls.inc();
         self.shared.metrics.store_failures.inc();
         let now = boot_clock::now();
+        self.outages.borrow_mut().record_failure(now);
+        let registrations_at = self.outages.borrow().confirmed_at();
         let age_ms = |since: Duration| now.saturating_sub(since).as_millis() as u64;
         if self.shared.metrics.log_limiter.take_line(true) {
             tracing::warn!(
@@ -383,7 +385,7 @@
                 ?keyspace,
                 took_ms = age_ms(begun),
                 answered_ms = age_ms(self.answered_at.get()),
-                registrations_age_ms = age_ms(self.registrations_at.get()),
+                registrations_age_ms = age_ms(registrations_at.unwrap_or_default()),
                 "store call failed"
             );
         }
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -13,6 +13,7 @@
 //! | [`rollout`] | phases of a roll-out |
 //! | [`evidence`] | evidence about the new version of a roll-out |
 //! | [`placement`] | choice of a request's upstream |
+//! | [`outage`] | outages of the store, as a gateway sees them |
 //! | [`pace`] | pace of each engine relative to the usual one |
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
@@ -62,6 +63,7 @@
 pub mod memory;
 pub mod message;
 mod metrics;
+pub mod outage;
 pub mod pace;
 pub mod placement;
 mod probe;
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -16,6 +16,7 @@
 mod loads;
 mod losses;
 mod memory;
+mod outage;
 mod pace;
 mod placement;
 mod progress;
