--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -13,6 +13,7 @@
 //! | [`rollout`] | phases of a roll-out |
 //! | [`evidence`] | evidence about the new version of a roll-out |
 //! | [`placement`] | choice of a request's upstream |
+//! | [`outage`] | outages of the store, as a gateway sees them |
 //! | [`pace`] | pace of each engine relative to the usual one |
 //! | [`prompts`] | shared prompt parts that engines still hold |
 //! | [`cascade`] | choice of a request's model |
@@ -63,6 +64,7 @@
 pub mod memory;
 pub mod message;
 mod metrics;
+pub mod outage;
 pub mod pace;
 pub mod placement;
 mod probe;
@@ -81,7 +83,7 @@
 mod service_time;
 mod session_lists;
 pub mod sessions;
-mod shares;
+pub mod shares;
 mod stalls;
 pub mod store_clock;
 #[cfg(test)]
@@ -96,6 +98,7 @@
 use compact_str::CompactString;
 
 use self::allowance::ColdTolerance;
+use self::shares::TeamWeights;
 
 pub use self::probe::{EVACUATIONS_PATH, QUARANTINE_PATH};
 pub use self::serve::{BindError, Relay, bind};
@@ -142,6 +145,8 @@
     pub session_gap: Duration,
     /// Requests that cold upstreams may get beyond the rate that their service names.
     pub cold_tolerance: ColdTolerance,
+    /// Weights of the teams that compete for places at plain services.
+    pub team_weights: TeamWeights,
     /// Limit of the process on open file descriptors.
     pub max_descriptors: u32,
     /// Memory of the host that the process may use, in bytes.
