--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -15,6 +15,7 @@
 //! | [`placement`] | choice of a request's upstream |
 //! | [`outage`] | outages of the store, as a gateway sees them |
 //! | [`pace`] | pace of each engine relative to the usual one |
+//! | [`prompts`] | shared prompt parts that engines still hold |
 //! | [`cascade`] | choice of a request's model |
 //! | [`budget`] | retry budget |
 //! | [`rate_limit`] | shares of the rates that upstreams name |
@@ -68,6 +69,7 @@
 pub mod placement;
 mod probe;
 pub mod progress;
+pub mod prompts;
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -20,6 +20,7 @@
 mod pace;
 mod placement;
 mod progress;
+mod prompts;
 mod quarantine;
 mod queue;
 mod rate_limit;
