Build sealed answers and plain queries of the tests in one place

Cause: three stand-ins of early and crowds wrote the same head, and a test of the fleet wrote the query that stands beside it as a function.

Change: `sealed_head` beside the other calls by hand; `used` calls `query`. What the tests send and assert is unchanged.

--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -97,17 +97,7 @@
 
     /// Upstreams that get some of many requests.
     fn used(&mut self) -> Vec<UpstreamKey> {
-        let query = UpstreamQuery {
-            service: SERVICE,
-            version_input: VersionInput::default(),
-            required_version: None,
-            prefix: None,
-            parts: &[],
-            work: Work::default(),
-            kv_capacity: None,
-            excluded: &[],
-            allows_ejected: true,
-        };
+        let query = query(&[]);
         let mut used = Vec::new();
         for _ in 0..200 {
             let chosen = self
--- a/tests/testsuite/crowds.rs
+++ b/tests/testsuite/crowds.rs
@@ -16,7 +16,7 @@
 use tokio::sync::Mutex;
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
-use crate::support::raw::{End, request_head, send_raw, serve_raw};
+use crate::support::raw::{End, request_head, sealed_head, send_raw, serve_raw};
 use crate::support::unread_bytes;
 
 /// Memory that the settings give the relay, in MB. It may not use more.
@@ -262,11 +262,8 @@
     let _turn = TURN.lock().await;
     let mut world = world_of("crowd-unread", memory_mb).await;
     let upstream = actix_rt::spawn(serve_raw(world.address(HOST), |head| {
-        let id = head.field("x-carawayrun-request-id").unwrap_or_default();
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nx-carawayrun-request-id: {id}\r\n\
-             x-carawayrun-response-seal: seal\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
-        );
+        let head = sealed_head(head, "200 OK");
+        let head = format!("{head}content-length: {BODY_BYTES}\r\n\r\n");
         (head + &"x".repeat(BODY_BYTES), End::Closed)
     }));
     let addr = world.relay_address(7001);
--- a/tests/testsuite/early.rs
+++ b/tests/testsuite/early.rs
@@ -12,7 +12,7 @@
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
 use crate::support::raw::{
-    End, RawAnswer, read_answer, read_home_status, request_head, send_raw, serve_raw,
+    End, RawAnswer, read_answer, read_home_status, request_head, sealed_head, send_raw, serve_raw,
 };
 use crate::support::{LUZCENA_KEY, WorldBuilder};
 
@@ -170,12 +170,8 @@
 async fn status_of_no_answer_is_delivered(status: &'static str) {
     let world = world("early-status").await;
     let upstream = actix_rt::spawn(serve_raw(world.address(HOST), move |head| {
-        let id = head.field("x-carawayrun-request-id").unwrap_or_default();
-        let head = format!(
-            "HTTP/1.1 {status}\r\nx-carawayrun-request-id: {id}\r\n\
-             x-carawayrun-response-seal: seal\r\ncontent-length: 4\r\n\r\nnone"
-        );
-        (head, End::Closed)
+        let head = sealed_head(head, status);
+        (head + "content-length: 4\r\n\r\nnone", End::Closed)
     }));
     let addr = world.relay_address(7001);
     for number in 0..REQUESTS {
@@ -213,12 +209,7 @@
 async fn bytes_behind_answer_without_body_are_delivered(status: &'static str, rest: &'static str) {
     let world = world("early-none").await;
     let upstream = actix_rt::spawn(serve_raw(world.address(HOST), move |head| {
-        let id = head.field("x-carawayrun-request-id").unwrap_or_default();
-        let head = format!(
-            "HTTP/1.1 {status}\r\nx-carawayrun-request-id: {id}\r\n\
-             x-carawayrun-response-seal: seal\r\n{rest}"
-        );
-        (head, End::Closed)
+        (sealed_head(head, status) + rest, End::Closed)
     }));
     let addr = world.relay_address(7001);
     for number in 0..REQUESTS {
--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// Beginning of an upstream's sealed answer to the request with this head, up to the fields
+/// that differ.
+pub(crate) fn sealed_head(request: &Head, status: &str) -> String {
+    let id = request.field("x-carawayrun-request-id").unwrap_or_default();
+    format!(
+        "HTTP/1.1 {status}\r\nx-carawayrun-request-id: {id}\r\n\
+         x-carawayrun-response-seal: seal\r\n"
+    )
+}
+
 /// Events of a stream from one number to another.
 pub(crate) fn events(from: u32, to: u32) -> String {
     let events = (from..=to).map(|number| format!("id: {number}\ndata: word {number}\n\n"));
