Add up others' demand only where the own queue doesn't decide

Cause: `is_waited_for` added up the demand of all gateways for each service and report, also where a request of its own waits, which is the answer already.

Change: the own queue is asked first; the result is the same.

--- a/src/carawayrun/relay/traffic/queues.rs
+++ b/src/carawayrun/relay/traffic/queues.rs
@@ -312,9 +312,12 @@
 
     // True if a request of any gateway waits for a service.
     fn is_waited_for(&self, service: u32, queue: &ServiceQueue) -> bool {
+        if queue.queue.waiting_count() > 0 {
+            return true;
+        }
         let fleet = self.fleet.borrow();
         let others = fleet.peer_loads.demand(service, self.now());
-        queue.queue.waiting_count() > 0 || others.values().any(|demand| demand.waiting > 0)
+        others.values().any(|demand| demand.waiting > 0)
     }
 
     /// Time within which answers of a route are expected to end once they have a place, if
