Keep decaying rates by one piece of code

Cause: the queue's arrivals and the tokens sent to engines were two copies of one exponentially decaying sum with its rate, one by a window, one by a half-life.

Change: `moving_rate.rs` for both; windows and half-lives as they were.

--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -64,6 +64,7 @@
 pub mod memory;
 pub mod message;
 mod metrics;
+mod moving_rate;
 pub mod outage;
 pub mod pace;
 pub mod placement;
--- a/src/carawayrun/relay/prompts.rs
+++ b/src/carawayrun/relay/prompts.rs
@@ -12,6 +12,7 @@
 use compact_str::CompactString;
 use rustc_hash::{FxHashMap, FxHasher};
 
+use super::moving_rate::MovingRate;
 use crate::peer::message::PromptCopy;
 
 /// Most engines that a part is known to be held at, so that a hot part does not draw every
@@ -147,27 +148,13 @@
     }
 }
 
-/// Decayed sum of tokens that were sent.
-#[derive(Debug, Clone, Copy, Default)]
-struct TokenSum {
-    tokens: f64,
-    at: Duration,
-}
-
-impl TokenSum {
-    fn decayed(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at);
-        self.tokens * (-age.div_duration_f64(HALF_LIFE)).exp2()
-    }
-}
-
 /// Copies of prompt parts at the engines, as far as a gateway knows. Times are on the
 /// caller's clock.
 #[derive(Debug, Default)]
 pub struct KeptPrompts {
     parts: FxHashMap<PartKey, PartCopies>,
     /// Own sends that were not kept at their engines, by service.
-    sent: FxHashMap<CompactString, TokenSum>,
+    sent: FxHashMap<CompactString, MovingRate>,
     /// Own copies that were not reported yet.
     untold: Vec<(u64, PartKey)>,
 }
@@ -177,8 +164,7 @@
     /// generate, per second.
     pub fn sent_per_second(&self, service: &str, now: Duration) -> f64 {
         let sent = self.sent.get(service);
-        let tokens = sent.map_or(0.0, |sent| sent.decayed(now));
-        tokens * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+        sent.map_or(0.0, |sent| sent.per_second(now))
     }
 
     /// Engines that were sent one of these parts.
@@ -216,12 +202,9 @@
     /// the engine is expected to hold.
     pub fn record_send(&mut self, send: &PromptSend<'_>, now: Duration) -> f64 {
         let kept = self.expected_tokens(send.parts, send.engine, &send.space, now);
-        let sum = self.sent.entry(send.service.into()).or_default();
-        let taken = (send.kv_tokens as f64 - kept).max(0.0);
-        *sum = TokenSum {
-            tokens: sum.decayed(now) + taken,
-            at: now,
-        };
+        let rate = self.sent.entry(send.service.into());
+        let rate = rate.or_insert_with(|| MovingRate::with_half_life(HALF_LIFE));
+        rate.record((send.kv_tokens as f64 - kept).max(0.0), now);
         let Some((last, before)) = send.parts.split_last() else {
             return kept;
         };
--- a/src/carawayrun/relay/queue.rs
+++ b/src/carawayrun/relay/queue.rs
@@ -13,6 +13,7 @@
 use rustc_hash::FxHashMap;
 use slotmap::{SlotMap, new_key_type};
 
+use super::moving_rate::MovingRate;
 use super::shares::{self, Claim, TeamWeights};
 
 new_key_type! {
@@ -152,7 +153,7 @@
 pub struct Queue {
     waiting: SlotMap<Ticket, Job>,
     running: BTreeMap<Class, u32>,
-    arrivals: BTreeMap<Class, Arrivals>,
+    arrivals: BTreeMap<Class, MovingRate>,
     hold: Option<f64>,
 }
 
@@ -160,8 +161,9 @@
     /// Takes a place at once where nothing as urgent waits and the demand of all gateways
     /// fits; returns false otherwise.
     pub fn try_begin(&mut self, job: &Job, room: &Room) -> bool {
-        let arrivals = self.arrivals.entry(job.class()).or_default();
-        arrivals.record(job.arrived);
+        let arrivals = self.arrivals.entry(job.class());
+        let arrivals = arrivals.or_insert_with(|| MovingRate::new(ARRIVAL_WINDOW));
+        arrivals.record(1.0, job.arrived);
         let fits = self.fits(job, room);
         if fits {
             self.begin(job);
@@ -358,7 +360,7 @@
             return Duration::ZERO;
         };
         let arrivals = self.arrivals.get(&job.class()).filter(|_| job.due < now);
-        let passing = arrivals.map_or(0.0, |arrivals| arrivals.rate(now));
+        let passing = arrivals.map_or(0.0, |arrivals| arrivals.per_second(now));
         time_for(ahead + 1, (rate - passing).max(rate * MIN_SPARE))
     }
 
@@ -375,30 +377,6 @@
     }
 }
 
-/// Exponentially decaying count of arrivals.
-#[derive(Debug, Default)]
-struct Arrivals {
-    count: f64,
-    at: Duration,
-}
-
-impl Arrivals {
-    fn record(&mut self, now: Duration) {
-        self.count = self.decayed(now) + 1.0;
-        self.at = now;
-    }
-
-    // Arrivals per second.
-    fn rate(&self, now: Duration) -> f64 {
-        self.decayed(now) / ARRIVAL_WINDOW.as_secs_f64()
-    }
-
-    fn decayed(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at);
-        self.count * (-age.div_duration_f64(ARRIVAL_WINDOW)).exp()
-    }
-}
-
 // Time in which `count` requests begin at `rate` a second.
 fn time_for(count: usize, rate: f64) -> Duration {
     Duration::try_from_secs_f64(count as f64 / rate).unwrap_or(Duration::MAX / 4)
