--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,105 +1,68 @@
-"""Clients pause while they read, around a planned stop of the machine that serves them."""
+"""The last tenant leaves: its keys are taken away, and the configuration lists no tenants."""
 import os
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from lab2 import *  # noqa: E402,F403
 
-CLIENTS = 8
-# Time for which a slow client doesn't read, in seconds; the deadline is that of the sheet.
-PAUSE = 3.5
-DEADLINE_MS = 25000
-# Within the largest stream of the sheet: 140 events of 420 bytes.
-EVENTS, EVENT_BYTES = 120, 400
-# Time from one event to the next, in seconds.
-STEP = 0.005
-# What a client's system takes for it: its window.
-WINDOW_BYTES = 16 * 1024
-MODEL = "X-Carawayrun-Model: daka510000\r\nX-Carawayrun-Token-Count: 1460,960\r\n"
-
-
-def event(number):
-    text = b"id: %d\ndata: " % number
-    return text + b"t" * (EVENT_BYTES - len(text) - 2) + b"\n\n"
+REVOKE_S = 5.0
+NEVER_HELD = "zzzzzzzzzzzzzzzzzzzz"
 
 
 async def play(record, scratch, relays):
-    loop = asyncio.get_running_loop()
     store = Store(free_ip())
     await store.start()
-    known = route("case-match", "/match/", "reader", "streaming", DEADLINE_MS, 2500, session_affinity=True,
-                  stream_resume=True, gap_target_ms=1500)
-    await store.put("op", "config", config(5, [known], [service("reader", True)]))
-    done = {}
+    routes = [route("claim-release", "/claim/", "claim-desk", "unsafe", 2000, 300, max_attempts=1)]
+    services = [service("claim-desk")]
+    await store.put("op", "config", config(5, routes, services))
+    ran = {}
 
-    class Engine(Runner):
+    class App(Runner):
         async def answer(self, line, fields, body, reader, writer):
             name = fields["x-carawayrun-request-id"]
-            after = int(fields.get("last-event-id", "0"))
-            last = EVENTS if name.startswith("big") else 1
-            writer.write(self.head(fields, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
-            for number in range(after + 1, last + 1):
-                text = event(number)
-                writer.write(b"%x\r\n%s\r\n" % (len(text), text))
-                await writer.drain()
-                await asyncio.sleep(STEP)
-            writer.write(b"0\r\n\r\n")
-            await writer.drain()
-            done[name] = time.monotonic()
-            self.record.say("%s ran %s to its end" % (self.name, name))
-            return True
+            ran[name] = fields.get("x-carawayrun-tenant", "none")
+            self.record.say("%s runs %s for tenant %s" % (self.name, name, ran[name]))
+            return await super().answer(line, fields, body, reader, writer)
 
-    for number in range(3):
-        await Engine(store, record, "i-%d" % number, "reader").start()
+    for number in range(2):
+        await App(store, record, "i-%d" % number, "claim-desk", slots=6).start()
     relay = Relay(store)
     relay.start(scratch)
     relays.append(relay)
     await relay.until_ready()
 
-    async def receive(client, pause):
-        """Reads the first event, pauses, and reads on; returns the bytes that came, and how the answer ended."""
-        text = b""
-        while not text.endswith(b"\r\n0\r\n\r\n"):
-            try:
-                piece = await asyncio.wait_for(loop.sock_recv(client, 1024 if pause else 65536), DEADLINE_MS / 1000)
-            except OSError as error:
-                return text, "cut: %s" % error.strerror
-            except asyncio.TimeoutError:
-                return text, "no more within the deadline"
-            if not piece:
-                return text, "cut: closed"
-            text += piece
-            await asyncio.sleep(pause)
-            pause = 0
-        return text, "whole"
+    async def ask(name, key):
+        reader, writer = await asyncio.open_connection(relay.ip, relay.port)
+        writer.write(request("POST", "/claim/a", name, 2000, "", b"{}").replace(KEY.encode(), key.encode()))
+        line = await asyncio.wait_for(reader.readline(), 5)
+        record.say("client %s with key %s got %s" % (name, key, line[9:12].decode()))
+        close(writer)
 
-    clients = []
-    for number in range(CLIENTS):
-        client = socket.socket()
-        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-        client.setblocking(False)
-        await loop.sock_connect(client, (relay.ip, relay.port))
-        await loop.sock_sendall(client, request("POST", "/match/a", "small-%d" % number, DEADLINE_MS, MODEL, b"p" * 600))
-        await receive(client, 0)
-        clients.append(client)
-    record.say("%d connections are kept" % len(clients))
-
-    async def play_client(number):
-        name = "big-%d" % number
-        await loop.sock_sendall(clients[number], request("POST", "/match/a", name, DEADLINE_MS, MODEL, b"p" * 6000))
-        begun = time.monotonic()
-        text, end = await receive(clients[number], PAUSE if TROUBLE else 0)
-        record.say("client %s got %s, %d of %d events, %s, %.1f s after its request"
-                   % (name, text[:12].decode("latin-1"), text.count(b"\nid: "), EVENTS, end, time.monotonic() - begun))
-        return end == "whole" or name not in done
-
-    playing = asyncio.ensure_future(asyncio.gather(*[play_client(number) for number in range(CLIENTS)]))
-    await asyncio.sleep(0.3)
-    record.say("SIGTERM, after %d of %d requests ran" % (sum(name.startswith("big") for name in done), CLIENTS))
-    relay.process.send_signal(signal.SIGTERM)
-    whole = await playing
-    record.say("%d of %d answers, of requests that ran, were not whole" % (whole.count(False), CLIENTS))
-    return whole.count(False) <= 3
+    for number in range(3):
+        await ask("before-%d" % number, KEY)
+        await ask("stranger-before-%d" % number, NEVER_HELD)
+    if "before-0" not in ran:
+        raise Unable("the key was not accepted before it was taken away")
+    newer = config(9, routes, services)
+    if TROUBLE:
+        newer["tenants"] = []
+    await store.put("op", "config", newer)
+    acknowledged = time.monotonic()
+    record.say("acknowledged: version 9, with %d tenants" % len(newer["tenants"]))
+    late = []
+    for number in range(14):
+        await asyncio.sleep(0.6)
+        since = time.monotonic() - acknowledged
+        record.say("%.1f s after the acknowledgement:" % since)
+        await ask("after-%d" % number, KEY)
+        await ask("stranger-after-%d" % number, NEVER_HELD)
+        if since > REVOKE_S:
+            late.append("after-%d" % number)
+    revoked = [name for name in late if TROUBLE and name in ran]
+    strangers = [name for name in ran if name.startswith("stranger")]
+    record.say("ran with a key that was taken away over %.0f s before: %s" % (REVOKE_S, revoked))
+    record.say("ran with a key that no configuration ever held: %s" % strangers)
+    return not revoked and not strangers
 
 
 main(os.path.dirname(os.path.abspath(__file__)), play)
