Cut no peer for reading slowly

Cause: TCP_USER_TIMEOUT (2 s), which is to find hosts behind a partition, also closes connections whose peer acknowledges each probe of its closed window; behind it the responder gave up after 5 s.

Change: PeerWatch reads TCP_INFO from half a second after a write on until all is acknowledged. A peer that acknowledges nothing for 1.5 s is silent; a slow reader is not. The request's deadline bounds a slow reader. While it takes nothing, its upstream is read on into the memory account; there it gives way when others need the room.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -14,7 +14,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
 use snafu::{ResultExt, Snafu};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
@@ -24,8 +24,8 @@
 use super::body::{Body, BodyBuffer};
 use super::boot_clock;
 use super::catalog::Limits;
-use super::connection::set_socket_options;
 use super::exchange::Exchange;
+use super::liveness::PeerWatch;
 use super::memory::{MemoryFull, MemoryUse};
 use super::message::ClientRequest;
 use super::metrics::DrainEnd;
@@ -124,6 +124,7 @@
 struct Connection {
     traffic: Rc<Traffic>,
     peer: SocketAddr,
+    watch: PeerWatch,
     turn: Turn,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
@@ -158,16 +159,20 @@
 
 /// Serves a connection until the client closes it or it must be closed.
 pub(super) async fn serve(stream: TcpStream, peer: SocketAddr, traffic: Rc<Traffic>) {
-    if let Err(error) = set_socket_options(&stream) {
-        tracing::debug!(%error, "client connection not usable");
-        return;
-    }
+    let watch = match PeerWatch::open(&stream) {
+        Ok(watch) => watch,
+        Err(error) => {
+            tracing::debug!(%error, "client connection not usable");
+            return;
+        }
+    };
     let (reader, writer) = stream.into_split();
     let mut connection = Connection {
         codec: Codec::new(traffic.config.clone()),
         unused: Some(Counted::new(&traffic, |traffic| &traffic.new_connections)),
         traffic,
         peer,
+        watch,
         turn: Turn::default(),
         reader,
         writer,
@@ -263,11 +268,15 @@
             // What has arrived is read before the connection is closed.
             tokio::select! {
                 biased;
-                read = fill(&mut self.reader, &mut self.received) => {
+                read = fill(&self.reader, &mut self.received) => {
                     if read.context(IoSnafu)? == 0 {
                         return ClosedSnafu.fail();
                     }
                 }
+                () = self.watch.silenced(self.reader.as_ref()) => {
+                    self.discard();
+                    return ClosedSnafu.fail();
+                }
                 () = sleep_until(until) => return ClosedSnafu.fail(),
                 _ = phases.changed() => {}
             }
@@ -389,7 +398,7 @@
         let read = tokio::select! {
             biased;
             () = hold.evicted() => return MemoryFullSnafu { id: "" }.fail(),
-            read = fill(&mut self.reader, &mut self.received) => read,
+            read = fill(&self.reader, &mut self.received) => read,
         };
         self.traffic.stalls.record_read(self.peer);
         match read.context(IoSnafu)? {
@@ -421,8 +430,9 @@
             }
             _ => platform::refusal_headers("", None),
         };
-        let mut responder = Responder::new(&mut self.writer, &mut self.codec, true);
-        if let Err(error) = responder.write_whole(status, headers, &body).await {
+        let mut responder =
+            Responder::new(&mut self.writer, &mut self.codec, true).watched(&self.watch);
+        if let Err(error) = responder.write_own(status, headers, &body).await {
             tracing::debug!(%error, "failed to write a rejection to a client");
             return;
         }
@@ -452,13 +462,22 @@
         log.finish(&self.traffic.metrics, is_draining);
     }
 
+    // Has the kernel drop what it holds for a client that doesn't answer.
+    fn discard(&self) {
+        tracing::info!(peer = %self.peer, requests = self.requests, "client doesn't answer; connection closed");
+        self.traffic.metrics.silent_clients.inc();
+        if let Err(error) = self.reader.as_ref().set_zero_linger() {
+            tracing::debug!(%error, "failed to discard what a client has not read");
+        }
+    }
+
     // Ends the answer and drops what the client still sends of its request.
     async fn linger(&mut self) -> io::Result<()> {
         self.writer.shutdown().await?;
         loop {
             self.turn.give_way().await;
             self.received.clear();
-            let read = timeout(LINGER_TIME, fill(&mut self.reader, &mut self.received));
+            let read = timeout(LINGER_TIME, fill(&self.reader, &mut self.received));
             let count = read.await.unwrap_or(Ok(0))?;
             if count == 0 {
                 return Ok(());
@@ -483,7 +502,8 @@
         log.session = client_request.session.clone().unwrap_or_default();
         let admitted = self.admit(head, &client_request, &mut log).await;
         let is_last = self.traffic.phases.get().drain().is_some() || !self.codec.keep_alive();
-        let mut responder = Responder::new(&mut self.writer, &mut self.codec, is_last);
+        let mut responder =
+            Responder::new(&mut self.writer, &mut self.codec, is_last).watched(&self.watch);
         let served = async {
             match admitted {
                 Ok(admitted) => {
@@ -514,7 +534,7 @@
                         platform::refusal_headers(&client_request.id, refusal.retry_after());
                     let body = Bytes::from_static(refusal.text().as_bytes()).into();
                     responder
-                        .write_whole(refusal.status(), headers, &body)
+                        .write_own(refusal.status(), headers, &body)
                         .await
                         .is_ok()
                 }
@@ -523,7 +543,11 @@
         let keep_alive = tokio::select! {
             biased;
             keep_alive = served => keep_alive,
-            () = wait_for_disconnect(&mut self.reader, &mut self.received) => false,
+            () = wait_for_disconnect(&self.reader, &mut self.received) => false,
+            () = self.watch.silenced(self.reader.as_ref()) => {
+                self.discard();
+                false
+            }
         };
         let is_draining = self.traffic.phases.get().drain().is_some();
         log.finish(&self.traffic.metrics, is_draining);
@@ -570,15 +594,21 @@
     }
 }
 
-async fn fill(reader: &mut OwnedReadHalf, received: &mut BytesMut) -> io::Result<usize> {
-    received.reserve(READ_BYTES);
-    // The buffer may have more room, and would keep growing with it.
-    reader.read_buf(&mut received.limit(READ_BYTES)).await
+async fn fill(reader: &OwnedReadHalf, received: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        reader.readable().await?;
+        received.reserve(READ_BYTES);
+        // The buffer may have more room, and would keep growing with it.
+        match reader.try_read_buf(&mut received.limit(READ_BYTES)) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
 }
 
 // Returns when the client has closed its side; bytes that it sends ahead are
 // kept.
-async fn wait_for_disconnect(reader: &mut OwnedReadHalf, received: &mut BytesMut) {
+async fn wait_for_disconnect(reader: &OwnedReadHalf, received: &mut BytesMut) {
     while received.len() < MAX_PIPELINED_BYTES {
         match fill(reader, received).await {
             Ok(0) | Err(_) => return,
--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -18,27 +18,16 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use snafu::{ResultExt, Snafu};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::body::Body;
+use super::liveness::PeerWatch;
 use super::progress::{FramingAllowance, MAX_HEAD_BYTES, MAX_INTERIM_BYTES, MessagePart, Turn};
 use super::stalls::StallMonitor;
 
-/// Time for unacknowledged bytes and for a silent peer after which the kernel
-/// closes the connection; a host behind a partition sends nothing, not even a
-/// reset.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Idle time before the first keepalive probe.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-
-/// Interval between keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Idle limit of connections to peers that announce none: most servers keep an
 /// idle connection for some seconds.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(2_500);
@@ -104,6 +93,7 @@
 pub(crate) struct UpstreamConnection {
     stream: TcpStream,
     peer: SocketAddr,
+    watch: PeerWatch,
     stalls: Arc<StallMonitor>,
     config: ServiceConfig,
     codec: Codec,
@@ -139,10 +129,11 @@
             .ok()
             .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
             .context(IoSnafu)?;
-        set_socket_options(&stream).context(IoSnafu)?;
+        let watch = PeerWatch::open(&stream).context(IoSnafu)?;
         Ok(Self {
             stream,
             peer: addr,
+            watch,
             stalls: Arc::clone(stalls),
             config: config.clone(),
             codec: Codec::Done,
@@ -404,7 +395,13 @@
             } else {
                 Interest::READABLE | Interest::WRITABLE
             };
-            let ready = self.stream.ready(interest).await?;
+            let ready = tokio::select! {
+                biased;
+                ready = self.stream.ready(interest) => ready?,
+                () = self.watch.silenced(&self.stream) => {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            };
             if ready.is_writable() && !self.unsent.is_empty() {
                 self.write_unsent()?;
             }
@@ -430,6 +427,7 @@
         match self.stream.try_write(block) {
             Ok(count) => {
                 self.has_written |= count > 0;
+                self.watch.record_write();
                 block.advance(count);
                 if block.is_empty() {
                     self.unsent.pop_front();
@@ -450,15 +448,3 @@
 fn may_have_body(head: &ResponseHead) -> bool {
     head.status != StatusCode::NO_CONTENT && head.status != StatusCode::NOT_MODIFIED
 }
-
-/// Sets socket options that detect a silent peer, and disables Nagle's algorithm.
-pub(super) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)
-}
--- a/src/carawayrun/relay/events.rs
+++ b/src/carawayrun/relay/events.rs
@@ -110,6 +110,11 @@
         self.block.is_event() || self.pending.len() > self.scanned
     }
 
+    /// Memory of the buffer, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Returns true if the incomplete event is longer than any event may be.
     pub fn is_oversized(&self) -> bool {
         self.pending.len() > MAX_EVENT_BYTES
@@ -123,7 +128,8 @@
 
     /// Discards an incomplete event, before another upstream resumes the stream.
     pub fn discard_partial(&mut self) {
-        self.pending.clear();
+        // Its memory, too: it may be far longer than the events of a sound stream.
+        self.pending = BytesMut::new();
         self.scanned = 0;
         self.searched = 0;
         self.block = Block::default();
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -180,17 +180,15 @@
                 status: head.status,
                 headers,
                 body,
-                _hold: hold,
+                hold,
             });
             return None;
         }
         self.log.set_outcome(RequestOutcome::Answered, head.status);
-        let written = responder.write_whole(head.status, headers, &body).await;
-        Some(if written.is_ok() {
-            Delivery::Complete
-        } else {
-            Delivery::Interrupted
-        })
+        let written = responder
+            .write_whole(head.status, headers, &body, Some(&hold))
+            .await;
+        Some(self.end_delivery(&written))
     }
 }
 
--- a/src/carawayrun/relay/exchange/mod.rs
+++ b/src/carawayrun/relay/exchange/mod.rs
@@ -32,7 +32,7 @@
 use super::metrics::SendReason;
 use super::quarantine::Verdict;
 use super::request_log::{RequestLog, RequestOutcome};
-use super::responder::Responder;
+use super::responder::{Responder, WriteError};
 use super::traffic::{AttemptGuard, MemoryHold, Place, Traffic};
 use super::view::{Upstream, UpstreamKey};
 use crate::platform;
@@ -148,7 +148,7 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Body,
-    _hold: MemoryHold,
+    hold: MemoryHold,
 }
 
 /// Progress of a request over all its attempts.
@@ -452,14 +452,11 @@
             self.log
                 .set_outcome(RequestOutcome::Answered, failure.status);
             let headers = failure.headers.clone();
+            let hold = Some(&failure.hold);
             let written = responder
-                .write_whole(failure.status, headers, &failure.body)
+                .write_whole(failure.status, headers, &failure.body, hold)
                 .await;
-            return if written.is_ok() {
-                Delivery::Complete
-            } else {
-                Delivery::Interrupted
-            };
+            return self.end_delivery(&written);
         }
         let is_expired = Instant::now() + MIN_TIME_LEFT >= self.deadline(route);
         let refusal = if progress.may_have_run && is_expired {
@@ -518,13 +515,21 @@
             .set_outcome(RequestOutcome::Refused, refusal.status());
         let headers = platform::refusal_headers(&self.request.id, refusal.retry_after());
         let body = Bytes::from_static(refusal.text().as_bytes()).into();
-        let written = responder
-            .write_whole(refusal.status(), headers, &body)
-            .await;
-        if written.is_ok() {
-            Delivery::Complete
-        } else {
-            Delivery::Interrupted
+        let written = responder.write_own(refusal.status(), headers, &body).await;
+        self.end_delivery(&written)
+    }
+
+    // Ends a request whose answer was written, or could not be.
+    fn end_delivery(&mut self, written: &Result<(), WriteError>) -> Delivery {
+        match written {
+            Ok(()) => Delivery::Complete,
+            Err(WriteError::Displaced) => {
+                self.traffic.metrics.displaced_answers.inc();
+                self.log
+                    .set_note("cut: the client reads slowly and memory is short");
+                Delivery::Interrupted
+            }
+            Err(WriteError::Io { .. } | WriteError::TooSlow) => Delivery::Interrupted,
         }
     }
 }
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -14,13 +14,14 @@
 use crate::relay::catalog::{Route, RouteKind};
 use crate::relay::events::EventBuffer;
 use crate::relay::losses::Loss;
+use crate::relay::memory::{MemoryFull, MemoryUse};
 use crate::relay::metrics::SendReason;
 use crate::relay::pace::StreamGaps;
 use crate::relay::progress::MessagePart;
 use crate::relay::quarantine::Verdict;
 use crate::relay::request_log::RequestOutcome;
-use crate::relay::responder::Responder;
-use crate::relay::traffic::StreamTimes;
+use crate::relay::responder::{Responder, WriteError};
+use crate::relay::traffic::{MemoryHold, StreamTimes};
 use crate::relay::view::UpstreamKey;
 
 /// Time without a complete event after which a stream is resumed at another upstream;
@@ -31,14 +32,61 @@
 /// Interval at which a silent stream that can't be resumed is checked again.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Buffers of a stream up to which it needs no memory of the account, in bytes.
+const MAX_UNCOUNTED_BYTES: usize = 16 * 1024;
+
 /// How the part of a stream that came from one upstream ended.
 enum StreamEnd {
     Complete,
-    ClientDisconnected,
+    /// No more can be written to the client.
+    Unwritable(WriteError),
     /// The upstream's stream was interrupted, for this reason; it may be resumed.
     Interrupted(&'static str),
 }
 
+/// What is kept of a stream that is being delivered.
+struct StreamBuffers {
+    events: EventBuffer,
+    hold: MemoryHold,
+    /// Bytes held in the account.
+    held: usize,
+}
+
+impl StreamBuffers {
+    // Adapts the memory held to the buffers; fails if there is none.
+    fn update(&mut self, responder: &Responder<'_>) -> Result<(), MemoryFull> {
+        let bytes = Self::counted_bytes(responder);
+        if bytes > self.held {
+            let is_new = self.held == 0;
+            self.hold.reserve(bytes)?;
+            if is_new && responder.has_unwritten() {
+                self.hold.record_delivery();
+            }
+        } else if bytes < self.held {
+            self.hold.release(bytes);
+        }
+        self.held = bytes;
+        Ok(())
+    }
+
+    // Records that the client took a part of the stream.
+    fn record_delivery(&mut self, responder: &Responder<'_>) {
+        self.hold.record_delivery();
+        let bytes = Self::counted_bytes(responder).min(self.held);
+        self.hold.release(bytes);
+        self.held = bytes;
+    }
+
+    fn counted_bytes(responder: &Responder<'_>) -> usize {
+        let bytes = responder.capacity();
+        if bytes > MAX_UNCOUNTED_BYTES {
+            bytes
+        } else {
+            0
+        }
+    }
+}
+
 impl Exchange<'_> {
     // Delivers an event stream to the client, resumed at other upstreams where it is
     // interrupted.
@@ -55,41 +103,58 @@
         self.log.record_first_event(self.received.elapsed());
         let is_resumable = route.kind == RouteKind::Stream { resumable: true };
         let requested = self.request.resume_after.as_deref();
-        let mut events = EventBuffer::new(requested.filter(|_| is_resumable));
+        let mut buffers = StreamBuffers {
+            events: EventBuffer::new(requested.filter(|_| is_resumable)),
+            hold: MemoryHold::open(self.traffic, MemoryUse::Answer),
+            held: 0,
+        };
         let mut current = Box::new(first);
         loop {
             let end = self
-                .forward_events(route, progress, &mut current, &mut events, responder, &head)
+                .forward_events(
+                    route,
+                    progress,
+                    &mut current,
+                    &mut buffers,
+                    responder,
+                    &head,
+                )
                 .await;
+            let events = &mut buffers.events;
             match end {
                 StreamEnd::Complete => {
-                    let rest = events.take_rest();
-                    let written = if responder.has_started() {
-                        responder.write_last(rest).await
-                    } else {
-                        responder
-                            .write_whole(status, head.headers, &rest.into())
-                            .await
-                    };
                     self.record_answer_success(&current);
                     self.record_whole();
                     let PendingAnswer {
-                        key, connection, ..
+                        key,
+                        connection,
+                        _guard: guard,
+                        ..
                     } = *current;
+                    // The upstream is done, however slowly the client reads.
+                    drop(guard);
                     let view = self.traffic.view();
                     self.traffic
                         .fleet(&view, |fleet, _| fleet.put_idle(key, connection));
                     self.log.set_outcome(RequestOutcome::Answered, status);
-                    return if written.is_ok() {
-                        Delivery::Complete
+                    let rest = events.take_rest();
+                    let hold = Some(&buffers.hold);
+                    let written = if responder.has_started() {
+                        match responder.add(rest).and_then(|()| responder.end()) {
+                            Ok(()) => responder.flush(hold).await,
+                            Err(error) => Err(error),
+                        }
                     } else {
-                        Delivery::Interrupted
+                        responder
+                            .write_whole(status, head.headers, &rest.into(), hold)
+                            .await
                     };
+                    return self.end_delivery(&written);
                 }
-                StreamEnd::ClientDisconnected => {
+                StreamEnd::Unwritable(error) => {
                     self.log
                         .set_outcome(RequestOutcome::ClientDisconnected, status);
-                    return Delivery::Interrupted;
+                    return self.end_delivery(&Err(error));
                 }
                 StreamEnd::Interrupted(reason) => {
                     self.log.set_note(reason);
@@ -104,7 +169,7 @@
             progress.excluded.push(current.key);
             drop(current);
             match self
-                .resume(route, progress, &events, &head, responder)
+                .resume(route, progress, &buffers, &head, responder)
                 .await
             {
                 Ok(next) => current = next,
@@ -119,7 +184,7 @@
         route: &Route,
         progress: &RequestProgress,
         current: &mut PendingAnswer,
-        events: &mut EventBuffer,
+        buffers: &mut StreamBuffers,
         responder: &mut Responder<'_>,
         head: &StreamHead,
     ) -> StreamEnd {
@@ -127,7 +192,28 @@
         let mut has_begun = false;
         let mut gaps = StreamGaps::default();
         loop {
-            let piece = match timeout_at(event_due, current.connection.read_chunk()).await {
+            let is_behind = responder.has_unwritten();
+            let is_held = buffers.held > 0;
+            // While the client takes nothing, its upstream is read on: one whose answer stays
+            // unread breaks off.
+            let read = tokio::select! {
+                biased;
+                written = responder.write_some(), if is_behind => {
+                    if let Err(error) = written {
+                        return StreamEnd::Unwritable(error);
+                    }
+                    if is_held {
+                        buffers.record_delivery(responder);
+                    }
+                    continue;
+                }
+                () = buffers.hold.evicted(), if is_held => {
+                    return StreamEnd::Unwritable(WriteError::Displaced);
+                }
+                read = timeout_at(event_due, current.connection.read_chunk()) => read,
+            };
+            let events = &mut buffers.events;
+            let piece = match read {
                 Err(_) if self.can_resume(route, progress, current.key, events) => {
                     return StreamEnd::Interrupted("no stream data in time");
                 }
@@ -161,29 +247,29 @@
             let count = events.event_count();
             let whole = events.push(&piece);
             gaps.record(events.event_count() - count, current.sent.elapsed());
-            let Some(whole) = whole else {
-                if let Some(reason) = self.stream_fault(events) {
-                    return StreamEnd::Interrupted(reason);
+            if let Some(whole) = whole {
+                if !std::mem::replace(&mut has_begun, true) {
+                    self.record_begun();
                 }
-                continue;
-            };
-            if !std::mem::replace(&mut has_begun, true) {
-                self.record_begun();
-            }
-            let written = if responder.has_started() {
-                responder.write_chunk(whole).await
-            } else {
-                responder
-                    .write_first(head.status, head.headers.clone(), head.length, &whole)
-                    .await
-            };
-            if written.is_err() {
-                return StreamEnd::ClientDisconnected;
+                let added = if responder.has_started() {
+                    responder.add(whole)
+                } else {
+                    responder.begin(head.status, head.headers.clone(), head.length, whole)
+                };
+                if let Err(error) = added {
+                    return StreamEnd::Unwritable(error);
+                }
+                event_due = Instant::now() + EVENT_TIMEOUT;
             }
             if let Some(reason) = self.stream_fault(events) {
                 return StreamEnd::Interrupted(reason);
             }
-            event_due = Instant::now() + EVENT_TIMEOUT;
+            if buffers.update(responder).is_err() {
+                if responder.has_unwritten() {
+                    return StreamEnd::Unwritable(WriteError::Displaced);
+                }
+                return StreamEnd::Interrupted("no memory for a stream event");
+            }
         }
     }
 
@@ -265,20 +351,21 @@
         &mut self,
         route: &Route,
         progress: &mut RequestProgress,
-        events: &EventBuffer,
+        buffers: &StreamBuffers,
         head: &StreamHead,
         responder: &mut Responder<'_>,
     ) -> Result<Box<PendingAnswer>, Delivery> {
+        let StreamBuffers { events, hold, .. } = buffers;
         let after = events.last_id().map(CompactString::from);
         loop {
             let has_begun = events.event_count() > 0;
             let verdict = self.verdict(progress, has_begun).await;
             if matches!(verdict, Verdict::Quarantined(_)) {
                 self.log.set_note(HELD_BACK_NOTE);
-                return Err(self.interrupt(route, progress, responder).await);
+                return Err(self.interrupt(route, progress, hold, responder).await);
             }
             if !self.may_resume(route, progress, events) {
-                return Err(self.interrupt(route, progress, responder).await);
+                return Err(self.interrupt(route, progress, hold, responder).await);
             }
             let catalog = Arc::clone(&self.admitted.catalog);
             let service = self.service_name(&catalog);
@@ -289,10 +376,10 @@
                 if self.wait_for_room(&view, route, progress).await {
                     continue;
                 }
-                return Err(self.interrupt(route, progress, responder).await);
+                return Err(self.interrupt(route, progress, hold, responder).await);
             };
             if !self.pay_for_send(progress, service) {
-                return Err(self.interrupt(route, progress, responder).await);
+                return Err(self.interrupt(route, progress, hold, responder).await);
             }
             progress.excluded.push(key);
             let attempt = self
@@ -325,11 +412,16 @@
         &mut self,
         route: &Route,
         progress: &mut RequestProgress,
+        hold: &MemoryHold,
         responder: &mut Responder<'_>,
     ) -> Delivery {
         if responder.has_started() {
             self.log
                 .set_outcome(RequestOutcome::Interrupted, StatusCode::BAD_GATEWAY);
+            // The client can go on after the events that it got.
+            if let Err(error) = responder.flush(Some(hold)).await {
+                return self.end_delivery(&Err(error));
+            }
             return Delivery::Interrupted;
         }
         self.give_up(route, progress, responder).await
--- a/src/carawayrun/relay/memory.rs
+++ b/src/carawayrun/relay/memory.rs
@@ -3,6 +3,7 @@
 //! Load pattern: a crowd of clients sends bodies that are each within the limits and
 //! together exceed the host's memory. Most stop short of their end and stay connected.
 //! Those that bring no progress give way to the others; who does not fit is refused.
+//! Clients that read slowly keep their answers while there is room for them.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -16,7 +17,8 @@
 /// Largest holding that may use the whole limit, in bytes.
 const SMALL_BYTES: usize = 64 * 1024;
 
-/// Time without a byte after which a request that is being read gives way.
+/// Time without a byte after which a request that is being read, or an answer that is
+/// being delivered, gives way.
 const SILENCE: Duration = Duration::from_millis(250);
 
 /// Time that the rest of a body may take at its rate before it gives way.
@@ -63,8 +65,11 @@
 struct Holder {
     purpose: MemoryUse,
     bytes: usize,
-    /// `None` once it gives way to nobody.
+    /// `None` once it is read whole.
     reading: Option<Reading>,
+    /// Time at which the client of an answer last took a part of it; `None` before its
+    /// delivery, while it gives way to nobody.
+    taken_at: Option<Duration>,
 }
 
 /// A reservation does not fit.
@@ -110,6 +115,7 @@
             purpose,
             bytes: 0,
             reading: (purpose == MemoryUse::Request).then_some(reading),
+            taken_at: None,
         })
     }
 
@@ -140,6 +146,23 @@
         }
     }
 
+    /// Records that an answer is being delivered, and that its client has just taken what
+    /// there was.
+    pub fn record_delivery(&mut self, key: HolderKey, now: Duration) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            holder.taken_at = Some(now);
+        }
+    }
+
+    /// Lowers what a holder has to `bytes`.
+    pub fn release(&mut self, key: HolderKey, bytes: usize) {
+        if let Some(holder) = self.holders.get_mut(key) {
+            let released = holder.bytes.saturating_sub(bytes);
+            holder.bytes -= released;
+            self.held -= released;
+        }
+    }
+
     /// Raises what a holder has to `bytes`; returns how many others gave way to it. Those
     /// are no longer holders.
     ///
@@ -188,12 +211,21 @@
         self.holders.get_mut(key)?.reading.as_mut()
     }
 
-    // The requests that give way and what they hold, in order: the longest silent first,
-    // then the slowest.
+    // The holders that give way and what they hold, in order: the requests that are longest
+    // silent first, then the slowest, then the answers whose clients have longest taken
+    // nothing.
     fn victims(&self, asking: HolderKey, now: Duration) -> Vec<(HolderKey, usize)> {
         let mut silent = Vec::new();
         let mut slow = Vec::new();
+        let mut untaken = Vec::new();
         for (key, holder) in &self.holders {
+            if let Some(taken_at) = holder.taken_at
+                && now.saturating_sub(taken_at) >= SILENCE
+                && key != asking
+                && holder.bytes > 0
+            {
+                untaken.push((key, holder.bytes, taken_at));
+            }
             let Some(reading) = holder.reading.filter(|_| key != asking && holder.bytes > 0) else {
                 continue;
             };
@@ -215,9 +247,11 @@
         }
         silent.sort_by_key(|(_, _, silence)| Reverse(*silence));
         slow.sort_by(|(_, _, one), (_, _, other)| one.total_cmp(other));
+        untaken.sort_by_key(|(_, _, taken_at)| *taken_at);
         let silent = silent.into_iter().map(|(key, bytes, _)| (key, bytes));
         let slow = slow.into_iter().map(|(key, bytes, _)| (key, bytes));
-        silent.chain(slow).collect()
+        let untaken = untaken.into_iter().map(|(key, bytes, _)| (key, bytes));
+        silent.chain(slow).chain(untaken).collect()
     }
 }
 
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -148,6 +148,8 @@
     pub(crate) upstreams: Gauge,
     pub(crate) held_bytes: Gauge,
     pub(crate) memory_refusals: Counter,
+    pub(crate) silent_clients: Counter,
+    pub(crate) displaced_answers: Counter,
     pub(crate) log_limiter: LogLimiter,
     stopped_answers: Family<StoppedLabels, Counter>,
     lag: Histogram,
@@ -197,6 +199,8 @@
             upstreams: Gauge::default(),
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
+            silent_clients: Counter::default(),
+            displaced_answers: Counter::default(),
             log_limiter: LogLimiter::new(),
             stopped_answers: Family::default(),
             lag: latency(),
@@ -221,6 +225,7 @@
     fn build_registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("carawayrun");
         self.register_counters(&mut registry);
+        self.register_delivery(&mut registry);
         self.register_gauges(&mut registry);
         registry.register(
             "sends",
@@ -280,6 +285,22 @@
         registry
     }
 
+    fn register_delivery(&self, registry: &mut Registry) {
+        let mut add = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        add(
+            "silent_clients",
+            "Connections of clients that stopped acknowledging what was sent",
+            &self.silent_clients,
+        );
+        add(
+            "displaced_answers",
+            "Answers that were cut for lack of memory, as their clients read slowly",
+            &self.displaced_answers,
+        );
+    }
+
     fn register_counters(&self, registry: &mut Registry) {
         let mut add = |name: &str, help: &str, counter: &Counter| {
             registry.register(name, help, counter.clone());
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -33,6 +33,7 @@
 //! | [`quarantine`] | requests and prompt parts under which upstreams crash |
 //! | [`events`] | framing of event streams |
 //! | [`progress`] | limits on bytes that bring no progress |
+//! | [`liveness`] | peers that no longer answer |
 //! | [`memory`] | account of the memory held for clients and upstreams |
 
 mod admission;
@@ -58,6 +59,7 @@
 pub mod health;
 mod health_check;
 mod latency;
+pub mod liveness;
 pub mod loads;
 pub mod losses;
 pub mod members;
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -158,7 +158,7 @@
         let is_last = !codec.keep_alive();
         let mut responder = Responder::new(&mut writer, &mut codec, is_last);
         let headers = head.headers().clone();
-        if let Err(error) = responder.write_whole(head.status(), headers, &body).await {
+        if let Err(error) = responder.write_own(head.status(), headers, &body).await {
             tracing::debug!(%error, "failed to answer a probe");
             return;
         }
--- a/src/carawayrun/relay/responder.rs
+++ b/src/carawayrun/relay/responder.rs
@@ -7,26 +7,44 @@
 use actix_http::h1::{Codec, Message};
 use actix_http::header::HeaderMap;
 use actix_http::{ConnectionType, Response, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use snafu::{ResultExt, Snafu};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::Encoder;
 
 use super::body::Body;
+use super::liveness::PeerWatch;
+use super::traffic::MemoryHold;
 
-/// Time limit for a client to receive what is written; a client that reads
-/// nothing would occupy its upstream's slot.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time limit for a client to receive an answer of the relay itself. That of an upstream's
+/// answer is its request's deadline.
+const OWN_ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Most bytes that are encoded before they are written.
+/// Most bytes of a whole body that are encoded before they are written.
 const MAX_WRITE_BYTES: usize = 64 * 1024;
 
+/// Why an answer could not be delivered.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub(super) enum WriteError {
+    #[snafu(display("the client's connection failed: {source}"))]
+    Io { source: io::Error },
+    #[snafu(display("the client read too slowly while memory was short"))]
+    Displaced,
+    #[snafu(display("the client did not receive the answer in time"))]
+    TooSlow,
+}
+
 /// Writes one answer to a client's connection.
 pub(super) struct Responder<'a> {
     writer: &'a mut OwnedWriteHalf,
     codec: &'a mut Codec,
+    watch: Option<&'a PeerWatch>,
     is_last: bool,
     has_started: bool,
+    /// Encoded bytes that the connection has not taken yet.
+    unwritten: BytesMut,
 }
 
 impl<'a> Responder<'a> {
@@ -36,80 +54,126 @@
         Self {
             writer,
             codec,
+            watch: None,
             is_last,
             has_started: false,
+            unwritten: BytesMut::new(),
         }
     }
 
+    /// Tells `watch` of each write.
+    pub(super) fn watched(mut self, watch: &'a PeerWatch) -> Self {
+        self.watch = Some(watch);
+        self
+    }
+
     /// Returns true once the client may have received a part of the answer.
     pub(super) fn has_started(&self) -> bool {
         self.has_started
     }
 
-    /// Writes an answer with a complete body.
+    /// Returns true while the connection has not taken all that is to be written.
+    pub(super) fn has_unwritten(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
+    /// Memory of what is to be written, in bytes.
+    pub(super) fn capacity(&self) -> usize {
+        self.unwritten.capacity()
+    }
+
+    /// Writes an answer with a complete body. With `hold`, the memory of the body, it gives
+    /// way while the client takes nothing.
     pub(super) async fn write_whole(
         &mut self,
         status: StatusCode,
         headers: HeaderMap,
         body: &Body,
-    ) -> io::Result<()> {
-        let mut out = BytesMut::new();
-        self.encode_head(
-            status,
-            headers,
-            BodySize::Sized(body.len() as u64),
-            &mut out,
-        )?;
-        let write_all = async {
-            for block in body.blocks() {
-                if out.len() + block.len() > MAX_WRITE_BYTES {
-                    self.write(&out).await?;
-                    out.clear();
-                }
-                let block = Message::Chunk(Some(block.clone()));
-                self.codec.encode(block, &mut out)?;
+        hold: Option<&MemoryHold>,
+    ) -> Result<(), WriteError> {
+        let size = BodySize::Sized(body.len() as u64);
+        self.encode_head(status, headers, size)?;
+        for block in body.blocks() {
+            if self.unwritten.len() + block.len() > MAX_WRITE_BYTES {
+                self.flush(hold).await?;
             }
-            self.codec.encode(Message::Chunk(None), &mut out)?;
-            self.write(&out).await
-        };
-        tokio::time::timeout(WRITE_TIMEOUT, write_all)
-            .await
-            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            self.encode(Message::Chunk(Some(block.clone())))?;
+        }
+        self.encode(Message::Chunk(None))?;
+        self.flush(hold).await
     }
 
-    /// Writes the head and the first bytes of a body that goes on.
-    pub(super) async fn write_first(
+    /// As [`Self::write_whole`], for an answer of the relay itself.
+    pub(super) async fn write_own(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: &Body,
+    ) -> Result<(), WriteError> {
+        let writing = self.write_whole(status, headers, body, None);
+        let written = tokio::time::timeout(OWN_ANSWER_TIMEOUT, writing).await;
+        written.unwrap_or_else(|_| TooSlowSnafu.fail())
+    }
+
+    /// Adds the head and the first bytes of a body that goes on to what is to be written.
+    pub(super) fn begin(
         &mut self,
         status: StatusCode,
         headers: HeaderMap,
         length: Option<u64>,
-        first: &Bytes,
-    ) -> io::Result<()> {
+        first: Bytes,
+    ) -> Result<(), WriteError> {
         let size = length.map_or(BodySize::Stream, BodySize::Sized);
-        let mut out = BytesMut::new();
-        self.encode_head(status, headers, size, &mut out)?;
-        if !first.is_empty() {
-            self.codec
-                .encode(Message::Chunk(Some(first.clone())), &mut out)?;
+        self.encode_head(status, headers, size)?;
+        self.add(first)
+    }
+
+    /// Adds a part of the body to what is to be written.
+    pub(super) fn add(&mut self, bytes: Bytes) -> Result<(), WriteError> {
+        if bytes.is_empty() {
+            // An empty chunk would end the body.
+            return Ok(());
         }
-        self.write(&out).await
+        self.encode(Message::Chunk(Some(bytes)))
     }
 
-    /// Writes a chunk of the body.
-    pub(super) async fn write_chunk(&mut self, bytes: Bytes) -> io::Result<()> {
-        let mut out = BytesMut::new();
-        self.codec.encode(Message::Chunk(Some(bytes)), &mut out)?;
-        self.write(&out).await
+    /// Adds the end of the body to what is to be written.
+    pub(super) fn end(&mut self) -> Result<(), WriteError> {
+        self.encode(Message::Chunk(None))
     }
 
-    /// Writes the last bytes of the body, if any, and its end.
-    pub(super) async fn write_last(&mut self, rest: Bytes) -> io::Result<()> {
-        let mut out = BytesMut::new();
-        if !rest.is_empty() {
-            self.codec.encode(Message::Chunk(Some(rest)), &mut out)?;
+    /// Writes as much as the connection takes at once, after it takes anything.
+    pub(super) async fn write_some(&mut self) -> Result<(), WriteError> {
+        let count = self.writer.write(&self.unwritten).await.context(IoSnafu)?;
+        if count == 0 {
+            let source = io::ErrorKind::WriteZero.into();
+            return Err(WriteError::Io { source });
+        }
+        self.unwritten.advance(count);
+        if let Some(watch) = self.watch {
+            watch.record_write();
+        }
+        if self.unwritten.is_empty() && self.unwritten.capacity() > MAX_WRITE_BYTES {
+            self.unwritten = BytesMut::new();
+        }
+        Ok(())
+    }
+
+    /// Writes all that is to be written; see [`Self::write_whole`].
+    pub(super) async fn flush(&mut self, hold: Option<&MemoryHold>) -> Result<(), WriteError> {
+        while self.has_unwritten() {
+            let Some(hold) = hold else {
+                self.write_some().await?;
+                continue;
+            };
+            hold.record_delivery();
+            tokio::select! {
+                biased;
+                written = self.write_some() => written?,
+                () = hold.evicted() => return DisplacedSnafu.fail(),
+            }
         }
-        self.codec.encode(Message::Chunk(None), &mut out)?;
-        self.write(&out).await
+        Ok(())
     }
 
     fn encode_head(
@@ -117,20 +181,18 @@
         status: StatusCode,
         headers: HeaderMap,
         size: BodySize,
-        out: &mut BytesMut,
-    ) -> io::Result<()> {
+    ) -> Result<(), WriteError> {
         let mut answer = Response::with_body(status, ());
         *answer.headers_mut() = headers;
         if self.is_last {
             answer.head_mut().set_connection_type(ConnectionType::Close);
         }
-        self.codec.encode(Message::Item((answer, size)), out)
+        self.encode(Message::Item((answer, size)))
     }
 
-    async fn write(&mut self, out: &[u8]) -> io::Result<()> {
+    fn encode(&mut self, message: Message<(Response<()>, BodySize)>) -> Result<(), WriteError> {
         self.has_started = true;
-        tokio::time::timeout(WRITE_TIMEOUT, self.writer.write_all(out))
-            .await
-            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+        let encoded = self.codec.encode(message, &mut self.unwritten);
+        encoded.context(IoSnafu)
     }
 }
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -14,7 +14,7 @@
 use super::drain::Drain;
 use super::metrics::DrainEnd;
 use super::traffic::{SharedState, Traffic};
-use super::{client, follow, gossip, health_check, probe, stalls};
+use super::{client, follow, gossip, health_check, liveness, probe, stalls};
 
 /// Interval at which a drain checks whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -74,7 +74,11 @@
     probe::serve_metrics(scraper, Rc::clone(&traffic)).context(BindSnafu { purpose, addr })?;
     let (purpose, addr) = ("reports", traffic.settings().peer_listen);
     gossip::start(reports, &traffic).context(BindSnafu { purpose, addr })?;
-    actix_rt::spawn(accept(clients, Rc::clone(&traffic)));
+    let accepting = accept(clients, Rc::clone(&traffic));
+    actix_rt::spawn(async move {
+        liveness::detect_support().await;
+        accepting.await;
+    });
     actix_rt::spawn(health_check::check_restarted(Rc::clone(&traffic)));
     let (monitor, metrics) = (Arc::clone(&traffic.stalls), Arc::clone(&traffic.metrics));
     actix_rt::spawn(stalls::measure_lag(monitor, metrics));
--- a/src/carawayrun/relay/tests/memory.rs
+++ b/src/carawayrun/relay/tests/memory.rs
@@ -160,3 +160,24 @@
         assert_eq!(account.held(), 0, "{seed}");
     }
 }
+
+// Clients that read slowly keep their answers until the memory is short.
+#[test]
+fn answers_that_nobody_takes_give_way() {
+    let mut account = MemoryAccount::new(HOST_MEMORY);
+    let answer = |account: &mut MemoryAccount| {
+        let key = account.open(MemoryUse::Answer, millis(0));
+        account.reserve(key, 10 * MEGABYTE, millis(0)).unwrap();
+        key
+    };
+    let [untaken, taken] = [answer(&mut account), answer(&mut account)];
+    account.record_delivery(untaken, millis(0));
+    account.record_delivery(taken, millis(0));
+    account.record_delivery(taken, millis(900));
+    // One that is not being delivered yet does not fit, and has nobody's memory but this.
+    let next = account.open(MemoryUse::Answer, millis(1_000));
+    assert_eq!(account.reserve(next, 8 * MEGABYTE, millis(1_000)), Ok(1));
+    assert!(!account.contains(untaken) && account.contains(taken));
+    account.release(taken, MEGABYTE);
+    assert_eq!(account.held(), 9 * MEGABYTE);
+}
--- a/src/carawayrun/relay/tests/mod.rs
+++ b/src/carawayrun/relay/tests/mod.rs
@@ -13,6 +13,7 @@
 mod fingerprint;
 mod fleet;
 mod health;
+mod liveness;
 mod loads;
 mod losses;
 mod memory;
--- a/src/carawayrun/relay/traffic/memory.rs
+++ b/src/carawayrun/relay/traffic/memory.rs
@@ -43,6 +43,23 @@
         }
     }
 
+    /// Records that the client of the answer has taken what there was.
+    pub(in crate::relay) fn record_delivery(&self) {
+        let now = self.traffic.now();
+        self.traffic
+            .memory
+            .borrow_mut()
+            .record_delivery(self.key, now);
+    }
+
+    /// Lowers what is held to `bytes`.
+    pub(in crate::relay) fn release(&self, bytes: usize) {
+        let mut account = self.traffic.memory.borrow_mut();
+        account.release(self.key, bytes);
+        self.traffic.metrics.held_bytes.set(account.held() as i64);
+        self.traffic.memory_changed.notify_waiters();
+    }
+
     /// Records the length that the client announced.
     pub(in crate::relay) fn announce(&self, length: usize) {
         self.traffic.memory.borrow_mut().announce(self.key, length);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod rollouts;
 mod sessions;
 mod silenced;
+mod slow_peers;
 mod soak;
 mod stopping;
 mod unframed;
