Hold each answer without a length until no reset can follow

Cause: a late reset was waited for only behind requests of more than 16 KiB. Below, the end of the connection counted as the end of the answer, since the request was taken for read. A request that was read whole may be broken off as well, so neither its size nor how much of it was taken tells.

Change: the end of any answer without a length is held for 250 ms; a reset by then makes it an interrupted answer, which is sent again or resumed where that is allowed. The time is kept with the connection, as the loop of a stream drops and repeats the read. Two counters tell how many answers wait and how many of these were reset, and the pace of an engine isn't learned from such streams.

--- a/src/carawayrun/relay/connection.rs
+++ b/src/carawayrun/relay/connection.rs
@@ -45,8 +45,8 @@
 /// Longest body that is copied behind its head, to be written with it.
 const MAX_COPIED_BYTES: usize = 16 * 1024;
 
-/// Time after the end of an answer without a length in which a peer that has not read the
-/// whole request resets the connection.
+/// Time after the end of an answer without a length in which a peer that broke off resets
+/// the connection.
 const RESET_DELAY: Duration = Duration::from_millis(250);
 
 /// Greatest status that HTTP has.
@@ -61,6 +61,8 @@
     Io { source: io::Error },
     #[snafu(display("connection closed before the end of the answer"))]
     Closed,
+    #[snafu(display("connection reset at the end of an answer without a length: {source}"))]
+    Reset { source: io::Error },
     #[snafu(display("answer's head is malformed: {source}"))]
     Head { source: ParseError },
     #[snafu(display("answer's body is malformed: {source}"))]
@@ -76,6 +78,8 @@
     Body(ClientPayloadCodec),
     /// A body without a length, delimited by the end of the connection.
     UntilClose,
+    /// The peer has ended its side within such a body; a reset may follow until this time.
+    Ending(Instant),
     /// The end of such a body.
     Closed,
     Done,
@@ -106,8 +110,6 @@
     /// Requests that were started.
     requests: u64,
     has_written: bool,
-    /// Length of the request's body, in bytes.
-    request_bytes: usize,
     keep_alive: bool,
     /// True if answers to the request's method may have a body.
     expects_body: bool,
@@ -144,7 +146,6 @@
             turn: Turn::default(),
             requests: 0,
             has_written: false,
-            request_bytes: 0,
             keep_alive: true,
             expects_body: true,
             idle_since: Instant::now(),
@@ -175,7 +176,6 @@
             out.extend_from_slice(block);
         }
         self.unsent.push_back(out.freeze());
-        self.request_bytes = body.len();
         if !is_copied {
             self.unsent.extend(body.blocks().iter().cloned());
         }
@@ -200,7 +200,10 @@
     /// Returns true if the body of the answer ends with its connection, so that its end
     /// alone does not show that it is complete.
     pub(crate) fn is_unframed(&self) -> bool {
-        matches!(self.codec, Codec::UntilClose | Codec::Closed)
+        matches!(
+            self.codec,
+            Codec::UntilClose | Codec::Ending(_) | Codec::Closed
+        )
     }
 
     /// Sets the time for which the peer keeps an idle connection open.
@@ -285,6 +288,12 @@
                     return Ok(Some(self.received.split().freeze()));
                 }
                 Codec::UntilClose => {}
+                Codec::Ending(until) => {
+                    let until = *until;
+                    self.check_sound_end(until).await?;
+                    self.codec = Codec::Closed;
+                    return Ok(None);
+                }
                 Codec::Head(_) | Codec::Closed | Codec::Done => return Ok(None),
             }
             if self.transfer().await.context(IoSnafu)? > 0 {
@@ -293,30 +302,27 @@
             if !matches!(self.codec, Codec::UntilClose) {
                 return ClosedSnafu.fail();
             }
-            self.check_sound_end().await?;
-            self.codec = Codec::Closed;
-            return Ok(None);
+            // Kept, as callers drop this future and call again.
+            self.codec = Codec::Ending(Instant::now() + RESET_DELAY);
         }
     }
 
     // Fails unless the end of the connection shows that an answer without a length is
-    // whole. A peer that ended it with a part of the request unread has broken off; its
-    // system resets the connection, at times after the end of the answer.
-    async fn check_sound_end(&mut self) -> Result<(), ConnectionError> {
+    // whole. The system of a peer that breaks off resets the connection, often after it has
+    // ended its side: with a part of the request unread, or with nothing unread at all. So
+    // neither the length of the request nor how much of it was taken shows a sound end.
+    async fn check_sound_end(&self, until: Instant) -> Result<(), ConnectionError> {
         snafu::ensure!(self.unsent.is_empty(), ClosedSnafu);
         self.check_reset()?;
-        if self.request_bytes > MAX_COPIED_BYTES {
-            let reset = self.stream.ready(Interest::ERROR);
-            // Without a reset by then, the peer has read the request.
-            let _ = tokio::time::timeout(RESET_DELAY, reset).await;
-            self.check_reset()?;
-        }
-        Ok(())
+        let reset = self.stream.ready(Interest::ERROR);
+        // Without a reset by then, the end is sound.
+        let _ = tokio::time::timeout_at(until, reset).await;
+        self.check_reset()
     }
 
     fn check_reset(&self) -> Result<(), ConnectionError> {
         let error = self.stream.take_error().context(IoSnafu)?;
-        error.map_or(Ok(()), |source| Err(ConnectionError::Io { source }))
+        error.map_or(Ok(()), |source| Err(ConnectionError::Reset { source }))
     }
 
     // Decodes the next chunk of a framed body.
@@ -357,7 +363,10 @@
 
     /// Returns true while a body follows the head that was read.
     pub(crate) fn has_body(&self) -> bool {
-        matches!(self.codec, Codec::Body(_) | Codec::UntilClose)
+        matches!(
+            self.codec,
+            Codec::Body(_) | Codec::UntilClose | Codec::Ending(_)
+        )
     }
 
     fn begin_body(&mut self, head: &ResponseHead) {
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -164,6 +164,7 @@
         } = pending;
         // The upstream is done, however slowly the client reads.
         drop(guard);
+        self.count_unframed(&connection);
         let is_failure = head.status.is_server_error();
         self.record_whole();
         self.record_outcome(&upstream, progress, is_failure, Some(head_delay));
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -235,10 +235,24 @@
         }
     }
 
-    // Counts an answer that was stopped for bytes without progress.
+    // Counts an answer that was stopped for bytes without progress, or that was reset at its
+    // end.
     pub(super) fn count_stopped(&self, error: &ConnectionError) {
-        if let ConnectionError::NoProgress { part } = error {
-            self.traffic.metrics.record_stopped_answer(*part);
+        match error {
+            ConnectionError::NoProgress { part } => {
+                self.traffic.metrics.record_stopped_answer(*part);
+            }
+            ConnectionError::Reset { .. } => {
+                self.traffic.metrics.reset_answers.inc();
+            }
+            _ => {}
+        }
+    }
+
+    // Counts a whole answer that had no length.
+    pub(super) fn count_unframed(&self, connection: &UpstreamConnection) {
+        if connection.is_unframed() {
+            self.traffic.metrics.unframed_answers.inc();
         }
     }
 
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -133,6 +133,7 @@
                     } = *current;
                     // The upstream is done, however slowly the client reads.
                     drop(guard);
+                    self.count_unframed(&connection);
                     let view = self.traffic.view();
                     self.traffic
                         .fleet(&view, |fleet, _| fleet.put_idle(key, connection));
@@ -280,7 +281,9 @@
         current: &PendingAnswer,
         gaps: &StreamGaps,
     ) {
-        let Some(step_ms) = gaps.step_ms().filter(|_| self.has_engines()) else {
+        // The end of one without a length is known later than it comes.
+        let is_timed = self.has_engines() && !current.connection.is_unframed();
+        let Some(step_ms) = gaps.step_ms().filter(|_| is_timed) else {
             return;
         };
         // Only a part of a resumed answer is this engine's.
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -149,6 +149,8 @@
     pub(crate) held_bytes: Gauge,
     pub(crate) memory_refusals: Counter,
     pub(crate) silent_clients: Counter,
+    pub(crate) unframed_answers: Counter,
+    pub(crate) reset_answers: Counter,
     pub(crate) displaced_answers: Counter,
     pub(crate) log_limiter: LogLimiter,
     stopped_answers: Family<StoppedLabels, Counter>,
@@ -200,6 +202,8 @@
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
             silent_clients: Counter::default(),
+            unframed_answers: Counter::default(),
+            reset_answers: Counter::default(),
             displaced_answers: Counter::default(),
             log_limiter: LogLimiter::new(),
             stopped_answers: Family::default(),
@@ -294,6 +298,16 @@
             "Connections of clients that stopped acknowledging what was sent",
             &self.silent_clients,
         );
+        add(
+            "unframed_answers",
+            "Whole answers without a length, each delayed by the wait for a reset",
+            &self.unframed_answers,
+        );
+        add(
+            "reset_answers",
+            "Answers without a length whose connection was reset after their end",
+            &self.reset_answers,
+        );
         add(
             "displaced_answers",
             "Answers that were cut for lack of memory, as their clients read slowly",
--- a/tests/testsuite/early.rs
+++ b/tests/testsuite/early.rs
@@ -12,13 +12,17 @@
 
 use crate::support::platform::{API_KEY, PlatformWorld, config};
 use crate::support::raw::{
-    End, RawAnswer, read_answer, read_home_status, request_head, sealed_head, send_raw, serve_raw,
+    End, RawAnswer, events, read_answer, read_home_status, request_head, sealed_head, send_raw,
+    serve_raw,
 };
 use crate::support::{LUZCENA_KEY, WorldBuilder};
 
 /// Host of the upstream that this test itself plays.
 const HOST: usize = 60;
 
+/// Host of a second one.
+const OTHER_HOST: usize = 61;
+
 /// Requests of each case.
 const REQUESTS: usize = 12;
 
@@ -26,6 +30,10 @@
 const SHORT: usize = 200_000;
 const LONG: usize = 4_000_000;
 
+/// Uploads that stay in the buffer of the upstream's system, and a request without a body.
+const SMALL: usize = 12_000;
+const NONE: usize = 0;
+
 /// Time between the end of an upstream's side and of its connection.
 const PAUSE: Duration = Duration::from_millis(80);
 
@@ -39,6 +47,8 @@
     Reset,
     /// It has read the whole request.
     Read,
+    /// As above; it resets the connection after the end of its side all the same.
+    ReadReset,
 }
 
 /// Framing of an upload at the client.
@@ -51,6 +61,16 @@
 }
 
 fn answer_early(mut stream: std::net::TcpStream, length: usize, ending: Ending) -> Option<()> {
+    answer_part(&mut stream, length, ending, "a part")
+}
+
+// Answers with `part` behind a sealed head and the end of the connection.
+fn answer_part(
+    stream: &mut std::net::TcpStream,
+    length: usize,
+    ending: Ending,
+    part: &str,
+) -> Option<()> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -60,25 +80,32 @@
     let head = String::from_utf8_lossy(&head).to_lowercase();
     let mut lines = head.lines();
     let id = lines.find_map(|line| line.strip_prefix("x-carawayrun-request-id: "));
-    if ending == Ending::Read {
+    if matches!(ending, Ending::Read | Ending::ReadReset) {
         stream.read_exact(&mut vec![0; length]).ok()?;
     }
     let answer = format!(
         "HTTP/1.1 200 OK\r\nx-carawayrun-request-id: {}\r\n\
-         x-carawayrun-response-seal: seal\r\n\r\na part",
+         x-carawayrun-response-seal: seal\r\nx-carawayrun-confidence: 95\r\n\
+         content-type: text/event-stream\r\n\r\n{part}",
         id.unwrap_or_default()
     );
     stream.write_all(answer.as_bytes()).ok()?;
     if ending == Ending::Reset {
         std::thread::sleep(PAUSE);
-        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).ok()
-    } else {
-        stream.shutdown(Shutdown::Write).ok()?;
-        if ending == Ending::HalfClosed {
-            std::thread::sleep(PAUSE);
-        }
-        Some(())
+        return SockRef::from(&*stream)
+            .set_linger(Some(Duration::ZERO))
+            .ok();
+    }
+    stream.shutdown(Shutdown::Write).ok()?;
+    if matches!(ending, Ending::HalfClosed | Ending::ReadReset) {
+        std::thread::sleep(PAUSE);
     }
+    if ending == Ending::ReadReset {
+        return SockRef::from(&*stream)
+            .set_linger(Some(Duration::ZERO))
+            .ok();
+    }
+    Some(())
 }
 
 async fn world(name: &str) -> PlatformWorld {
@@ -106,7 +133,7 @@
     let head = format!("{head}{framing}\r\n\r\n{first}");
     let sending = async {
         stream.write_all(head.as_bytes()).await?;
-        for piece in body.chunks(length.div_ceil(8)) {
+        for piece in body.chunks(length.div_ceil(8).max(1)) {
             stream.write_all(piece).await?;
             if matches!(upload, Upload::Pieces) {
                 actix_rt::time::sleep(Duration::from_millis(5)).await;
@@ -130,6 +157,12 @@
 #[test_case(LONG, Upload::Pieces, Ending::HalfClosed; "pieces, half closed")]
 #[test_case(SHORT, Upload::Length, Ending::Read; "short, read")]
 #[test_case(LONG, Upload::Length, Ending::Read; "long, read")]
+#[test_case(SMALL, Upload::Length, Ending::Closed; "small, closed")]
+#[test_case(SMALL, Upload::Length, Ending::HalfClosed; "small, half closed")]
+#[test_case(SMALL, Upload::Length, Ending::ReadReset; "small, read and reset")]
+#[test_case(LONG, Upload::Length, Ending::ReadReset; "long, read and reset")]
+#[test_case(NONE, Upload::Length, Ending::ReadReset; "none, reset")]
+#[test_case(NONE, Upload::Length, Ending::Read; "none, read")]
 #[actix_rt::test]
 async fn part_before_the_upload_is_delivered_as_whole(length: usize, kind: Upload, ending: Ending) {
     let world = world("early-part").await;
@@ -160,6 +193,67 @@
     assert_eq!(whole, expected, "{answers:?}");
 }
 
+// The part of a stream was ended like a whole one.
+#[test_case(Ending::HalfClosed, 0; "half closed")]
+#[test_case(Ending::ReadReset, 0; "read and reset")]
+#[test_case(Ending::Read, 1; "read")]
+#[actix_rt::test]
+async fn part_of_stream_is_delivered_as_whole(ending: Ending, expected: usize) {
+    let world = world("early-stream").await;
+    world.register("stream", "llm", OTHER_HOST).await;
+    world.until_known(2).await;
+    let listener = TcpListener::bind(world.address(OTHER_HOST));
+    let listener = listener.expect("the upstream binds");
+    std::thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            let events = events(1, 3);
+            std::thread::spawn(move || answer_part(&mut stream, SMALL, ending, &events));
+        }
+    });
+    let mut stream = TcpStream::connect(world.relay_address(7001)).await;
+    let stream = stream.as_mut().expect("the relay accepts");
+    let head = request_head("POST", "/stream/plan", "req-1");
+    let head = format!("{head}connection: close\r\ncontent-length: {SMALL}\r\n\r\n");
+    let request = [head.as_bytes(), &[b'x'; SMALL]].concat();
+    let sent = stream.write_all(&request).await;
+    sent.expect("the relay takes a request");
+    let answer = read_answer(stream).await;
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (200, &*events(1, 3)),
+        "{answer:?}"
+    );
+    assert_eq!(usize::from(answer.is_whole), expected, "{answer:?}");
+}
+
+// A part of an answer to a request that may be sent again was delivered, though another
+// upstream had the whole one.
+#[actix_rt::test]
+async fn part_is_delivered_in_place_of_another_answer() {
+    let world = world("early-again").await;
+    world.register("sound", "app", OTHER_HOST).await;
+    world.until_known(2).await;
+    for (host, ending) in [(HOST, Ending::ReadReset), (OTHER_HOST, Ending::Read)] {
+        let listener = TcpListener::bind(world.address(host));
+        let listener = listener.expect("the upstream binds");
+        std::thread::spawn(move || {
+            let part = if ending == Ending::Read {
+                "whole"
+            } else {
+                "part"
+            };
+            while let Ok((mut stream, _)) = listener.accept() {
+                std::thread::spawn(move || answer_part(&mut stream, NONE, ending, part));
+            }
+        });
+    }
+    let addr = world.relay_address(7001);
+    for number in 0..REQUESTS {
+        let answer = send_raw(&addr, "GET", "/read/a", &format!("req-{number}")).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "whole"));
+    }
+}
+
 // A status that HTTP does not have was delivered.
 #[test_case("000 None"; "zero")]
 #[test_case("099 Low"; "below")]
