Give each settings file of a test a name of its own

settings_hold_weights_of_teams and settings_hold_evacuation_limit both load the settings without a further line, and named their file by that line's digest: one removed the other's file (seen once, "No such file or directory" at platform/tests.rs:321). The checks are as they were.

--- a/src/carawayrun/platform/tests.rs
+++ b/src/carawayrun/platform/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the platform adapter.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use actix_http::header::{self, HeaderName, HeaderValue};
@@ -13,7 +14,6 @@
 };
 use crate::relay::RelaySettings;
 use crate::relay::catalog::RouteKind;
-use crate::relay::loads::name_digest;
 use crate::relay::message::Execution;
 use crate::relay::shares::TeamWeights;
 use crate::store::table::Row;
@@ -292,8 +292,9 @@
 }
 
 fn load_with_bound(line: &str) -> Result<RelaySettings, String> {
-    let digest = name_digest(line);
-    let name = format!("carawayrun-settings-{}-{digest}", std::process::id());
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("carawayrun-bound-{}-{number}", std::process::id());
     let path = std::env::temp_dir().join(name);
     let text = format!(
         "node_name = \"edge-1\"\nip = \"10.0.0.1\"\nzone = \"a\"\nport_range = [7010, 7020]\n\
