Leave out rows of other parts in the store's feed

A row with key config in another part of the table op was put in force as op/config, and removing a row of servers in another part took the upstream of that name out of use.

Measured: odd_config::row_of_another_part_is_taken_for_own failed before and passes. The stand-in of the store keeps parts now.

--- a/crates/lab/src/metadata.rs
+++ b/crates/lab/src/metadata.rs
@@ -61,7 +61,8 @@
 
 struct Service {
     faults: FaultState,
-    rows: RefCell<BTreeMap<(String, String), Row>>,
+    /// Rows by table, part and key.
+    rows: RefCell<BTreeMap<(String, String, String), Row>>,
     /// All writes with their times, the oldest first.
     history: RefCell<Vec<(Instant, Row)>>,
     /// Lowest `after` that the feed accepts; `POST /drop-history` raises it above every
@@ -79,7 +80,7 @@
 #[derive(Serialize)]
 struct Row {
     table: String,
-    part: &'static str,
+    part: String,
     key: String,
     value: String,
     ver: u64,
@@ -164,9 +165,15 @@
             Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         };
         let value = STANDARD.encode(&body);
-        let deleted = request.method() == Method::DELETE;
         let version = self.next_version();
-        self.write_row(table, key, value, version, deleted);
+        self.write_row(Row {
+            table: table.into(),
+            part: query_value(request, "part").unwrap_or_default(),
+            key: key.into(),
+            value,
+            ver: version,
+            deleted: request.method() == Method::DELETE,
+        });
         self.changed.notify_waiters();
         json(StatusCode::OK, &version)
     }
@@ -203,7 +210,8 @@
             Err(answer) => return answer,
         };
         let rows = self.rows.borrow();
-        let find_row = |table: &str, key: &str| rows.get(&(table.to_owned(), key.to_owned()));
+        let find_row =
+            |table: &str, key: &str| rows.get(&(table.to_owned(), String::new(), key.to_owned()));
         let conditions_hold = transaction.expected_rev.iter().all(|expected| {
             let row = find_row(&expected.table, &expected.key);
             row.map_or(0, |row| row.ver) == expected.ver
@@ -217,7 +225,14 @@
         drop(rows);
         let version = self.next_version();
         for put in transaction.puts {
-            self.write_row(&put.table, &put.key, put.value, version, false);
+            self.write_row(Row {
+                table: put.table,
+                part: String::new(),
+                key: put.key,
+                value: put.value,
+                ver: version,
+                deleted: false,
+            });
         }
         self.changed.notify_waiters();
         if self.faults.take_lost_answer() {
@@ -229,10 +244,11 @@
     fn list_rows(&self, request: &Request) -> Response<BoxBody> {
         self.calls.set(self.calls.get() + 1);
         let table = query_value(request, "table").unwrap_or_default();
+        let part = query_value(request, "part").unwrap_or_default();
         let from = query_value(request, "from").unwrap_or_default();
         let rows = self.rows.borrow();
         let rows = rows.values();
-        let rows = rows.filter(|row| row.table == table && row.key >= from);
+        let rows = rows.filter(|row| row.table == table && row.part == part && row.key >= from);
         json(StatusCode::OK, &self.rows_body(rows.cloned().collect()))
     }
 
@@ -266,21 +282,13 @@
         rows.cloned().collect()
     }
 
-    fn write_row(&self, table: &str, key: &str, value: String, ver: u64, deleted: bool) {
-        let row = Row {
-            table: table.into(),
-            part: "",
-            key: key.into(),
-            value,
-            ver,
-            deleted,
-        };
+    fn write_row(&self, row: Row) {
         self.apply_row(&row);
         self.history.borrow_mut().push((Instant::now(), row));
     }
 
     fn apply_row(&self, row: &Row) {
-        let row_key = (row.table.clone(), row.key.clone());
+        let row_key = (row.table.clone(), row.part.clone(), row.key.clone());
         if row.deleted {
             self.rows.borrow_mut().remove(&row_key);
         } else {
--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -71,6 +71,9 @@
 
 #[derive(Deserialize)]
 struct WireRow {
+    /// The rows that the pages name have none.
+    #[serde(default)]
+    part: CompactString,
     key: CompactString,
     #[serde(default)]
     value: String,
@@ -205,17 +208,15 @@
             }
         }
         let body = parse_rows(&answer).context(CallSnafu)?;
+        // A feed is of a table with all its parts.
+        let own = body.rows.into_iter().filter(|row| row.part.is_empty());
         Ok(Changes {
             cursor: Cursor {
                 era: parse_era(&answer).context(CallSnafu)?,
                 version: body.ver,
             },
             now: Duration::from_millis(body.now_ms),
-            changes: body
-                .rows
-                .into_iter()
-                .map(|row| self.parse_change(table, row))
-                .collect(),
+            changes: own.map(|row| self.parse_change(table, row)).collect(),
         })
     }
 
--- a/tests/testsuite/odd_config.rs
+++ b/tests/testsuite/odd_config.rs
@@ -1,4 +1,4 @@
-//! Configurations that can be read in part only, or not at all.
+//! Configurations that can be read in part only, or not at all, and rows that are none.
 
 use std::time::Duration;
 
@@ -129,3 +129,42 @@
     let taken = ask(&world, "gone", "/read/a", TAKEN_KEY).await;
     assert_eq!(taken, StatusCode::UNAUTHORIZED);
 }
+
+// A row of another part of its table was taken for the configuration, and its removal for
+// that of an upstream.
+#[actix_rt::test]
+async fn row_of_another_part_is_taken_for_own() {
+    let world = start("odd-part").await;
+    world
+        .put("op", "config?part=other", &config(9, &[API_KEY]))
+        .await;
+    let order = json!({"service": "app", "to": "v9", "duration_s": 9});
+    world.put("op", "rollout/app?part=other", &order).await;
+    world.put("op", "evacuate/a?part=other", &json!({})).await;
+    let registration = world.registration("app", 70);
+    world
+        .put("servers", "app-2?part=other", &registration)
+        .await;
+    world.remove("servers", "app-1?part=other").await;
+    world.remove("op", "config?part=other").await;
+    // The feed passes its changes on in order.
+    world
+        .put("op", "config", &config(6, &[API_KEY, TAKEN_KEY]))
+        .await;
+    world
+        .put("servers", "last", &world.registration("next", 71))
+        .await;
+    world.until_in_force(0, 6).await;
+    world.until_known(3).await;
+    assert_eq!(
+        ask(&world, "own", "/read/a", TAKEN_KEY).await,
+        StatusCode::OK
+    );
+    assert!(!world.has_logged("app-2") && !world.has_logged("roll-out ordered"));
+    assert!(
+        world
+            .metrics()
+            .await
+            .contains("carawayrun_evacuated_data_centres 0\n")
+    );
+}
