Read no endless body behind an offer of another protocol

A request with Upgrade: websocket got 408 after 15 s, with a body of a named length too.

Cause: the codec takes all that follows such an offer for the other protocol, and the relay waited for its end.

Change: without a length the request has no body, with one it is read up to it. The connection is closed after the answer, as before.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use actix_http::error::ParseError;
-use actix_http::h1::{Codec, Message};
+use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::header;
 use actix_http::{Request, RequestHead, StatusCode};
 use bytes::{BufMut, Bytes, BytesMut};
@@ -314,8 +314,8 @@
         limits: &Limits,
         hold: &MemoryHold,
     ) -> Result<Body, ReadError> {
-        use actix_http::h1::MessageType;
-        if self.codec.message_type() == MessageType::None {
+        let message_type = self.codec.message_type();
+        if message_type == MessageType::None {
             return Ok(Body::default());
         }
         let headers = &request.head().headers;
@@ -325,6 +325,12 @@
             snafu::ensure!(length <= limits.body_bytes, BodyTooLongSnafu);
             hold.announce(length);
         }
+        // The codec reads on without an end behind an offer of another protocol, as if that
+        // were taken up.
+        let end = (message_type == MessageType::Stream).then(|| announced.unwrap_or(0));
+        if end == Some(0) {
+            return Ok(Body::default());
+        }
         let mut is_checked = false;
         if headers.contains_key(header::EXPECT) {
             self.check_head(request.head())?;
@@ -350,11 +356,18 @@
                 NoProgressSnafu { part }
             );
             match decoded {
-                Some(Message::Chunk(Some(piece))) => {
+                Some(Message::Chunk(Some(mut piece))) => {
+                    if let Some(end) = end {
+                        piece.truncate(end - body.len());
+                    }
                     let length = body.len() + piece.len();
                     snafu::ensure!(length <= limits.body_bytes, BodyTooLongSnafu);
                     hold.reserve(body.cost_with(piece.len()))?;
                     body.push(&piece);
+                    if end == Some(length) {
+                        hold.check()?;
+                        return Ok(body.freeze());
+                    }
                 }
                 Some(Message::Chunk(None)) => {
                     // It may have given way while others had their turn.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod limits;
 mod odd_config;
 mod odd_rows;
+mod offered;
 mod once;
 mod openapi;
 mod operating;
