Decide with the answer whether its connection is closed

In a planned stop a client that sends its next request before the answer to the one before got no word for it, though it was read whole: neither an answer nor a refusal (LOST).

Cause: whether an answer is the last one of its connection was decided before the request was served, and the connection was dropped after it with all that had been read ahead.

Change: it is decided when the answer's head is written; in a drain the connection goes on while the client has sent more. A connection that ends with unanswered bytes of its client is logged and counted, and what still comes is read for a moment, so that no reset takes the last answer.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -31,7 +31,7 @@
 use super::metrics::DrainEnd;
 use super::progress::{FramingAllowance, MessagePart, Turn};
 use super::request_log::{ConnectionUse, RequestLog, RequestOutcome};
-use super::responder::Responder;
+use super::responder::{Closing, Responder};
 use super::traffic::{MemoryHold, Traffic};
 use super::view::View;
 use crate::platform::{self, InboundRequest};
@@ -181,6 +181,7 @@
         requests: 0,
     };
     while connection.serve_next().await {}
+    connection.end().await;
 }
 
 impl Connection {
@@ -212,6 +213,19 @@
         self.serve_request(&request, body).await
     }
 
+    // Ends a connection whose client may have sent what gets no answer.
+    async fn end(&mut self) {
+        if self.received.is_empty() {
+            return;
+        }
+        let bytes = self.received.len();
+        let is_draining = self.traffic.phases.get().drain().is_some();
+        tracing::info!(peer = %self.peer, bytes, requests = self.requests, is_draining, "connection closed with unanswered bytes of its client");
+        self.traffic.metrics.unanswered_connections.inc();
+        // To close it with unread bytes resets it, and the client may lose the last answer.
+        let _ = timeout(LINGER_TIME, self.linger()).await;
+    }
+
     fn limits(&self) -> Limits {
         let view = self.traffic.view();
         let catalog = view.catalog.as_ref();
@@ -444,7 +458,8 @@
             _ => platform::refusal_headers("", None),
         };
         let mut responder =
-            Responder::new(&mut self.writer, &mut self.codec, true).watched(&self.watch);
+            Responder::new(&mut self.writer, &mut self.codec, Closing::Decided(true))
+                .watched(&self.watch);
         if let Err(error) = responder.write_own(status, headers, &body).await {
             tracing::debug!(%error, "failed to write a rejection to a client");
             return;
@@ -514,9 +529,17 @@
         let mut log = RequestLog::new(client_request.id.clone(), received, connection);
         log.session = client_request.session.clone().unwrap_or_default();
         let admitted = self.admit(head, &client_request, &mut log).await;
-        let is_last = self.traffic.phases.get().drain().is_some() || !self.codec.keep_alive();
+        let has_next = Cell::new(!self.received.is_empty());
+        let closing = if self.codec.keep_alive() {
+            Closing::Draining {
+                phases: &self.traffic.phases,
+                has_next: &has_next,
+            }
+        } else {
+            Closing::Decided(true)
+        };
         let mut responder =
-            Responder::new(&mut self.writer, &mut self.codec, is_last).watched(&self.watch);
+            Responder::new(&mut self.writer, &mut self.codec, closing).watched(&self.watch);
         let served = async {
             match admitted {
                 Ok(admitted) => {
@@ -553,15 +576,22 @@
                 }
             }
         };
+        // What has arrived is read before the answer's head says whether the connection goes
+        // on.
+        let mut is_silent = false;
         let keep_alive = tokio::select! {
             biased;
+            () = wait_for_disconnect(&self.reader, &mut self.received, &has_next) => false,
             keep_alive = served => keep_alive,
-            () = wait_for_disconnect(&self.reader, &mut self.received) => false,
             () = self.watch.silenced(self.reader.as_ref()) => {
-                self.discard();
+                is_silent = true;
                 false
             }
         };
+        let is_last = responder.is_last();
+        if is_silent {
+            self.discard();
+        }
         let is_draining = self.traffic.phases.get().drain().is_some();
         log.finish(&self.traffic.metrics, is_draining);
         keep_alive && !is_last
@@ -620,12 +650,16 @@
 }
 
 // Returns when the client has closed its side; bytes that it sends ahead are
-// kept.
-async fn wait_for_disconnect(reader: &OwnedReadHalf, received: &mut BytesMut) {
+// kept, and `has_next` tells that there are some.
+async fn wait_for_disconnect(
+    reader: &OwnedReadHalf,
+    received: &mut BytesMut,
+    has_next: &Cell<bool>,
+) {
     while received.len() < MAX_PIPELINED_BYTES {
         match fill(reader, received).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) => has_next.set(true),
         }
     }
     std::future::pending::<()>().await;
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -151,6 +151,7 @@
     pub(crate) held_bytes: Gauge,
     pub(crate) memory_refusals: Counter,
     pub(crate) silent_clients: Counter,
+    pub(crate) unanswered_connections: Counter,
     pub(crate) unframed_answers: Counter,
     pub(crate) reset_answers: Counter,
     pub(crate) displaced_answers: Counter,
@@ -206,6 +207,7 @@
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
             silent_clients: Counter::default(),
+            unanswered_connections: Counter::default(),
             unframed_answers: Counter::default(),
             reset_answers: Counter::default(),
             displaced_answers: Counter::default(),
@@ -302,6 +304,11 @@
             "Connections of clients that stopped acknowledging what was sent",
             &self.silent_clients,
         );
+        add(
+            "unanswered_connections",
+            "Connections that were closed with unanswered bytes of their clients",
+            &self.unanswered_connections,
+        );
         add(
             "unframed_answers",
             "Whole answers without a length, each delayed by the wait for a reset",
--- a/src/carawayrun/relay/probe.rs
+++ b/src/carawayrun/relay/probe.rs
@@ -22,7 +22,7 @@
 use super::admission::is_current;
 use super::boot_clock;
 use super::drain::Phase;
-use super::responder::Responder;
+use super::responder::{Closing, Responder};
 use super::traffic::Traffic;
 use crate::http::{json, text};
 
@@ -156,7 +156,7 @@
             .unwrap_or_else(|_| Bytes::new())
             .into();
         let is_last = !codec.keep_alive();
-        let mut responder = Responder::new(&mut writer, &mut codec, is_last);
+        let mut responder = Responder::new(&mut writer, &mut codec, Closing::Decided(is_last));
         let headers = head.headers().clone();
         if let Err(error) = responder.write_own(head.status(), headers, &body).await {
             tracing::debug!(%error, "failed to answer a probe");
--- a/src/carawayrun/relay/responder.rs
+++ b/src/carawayrun/relay/responder.rs
@@ -1,5 +1,6 @@
 //! Writer of answers to a client.
 
+use std::cell::Cell;
 use std::io;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tokio_util::codec::Encoder;
 
 use super::body::Body;
+use super::drain::Phases;
 use super::liveness::PeerWatch;
 use super::traffic::MemoryHold;
 
@@ -36,11 +38,35 @@
     TooSlow,
 }
 
+/// Whether a connection is closed after an answer. It is decided when the answer's head is
+/// written: until then the client may send a request that must be answered, too.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Closing<'a> {
+    Decided(bool),
+    /// In a drain, unless the client has sent more.
+    Draining {
+        phases: &'a Phases,
+        has_next: &'a Cell<bool>,
+    },
+}
+
+impl Closing<'_> {
+    fn is_due(&self) -> bool {
+        match self {
+            Self::Decided(is_due) => *is_due,
+            Self::Draining { phases, has_next } => {
+                phases.get().drain().is_some() && !has_next.get()
+            }
+        }
+    }
+}
+
 /// Writes one answer to a client's connection.
 pub(super) struct Responder<'a> {
     writer: &'a mut OwnedWriteHalf,
     codec: &'a mut Codec,
     watch: Option<&'a PeerWatch>,
+    closing: Closing<'a>,
     is_last: bool,
     has_started: bool,
     /// Encoded bytes that the connection has not taken yet.
@@ -48,14 +74,18 @@
 }
 
 impl<'a> Responder<'a> {
-    /// Creates a writer; with `is_last` the connection is closed after the
-    /// answer.
-    pub(super) fn new(writer: &'a mut OwnedWriteHalf, codec: &'a mut Codec, is_last: bool) -> Self {
+    /// Creates a writer.
+    pub(super) fn new(
+        writer: &'a mut OwnedWriteHalf,
+        codec: &'a mut Codec,
+        closing: Closing<'a>,
+    ) -> Self {
         Self {
             writer,
             codec,
             watch: None,
-            is_last,
+            closing,
+            is_last: false,
             has_started: false,
             unwritten: BytesMut::new(),
         }
@@ -67,6 +97,11 @@
         self
     }
 
+    /// Returns true if the answer's head said that the connection is closed after it.
+    pub(super) fn is_last(&self) -> bool {
+        self.is_last
+    }
+
     /// Returns true once the client may have received a part of the answer.
     pub(super) fn has_started(&self) -> bool {
         self.has_started
@@ -184,6 +219,7 @@
     ) -> Result<(), WriteError> {
         let mut answer = Response::with_body(status, ());
         *answer.headers_mut() = headers;
+        self.is_last = self.closing.is_due();
         if self.is_last {
             answer.head_mut().set_connection_type(ConnectionType::Close);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod operating;
 mod path;
 mod paused;
+mod pipelined;
 mod platform;
 mod policy;
 mod reloaded;
--- a/tests/testsuite/offered.rs
+++ b/tests/testsuite/offered.rs
@@ -25,12 +25,14 @@
     world.until_ready().await;
     let stream = TcpStream::connect(world.relay_address(7001)).await;
     let mut stream = stream.expect("the relay accepts");
-    let mut head = request_head(method, "/read/a", "req-1");
-    head += &format!("connection: {connection}\r\nupgrade: {protocol}\r\n");
-    if !body.is_empty() {
-        head += &format!("content-length: {}\r\n", body.len());
-    }
-    let request = format!("{head}\r\n{body}");
+    let head = request_head(method, "/read/a", "req-1");
+    let length = if body.is_empty() {
+        String::new()
+    } else {
+        format!("content-length: {}\r\n", body.len())
+    };
+    let offer = format!("connection: {connection}\r\nupgrade: {protocol}\r\n");
+    let request = format!("{head}{offer}{length}\r\n{body}");
     let sent = stream.write_all(request.as_bytes()).await;
     sent.expect("the relay takes a request");
     let answer = read_answer(&mut stream).await;
