--- a/src/carawayrun/platform/config.rs
+++ b/src/carawayrun/platform/config.rs
@@ -185,7 +185,7 @@
         let keys = tenant.api_keys.into_iter().map(|key| (key, team));
         catalog.api_keys.extend(keys);
     }
-    // Bounds of before would be guesses too.
+    // Those of the configuration before may no longer hold, so the defaults apply.
     let limits = wire.limits.as_deref().and_then(|raw| {
         let limits = read_entry(raw).map(|limits| convert_limits(&limits));
         keep("limits", raw, limits, faults)
--- a/src/carawayrun/platform/number.rs
+++ b/src/carawayrun/platform/number.rs
@@ -10,6 +10,7 @@
 pub(super) struct Number(CompactString);
 
 impl Number {
+    /// The text of the number, as the row holds it.
     pub(super) fn as_written(&self) -> &str {
         &self.0
     }
@@ -59,7 +60,7 @@
 // The beginning of `text`, for messages.
 fn shortened(text: &str) -> &str {
     const MAX_BYTES: usize = 40;
-    let end = (0..=MAX_BYTES.min(text.len())).rev();
-    let end = end.into_iter().find(|end| text.is_char_boundary(*end));
+    let mut ends = (0..=MAX_BYTES.min(text.len())).rev();
+    let end = ends.find(|end| text.is_char_boundary(*end));
     &text[..end.unwrap_or_default()]
 }
--- a/tests/testsuite/soak/callers.rs
+++ b/tests/testsuite/soak/callers.rs
@@ -32,6 +32,9 @@
 const SLOW_SHARE: f64 = 0.2;
 const MAX_UPLOAD_PAUSE_MS: u64 = 2_500;
 
+/// Share of the reads that are sent together with another one.
+const PAIRED_SHARE: f64 = 0.15;
+
 /// Share of the requests that crash upstreams, while there are any.
 const DEADLY_SHARE: f64 = 0.1;
 
@@ -66,8 +69,29 @@
         } else {
             Duration::ZERO
         };
+        let paired = (kind == RequestKind::Read && rng.random_bool(PAIRED_SHARE)).then(|| {
+            count += 1;
+            new_exchange(
+                &deployment,
+                relay,
+                kind,
+                key.clone(),
+                format!("c{number}-{count}"),
+            )
+        });
+        if let Some(paired) = &paired {
+            connection.send_ahead(request_head(paired));
+        }
         let to = (&mut connection, relay);
-        let exchange = send_request(&deployment, to, kind, key, id, pause).await;
+        let mut exchange = send_request(&deployment, to, kind, key.clone(), id, pause).await;
+        if let Some(paired) = paired {
+            deployment.history.borrow_mut().exchanges.push(exchange);
+            let to = (&mut connection, relay);
+            let sent = paired.sent;
+            exchange = send_request(&deployment, to, kind, key, paired.id, pause).await;
+            exchange.sent = sent;
+            exchange.incarnation = paired.incarnation;
+        }
         let is_served = exchange.complete && exchange.status.is_some_and(|status| status < 500);
         deployment.history.borrow_mut().exchanges.push(exchange);
         if !is_served {
@@ -104,19 +128,7 @@
     id: String,
     pause: Duration,
 ) -> Exchange {
-    let mut exchange = Exchange {
-        id,
-        kind,
-        key,
-        relay,
-        incarnation: deployment.incarnation(relay),
-        sent: now_ms(),
-        ended: 0,
-        status: None,
-        complete: false,
-        body: String::new(),
-        echoed_id: None,
-    };
+    let mut exchange = new_exchange(deployment, relay, kind, key, id);
     let limit = Duration::from_millis(kind.deadline_ms()) + DEADLINE_MARGIN + pause;
     let addr = deployment.client_addr(relay);
     let mut answer = Answer::default();
@@ -136,6 +148,28 @@
     exchange
 }
 
+fn new_exchange(
+    deployment: &Deployment,
+    relay: usize,
+    kind: RequestKind,
+    key: String,
+    id: String,
+) -> Exchange {
+    Exchange {
+        id,
+        kind,
+        key,
+        relay,
+        incarnation: deployment.incarnation(relay),
+        sent: now_ms(),
+        ended: 0,
+        status: None,
+        complete: false,
+        body: String::new(),
+        echoed_id: None,
+    }
+}
+
 fn request_head(exchange: &Exchange) -> RequestHead {
     let mut head = RequestHead::default();
     head.method = match exchange.kind {
--- a/tests/testsuite/soak/connection.rs
+++ b/tests/testsuite/soak/connection.rs
@@ -36,9 +36,18 @@
 pub(crate) struct Connection {
     stream: Option<TcpStream>,
     received: BytesMut,
+    /// Request without a body to be written behind the one that is sent next.
+    next: Option<RequestHead>,
+    /// True if the request that is sent next was written behind the one before.
+    is_ahead: bool,
 }
 
 impl Connection {
+    /// Has the request that is sent after the next one written together with that one.
+    pub(crate) fn send_ahead(&mut self, head: RequestHead) {
+        self.next = Some(head);
+    }
+
     /// Sends a request and reads the answer into `answer`, which holds what was
     /// received even if the caller drops the future. The body follows after a pause.
     pub(crate) async fn send(
@@ -48,8 +57,11 @@
         (body, pause): (&[u8], Duration),
         answer: &mut Answer,
     ) -> io::Result<()> {
+        let is_ahead = std::mem::take(&mut self.is_ahead);
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
+            // What was sent ahead has no answer any more.
+            None if is_ahead => return Err(io::ErrorKind::NotConnected.into()),
             None => TcpStream::connect(addr).await?,
         };
         let mut codec = ClientCodec::new(ServiceConfig::default());
@@ -63,13 +75,21 @@
             Message::Item((RequestHeadType::from(head), size)),
             &mut bytes,
         )?;
-        if !pause.is_zero() {
+        if is_ahead {
+            bytes.clear();
+        } else if !pause.is_zero() {
             stream.write_all(&bytes.split()).await?;
             actix_rt::time::sleep(pause).await;
         }
         if size != BodySize::None {
             bytes.extend_from_slice(body);
         }
+        if let Some(next) = self.next.take() {
+            let mut codec = ClientCodec::new(ServiceConfig::default());
+            let message = (RequestHeadType::from(next), BodySize::None);
+            codec.encode(Message::Item(message), &mut bytes)?;
+            self.is_ahead = true;
+        }
         stream.write_all(&bytes).await?;
         answer.sent_ms = Some(now_ms());
         let head = loop {
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -304,6 +304,7 @@
             {"name": "shops", "api_keys": shops, "priority": 1},
             {"name": "depots", "api_keys": [PERMANENT_KEYS[1]], "priority": 2},
         ]);
+        add_odd_forms(&mut wanted, self.version.get());
         self.put("/rows/op/config", &wanted).await;
     }
 
@@ -848,3 +849,23 @@
 
 /// Memory of the smallest entry host of the users' deployments, in KB.
 const MAX_PEAK_KB: u64 = 88 * 1024;
+
+/// Writes a field of a configuration in one of the forms that mean the same, or adds an entry
+/// that can't be used and that no caller needs.
+fn add_odd_forms(config: &mut Value, version: u64) {
+    let mut lost = config["routes"][0].clone();
+    lost["prefix"] = json!("/lost/");
+    lost["service"] = json!("nobody");
+    let routes = config["routes"].as_array_mut();
+    let routes = routes.expect("a configuration has routes");
+    match version % 5 {
+        0 => routes[0]["priority"] = json!(1_000),
+        1 => routes.push(lost),
+        2 => {
+            routes[0]["backends"] = json!([{"service": routes[0]["service"], "weight": 0.25}]);
+            routes[0]["service"] = Value::Null;
+        }
+        3 => config["limits"]["max_body_bytes"] = json!(1e300),
+        _ => {}
+    }
+}
