Tell how far reads of the store come, and how long a relay is behind

Logs couldn't tell a read that is cut while it arrives from a silent connection, nor show which relay holds an older configuration than the others. Now a failed call says how much of its answer had arrived; carawayrun_store_read_bytes_total, carawayrun_store_partial_answers_total and carawayrun_config_lag_seconds count it, and two lines tell when a relay falls behind and catches up. No decision changes.

Unit tests of relay::readers (one new) and store:: pass.

--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -20,7 +20,7 @@
     CallSnafu, Change, Changes, Cursor, FeedError, HistoryDroppedSnafu, Snapshot,
 };
 use crate::store::invalid_rows::InvalidRows;
-use crate::store::pool::ConnectionPool;
+use crate::store::pool::{ConnectionPool, PoolMetrics};
 use crate::store::table::{Row, TableError, Transaction};
 
 /// Longest answer that is read, in bytes. The store sends at most 1 MB of rows;
@@ -118,10 +118,11 @@
 }
 
 impl StoreClient {
-    /// Creates a client of the store at `addr`; it connects on the first call.
-    pub fn new(addr: SocketAddr) -> Self {
+    /// Creates a client of the store at `addr`; it connects on the first call, and counts
+    /// in `metrics`.
+    pub(crate) fn new(addr: SocketAddr, metrics: PoolMetrics) -> Self {
         Self {
-            pool: Rc::new(ConnectionPool::new()),
+            pool: Rc::new(ConnectionPool::new(metrics)),
             invalid: Rc::default(),
             base: CompactString::from(format!("http://{addr}")),
         }
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -89,6 +89,8 @@
     /// Time of the store's last answer to this gateway, on the boot clock.
     answered_at: Cell<Duration>,
     outages: RefCell<OutageDetector>,
+    /// Time for which other gateways have held newer orders; `None` if none does.
+    lag: Cell<Option<Duration>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -97,7 +99,7 @@
     let settings = shared.settings.load_full();
     actix_rt::spawn(stalls::watch(Arc::clone(&shared.stalls)));
     let follower = Rc::new(Follower {
-        store: StoreClient::new(settings.store),
+        store: StoreClient::new(settings.store, shared.metrics.store_reads.clone()),
         state: RefCell::new(State::new(
             &settings.node,
             settings.exposure_share,
@@ -112,6 +114,7 @@
         era: Cell::default(),
         answered_at: Cell::default(),
         outages: RefCell::default(),
+        lag: Cell::default(),
         rng: RefCell::new(SmallRng::from_os_rng()),
     });
     actix_rt::spawn(Rc::clone(&follower).receive_updates());
@@ -200,6 +203,28 @@
         self.confirm_table(table);
     }
 
+    // Logs and publishes for how long other gateways have held newer orders.
+    fn update_lag(&self) {
+        let now = self.store_now().unwrap_or_default();
+        let lag = self.with_table(Table::Orders, |followed| followed.lag(now));
+        let before = self.lag.replace(lag);
+        let as_ms = |lag: Duration| lag.as_millis() as u64;
+        match (before, lag) {
+            (None, Some(_)) => {
+                tracing::info!("other gateways hold a newer configuration or newer orders");
+            }
+            (Some(before), None) => {
+                tracing::info!(
+                    behind_ms = as_ms(before),
+                    "configuration and orders caught up"
+                );
+            }
+            _ => {}
+        }
+        let seconds = lag.unwrap_or_default().as_secs_f64();
+        self.shared.metrics.config_lag.set(seconds);
+    }
+
     // Passes to the reducer the time as of which a table is known.
     fn confirm_table(&self, table: Table) {
         let era = self.era();
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -83,7 +83,7 @@
         self.with_table(Table::Orders, |followed| {
             followed.insert_row(&row.key, row.version);
         });
-        tracing::info!(key = %row.key, row_version = row.version, era = self.era(), "row of the operators read");
+        tracing::info!(key = %row.key, row_version = row.version, era = self.era(), bytes = row.value.get().len(), "row of the operators read");
         if let Some(data_centre) = platform::evacuated_data_centre(&row.key) {
             let id = order_id(row, self.era());
             self.handle(Event::EvacuationRead(data_centre.into(), id));
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -91,6 +91,7 @@
     pub(super) async fn run_ticks(self: Rc<Self>) {
         loop {
             sleep(TICK_INTERVAL).await;
+            self.update_lag();
             if self.state.borrow().has_open_rollout() {
                 self.handle(Event::OutcomesCounted(self.shared.outcomes()));
             }
--- a/src/carawayrun/relay/metrics.rs
+++ b/src/carawayrun/relay/metrics.rs
@@ -18,6 +18,7 @@
 use super::progress::MessagePart;
 use super::queue::RefusalReason;
 use super::request_log::RequestOutcome;
+use crate::store::pool::PoolMetrics;
 
 /// Rate of request log lines, per second: an on-call engineer finds each failure
 /// of a usual day, and a flood stays below one megabyte a minute.
@@ -127,7 +128,9 @@
     pub(crate) foreign_answers: Counter,
     pub(crate) store_calls: Counter,
     pub(crate) store_failures: Counter,
+    pub(crate) store_reads: PoolMetrics,
     pub(crate) config_version: Gauge,
+    pub(crate) config_lag: Gauge<f64, AtomicU64>,
     pub(crate) config_faults: Gauge,
     pub(crate) unreadable_config: Gauge,
     pub(crate) store_era: Gauge,
@@ -183,7 +186,9 @@
             foreign_answers: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
+            store_reads: PoolMetrics::default(),
             config_version: Gauge::default(),
+            config_lag: Gauge::default(),
             config_faults: Gauge::default(),
             unreadable_config: Gauge::default(),
             store_era: Gauge::default(),
@@ -235,6 +240,7 @@
     fn build_registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("carawayrun");
         self.register_counters(&mut registry);
+        self.register_store(&mut registry);
         self.register_delivery(&mut registry);
         self.register_gauges(&mut registry);
         registry.register(
@@ -326,6 +332,33 @@
         );
     }
 
+    fn register_store(&self, registry: &mut Registry) {
+        let mut add = |name: &str, help: &str, counter: &Counter| {
+            registry.register(name, help, counter.clone());
+        };
+        add("store_calls", "Calls to the store", &self.store_calls);
+        add(
+            "store_failures",
+            "Calls to the store without a usable answer",
+            &self.store_failures,
+        );
+        add(
+            "store_read_bytes",
+            "Bytes of the store's answers",
+            &self.store_reads.read_bytes,
+        );
+        add(
+            "store_partial_answers",
+            "Answers of the store that were given up after a part of them had arrived",
+            &self.store_reads.partial_answers,
+        );
+        registry.register(
+            "config_lag_seconds",
+            "Time for which other gateways have held a newer configuration or newer orders",
+            self.config_lag.clone(),
+        );
+    }
+
     fn register_counters(&self, registry: &mut Registry) {
         let mut add = |name: &str, help: &str, counter: &Counter| {
             registry.register(name, help, counter.clone());
@@ -365,12 +398,6 @@
             "Requests that were refused before they were read whole, for lack of memory",
             &self.memory_refusals,
         );
-        add("store_calls", "Calls to the store", &self.store_calls);
-        add(
-            "store_failures",
-            "Calls to the store without a usable answer",
-            &self.store_failures,
-        );
         add(
             "limited_sends",
             "Sends to upstreams that name a limit of requests per second",
--- a/src/carawayrun/relay/readers.rs
+++ b/src/carawayrun/relay/readers.rs
@@ -58,6 +58,8 @@
     /// Era and time as of which the rows were last known to be current. Kept, as a
     /// peer's newer confirmation of other rows takes the place of the one it is from.
     current_at: Option<(u64, Duration)>,
+    /// Time of the first confirmation of newer rows that this gateway has not read yet.
+    behind_since: Option<Duration>,
 }
 
 impl FollowedTable {
@@ -82,6 +84,7 @@
         let digest = self.digest();
         self.own = Some(Confirmation { era, at, digest });
         self.update_current_at();
+        self.update_behind();
     }
 
     /// Records a confirmation by another gateway; an older one than known is
@@ -92,6 +95,13 @@
             *newest = confirmation;
         }
         self.update_current_at();
+        self.update_behind();
+    }
+
+    /// Time at `now` for which another gateway is known to hold newer rows than this one;
+    /// `None` if none is.
+    pub fn lag(&self, now: Duration) -> Option<Duration> {
+        self.behind_since.map(|since| now.saturating_sub(since))
     }
 
     /// Confirmation of this gateway's last read.
@@ -148,11 +158,21 @@
     }
 
     fn has_newer_rows(&self, own: &Confirmation) -> bool {
+        self.newer_rows(own).is_some()
+    }
+
+    // Newest confirmation of the others, if it is of newer rows than `own`.
+    fn newer_rows(&self, own: &Confirmation) -> Option<&Confirmation> {
         let newest = self
             .peers
             .values()
             .max_by_key(|confirmation| (confirmation.era, confirmation.at));
-        newest.is_some_and(|newest| newest.is_newer_than(own) && !newest.has_same_rows(own))
+        newest.filter(|newest| newest.is_newer_than(own) && !newest.has_same_rows(own))
+    }
+
+    fn update_behind(&mut self) {
+        let newer = self.own.and_then(|own| self.newer_rows(&own).copied());
+        self.behind_since = newer.map(|newer| self.behind_since.unwrap_or(newer.at));
     }
 
     fn digest(&self) -> u64 {
--- a/src/carawayrun/relay/tests/readers.rs
+++ b/src/carawayrun/relay/tests/readers.rs
@@ -163,3 +163,15 @@
     assert!(b.is_behind(millis(700), TTL));
     assert!(FollowedTable::default().is_behind(millis(0), TTL));
 }
+
+#[test]
+fn lag_lasts_from_first_newer_confirmation_to_own_read() {
+    let mut b = followed(1, 100);
+    assert_eq!(b.lag(millis(150)), None);
+    b.record_peer("a", confirmation(&followed(2, 200)));
+    b.record_peer("a", confirmation(&followed(3, 500)));
+    assert_eq!(b.lag(millis(900)), Some(millis(700)));
+    b.insert_row("config", 3);
+    b.record_read(ERA, millis(950));
+    assert_eq!(b.lag(millis(1_000)), None);
+}
--- a/src/carawayrun/store/call.rs
+++ b/src/carawayrun/store/call.rs
@@ -1,5 +1,6 @@
 //! HTTP calls to a service of the platform.
 
+use std::cell::Cell;
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -7,8 +8,9 @@
 use awc::http::header::{self, HeaderMap};
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientRequest};
-use bytes::Bytes;
-use compact_str::{CompactString, ToCompactString};
+use bytes::{Bytes, BytesMut};
+use compact_str::{CompactString, ToCompactString, format_compact};
+use futures_util::StreamExt;
 use snafu::Snafu;
 
 use crate::http::{connector, may_have_been_sent};
@@ -66,6 +68,30 @@
     pub(crate) body: Bytes,
 }
 
+/// How much of an answer has arrived, for whoever gives up a call.
+#[derive(Debug, Default)]
+pub(crate) struct AnswerProgress {
+    bytes: Cell<usize>,
+    /// Length of the body that the head announced, if any.
+    expected: Cell<Option<usize>>,
+}
+
+impl AnswerProgress {
+    /// Bytes of the body that arrived.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
+    /// Says how far the answer has come, for messages.
+    pub(crate) fn describe(&self) -> CompactString {
+        let bytes = self.bytes.get();
+        match self.expected.get() {
+            Some(expected) => format_compact!("{bytes} of {expected} bytes arrived"),
+            None => format_compact!("{bytes} bytes arrived"),
+        }
+    }
+}
+
 /// Creates a client that does not reuse connections after an idle time of `keep_alive`.
 pub(crate) fn new_client(keep_alive: Duration) -> Client {
     let connector = connector()
@@ -98,14 +124,18 @@
     body: Bytes,
     limit: usize,
 ) -> Result<Answer, CallError> {
-    exchange(request, body, limit).await.and_then(check_status)
+    let progress = AnswerProgress::default();
+    let answer = exchange(request, body, limit, &progress).await;
+    answer.and_then(check_status)
 }
 
-/// As [`send_request`], but returns an answer of any status.
+/// As [`send_request`], but returns an answer of any status, and notes in `progress` how
+/// much of it has arrived.
 pub(crate) async fn exchange(
     request: ClientRequest,
     body: Bytes,
     limit: usize,
+    progress: &AnswerProgress,
 ) -> Result<Answer, CallError> {
     let mut response = request
         .content_type("application/json")
@@ -113,15 +143,28 @@
         .await
         .map_err(|error| classify_send_error(&error))?;
     let status = response.status();
-    let etag = response.headers().get(header::ETAG);
-    let etag = etag.and_then(|etag| etag.to_str().ok()).unwrap_or_default();
-    let etag = CompactString::from(etag);
     let headers = response.headers().clone();
-    let reading = response.body().limit(limit);
+    let text_of = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let etag = CompactString::from(text_of(header::ETAG).unwrap_or_default());
+    let expected = text_of(header::CONTENT_LENGTH).and_then(|length| length.parse().ok());
+    progress.expected.set(expected);
+    let reading = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = response.next().await {
+            let part = part.map_err(|error| answer_lost(&error.to_string()))?;
+            progress.bytes.update(|bytes| bytes + part.len());
+            if progress.bytes() > limit {
+                return Err(answer_lost(&format!(
+                    "the answer is longer than {limit} bytes"
+                )));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    };
     let body = actix_rt::time::timeout(BODY_TIMEOUT, reading)
         .await
-        .map_err(|_| answer_lost("the body of the answer took too long"))?
-        .map_err(|error| answer_lost(&error.to_string()))?;
+        .map_err(|_| answer_lost("the body of the answer took too long"))??;
     Ok(Answer {
         status,
         etag,
--- a/src/carawayrun/store/pool.rs
+++ b/src/carawayrun/store/pool.rs
@@ -11,9 +11,10 @@
 
 use awc::{Client, ClientRequest};
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::{Instant, timeout};
 
-use super::call::{self, Answer, CallError};
+use super::call::{self, Answer, AnswerProgress, CallError};
 
 /// Idle time after which a connection is not reused. Those that went silent while
 /// they were idle are gone by then.
@@ -93,22 +94,43 @@
     }
 }
 
+/// What the calls of a pool cost.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PoolMetrics {
+    /// Bytes of answers that arrived.
+    pub(crate) read_bytes: Counter,
+    /// Answers that were given up after a part of them had arrived.
+    pub(crate) partial_answers: Counter,
+}
+
+impl PoolMetrics {
+    fn record(&self, answer: &Result<Answer, CallError>, progress: &AnswerProgress) {
+        let bytes = progress.bytes();
+        self.read_bytes.inc_by(bytes as u64);
+        if answer.is_err() && bytes > 0 {
+            self.partial_answers.inc();
+        }
+    }
+}
+
 /// Connections to one service, for use on one thread.
 pub(crate) struct ConnectionPool {
     client: RefCell<Client>,
     /// Generation of the connections of `client`.
     generation: Cell<Generation>,
     state: RefCell<PoolState>,
+    metrics: PoolMetrics,
 }
 
 impl ConnectionPool {
     /// Creates a pool, which connects with the first call.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(metrics: PoolMetrics) -> Self {
         let state = PoolState::new();
         Self {
             client: RefCell::new(call::new_client(KEEP_ALIVE)),
             generation: Cell::new(state.current()),
             state: RefCell::new(state),
+            metrics,
         }
     }
 
@@ -124,7 +146,9 @@
         let (client, generation) = self.acquire();
         let time_limit = wait + self.state.borrow().answer_timeout();
         let begun = Instant::now();
-        let answer = exchange(build(&client, wait), Bytes::new(), time_limit, limit).await;
+        let answer = self
+            .exchange(build(&client, wait), Bytes::new(), time_limit, limit)
+            .await;
         let Err(error) = answer else {
             return self.finish(generation, begun, wait, answer);
         };
@@ -134,7 +158,9 @@
         let (client, generation) = self.acquire();
         let begun = Instant::now();
         let request = build(&client, Duration::ZERO);
-        let answer = exchange(request, Bytes::new(), ANSWER_TIMEOUT, limit).await;
+        let answer = self
+            .exchange(request, Bytes::new(), ANSWER_TIMEOUT, limit)
+            .await;
         self.finish(generation, begun, Duration::ZERO, answer)
     }
 
@@ -147,7 +173,9 @@
     ) -> Result<Answer, CallError> {
         let (client, generation) = self.acquire();
         let begun = Instant::now();
-        let answer = exchange(build(&client), body, ANSWER_TIMEOUT, limit).await;
+        let answer = self
+            .exchange(build(&client), body, ANSWER_TIMEOUT, limit)
+            .await;
         self.finish(generation, begun, Duration::ZERO, answer)
     }
 
@@ -191,16 +219,23 @@
         }
         has_answered
     }
-}
 
-async fn exchange(
-    request: ClientRequest,
-    body: Bytes,
-    time_limit: Duration,
-    limit: usize,
-) -> Result<Answer, CallError> {
-    let exchange = call::exchange(request.timeout(time_limit), body, limit);
-    timeout(time_limit, exchange)
-        .await
-        .unwrap_or_else(|_| Err(call::answer_lost("no complete answer in time")))
+    async fn exchange(
+        &self,
+        request: ClientRequest,
+        body: Bytes,
+        time_limit: Duration,
+        limit: usize,
+    ) -> Result<Answer, CallError> {
+        let progress = AnswerProgress::default();
+        let exchange = call::exchange(request.timeout(time_limit), body, limit, &progress);
+        let answer = timeout(time_limit, exchange).await.unwrap_or_else(|_| {
+            let progress = progress.describe();
+            Err(call::answer_lost(&format!(
+                "no complete answer in time, {progress}"
+            )))
+        });
+        self.metrics.record(&answer, &progress);
+        answer
+    }
 }
