Reproduce configurations that are never in force on thin links

A hop before the store carries 1.25 MB a second, and one relay reads configurations of 0.45, 1.35 and 4.2 MB through it; another test has a relay behind one that has read a newer version. 7 of 8 cases fail on this code: those over 0.45 MB never come in force, also not where newer ones follow or where a connection falls silent within one, and the relay that is behind answers 404 and 401. The store stand-in takes operators' rows of up to 8 MiB.

--- a/crates/lab/src/metadata.rs
+++ b/crates/lab/src/metadata.rs
@@ -25,8 +25,8 @@
 use crate::faults::{FaultState, Faults};
 use crate::serve::{answer_common_call, lost_answer, query_value, read_json, run as serve};
 
-/// Maximum size of a row's value, in bytes.
-const MAX_VALUE_BYTES: usize = 64 << 10;
+/// Maximum size of the value that an operator or upstream writes, in bytes.
+const MAX_VALUE_BYTES: usize = 8 << 20;
 
 /// Command-line options.
 #[derive(Debug, Clone)]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod interrupted;
 mod joined;
 mod kept;
+mod large_config;
 mod leaving;
 mod limits;
 mod odd_config;
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -135,13 +135,18 @@
     /// As [`Self::start`], with a hop between the relays and the store.
     pub(crate) async fn start_behind_hop(name: &str) -> (Self, Relay) {
         let mut world = Self::start_store(name).await;
-        world.store_addr = format!("{}.9:7000", world.net);
-        let target = format!("{}.1:7000", world.net);
-        let hop = Relay::bind(&world.store_addr, target).await;
+        let hop = world.add_hop().await;
         world.start_relay();
         (world, hop)
     }
 
+    /// Adds a hop between the store and the relays that start from now on.
+    pub(crate) async fn add_hop(&mut self) -> Relay {
+        self.store_addr = format!("{}.9:7000", self.net);
+        let target = format!("{}.1:7000", self.net);
+        Relay::bind(&self.store_addr, target).await
+    }
+
     /// Starts the store alone.
     pub(crate) async fn start_store(name: &str) -> Self {
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
--- a/tests/testsuite/support/relay.rs
+++ b/tests/testsuite/support/relay.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_rt::task::JoinHandle;
@@ -80,11 +80,44 @@
     /// Connections that were accepted before this many hold everything back.
     silenced: Rc<Cell<u64>>,
     accepted: Rc<Cell<u64>>,
+    link: Rc<Link>,
     refused: Rc<RefCell<HashSet<String>>>,
     cuts: watch::Sender<u64>,
     accepting: JoinHandle<()>,
 }
 
+/// What carries the target's bytes, of all connections together.
+#[derive(Debug)]
+struct Link {
+    /// Bytes a second, if it has a limit.
+    pace: Cell<Option<u32>>,
+    /// Time at which all that was sent before has arrived.
+    free_at: Cell<Instant>,
+    /// Bytes passed so far.
+    passed: Cell<u64>,
+}
+
+impl Link {
+    fn new() -> Self {
+        Self {
+            pace: Cell::default(),
+            free_at: Cell::new(Instant::now()),
+            passed: Cell::default(),
+        }
+    }
+
+    /// Waits until so many bytes have passed, behind those before them.
+    async fn carry(&self, bytes: usize) {
+        if let Some(pace) = self.pace.get() {
+            let time = Duration::from_secs(1).mul_f64(bytes as f64 / f64::from(pace));
+            let free_at = self.free_at.get().max(Instant::now()) + time;
+            self.free_at.set(free_at);
+            actix_rt::time::sleep_until(free_at.into()).await;
+        }
+        self.passed.update(|passed| passed + bytes as u64);
+    }
+}
+
 impl Relay {
     /// Listens on `listen` and passes each connection on to `target`.
     pub(crate) async fn bind(listen: &str, target: String) -> Self {
@@ -94,7 +127,9 @@
         let silenced = Rc::new(Cell::new(0));
         let accepted = Rc::new(Cell::new(0));
         let refused = Rc::default();
+        let link = Rc::new(Link::new());
         let hop = Hop {
+            link: Rc::clone(&link),
             target,
             passing: Rc::clone(&passing),
             silenced: Rc::clone(&silenced),
@@ -106,6 +141,7 @@
             passing,
             silenced,
             accepted,
+            link,
             refused,
             cuts,
             accepting: actix_rt::spawn(accepting),
@@ -132,6 +168,17 @@
         self.silenced.set(self.accepted.get());
     }
 
+    /// Passes on at most so many bytes a second of what the target sends, over all
+    /// connections.
+    pub(crate) fn limit_pace(&self, bytes_per_second: u32) {
+        self.link.pace.set(Some(bytes_per_second));
+    }
+
+    /// Bytes of the target that were passed on so far.
+    pub(crate) fn passed(&self) -> u64 {
+        self.link.passed.get()
+    }
+
     /// Connections accepted so far.
     pub(crate) fn accepted(&self) -> u64 {
         self.accepted.get()
@@ -171,6 +218,7 @@
     passing: Rc<Cell<Passing>>,
     silenced: Rc<Cell<u64>>,
     accepted: Rc<Cell<u64>>,
+    link: Rc<Link>,
     /// Ids of the requests whose refusals were passed on.
     refused: Rc<RefCell<HashSet<String>>>,
 }
@@ -234,6 +282,9 @@
         if read == 0 {
             return writer.shutdown().await;
         }
+        if is_answer {
+            hop.link.carry(read).await;
+        }
         let junk = match passing.get() {
             Passing::Spoiled(junk) if is_answer => Some(junk),
             _ => None,
