Limit the silence of a store call, not its whole answer

Cause: a call was given up 300 to 900 ms after its wait, to find silent connections soon, but that held for the whole answer. A row that takes the link longer was cut while it arrived, and each try began with its first byte, so it never came.

Now silence counts: from the request to the head, and from each part of the body to the next, with the same limits. An answer that arrives may take any time, above 16 KiB a second after its first 5 s. The clients of the table service and of objects had 10 s for a body and have the same rule now.

--- a/src/carawayrun/store/call.rs
+++ b/src/carawayrun/store/call.rs
@@ -12,17 +12,22 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::StreamExt;
 use snafu::Snafu;
+use tokio::time::{Instant, timeout};
 
 use crate::http::{connector, may_have_been_sent};
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Timeout of the head of an answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Silence after which a call is given up.
+const SILENCE: Duration = Duration::from_secs(5);
 
-/// Timeout of the body of an answer, after its head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which an answer may arrive at any pace.
+const PACE_GRACE: Duration = Duration::from_secs(5);
+
+/// Pace below which an answer is given up after that, in bytes per second: a byte now and
+/// then would keep its call for ever.
+const MIN_PACE: f64 = 16.0 * 1024.0;
 
 /// Maximum number of connections to one service from one thread.
 const MAX_CONNECTIONS: usize = 16;
@@ -56,6 +61,24 @@
         /// Status and start of the answer's body, or error of the parser.
         message: CompactString,
     },
+    /// The answer is longer than the caller reads.
+    #[snafu(display("the answer is longer than {limit} bytes"))]
+    TooLong {
+        /// Longest answer that is read, in bytes.
+        limit: usize,
+    },
+}
+
+/// Limits of an answer. It may take any time as long as it arrives: its length and the pace
+/// of the link are not the caller's to decide.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AnswerLimits {
+    /// Longest time from the request to the head of the answer.
+    pub(crate) head: Duration,
+    /// Longest time from each part of the answer to the next.
+    pub(crate) silence: Duration,
+    /// Longest body, in bytes.
+    pub(crate) bytes: usize,
 }
 
 /// A complete answer.
@@ -68,12 +91,16 @@
     pub(crate) body: Bytes,
 }
 
-/// How much of an answer has arrived, for whoever gives up a call.
+/// How an answer arrives.
 #[derive(Debug, Default)]
 pub(crate) struct AnswerProgress {
     bytes: Cell<usize>,
     /// Length of the body that the head announced, if any.
     expected: Cell<Option<usize>>,
+    /// Time from the request to the head.
+    head_after: Cell<Duration>,
+    /// Longest silence after the head.
+    silence: Cell<Duration>,
 }
 
 impl AnswerProgress {
@@ -82,13 +109,24 @@
         self.bytes.get()
     }
 
-    /// Says how far the answer has come, for messages.
-    pub(crate) fn describe(&self) -> CompactString {
+    /// Time from the request to the head.
+    pub(crate) fn head_after(&self) -> Duration {
+        self.head_after.get()
+    }
+
+    /// Longest silence after the head.
+    pub(crate) fn silence(&self) -> Duration {
+        self.silence.get()
+    }
+
+    // Error of a call that is given up for `reason`.
+    fn give_up(&self, reason: &str) -> CallError {
         let bytes = self.bytes.get();
-        match self.expected.get() {
-            Some(expected) => format_compact!("{bytes} of {expected} bytes arrived"),
-            None => format_compact!("{bytes} bytes arrived"),
-        }
+        let message = match self.expected.get() {
+            Some(expected) => format_compact!("{reason}, {bytes} of {expected} bytes arrived"),
+            None => format_compact!("{reason}, {bytes} bytes arrived"),
+        };
+        CallError::Lost { message }
     }
 }
 
@@ -100,7 +138,7 @@
         .conn_keep_alive(keep_alive);
     Client::builder()
         .connector(connector)
-        .timeout(ANSWER_TIMEOUT)
+        .timeout(SILENCE)
         .disable_redirects()
         .finish()
 }
@@ -124,52 +162,70 @@
     body: Bytes,
     limit: usize,
 ) -> Result<Answer, CallError> {
+    let limits = AnswerLimits {
+        head: SILENCE,
+        silence: SILENCE,
+        bytes: limit,
+    };
     let progress = AnswerProgress::default();
-    let answer = exchange(request, body, limit, &progress).await;
+    let answer = exchange(request, body, limits, &progress).await;
     answer.and_then(check_status)
 }
 
-/// As [`send_request`], but returns an answer of any status, and notes in `progress` how
-/// much of it has arrived.
+/// As [`send_request`], but returns an answer of any status, and records in `progress` how
+/// it arrives.
 pub(crate) async fn exchange(
     request: ClientRequest,
     body: Bytes,
-    limit: usize,
+    limits: AnswerLimits,
     progress: &AnswerProgress,
 ) -> Result<Answer, CallError> {
-    let mut response = request
+    let limit = limits.bytes;
+    let begun = Instant::now();
+    let sending = request
+        .timeout(limits.head)
         .content_type("application/json")
-        .send_body(body)
+        .send_body(body);
+    let mut response = timeout(limits.head, sending)
         .await
+        .map_err(|_| progress.give_up("no answer in time"))?
         .map_err(|error| classify_send_error(&error))?;
+    progress.head_after.set(begun.elapsed());
     let status = response.status();
     let headers = response.headers().clone();
     let text_of = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let etag = CompactString::from(text_of(header::ETAG).unwrap_or_default());
     let expected = text_of(header::CONTENT_LENGTH).and_then(|length| length.parse().ok());
     progress.expected.set(expected);
-    let reading = async {
-        let mut body = BytesMut::new();
-        while let Some(part) = response.next().await {
-            let part = part.map_err(|error| answer_lost(&error.to_string()))?;
-            progress.bytes.update(|bytes| bytes + part.len());
-            if progress.bytes() > limit {
-                return Err(answer_lost(&format!(
-                    "the answer is longer than {limit} bytes"
-                )));
-            }
-            body.extend_from_slice(&part);
+    let expected = expected.unwrap_or_default();
+    snafu::ensure!(expected <= limit, TooLongSnafu { limit });
+    let mut body = BytesMut::with_capacity(expected);
+    let begun = Instant::now();
+    loop {
+        let waited = Instant::now();
+        let part = timeout(limits.silence, response.next())
+            .await
+            .map_err(|_| progress.give_up("the rest of the answer stays away"))?;
+        let Some(part) = part else {
+            break;
+        };
+        let part = part.map_err(|error| progress.give_up(&error.to_string()))?;
+        progress
+            .silence
+            .update(|silence| silence.max(waited.elapsed()));
+        progress.bytes.update(|bytes| bytes + part.len());
+        snafu::ensure!(progress.bytes() <= limit, TooLongSnafu { limit });
+        body.extend_from_slice(&part);
+        let slow = begun.elapsed().saturating_sub(PACE_GRACE);
+        if (progress.bytes() as f64) < MIN_PACE * slow.as_secs_f64() {
+            return Err(progress.give_up("the answer is too slow"));
         }
-        Ok(body.freeze())
-    };
-    let body = actix_rt::time::timeout(BODY_TIMEOUT, reading)
-        .await
-        .map_err(|_| answer_lost("the body of the answer took too long"))??;
+    }
     Ok(Answer {
         status,
         etag,
         headers,
-        body,
+        body: body.freeze(),
     })
 }
 
--- a/src/carawayrun/store/pool.rs
+++ b/src/carawayrun/store/pool.rs
@@ -1,8 +1,8 @@
 //! Connections to one service, which are replaced together once one is silent.
 //!
 //! Open connections may stop carrying data for good without a reset, many at the
-//! same moment, while new ones work. Only an answer that stays away shows it. A call
-//! without an answer therefore gives up all connections of its generation. If
+//! same moment, while new ones work. Only silence shows it: an answer that stays away, or
+//! stops within its body. A call that meets it therefore gives up all connections of its generation. If
 //! these had answered before, a read may be repeated at once on new ones; only
 //! a failure there says that the service itself is away.
 
@@ -12,26 +12,26 @@
 use awc::{Client, ClientRequest};
 use bytes::Bytes;
 use prometheus_client::metrics::counter::Counter;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
-use super::call::{self, Answer, AnswerProgress, CallError};
+use super::call::{self, Answer, AnswerLimits, AnswerProgress, CallError};
 
 /// Idle time after which a connection is not reused. Those that went silent while
 /// they were idle are gone by then.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
-/// Longest time for an answer on new connections, beyond the time for which the
-/// service holds it back.
-pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest silence of new connections, beyond the time for which the service holds an
+/// answer back.
+pub(crate) const MAX_SILENCE: Duration = Duration::from_millis(900);
 
 /// Shortest time after which a connection that answered before counts as silent.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 
-/// Multiple of the slowest recent answer after which a connection counts as silent.
+/// Multiple of the longest recent silence after which a connection counts as silent.
 const SILENCE_FACTOR: u32 = 3;
 
-/// Factor by which the slowest recent answer is forgotten with each later one.
-const SLOWEST_DECAY: f64 = 0.9;
+/// Factor by which the longest recent silence is forgotten with each later answer.
+const SILENCE_DECAY: f64 = 0.9;
 
 /// Connections that are replaced together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -43,8 +43,8 @@
     current: Generation,
     /// Newest generation that gave an answer.
     answered: Option<Generation>,
-    /// Slowest recent answer, beyond the time for which it was held back.
-    slowest: Duration,
+    /// Longest silence in recent answers, beyond the time for which they were held back.
+    longest: Duration,
 }
 
 impl PoolState {
@@ -52,7 +52,7 @@
         Self {
             current: Generation(0),
             answered: None,
-            slowest: Duration::ZERO,
+            longest: Duration::ZERO,
         }
     }
 
@@ -61,23 +61,30 @@
         self.current
     }
 
-    /// Time for the answer of the next call, beyond the time for which the service
-    /// holds it back.
-    pub(crate) fn answer_timeout(&self) -> Duration {
+    /// Longest silence of the next call, beyond the time for which the service holds its
+    /// answer back.
+    pub(crate) fn max_silence(&self) -> Duration {
         if self.has_answered(self.current) {
-            (self.slowest * SILENCE_FACTOR).clamp(MIN_SILENCE, ANSWER_TIMEOUT)
+            (self.longest * SILENCE_FACTOR).clamp(MIN_SILENCE, MAX_SILENCE)
         } else {
-            ANSWER_TIMEOUT
+            MAX_SILENCE
         }
     }
 
-    /// Records an answer that took `delay` beyond the time for which it was held back;
-    /// `None` if it came within that time.
-    pub(crate) fn record_answer(&mut self, generation: Generation, delay: Option<Duration>) {
+    /// Records an answer whose head took `delay` beyond the time for which it was held
+    /// back, `None` if it came within that time, and whose longest silence after that was
+    /// `silence`.
+    pub(crate) fn record_answer(
+        &mut self,
+        generation: Generation,
+        delay: Option<Duration>,
+        silence: Duration,
+    ) {
         self.answered = self.answered.max(Some(generation));
         if let Some(delay) = delay {
-            self.slowest = self.slowest.mul_f64(SLOWEST_DECAY).max(delay);
+            self.longest = self.longest.mul_f64(SILENCE_DECAY).max(delay);
         }
+        self.longest = self.longest.max(silence);
     }
 
     /// Gives up the connections of a call that got no answer. Returns true if they had
@@ -144,13 +151,14 @@
         limit: usize,
     ) -> Result<Answer, CallError> {
         let (client, generation) = self.acquire();
-        let time_limit = wait + self.state.borrow().answer_timeout();
+        let silence = self.state.borrow().max_silence();
         let begun = Instant::now();
-        let answer = self
-            .exchange(build(&client, wait), Bytes::new(), time_limit, limit)
-            .await;
-        let Err(error) = answer else {
-            return self.finish(generation, begun, wait, answer);
+        let request = build(&client, wait);
+        let limits = answer_limits(wait, silence, limit);
+        let answer = self.exchange(generation, request, Bytes::new(), wait, limits);
+        let error = match answer.await {
+            Err(error @ (CallError::Unavailable { .. } | CallError::Lost { .. })) => error,
+            answer => return answer.and_then(call::check_status),
         };
         if !self.record_silence(generation, begun, &error) {
             return Err(error);
@@ -158,10 +166,10 @@
         let (client, generation) = self.acquire();
         let begun = Instant::now();
         let request = build(&client, Duration::ZERO);
-        let answer = self
-            .exchange(request, Bytes::new(), ANSWER_TIMEOUT, limit)
-            .await;
-        self.finish(generation, begun, Duration::ZERO, answer)
+        let wait = Duration::ZERO;
+        let limits = answer_limits(wait, MAX_SILENCE, limit);
+        let answer = self.exchange(generation, request, Bytes::new(), wait, limits);
+        self.finish(generation, begun, answer.await)
     }
 
     /// Makes a call that may take effect, and reads at most `limit` bytes of its answer.
@@ -173,31 +181,25 @@
     ) -> Result<Answer, CallError> {
         let (client, generation) = self.acquire();
         let begun = Instant::now();
-        let answer = self
-            .exchange(build(&client), body, ANSWER_TIMEOUT, limit)
-            .await;
-        self.finish(generation, begun, Duration::ZERO, answer)
+        let request = build(&client);
+        let wait = Duration::ZERO;
+        let limits = answer_limits(wait, MAX_SILENCE, limit);
+        let answer = self.exchange(generation, request, body, wait, limits);
+        self.finish(generation, begun, answer.await)
     }
 
-    // Records the result of a call begun at `begun`, and checks its status.
+    // Gives up the connections of a call begun at `begun` that failed, and checks the
+    // status of its answer.
     fn finish(
         &self,
         generation: Generation,
         begun: Instant,
-        wait: Duration,
         answer: Result<Answer, CallError>,
     ) -> Result<Answer, CallError> {
-        match answer {
-            Ok(answer) => {
-                let delay = begun.elapsed().checked_sub(wait);
-                self.state.borrow_mut().record_answer(generation, delay);
-                call::check_status(answer)
-            }
-            Err(error) => {
-                self.record_silence(generation, begun, &error);
-                Err(error)
-            }
+        if let Err(error @ (CallError::Unavailable { .. } | CallError::Lost { .. })) = &answer {
+            self.record_silence(generation, begun, error);
         }
+        answer.and_then(call::check_status)
     }
 
     // Returns the client of the current generation, whose connections are all of it.
@@ -220,22 +222,34 @@
         has_answered
     }
 
+    // Makes a call on connections of `generation`, whose answer the service may hold back
+    // for `wait`; records how it came.
     async fn exchange(
         &self,
+        generation: Generation,
         request: ClientRequest,
         body: Bytes,
-        time_limit: Duration,
-        limit: usize,
+        wait: Duration,
+        limits: AnswerLimits,
     ) -> Result<Answer, CallError> {
         let progress = AnswerProgress::default();
-        let exchange = call::exchange(request.timeout(time_limit), body, limit, &progress);
-        let answer = timeout(time_limit, exchange).await.unwrap_or_else(|_| {
-            let progress = progress.describe();
-            Err(call::answer_lost(&format!(
-                "no complete answer in time, {progress}"
-            )))
-        });
+        let answer = call::exchange(request, body, limits, &progress).await;
         self.metrics.record(&answer, &progress);
+        if answer.is_ok() {
+            let delay = progress.head_after().checked_sub(wait);
+            let silence = progress.silence();
+            let mut state = self.state.borrow_mut();
+            state.record_answer(generation, delay, silence);
+        }
         answer
     }
 }
+
+// Limits of an answer of at most `bytes` bytes that the service may hold back for `wait`.
+fn answer_limits(wait: Duration, silence: Duration, bytes: usize) -> AnswerLimits {
+    AnswerLimits {
+        head: wait + silence,
+        silence,
+        bytes,
+    }
+}
--- a/src/carawayrun/store/table_client.rs
+++ b/src/carawayrun/store/table_client.rs
@@ -120,6 +120,10 @@
             CallError::Unavailable { message } => Self::Unavailable { message },
             CallError::Lost { message } => Self::Lost { message },
             CallError::Invalid { message } => Self::Invalid { message },
+            // The answer of a commit that took effect may be too long as well.
+            error @ CallError::TooLong { .. } => Self::Lost {
+                message: error.to_compact_string(),
+            },
         }
     }
 }
