Read the newest of several large configurations alone

Cause: an answer of the store over 4 MiB was never read, whatever waited for it: one configuration of 4 MiB is longer in base64, and a feed after an absence holds each version that was written meanwhile. The call failed, and the next one asked for the same.

Now an answer may have 8 MiB, and a feed of the orders one and a half times the length of the rows that are known, and 256 KiB. A longer one isn't read: all rows are, which are the newest ones alone.

--- a/src/carawayrun/platform/store.rs
+++ b/src/carawayrun/platform/store.rs
@@ -17,16 +17,15 @@
 use crate::store::CallError;
 use crate::store::call::{self, Answer};
 use crate::store::feed::{
-    CallSnafu, Change, Changes, Cursor, FeedError, HistoryDroppedSnafu, Snapshot,
+    CallSnafu, Change, Changes, Cursor, FeedError, HistoryDroppedSnafu, Snapshot, TooLongSnafu,
 };
 use crate::store::invalid_rows::InvalidRows;
 use crate::store::pool::{ConnectionPool, PoolMetrics};
 use crate::store::table::{Row, TableError, Transaction};
 
-/// Longest answer that is read, in bytes. The store sends at most 1 MB of rows;
-/// base64 and field names at most double that, which leaves a margin of as much
-/// again.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Longest answer that is read, in bytes. The store sends at most 1 MB of rows, or one row
+/// that is longer: a configuration of 4 MiB in base64, and a margin of half as much.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Most rows of one answer: the limit of the store.
 const PAGE_ROWS: usize = 500;
@@ -180,16 +179,19 @@
         }
     }
 
-    /// Waits for changes of a table after `version`, at most `wait`.
+    /// Waits for changes of a table after `version`, at most `wait`, and reads at most
+    /// `limit` bytes of them.
     ///
     /// # Errors
     ///
-    /// [`FeedError`] if the call failed, or if the store no longer has the changes.
+    /// [`FeedError`] if the call failed, if the store no longer has the changes, or if they
+    /// are longer.
     pub async fn changes(
         &self,
         table: Keyspace,
         version: u64,
         wait: Duration,
+        limit: usize,
     ) -> Result<Changes, FeedError> {
         let url = format!(
             "{}/v1/rows-feed?table={}&after={version}",
@@ -199,8 +201,14 @@
         let build = |client: &Client, wait: Duration| {
             client.get(format!("{url}&wait_ms={}", wait.as_millis()))
         };
-        let answer = self.pool.read(build, wait, MAX_ANSWER_BYTES).await;
-        let answer = answer.context(CallSnafu)?;
+        let answer = match self
+            .pool
+            .read(build, wait, limit.min(MAX_ANSWER_BYTES))
+            .await
+        {
+            Err(CallError::TooLong { .. }) => return TooLongSnafu.fail(),
+            answer => answer.context(CallSnafu)?,
+        };
         match answer.status {
             StatusCode::OK => {}
             StatusCode::GONE => return HistoryDroppedSnafu.fail(),
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -15,7 +15,7 @@
 use compact_str::CompactString;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -40,6 +40,10 @@
 /// notice an outage at once.
 const RETRY_PAUSE_PER_GATEWAY: Duration = Duration::from_millis(120);
 
+/// Longest feed of the orders, beyond one and a half times what all rows take: one that
+/// holds several versions of a large configuration is not read, but the newest one alone.
+const FEED_SLACK_BYTES: usize = 256 * 1024;
+
 /// Bounds of the mean pause after a failed call; the actual one is 0.5 to 1.5 times
 /// as long. The upper bound limits how late the end of a store outage is noticed.
 const RETRY_PAUSE_BOUNDS: (Duration, Duration) =
@@ -86,6 +90,8 @@
     writes: RefCell<FxHashSet<CompactString>>,
     /// Era of the last read, if any.
     era: Cell<Option<u64>>,
+    /// Lengths of the rows of the orders in the store's answers, in bytes.
+    order_bytes: RefCell<FxHashMap<CompactString, usize>>,
     /// Time of the store's last answer to this gateway, on the boot clock.
     answered_at: Cell<Duration>,
     outages: RefCell<OutageDetector>,
@@ -112,6 +118,7 @@
         updates_recorded: Notify::new(),
         writes: RefCell::default(),
         era: Cell::default(),
+        order_bytes: RefCell::default(),
         answered_at: Cell::default(),
         outages: RefCell::default(),
         lag: Cell::default(),
@@ -363,7 +370,10 @@
         wait: Duration,
     ) -> Result<Changes, Option<Cursor>> {
         let begun = boot_clock::now();
-        let changes = self.store.changes(table.keyspace(), after.version, wait);
+        let limit = self.feed_limit(table);
+        let changes = self
+            .store
+            .changes(table.keyspace(), after.version, wait, limit);
         match changes.await {
             Ok(feed) if self.continues(table, after, &feed) => Ok(feed),
             Ok(_) => Err(None),
@@ -374,6 +384,15 @@
                 );
                 Err(None)
             }
+            Err(FeedError::TooLong) => {
+                tracing::info!(
+                    ?table,
+                    ?after,
+                    limit,
+                    "changes are longer than the rows; reading all rows again"
+                );
+                Err(None)
+            }
             Err(FeedError::Call { source }) => {
                 let error = source.to_string();
                 self.back_off(table.keyspace(), begun, &error).await;
@@ -382,6 +401,17 @@
         }
     }
 
+    // Longest feed of a table that is read.
+    fn feed_limit(&self, table: Table) -> usize {
+        match table {
+            Table::Orders => {
+                let rows: usize = self.order_bytes.borrow().values().sum();
+                rows + rows / 2 + FEED_SLACK_BYTES
+            }
+            Table::Registrations | Table::Rollouts => usize::MAX,
+        }
+    }
+
     // Accepts the answer of a feed call and returns true if its changes follow
     // those up to `after`. Otherwise all rows must be read again.
     fn continues(&self, table: Table, after: Cursor, feed: &Changes) -> bool {
--- a/src/carawayrun/relay/follow/orders.rs
+++ b/src/carawayrun/relay/follow/orders.rs
@@ -44,6 +44,7 @@
     async fn read_orders(&self) -> Option<Cursor> {
         let snapshot = self.read_snapshot(Keyspace::Orders).await?;
         self.with_table(Table::Orders, FollowedTable::clear);
+        self.order_bytes.borrow_mut().clear();
         let era = snapshot.cursor.era;
         let evacuations = snapshot.rows.iter();
         let evacuations = evacuations.filter_map(|row| {
@@ -68,6 +69,7 @@
             Change::Put(row) => self.apply_operator_row(&row),
             Change::Deleted(key) => {
                 self.with_table(Table::Orders, |followed| followed.remove_row(&key));
+                self.order_bytes.borrow_mut().remove(&key);
                 if let Some(service) = platform::order_service(&key) {
                     self.handle(Event::OrderRemoved(service.into()));
                 }
@@ -83,7 +85,11 @@
         self.with_table(Table::Orders, |followed| {
             followed.insert_row(&row.key, row.version);
         });
-        tracing::info!(key = %row.key, row_version = row.version, era = self.era(), bytes = row.value.get().len(), "row of the operators read");
+        let bytes = row.value.get().len();
+        self.order_bytes
+            .borrow_mut()
+            .insert(row.key.clone(), base64_length(bytes));
+        tracing::info!(key = %row.key, row_version = row.version, era = self.era(), bytes, "row of the operators read");
         if let Some(data_centre) = platform::evacuated_data_centre(&row.key) {
             let id = order_id(row, self.era());
             self.handle(Event::EvacuationRead(data_centre.into(), id));
@@ -115,3 +121,8 @@
         version: row.version,
     }
 }
+
+// Length of a value in an answer of the store.
+fn base64_length(bytes: usize) -> usize {
+    bytes.div_ceil(3) * 4
+}
--- a/src/carawayrun/store/feed.rs
+++ b/src/carawayrun/store/feed.rs
@@ -54,6 +54,9 @@
     /// The service no longer has these changes; read a snapshot instead.
     #[snafu(display("the history after that version was dropped"))]
     HistoryDropped,
+    /// The changes are longer than the caller reads; a snapshot has the newest ones alone.
+    #[snafu(display("the changes are longer than they may be"))]
+    TooLong,
     /// The call failed.
     #[snafu(display("{source}"))]
     Call {
