Refuse no route or key for good while a newer configuration is known

Cause: a relay hears from the others' confirmations that there are newer rows, but decided by its own alone.

--- a/src/carawayrun/relay/admission.rs
+++ b/src/carawayrun/relay/admission.rs
@@ -127,12 +127,17 @@
     let catalog = view.catalog.as_ref().filter(|_| view.is_synced);
     let catalog = catalog.ok_or(Refusal::NotReady)?;
     // What can't be read may have allowed a request that nothing else allows.
-    let no_route = if catalog.has_unplaced_routes {
+    // A newer configuration may have added what this one doesn't know.
+    let no_route = if view.is_behind {
+        Refusal::NotReady
+    } else if catalog.has_unplaced_routes {
         Refusal::Unusable
     } else {
         Refusal::NoRoute
     };
-    let unknown_key = if catalog.has_unread_teams {
+    let unknown_key = if view.is_behind {
+        Refusal::NotReady
+    } else if catalog.has_unread_teams {
         Refusal::Unusable
     } else {
         Refusal::UnknownKey
--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -412,6 +412,9 @@
             Err(refusal @ (Refusal::NoRoute | Refusal::UnknownKey | Refusal::Unusable)) => {
                 RefusedSnafu { id: "", refusal }.fail()
             }
+            Err(refusal @ Refusal::NotReady) if view.is_behind => {
+                RefusedSnafu { id: "", refusal }.fail()
+            }
             _ => Ok(()),
         }
     }
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -57,6 +57,8 @@
     ConfigurationUnreadable,
     /// The configuration and the orders were known to be current at this time.
     ConfigurationConfirmed(Duration),
+    /// Other gateways were found to hold newer rows of the operators, or no longer to.
+    BehindChanged(bool),
     /// A roll-out order was read.
     OrderRead(RolloutOrder),
     /// The roll-out order of a service was removed.
@@ -232,6 +234,10 @@
             }
             Event::ConfigurationUnreadable => self.newest = NewestConfiguration::Unreadable,
             Event::ConfigurationConfirmed(at) => self.confirm_configuration(at, &mut effects),
+            Event::BehindChanged(is_behind) => {
+                self.view.is_behind = is_behind;
+                self.publish(&mut effects);
+            }
             Event::OrderRead(order) => self.apply_order(order, now, &mut effects),
             Event::OrderRemoved(service) => self.remove_order(&service, &mut effects),
             Event::EvacuationRead(data_centre, id) => {
--- a/src/carawayrun/relay/follow/mod.rs
+++ b/src/carawayrun/relay/follow/mod.rs
@@ -210,7 +210,7 @@
         self.confirm_table(table);
     }
 
-    // Logs and publishes for how long other gateways have held newer orders.
+    // Publishes whether other gateways hold newer orders, and for how long they have.
     fn update_lag(&self) {
         let now = self.store_now().unwrap_or_default();
         let lag = self.with_table(Table::Orders, |followed| followed.lag(now));
@@ -228,12 +228,18 @@
             }
             _ => {}
         }
+        if before.is_some() != lag.is_some() {
+            self.handle(Event::BehindChanged(lag.is_some()));
+        }
         let seconds = lag.unwrap_or_default().as_secs_f64();
         self.shared.metrics.config_lag.set(seconds);
     }
 
     // Passes to the reducer the time as of which a table is known.
     fn confirm_table(&self, table: Table) {
+        if table == Table::Orders {
+            self.update_lag();
+        }
         let era = self.era();
         let at = self.with_table(table, |followed| followed.confirmed_at(era));
         let Some(at) = at.and_then(|at| self.store_clock.borrow().boot_time(at)) else {
--- a/src/carawayrun/relay/tests/admission.rs
+++ b/src/carawayrun/relay/tests/admission.rs
@@ -62,13 +62,17 @@
         is_synced: true,
         ..View::default()
     };
+    ask_with(&view, path, key, seed)
+}
+
+fn ask_with(view: &View, path: &str, key: &str, seed: u64) -> Result<AdmittedRequest, Refusal> {
     let request = ClientRequest {
         api_key: Some(CompactString::from(key)),
         ..ClientRequest::default()
     };
     let mut rng = SmallRng::seed_from_u64(seed);
     let limit = Duration::from_secs(5);
-    admit(&view, &request, "a", path, Duration::ZERO, limit, &mut rng)
+    admit(view, &request, "a", path, Duration::ZERO, limit, &mut rng)
 }
 
 // Requests of a route that can't be used went to the route around it.
@@ -94,6 +98,24 @@
     assert_eq!(ask(catalog(), "/a", "key", 1).err(), None);
 }
 
+// A newer configuration that others hold may have added the route or the key.
+#[test_case("/b/", "key", Some(Refusal::NotReady); "unknown route")]
+#[test_case("/a", "other", Some(Refusal::NotReady); "unknown key")]
+#[test_case("/a", "key", None; "known")]
+fn gateway_that_is_behind_refuses_for_good(path: &str, key: &str, expected: Option<Refusal>) {
+    let mut catalog = catalog();
+    let rest = catalog.routes.split_off(1);
+    catalog.routes[0].prefix = CompactString::from("/a");
+    catalog.routes.extend(rest);
+    let view = View {
+        catalog: Some(Arc::new(catalog.indexed())),
+        is_synced: true,
+        is_behind: true,
+        ..View::default()
+    };
+    assert_eq!(ask_with(&view, path, key, 1).err(), expected);
+}
+
 // Without a team that can be read, all routes were open to any key.
 #[test]
 fn unread_teams_open_all_routes() {
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -108,4 +108,6 @@
     pub is_listed: bool,
     /// Time on the boot clock at which the configuration was known to be current.
     pub confirmed_at: Duration,
+    /// True while other gateways are known to hold a newer configuration or newer orders.
+    pub is_behind: bool,
 }
