Excuse silence beside a large answer on the same link

Cause, as with the limit on whole answers: on a thin link the head of one answer waits behind the bytes of another, so a call beside a read of a large configuration counted as silent, and its connections were replaced.

Now the time for which a part of an answer over 64 KiB arrives excuses the silence of the other calls of a client, for at most 5 s. A silent connection beside none is found as before, and times beside one no longer raise the limit of later calls.

--- a/src/carawayrun/store/call.rs
+++ b/src/carawayrun/store/call.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::fmt::Write;
+use std::pin::pin;
 use std::time::Duration;
 
 use awc::error::SendRequestError;
@@ -12,7 +13,7 @@
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::StreamExt;
 use snafu::Snafu;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use crate::http::{connector, may_have_been_sent};
 
@@ -29,6 +30,12 @@
 /// then would keep its call for ever.
 const MIN_PACE: f64 = 16.0 * 1024.0;
 
+/// Longest answer that doesn't delay others on the same link, in bytes.
+const MAX_SMALL_BYTES: usize = 64 * 1024;
+
+/// Longest time for which a large answer excuses the silence of others.
+const MAX_DELAY: Duration = Duration::from_secs(5);
+
 /// Maximum number of connections to one service from one thread.
 const MAX_CONNECTIONS: usize = 16;
 
@@ -130,6 +137,45 @@
     }
 }
 
+/// Use of a link by large answers, which delay all others that come over it.
+#[derive(Debug, Default)]
+pub(crate) struct LinkUse {
+    used_at: Cell<Option<Instant>>,
+}
+
+impl LinkUse {
+    /// Returns true if a large answer arrived after `begun`.
+    pub(crate) fn is_used_since(&self, begun: Instant) -> bool {
+        self.used_at.get() > Some(begun)
+    }
+
+    /// Records that a part of a large answer has just arrived.
+    pub(crate) fn record_use(&self) {
+        self.used_at.set(Some(Instant::now()));
+    }
+
+    /// Waits for `next`; `None` if it doesn't come within `limit` of `begun` and of the last
+    /// part of a large answer.
+    pub(crate) async fn wait<T>(
+        &self,
+        begun: Instant,
+        limit: Duration,
+        next: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut next = pin!(next);
+        loop {
+            let since = self.used_at.get().unwrap_or(begun).max(begun);
+            let until = (since + limit).min(begun + limit + MAX_DELAY);
+            if let Ok(done) = timeout_at(until, &mut next).await {
+                return Some(done);
+            }
+            if self.used_at.get() <= Some(since) || until >= begun + limit + MAX_DELAY {
+                return None;
+            }
+        }
+    }
+}
+
 /// Creates a client that does not reuse connections after an idle time of `keep_alive`.
 pub(crate) fn new_client(keep_alive: Duration) -> Client {
     let connector = connector()
@@ -168,27 +214,30 @@
         bytes: limit,
     };
     let progress = AnswerProgress::default();
-    let answer = exchange(request, body, limits, &progress).await;
+    let link = LinkUse::default();
+    let answer = exchange(request, body, limits, &link, &progress).await;
     answer.and_then(check_status)
 }
 
 /// As [`send_request`], but returns an answer of any status, and records in `progress` how
-/// it arrives.
+/// it arrives over `link`.
 pub(crate) async fn exchange(
     request: ClientRequest,
     body: Bytes,
     limits: AnswerLimits,
+    link: &LinkUse,
     progress: &AnswerProgress,
 ) -> Result<Answer, CallError> {
     let limit = limits.bytes;
     let begun = Instant::now();
     let sending = request
-        .timeout(limits.head)
+        .timeout(limits.head + MAX_DELAY)
         .content_type("application/json")
         .send_body(body);
-    let mut response = timeout(limits.head, sending)
+    let mut response = link
+        .wait(begun, limits.head, sending)
         .await
-        .map_err(|_| progress.give_up("no answer in time"))?
+        .ok_or_else(|| progress.give_up("no answer in time"))?
         .map_err(|error| classify_send_error(&error))?;
     progress.head_after.set(begun.elapsed());
     let status = response.status();
@@ -203,9 +252,10 @@
     let begun = Instant::now();
     loop {
         let waited = Instant::now();
-        let part = timeout(limits.silence, response.next())
+        let part = link
+            .wait(waited, limits.silence, response.next())
             .await
-            .map_err(|_| progress.give_up("the rest of the answer stays away"))?;
+            .ok_or_else(|| progress.give_up("the rest of the answer stays away"))?;
         let Some(part) = part else {
             break;
         };
@@ -215,6 +265,9 @@
             .update(|silence| silence.max(waited.elapsed()));
         progress.bytes.update(|bytes| bytes + part.len());
         snafu::ensure!(progress.bytes() <= limit, TooLongSnafu { limit });
+        if progress.bytes() > MAX_SMALL_BYTES {
+            link.record_use();
+        }
         body.extend_from_slice(&part);
         let slow = begun.elapsed().saturating_sub(PACE_GRACE);
         if (progress.bytes() as f64) < MIN_PACE * slow.as_secs_f64() {
--- a/src/carawayrun/store/pool.rs
+++ b/src/carawayrun/store/pool.rs
@@ -14,7 +14,7 @@
 use prometheus_client::metrics::counter::Counter;
 use tokio::time::Instant;
 
-use super::call::{self, Answer, AnswerLimits, AnswerProgress, CallError};
+use super::call::{self, Answer, AnswerLimits, AnswerProgress, CallError, LinkUse};
 
 /// Idle time after which a connection is not reused. Those that went silent while
 /// they were idle are gone by then.
@@ -126,6 +126,7 @@
     /// Generation of the connections of `client`.
     generation: Cell<Generation>,
     state: RefCell<PoolState>,
+    link: LinkUse,
     metrics: PoolMetrics,
 }
 
@@ -137,6 +138,7 @@
             client: RefCell::new(call::new_client(KEEP_ALIVE)),
             generation: Cell::new(state.current()),
             state: RefCell::new(state),
+            link: LinkUse::default(),
             metrics,
         }
     }
@@ -233,11 +235,19 @@
         limits: AnswerLimits,
     ) -> Result<Answer, CallError> {
         let progress = AnswerProgress::default();
-        let answer = call::exchange(request, body, limits, &progress).await;
+        let begun = Instant::now();
+        let answer = call::exchange(request, body, limits, &self.link, &progress).await;
         self.metrics.record(&answer, &progress);
         if answer.is_ok() {
+            // Beside a large answer it says nothing about the service.
+            let is_delayed = self.link.is_used_since(begun);
             let delay = progress.head_after().checked_sub(wait);
-            let silence = progress.silence();
+            let delay = delay.filter(|_| !is_delayed);
+            let silence = if is_delayed {
+                Duration::ZERO
+            } else {
+                progress.silence()
+            };
             let mut state = self.state.borrow_mut();
             state.record_answer(generation, delay, silence);
         }
--- a/src/carawayrun/store/tests/mod.rs
+++ b/src/carawayrun/store/tests/mod.rs
@@ -1,3 +1,4 @@
 //! Unit tests of the clients.
 
+mod call;
 mod pool;
