Let the store stand-in keep values as they stand in its answers

A feed of ten configurations of 1.35 MB took the debug build of the stand-in longer than a relay waits for a head, beside a release build and three other tests: large_config::feed_of_many_large_configurations_is_never_read failed once in three runs, with 'no answer in time, 0 bytes arrived'. The stand-in wrote each value character by character for each call; now it copies it.

--- a/crates/lab/src/metadata.rs
+++ b/crates/lab/src/metadata.rs
@@ -18,7 +18,8 @@
 use base64::engine::general_purpose::STANDARD;
 use bpaf::Bpaf;
 use carawayrun::http::{json, read_body, text};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
+use serde_json::value::{RawValue, to_raw_value};
 use tokio::sync::Notify;
 
 use crate::command::Failure;
@@ -82,12 +83,29 @@
     table: String,
     part: String,
     key: String,
-    value: String,
+    value: EncodedValue,
     ver: u64,
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     deleted: bool,
 }
 
+/// A value as it stands in answers, so that a long one costs no time there.
+#[derive(Debug, Clone)]
+struct EncodedValue(Rc<RawValue>);
+
+impl EncodedValue {
+    fn new(base64: &str) -> Self {
+        let text = to_raw_value(base64).expect("text can be written as JSON");
+        Self(text.into())
+    }
+}
+
+impl Serialize for EncodedValue {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.0.serialize(serializer)
+    }
+}
+
 #[derive(Debug)]
 #[derive(Serialize)]
 struct RowsBody {
@@ -164,7 +182,7 @@
             Ok(body) => body,
             Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         };
-        let value = STANDARD.encode(&body);
+        let value = EncodedValue::new(&STANDARD.encode(&body));
         let version = self.next_version();
         self.write_row(Row {
             table: table.into(),
@@ -229,7 +247,7 @@
                 table: put.table,
                 part: String::new(),
                 key: put.key,
-                value: put.value,
+                value: EncodedValue::new(&put.value),
                 ver: version,
                 deleted: false,
             });
