--- a/tests/testsuite/crowds.rs
+++ b/tests/testsuite/crowds.rs
@@ -26,8 +26,8 @@
 const MAX_DESCRIPTORS: usize = 640;
 const FILE_DESCRIPTORS: usize = 200;
 
-/// Sockets that the relay may have open.
-const MAX_SOCKETS: usize = MAX_DESCRIPTORS - FILE_DESCRIPTORS;
+/// Descriptors of a relay that has room for a crowd of small clients.
+const MANY_DESCRIPTORS: usize = 4_096;
 
 /// Longest body that the configuration allows, in bytes.
 const BODY_BYTES: usize = 4 << 20;
@@ -35,6 +35,18 @@
 /// Clients with bodies; together they have more than the relay's memory.
 const CLIENTS: usize = 24;
 
+/// Clients that each send little; together they cost more than the relay's memory.
+const SMALL_CLIENTS: usize = 1_500;
+
+/// Length of a small body, in bytes.
+const SMALL_BODY_BYTES: usize = 5_000;
+
+/// Length of a large head, in bytes; `max_header_bytes` of the configuration is 16,384.
+const LARGE_HEAD_BYTES: usize = 15_000;
+
+/// Clients that connect at once.
+const CLIENTS_AT_ONCE: usize = 100;
+
 /// Clients that hold a connection.
 const CONNECTIONS: usize = 600;
 
@@ -85,13 +97,40 @@
     }
 }
 
+/// Limits in a relay's settings.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    memory_mb: u64,
+    descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: MEMORY_MB,
+            descriptors: MAX_DESCRIPTORS,
+        }
+    }
+}
+
+impl Limits {
+    /// Sockets that the relay may have open.
+    fn max_sockets(self) -> usize {
+        self.descriptors - FILE_DESCRIPTORS
+    }
+}
+
 async fn world(name: &str) -> PlatformWorld {
-    world_of(name, MEMORY_MB).await
+    world_of(name, Limits::default()).await
 }
 
-/// Starts a relay whose settings give it so much memory, in MB.
-async fn world_of(name: &str, memory_mb: u64) -> PlatformWorld {
-    let limits = format!("max_fds = {MAX_DESCRIPTORS}\nmemory_mb = {memory_mb}");
+/// Starts a relay with these limits in its settings.
+async fn world_of(name: &str, limits: Limits) -> PlatformWorld {
+    let Limits {
+        memory_mb,
+        descriptors,
+    } = limits;
+    let limits = format!("max_fds = {descriptors}\nmemory_mb = {memory_mb}");
     let mut world = PlatformWorld::start_limited(name, &limits).await;
     let mut config = config(5, &[API_KEY]);
     config["limits"]["max_body_bytes"] = json!(BODY_BYTES);
@@ -140,11 +179,12 @@
 
 /// Checks the relay while a crowd is connected.
 async fn check(world: &mut PlatformWorld) {
-    check_within(world, MEMORY_MB).await;
+    check_within(world, Limits::default()).await;
 }
 
-/// Checks a relay whose settings give it so much memory, in MB.
-async fn check_within(world: &mut PlatformWorld, memory_mb: u64) {
+/// Checks a relay with these limits in its settings.
+async fn check_within(world: &mut PlatformWorld, limits: Limits) {
+    let memory_mb = limits.memory_mb;
     let addr = world.relay_address(7001);
     let mut statuses = Vec::new();
     while statuses.len() < MAX_TRIES && statuses.last() != Some(&200) {
@@ -161,7 +201,7 @@
     let sockets = world.relay().open_sockets();
     eprintln!("peak {peak_kb} KB, {sockets} sockets, ordinary {statuses:?}");
     assert!(peak_kb < memory_mb * 1024, "{peak_kb} KB");
-    assert!(sockets <= MAX_SOCKETS, "{sockets}");
+    assert!(sockets <= limits.max_sockets(), "{sockets}");
     assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
     world.until(async |world| world.is_ready().await).await;
 }
@@ -239,6 +279,93 @@
     drop(connections);
 }
 
+/// Part of a request of a small client, which stops there and stays connected.
+#[derive(Debug, Clone, Copy)]
+enum Part {
+    /// A body in chunks of this size, short of its end.
+    Chunked(usize),
+    /// A body with a length, short of its end.
+    Sized,
+    /// A large head without its end.
+    Head,
+    /// A large head, and a body short of its end.
+    HeadAndBody,
+}
+
+impl Part {
+    const ALL: [Self; 5] = [
+        Self::Chunked(16),
+        Self::Chunked(1),
+        Self::Sized,
+        Self::Head,
+        Self::HeadAndBody,
+    ];
+
+    fn bytes(self, id: &str) -> Vec<u8> {
+        let mut head = with_key(id);
+        if matches!(self, Self::Head | Self::HeadAndBody) {
+            for number in 0.. {
+                let field = format!("x-field-{number}: {}\r\n", "f".repeat(300));
+                if head.len() + field.len() > LARGE_HEAD_BYTES {
+                    break;
+                }
+                head.push_str(&field);
+            }
+        }
+        let body = match self {
+            Self::Chunked(size) => {
+                let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+                let chunks = chunk.repeat(SMALL_BODY_BYTES / chunk.len());
+                format!("transfer-encoding: chunked\r\n\r\n{chunks}")
+            }
+            Self::Sized | Self::HeadAndBody => {
+                let sent = "x".repeat(SMALL_BODY_BYTES - 1);
+                format!("content-length: {SMALL_BODY_BYTES}\r\n\r\n{sent}")
+            }
+            Self::Head => String::new(),
+        };
+        (head + &body).into_bytes()
+    }
+}
+
+async fn send_part(addr: String, part: Vec<u8>) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(&addr).await.ok()?;
+    // The relay may refuse it at once.
+    let _ = timeout(PATIENCE, stream.write_all(&part)).await;
+    Some(stream)
+}
+
+// What a connection and its request cost beside their bytes was not in the account.
+#[test_case(&[Part::Chunked(16)]; "chunked")]
+#[test_case(&[Part::Chunked(1)]; "in tiny chunks")]
+#[test_case(&[Part::Sized]; "with a length")]
+#[test_case(&[Part::Head]; "heads")]
+#[test_case(&[Part::HeadAndBody]; "large heads")]
+#[test_case(&Part::ALL; "of several kinds")]
+#[actix_rt::test]
+async fn small_parts_of_requests_exhaust_memory(parts: &[Part]) {
+    let _turn = TURN.lock().await;
+    let limits = Limits {
+        descriptors: MANY_DESCRIPTORS,
+        ..Limits::default()
+    };
+    let mut world = world_of("crowd-small", limits).await;
+    let addr = world.relay_address(7001);
+    let mut connections = Vec::new();
+    let mut kinds = parts.iter().cycle();
+    while connections.len() < SMALL_CLIENTS {
+        let numbers = connections.len()..connections.len() + CLIENTS_AT_ONCE;
+        let clients = numbers.zip(&mut kinds).map(|(number, part)| {
+            let bytes = part.bytes(&format!("crowd-{number}"));
+            send_part(addr.clone(), bytes)
+        });
+        connections.extend(join_all(clients).await);
+        until_read(&world).await;
+    }
+    check_within(&mut world, limits).await;
+    drop(connections);
+}
+
 /// Sends a request on a connection that takes little; returns it open.
 async fn send_unread(addr: String, head: String) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket opens");
@@ -260,7 +387,11 @@
 #[actix_rt::test]
 async fn unread_answers_exhaust_memory(clients: usize, memory_mb: u64) {
     let _turn = TURN.lock().await;
-    let mut world = world_of("crowd-unread", memory_mb).await;
+    let limits = Limits {
+        memory_mb,
+        ..Limits::default()
+    };
+    let mut world = world_of("crowd-unread", limits).await;
     let upstream = actix_rt::spawn(serve_raw(world.address(HOST), |head| {
         let head = sealed_head(head, "200 OK");
         let head = format!("{head}content-length: {BODY_BYTES}\r\n\r\n");
@@ -280,8 +411,8 @@
         sleep(Duration::from_millis(20)).await;
     }
     eprintln!("at most {most_sockets} sockets");
-    check_within(&mut world, memory_mb).await;
-    assert!(most_sockets <= MAX_SOCKETS, "{most_sockets}");
+    check_within(&mut world, limits).await;
+    assert!(most_sockets <= limits.max_sockets(), "{most_sockets}");
     drop(connections);
     upstream.abort();
 }
