Count connections and heads in the account of clients' memory

A relay with 88 MB took 108 MB from 2,400 clients with bodies of 5,000 bytes, and 153 MB from 2,000 with large heads, while its account stayed nearly empty.

Cause: the account knew bodies, and heads over 8 KiB, but not what each connection, its parsed head and its read buffer cost, which is more than the bytes of a small request. Two things made that more: the read buffer grew by 8 KiB before anything had arrived, and a client that paused kept it.

Now a connection counts from its acceptance, a request from its first byte with its buffer and its fields. Where it is full, connections and requests of which nothing has come for 250 ms give way, the longest silent first and in batches; refused clients count while they are read on. At the limit of descriptors the longest silent connection gives way as well. The buffer grows by what has arrived, and is dropped while a client pauses. Each holder is told by itself that it gives way, as thousands of idle connections would otherwise wake up at each change.

--- a/src/carawayrun/relay/client.rs
+++ b/src/carawayrun/relay/client.rs
@@ -11,7 +11,7 @@
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::header;
 use actix_http::{Request, RequestHead, StatusCode};
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use snafu::{ResultExt, Snafu};
 use tokio::io::AsyncWriteExt;
@@ -55,9 +55,20 @@
 /// three times as long. By then others have ended.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Buffer space reserved for each read.
+/// Longest read.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Memory that a connection counts for in the account, in bytes: its task, its timers and
+/// what the allocator adds.
+const CONNECTION_BYTES: usize = 16 * 1024;
+
+/// Memory that a request counts for beside its head and body, in bytes: the parsed request
+/// and a read buffer.
+const REQUEST_BYTES: usize = 16 * 1024;
+
+/// Memory that each field of a head counts for beside its text, in bytes.
+const FIELD_BYTES: usize = 256;
+
 /// Error in reading a request.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -189,13 +200,16 @@
     async fn serve_next(&mut self) -> bool {
         let limits = self.limits();
         let traffic = Rc::clone(&self.traffic);
-        let waited = self.wait_for_request(&limits).await;
+        let hold = MemoryHold::open(&traffic, MemoryUse::Request);
+        // An idle connection without room is served all the same if it sends a request.
+        let _ = hold.reserve_base(CONNECTION_BYTES);
+        let waited = self.wait_for_request(&limits, &hold).await;
         let _begun = Counted::new(&traffic, |traffic| &traffic.begun_requests);
         let drain = traffic.phases.get().drain();
         let is_early = drain.is_none_or(|drain| drain.is_early());
         let _early = is_early.then(|| Counted::new(&traffic, |traffic| &traffic.early_requests));
         self.unused = None;
-        let hold = MemoryHold::open(&traffic, MemoryUse::Request);
+        hold.begin_reading();
         let read = match waited {
             Ok(()) => self.read_in_time(&limits, &hold).await,
             Err(error) => Err(error),
@@ -272,7 +286,11 @@
     }
 
     // Waits for the first byte of a request.
-    async fn wait_for_request(&mut self, limits: &Limits) -> Result<(), ReadError> {
+    async fn wait_for_request(
+        &mut self,
+        limits: &Limits,
+        hold: &MemoryHold,
+    ) -> Result<(), ReadError> {
         let idle_until = Instant::now() + limits.idle_timeout;
         let has_served = self.unused.is_none();
         let mut phases = self.traffic.phases.subscribe();
@@ -292,6 +310,7 @@
                     return ClosedSnafu.fail();
                 }
                 () = sleep_until(until) => return ClosedSnafu.fail(),
+                () = hold.evicted() => return ClosedSnafu.fail(),
                 _ = phases.changed() => {}
             }
         }
@@ -306,8 +325,14 @@
         loop {
             self.turn.give_way().await;
             self.turn.record(self.received.len());
+            // The fields of a parsed head keep the buffer that they were read into.
+            let buffer = self.received.capacity();
             match self.codec.decode(&mut self.received) {
-                Ok(Some(Message::Item(request))) => return Ok(request),
+                Ok(Some(Message::Item(request))) => {
+                    let fields = request.head().headers.len() * FIELD_BYTES;
+                    hold.reserve_base(CONNECTION_BYTES + REQUEST_BYTES + buffer + fields)?;
+                    return Ok(request);
+                }
                 Ok(Some(Message::Chunk(_)) | None) => {}
                 Err(ParseError::TooLarge) => return HeadTooLongSnafu.fail(),
                 Err(source) => return Err(ReadError::Malformed { source }),
@@ -315,9 +340,7 @@
             if self.received.len() > limits.head_bytes {
                 return HeadTooLongSnafu.fail();
             }
-            if self.received.len() > READ_BYTES {
-                hold.reserve(self.received.len())?;
-            }
+            hold.reserve_base(CONNECTION_BYTES + REQUEST_BYTES + buffer)?;
             self.fill(hold).await?;
         }
     }
@@ -460,6 +483,10 @@
             }
             _ => platform::refusal_headers("", None),
         };
+        self.received = BytesMut::new();
+        let hold = MemoryHold::open(&self.traffic, MemoryUse::Request);
+        hold.finish_reading();
+        let has_room = hold.reserve_base(CONNECTION_BYTES).is_ok();
         let mut responder =
             Responder::new(&mut self.writer, &mut self.codec, Closing::Decided(true))
                 .watched(&self.watch);
@@ -472,7 +499,9 @@
             error,
             ReadError::Refused { .. } | ReadError::MemoryFull { .. }
         );
-        let time = if is_refused_upload {
+        let time = if !has_room {
+            Duration::ZERO
+        } else if is_refused_upload {
             UPLOAD_LINGER_TIME
         } else {
             LINGER_TIME
@@ -642,16 +671,27 @@
 
 async fn fill(reader: &OwnedReadHalf, received: &mut BytesMut) -> io::Result<usize> {
     loop {
+        if received.is_empty() {
+            // A client that pauses keeps no buffer.
+            *received = BytesMut::new();
+        }
         reader.readable().await?;
-        received.reserve(READ_BYTES);
-        // The buffer may have more room, and would keep growing with it.
-        match reader.try_read_buf(&mut received.limit(READ_BYTES)) {
+        match try_fill(reader, received) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             read => return read,
         }
     }
 }
 
+// The buffer grows by what has arrived: room that is reserved before would stay with a
+// client that sends nothing more.
+fn try_fill(reader: &OwnedReadHalf, received: &mut BytesMut) -> io::Result<usize> {
+    let mut bytes = [0; READ_BYTES];
+    let count = reader.try_read(&mut bytes)?;
+    received.extend_from_slice(&bytes[..count]);
+    Ok(count)
+}
+
 // Returns when the client has closed its side; bytes that it sends ahead are
 // kept, and `has_next` tells that there are some.
 async fn wait_for_disconnect(
--- a/src/carawayrun/relay/serve.rs
+++ b/src/carawayrun/relay/serve.rs
@@ -186,6 +186,9 @@
     loop {
         // Without a permit a client waits in the accept queue, and its balancer
         // may choose another host.
+        if permits.available_permits() == 0 {
+            traffic.evict_silent();
+        }
         let accepted = async {
             let permit = Arc::clone(&permits).acquire_owned().await;
             listener.accept().await.map(|accepted| (accepted, permit))
--- a/src/carawayrun/relay/tests/memory.rs
+++ b/src/carawayrun/relay/tests/memory.rs
@@ -181,3 +181,62 @@
     account.release(taken, MEGABYTE);
     assert_eq!(account.held(), 9 * MEGABYTE);
 }
+
+// Adds a connection that holds nothing but its base.
+fn connection(account: &mut MemoryAccount, base: usize, now: Duration) -> HolderKey {
+    let key = account.open(MemoryUse::Request, now);
+    account.reserve_base(key, base, now).unwrap();
+    key
+}
+
+// Thousands of connections with little to read cost more than their bytes.
+#[test]
+fn silent_connections_give_way_to_new_ones() {
+    const BASE: usize = 32 * 1024;
+    let mut account = MemoryAccount::new(HOST_MEMORY);
+    let room = LIMIT / BASE;
+    let open = |number: usize| millis(number as u64);
+    let keys: Vec<HolderKey> = (0..room)
+        .map(|number| connection(&mut account, BASE, open(number)))
+        .collect();
+    let now = millis(room as u64 + 1_000);
+    // One goes on; the first of the others are the longest silent.
+    account.begin_reading(keys[0], now);
+    let new = connection(&mut account, BASE, now);
+    assert!(account.contains(new) && account.contains(keys[0]));
+    assert!(!account.contains(keys[1]) && account.contains(keys[room - 1]));
+    assert!(account.held() <= LIMIT);
+    let evicted = account.take_evicted();
+    assert!((1..=room / 32).contains(&evicted.len()), "{evicted:?}");
+    assert_eq!(account.take_evicted(), Vec::new());
+}
+
+#[test]
+fn connections_that_have_only_begun_refuse_another() {
+    const BASE: usize = MEGABYTE;
+    let mut account = MemoryAccount::new(HOST_MEMORY);
+    let open = (0..LIMIT / BASE).map(|_| connection(&mut account, BASE, millis(0)));
+    let keys: Vec<HolderKey> = open.collect();
+    let key = account.open(MemoryUse::Request, millis(100));
+    assert_eq!(
+        account.reserve_base(key, BASE, millis(100)),
+        Err(MemoryFull)
+    );
+    assert!(keys.iter().all(|key| account.contains(*key)));
+    account.reserve_base(keys[0], 0, millis(100)).unwrap();
+    assert_eq!(account.reserve_base(key, BASE, millis(100)), Ok(0));
+}
+
+#[test]
+fn longest_silent_connection_gives_way_at_limit_of_connections() {
+    let mut account = MemoryAccount::new(HOST_MEMORY);
+    let first = connection(&mut account, 1, millis(0));
+    let second = connection(&mut account, 1, millis(100));
+    account.evict_silent(millis(200));
+    assert_eq!(account.take_evicted(), Vec::new());
+    account.evict_silent(millis(400));
+    assert_eq!(account.take_evicted(), vec![first]);
+    account.finish_reading(second);
+    account.evict_silent(millis(900));
+    assert!(account.contains(second));
+}
--- a/src/carawayrun/relay/traffic/memory.rs
+++ b/src/carawayrun/relay/traffic/memory.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 use super::Traffic;
 use crate::relay::memory::{HolderKey, MemoryFull, MemoryUse};
 
@@ -9,27 +11,40 @@
 pub(in crate::relay) struct MemoryHold {
     traffic: Rc<Traffic>,
     key: HolderKey,
+    /// Notified once the holder gives way.
+    evicted: Rc<Notify>,
 }
 
 impl MemoryHold {
     pub(in crate::relay) fn open(traffic: &Rc<Traffic>, purpose: MemoryUse) -> Self {
         let key = traffic.memory.borrow_mut().open(purpose, traffic.now());
+        let evicted = Rc::new(Notify::new());
+        let mut signals = traffic.evictions.borrow_mut();
+        signals.insert(key, Rc::clone(&evicted));
         Self {
             traffic: Rc::clone(traffic),
             key,
+            evicted,
         }
     }
 
+    /// Changes what its connection and its head cost, at the expense of requests without
+    /// progress.
+    pub(in crate::relay) fn reserve_base(&self, base: usize) -> Result<(), MemoryFull> {
+        let traffic = &self.traffic;
+        let mut account = traffic.memory.borrow_mut();
+        let reserved = account.reserve_base(self.key, base, traffic.now());
+        drop(account);
+        reserved.map(|_| traffic.memory_reserved())
+    }
+
     /// Raises what is held to `bytes`, at the expense of requests without progress.
     pub(in crate::relay) fn reserve(&self, bytes: usize) -> Result<(), MemoryFull> {
         let traffic = &self.traffic;
         let mut account = traffic.memory.borrow_mut();
-        let evicted = account.reserve(self.key, bytes, traffic.now())?;
-        traffic.metrics.held_bytes.set(account.held() as i64);
-        if evicted > 0 {
-            traffic.memory_changed.notify_waiters();
-        }
-        Ok(())
+        let reserved = account.reserve(self.key, bytes, traffic.now());
+        drop(account);
+        reserved.map(|_| traffic.memory_reserved())
     }
 
     /// As [`Self::reserve`], and waits until it fits.
@@ -60,6 +75,15 @@
         self.traffic.memory_changed.notify_waiters();
     }
 
+    /// Records that the first byte of the request has come.
+    pub(in crate::relay) fn begin_reading(&self) {
+        let now = self.traffic.now();
+        self.traffic
+            .memory
+            .borrow_mut()
+            .begin_reading(self.key, now);
+    }
+
     /// Records the length that the client announced.
     pub(in crate::relay) fn announce(&self, length: usize) {
         self.traffic.memory.borrow_mut().announce(self.key, length);
@@ -78,12 +102,8 @@
 
     /// Completes once the request must give way to others.
     pub(in crate::relay) async fn evicted(&self) {
-        loop {
-            let changed = self.traffic.memory_changed.notified();
-            if self.check().is_err() {
-                return;
-            }
-            changed.await;
+        while self.check().is_ok() {
+            self.evicted.notified().await;
         }
     }
 }
@@ -92,7 +112,32 @@
     fn drop(&mut self) {
         let mut account = self.traffic.memory.borrow_mut();
         account.close(self.key);
+        self.traffic.evictions.borrow_mut().remove(self.key);
         self.traffic.metrics.held_bytes.set(account.held() as i64);
         self.traffic.memory_changed.notify_waiters();
     }
 }
+
+impl Traffic {
+    /// Has the client that is longest silent within a request, or before one, give way.
+    pub(in crate::relay) fn evict_silent(&self) {
+        self.memory.borrow_mut().evict_silent(self.now());
+        self.memory_reserved();
+    }
+
+    // Tells the holders that gave way, and updates the metric.
+    fn memory_reserved(&self) {
+        let mut account = self.memory.borrow_mut();
+        self.metrics.held_bytes.set(account.held() as i64);
+        let evicted = account.take_evicted();
+        drop(account);
+        if evicted.is_empty() {
+            return;
+        }
+        let signals = self.evictions.borrow();
+        for signal in evicted.iter().filter_map(|key| signals.get(*key)) {
+            signal.notify_one();
+        }
+        self.memory_changed.notify_waiters();
+    }
+}
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -24,6 +24,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rustc_hash::FxHashMap;
+use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::time::{Instant, timeout_at};
@@ -41,7 +42,7 @@
 use super::latency::LatencyEstimate;
 use super::losses::{Loss, LossTracker};
 use super::members::Members;
-use super::memory::MemoryAccount;
+use super::memory::{HolderKey, MemoryAccount};
 use super::metrics::Metrics;
 use super::pace::StreamSample;
 use super::prompts::PromptPart;
@@ -140,8 +141,10 @@
     /// Notified when the own load changes.
     pub(super) load_changed: Notify,
     memory: RefCell<MemoryAccount>,
-    /// Notified when held memory was returned or has to be.
+    /// Notified when held memory was returned.
     memory_changed: Notify,
+    /// Notified for a holder that gives way.
+    evictions: RefCell<SecondaryMap<HolderKey, Rc<Notify>>>,
     shared: SharedState,
     fleet: RefCell<Fleet>,
     members: RefCell<Members>,
@@ -197,6 +200,7 @@
             load_changed: Notify::new(),
             memory,
             memory_changed: Notify::new(),
+            evictions: RefCell::default(),
             shared,
             fleet: RefCell::default(),
             members: RefCell::default(),
