--- a/tests/testsuite/large_config.rs
+++ b/tests/testsuite/large_config.rs
@@ -9,7 +9,7 @@
 use test_case::test_case;
 
 use crate::support::Relay;
-use crate::support::platform::{API_KEY, PlatformWorld, config};
+use crate::support::platform::{API_KEY, PlatformWorld, add_spare_routes, config};
 
 /// Bytes a second of a thin host's link: 10 Mbit/s.
 const LINK_PACE: u32 = 1_250_000;
@@ -30,20 +30,7 @@
 /// A configuration with so many bytes of routes that nobody uses.
 fn large(version: u64, bytes: usize) -> Value {
     let mut config = config(version, &[API_KEY]);
-    let route = config["routes"][0].clone();
-    let routes = config["routes"].as_array_mut();
-    let routes = routes.expect("there are routes");
-    let mut length = 0;
-    for number in 0.. {
-        let mut route = route.clone();
-        route["name"] = json!(format!("spare-{number}"));
-        route["prefix"] = json!(format!("/spare-{number}/"));
-        length += route.to_string().len() + 1;
-        if length > bytes {
-            break;
-        }
-        routes.push(route);
-    }
+    add_spare_routes(&mut config, bytes);
     config
 }
 
--- a/tests/testsuite/soak/deployment.rs
+++ b/tests/testsuite/soak/deployment.rs
@@ -11,7 +11,7 @@
 use super::check_bounds::{RETRY_RATIO, RETRY_SLACK, upstream_index};
 use super::history::{Disturbance, FaultTarget, History, Key, NamedLimit, Run, Stop};
 use super::plan::{Sizes, has_deadly_requests};
-use crate::support::platform::{Arrival, config, lab, read_arrivals};
+use crate::support::platform::{Arrival, add_spare_routes, config, lab, read_arrivals};
 use crate::support::{Net, Passing, Process, Relay, now_ms};
 
 /// Delay between the end of a process and its restart.
@@ -35,6 +35,15 @@
 /// Number of answers that the stand-in of the store loses in one fault.
 const LOST_ANSWERS: u32 = 5;
 
+/// Versions from one configuration with many spare routes to the next.
+const LARGE_INTERVAL: u64 = 4;
+
+/// Bytes of these routes.
+const LARGE_CONFIG_BYTES: usize = 1_200_000;
+
+/// Bytes a second of the last relay's link from the store: 10 Mbit/s.
+const THIN_LINK_PACE: u32 = 1_250_000;
+
 /// Mean of the drawn times of answers.
 const DRAWN_WORK_MS: u64 = 1_200;
 
@@ -139,6 +148,9 @@
             self.client_links
                 .push(Relay::bind(&self.client_addr(relay), target).await);
         }
+        // Another relay reads the tables for all, as long as it runs.
+        let thin = self.store_links.last();
+        thin.expect("there are relays").limit_pace(THIN_LINK_PACE);
         for upstream in 0..self.sizes.upstreams {
             let target = format!("{net}.{}:7000", 100 + upstream);
             let listen = self.upstream_addr(upstream);
@@ -305,6 +317,9 @@
             {"name": "depots", "api_keys": [PERMANENT_KEYS[1]], "priority": 2},
         ]);
         add_odd_forms(&mut wanted, self.version.get());
+        if self.version.get().is_multiple_of(LARGE_INTERVAL) {
+            add_spare_routes(&mut wanted, LARGE_CONFIG_BYTES);
+        }
         self.put("/rows/op/config", &wanted).await;
     }
 
--- a/tests/testsuite/support/platform.rs
+++ b/tests/testsuite/support/platform.rs
@@ -691,6 +691,24 @@
     }
 }
 
+/// Adds so many bytes of routes that nobody uses to a configuration.
+pub(crate) fn add_spare_routes(config: &mut Value, bytes: usize) {
+    let route = config["routes"][0].clone();
+    let routes = config["routes"].as_array_mut();
+    let routes = routes.expect("there are routes");
+    let mut length = 0;
+    for number in 0.. {
+        let mut route = route.clone();
+        route["name"] = json!(format!("spare-{number}"));
+        route["prefix"] = json!(format!("/spare-{number}/"));
+        length += route.to_string().len() + 1;
+        if length > bytes {
+            break;
+        }
+        routes.push(route);
+    }
+}
+
 /// A configuration with a plain service `app` and an engine service `llm`.
 pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
