Count attempts by route, and show them where a roll-out is decided

The log lines of a roll-out had sums over all routes and two thresholds of times. They couldn't tell whether a slow version looks good by the measure or whether its evidence is missing. Relays now count attempts and times to the first byte by route, in bins of a logarithmic scale, tell them to each other, and write them with each due phase and withdrawal. Nothing decides by them yet.

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -710,6 +710,38 @@
     /// share could move.
     #[prost(bool, tag = "8")]
     pub has_sessions: bool,
+    /// Attempts by route.
+    #[prost(message, repeated, tag = "9")]
+    pub routes: ::prost::alloc::vec::Vec<RouteTallies>,
+}
+/// Attempts of one route at the old versions and at the new one of a roll-out.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteTallies {
+    /// Digest of the route's name; zero for all routes that are not counted apart.
+    #[prost(fixed32, tag = "1")]
+    pub route: u32,
+    /// Since the order, and with exponential decay.
+    #[prost(message, optional, tag = "2")]
+    pub old: ::core::option::Option<Tally>,
+    #[prost(message, optional, tag = "3")]
+    pub new: ::core::option::Option<Tally>,
+    #[prost(message, optional, tag = "4")]
+    pub recent_old: ::core::option::Option<Tally>,
+    #[prost(message, optional, tag = "5")]
+    pub recent_new: ::core::option::Option<Tally>,
+}
+/// Counts of attempts in sixteenths, as decayed counts are fractional.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Tally {
+    #[prost(uint32, tag = "1")]
+    pub answered: u32,
+    #[prost(uint32, tag = "2")]
+    pub failed: u32,
+    /// By time to the first byte: the first bin that is not empty, and the counts from there on.
+    #[prost(uint32, tag = "3")]
+    pub first_bin: u32,
+    #[prost(uint32, repeated, tag = "4")]
+    pub times: ::prost::alloc::vec::Vec<u32>,
 }
 /// Counts of requests; fractional, since decayed counts are too.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -22,6 +22,7 @@
 use super::evidence::Outcomes;
 use super::readers::Confirmation;
 use super::rollout::{OrderId, RolloutOrder, RolloutRow, TrafficOutlook};
+use super::tally::{Tally, TallyKey};
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 
 /// Time after a restore of the store within which operators write again what the copy
@@ -95,6 +96,8 @@
     RolloutsSynced,
     /// This gateway's outcomes by service and version since its process started.
     OutcomesCounted(Vec<(CompactString, CompactString, Outcomes)>),
+    /// This gateway's attempts by service, version and route since its process started.
+    TalliesCounted(Vec<(TallyKey, Tally)>),
     /// This gateway read the table of the store with this number.
     TableRead(u32, Confirmation),
     /// The report addresses of the other gateways were read.
@@ -162,6 +165,7 @@
     /// Orders that were read while `rows` was stale.
     early_orders: Vec<RolloutOrder>,
     outcomes: FxHashMap<(CompactString, CompactString), Outcomes>,
+    tallies: FxHashMap<TallyKey, Tally>,
     /// The newest configuration in the store.
     newest: NewestConfiguration,
     confirmed_at: Duration,
@@ -193,6 +197,7 @@
             has_stale_rows: false,
             early_orders: Vec::new(),
             outcomes: FxHashMap::default(),
+            tallies: FxHashMap::default(),
             newest: NewestConfiguration::Read,
             confirmed_at: Duration::ZERO,
             registrations_synced: false,
@@ -274,7 +279,7 @@
                 self.forget_versions(now);
             }
             Event::RolloutRead(row, version) => self.apply_row(row, version, now, &mut effects),
-            Event::OutcomesReceived { node, outcomes } => self.set_peer_outcomes(node, &outcomes),
+            Event::OutcomesReceived { node, outcomes } => self.set_peer_outcomes(node, outcomes),
             Event::RolloutsSynced => {
                 self.rollouts_synced = true;
                 self.has_stale_rows = false;
@@ -284,6 +289,7 @@
                 self.publish(&mut effects);
             }
             Event::OutcomesCounted(outcomes) => self.update_outcomes(outcomes, now, &mut effects),
+            Event::TalliesCounted(tallies) => self.update_tallies(tallies, now),
             Event::TableRead(table, confirmation) => {
                 self.view.reads.retain(|(other, _)| *other != table);
                 self.view.reads.push((table, confirmation));
--- a/src/carawayrun/relay/control/orders.rs
+++ b/src/carawayrun/relay/control/orders.rs
@@ -9,6 +9,7 @@
 use super::{Effect, State};
 use crate::relay::evidence::{Outcomes, RolloutEvidence};
 use crate::relay::rollout::{RolloutOrder, RolloutRow};
+use crate::relay::tally::{RouteEvidence, Tally, TallyKey};
 use crate::relay::view::OutcomesView;
 
 impl State {
@@ -78,7 +79,14 @@
         let sums = self.outcomes.iter();
         let sums = sums.filter(|((service, _), _)| *service == order.service);
         let baseline = sums.map(|((_, version), seen)| (version.clone(), *seen));
+        let tallies = self.tallies.iter();
+        let tallies = tallies.filter(|((service, ..), _)| *service == order.service);
+        let route_baseline = tallies.map(|(key, seen)| (key.clone(), *seen));
         Rollout {
+            route_baseline: route_baseline.collect(),
+            own_routes: RouteEvidence::default(),
+            tallied_at: Duration::ZERO,
+            peer_routes: FxHashMap::default(),
             row: row.cloned(),
             started_at: Duration::ZERO,
             ordered_at: now,
@@ -138,13 +146,23 @@
     }
 
     // Replaces another gateway's evidence for the roll-out, if it has the same order.
-    pub(super) fn set_peer_outcomes(&mut self, node: CompactString, outcomes: &OutcomesView) {
+    pub(super) fn set_peer_outcomes(&mut self, node: CompactString, outcomes: OutcomesView) {
         let rollout = self.rollouts.get_mut(&outcomes.service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.id == outcomes.order) {
+            rollout.peer_routes.insert(node.clone(), outcomes.routes);
             rollout.peers.insert(node, outcomes.evidence);
         }
     }
 
+    // Takes this gateway's total tallies and updates its evidence by route. The outcomes
+    // that follow publish it.
+    pub(super) fn update_tallies(&mut self, tallies: Vec<(TallyKey, Tally)>, now: Duration) {
+        self.tallies.extend(tallies);
+        for rollout in self.rollouts.values_mut() {
+            rollout.update_routes(&self.tallies, now);
+        }
+    }
+
     // Takes this gateway's total outcomes and updates its evidence for each roll-out.
     pub(super) fn update_outcomes(
         &mut self,
--- a/src/carawayrun/relay/control/rollout.rs
+++ b/src/carawayrun/relay/control/rollout.rs
@@ -1,13 +1,17 @@
 //! State of one roll-out at a gateway.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use rustc_hash::FxHashMap;
 
 use super::Effect;
-use crate::relay::evidence::{Comparison, Outcomes, Regression, RolloutEvidence, SlotLoad};
+use crate::relay::evidence::{
+    Comparison, Outcomes, Regression, RolloutEvidence, SlotLoad, recent_decay,
+};
 use crate::relay::rollout::{self, OrderId, Phase, RolloutOrder, RolloutRow, Step, TrafficOutlook};
+use crate::relay::tally::{RouteDigest, RouteEvidence, Tally, TallyKey, TallyPair};
 use crate::relay::view::{OutcomesView, RolloutView};
 
 /// Slots of the upstreams of a service.
@@ -46,6 +50,14 @@
     pub(super) own: RolloutEvidence,
     /// Time of the last update of `own`.
     pub(super) updated_at: Duration,
+    /// This gateway's attempts by version and route when the order was read.
+    pub(super) route_baseline: FxHashMap<TallyKey, Tally>,
+    /// This gateway's attempts by route since the order.
+    pub(super) own_routes: RouteEvidence,
+    /// Time of the last update of `own_routes`.
+    pub(super) tallied_at: Duration,
+    /// Attempts at the other gateways by route, by name.
+    pub(super) peer_routes: FxHashMap<CompactString, RouteEvidence>,
     /// Outcomes of the other gateways, by name.
     pub(super) peers: FxHashMap<CompactString, RolloutEvidence>,
     /// Why the new version is withdrawn, once the outcomes known at this gateway were
@@ -141,9 +153,44 @@
             service: self.order.service.clone(),
             order: self.order.id,
             evidence: self.own,
+            routes: self.own_routes.clone(),
         }
     }
 
+    // Updates this gateway's attempts by route from its totals.
+    pub(super) fn update_routes(&mut self, tallies: &FxHashMap<TallyKey, Tally>, now: Duration) {
+        let mut all: BTreeMap<RouteDigest, TallyPair> = BTreeMap::new();
+        for (key, total) in tallies {
+            let (service, version, route) = key;
+            if *service != self.order.service {
+                continue;
+            }
+            let before = self.route_baseline.get(key).copied().unwrap_or_default();
+            let since = total.since(&before);
+            if since == Tally::default() {
+                continue;
+            }
+            let pair = all.entry(*route).or_default();
+            if *version == self.order.to {
+                pair.new.add(&since);
+            } else {
+                pair.old.add(&since);
+            }
+        }
+        let decay = recent_decay(now.saturating_sub(self.tallied_at));
+        self.own_routes.update(all, decay);
+        self.tallied_at = now;
+    }
+
+    // Attempts at all gateways by route since the order.
+    pub(super) fn total_routes(&self) -> RouteEvidence {
+        let mut sum = self.own_routes.clone();
+        for peer in self.peer_routes.values() {
+            sum.add(peer);
+        }
+        sum
+    }
+
     // This gateway's outcomes since the order, of the old and the new version.
     pub(super) fn compare(
         &self,
@@ -193,6 +240,7 @@
                 because = %regression,
                 outcomes = ?total.all,
                 recent = ?total.recent,
+                routes = %self.total_routes(),
                 ?load,
                 gateways = self.peers.len() + 1,
                 "new version withdrawn"
@@ -264,6 +312,7 @@
             old_slow = total.all.old.slow,
             old_timed = total.all.old.timed,
             old_late = total.all.old.late,
+            routes = %self.total_routes(),
             gateways = self.peers.len() + 1,
             "roll-out phase change due"
         );
--- a/src/carawayrun/relay/evidence.rs
+++ b/src/carawayrun/relay/evidence.rs
@@ -204,6 +204,11 @@
     }
 }
 
+/// Factor by which recent outcomes decay in a time.
+pub fn recent_decay(elapsed: Duration) -> f64 {
+    0.5_f64.powf(elapsed.as_secs_f64() / RECENT_HALF_LIFE.as_secs_f64())
+}
+
 /// Outcomes since an order and recent ones. The former alone would hide a version
 /// that turns bad late behind its earlier good answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -226,7 +231,7 @@
     /// Replaces the totals since the order with `all` and updates the recent
     /// outcomes; `elapsed` is the time since the last update.
     pub fn update(&mut self, all: Comparison, elapsed: Duration) {
-        let decay = 0.5_f64.powf(elapsed.as_secs_f64() / RECENT_HALF_LIFE.as_secs_f64());
+        let decay = recent_decay(elapsed);
         let update = |recent: &mut Outcomes, before: &Outcomes, now: &Outcomes| {
             let since = now.since(before);
             recent.combine(&since, |recent, since| recent * decay + since);
--- a/src/carawayrun/relay/exchange/answer.rs
+++ b/src/carawayrun/relay/exchange/answer.rs
@@ -14,6 +14,7 @@
 use crate::relay::metrics::SendReason;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::Responder;
+use crate::relay::tally::RouteDigest;
 use crate::relay::traffic::MemoryHold;
 use crate::relay::view::UpstreamKey;
 
@@ -34,12 +35,18 @@
         self.log.record_upstream_status(pending.head.status);
         let is_success = pending.head.status.is_success();
         if is_success && !pending.is_genuine() {
-            self.record_outcome(&pending.upstream, progress, true, None);
+            self.record_outcome(route, &pending.upstream, progress, true, None);
             self.log.set_note("answer unsealed or content-encoded");
             return None;
         }
         if is_success && let Some(model) = self.next_model(route, progress, &pending) {
-            self.record_outcome(&pending.upstream, progress, false, Some(pending.head_delay));
+            self.record_outcome(
+                route,
+                &pending.upstream,
+                progress,
+                false,
+                Some(pending.head_delay),
+            );
             self.record_answer_success(&pending);
             self.traffic.metrics.cascades.inc();
             progress.fallback = Some(Fallback {
@@ -57,7 +64,13 @@
             // A failure is known at once, while a good stream ends seconds later.
             // If streams were counted at their end, a new version would seem to
             // fail at first.
-            self.record_outcome(&pending.upstream, progress, false, Some(pending.head_delay));
+            self.record_outcome(
+                route,
+                &pending.upstream,
+                progress,
+                false,
+                Some(pending.head_delay),
+            );
             return Some(
                 self.deliver_stream(route, progress, pending, responder)
                     .await,
@@ -147,8 +160,11 @@
             self.record_answer_failure(pending.key);
             self.record_crash(pending.key, &pending.upstream, pending.sent, true);
             progress.losses += 1;
-            self.traffic
-                .record_loss(&pending.upstream, Loss::Unanswered);
+            self.traffic.record_loss(
+                &pending.upstream,
+                RouteDigest::of(&route.name),
+                Loss::Unanswered,
+            );
             self.log.set_note("answer interrupted");
             progress.reason = SendReason::Lost;
             return None;
@@ -167,7 +183,7 @@
         self.count_unframed(&connection);
         let is_failure = head.status.is_server_error();
         self.record_whole();
-        self.record_outcome(&upstream, progress, is_failure, Some(head_delay));
+        self.record_outcome(route, &upstream, progress, is_failure, Some(head_delay));
         let now = self.traffic.now();
         self.traffic
             .update_health(key, |health| health.record_answer(now, is_failure));
--- a/src/carawayrun/relay/exchange/attempt.rs
+++ b/src/carawayrun/relay/exchange/attempt.rs
@@ -14,6 +14,7 @@
 use crate::relay::connection::{ConnectionError, UpstreamConnection};
 use crate::relay::losses::Loss;
 use crate::relay::message::Execution;
+use crate::relay::tally::RouteDigest;
 use crate::relay::traffic::{AttemptGuard, AttemptSample};
 use crate::relay::view::{Upstream, UpstreamKey, View};
 
@@ -84,7 +85,7 @@
         let attempt = self
             .send(route, progress, key, &upstream, connection, resume_after)
             .await;
-        self.record_health(key, &upstream, &attempt);
+        self.record_health(route, key, &upstream, &attempt);
         if matches!(attempt, AttemptOutcome::Lost) {
             self.record_crash(key, &upstream, sent, false);
         }
@@ -155,8 +156,7 @@
         let backlog = self.traffic.prefill_ms(&upstream.service, model, tokens);
         self.record_prompt(key, &upstream.service, model);
         let mut guard = AttemptGuard::start(self.traffic, key, backlog, self.kv_tokens(), place);
-        let prompt_tokens = self.request.prompt_tokens;
-        let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
+        let mut timer = self.start_timer(route, progress, upstream);
         let mut asked = 0;
         let result = loop {
             let limit = self.head_timeout(route, progress);
@@ -207,7 +207,9 @@
         if answer.execution == Execution::NotRun {
             return AttemptOutcome::Refused(head.status);
         }
-        if !head.status.is_server_error() {
+        if head.status.is_server_error() {
+            timer.record_failure();
+        } else {
             timer.record_answer();
         }
         if let Some(limit) = answer.idle_limit {
@@ -225,6 +227,23 @@
         }))
     }
 
+    // Times an attempt that is sent now. Times of engines depend on the prompt, so that
+    // they are not compared by route.
+    fn start_timer<'a>(
+        &'a self,
+        route: &Route,
+        progress: &RequestProgress,
+        upstream: &'a Upstream,
+    ) -> HeadTimer<'a> {
+        let model = self.model_name(progress);
+        let prompt_tokens = self.request.prompt_tokens;
+        let mut timer = HeadTimer::start(self.traffic, upstream, model, prompt_tokens);
+        if !self.has_engines() {
+            timer.count_time_of(RouteDigest::of(&route.name));
+        }
+        timer
+    }
+
     // Records what is sent to an engine, which may keep it.
     fn record_prompt(&self, key: UpstreamKey, service: &str, model: &str) {
         let catalog = &self.admitted.catalog;
@@ -301,7 +320,13 @@
     // Ejects an upstream that gave no answer, refused the request or has lost its
     // address. A request without an answer is also recorded as a loss, which is
     // attributed to a version later. Answers are recorded where they are handled.
-    fn record_health(&self, key: UpstreamKey, upstream: &Upstream, attempt: &AttemptOutcome) {
+    fn record_health(
+        &self,
+        route: &Route,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        attempt: &AttemptOutcome,
+    ) {
         let now = self.traffic.now();
         self.traffic.update_health(key, |health| match attempt {
             AttemptOutcome::Lost | AttemptOutcome::TimedOut => health.record_unreachable(now),
@@ -310,7 +335,8 @@
             AttemptOutcome::Answered(_) | AttemptOutcome::NotSent => {}
         });
         if matches!(attempt, AttemptOutcome::Lost | AttemptOutcome::TimedOut) {
-            self.traffic.record_loss(upstream, Loss::Unanswered);
+            let route = RouteDigest::of(&route.name);
+            self.traffic.record_loss(upstream, route, Loss::Unanswered);
         }
     }
 
@@ -318,6 +344,7 @@
     // byte, for the evaluation of roll-outs and the latency estimate.
     pub(super) fn record_outcome(
         &self,
+        route: &Route,
         upstream: &Upstream,
         progress: &RequestProgress,
         failed: bool,
@@ -327,6 +354,8 @@
             service: &upstream.service,
             model: self.model_name(progress),
             version: &upstream.version,
+            // What fails a request once fails it again, so its repeats tell nothing new.
+            route: (progress.runs <= 1).then(|| RouteDigest::of(&route.name)),
             failed,
             first_byte: first,
             prompt_tokens: self.request.prompt_tokens,
--- a/src/carawayrun/relay/exchange/stream.rs
+++ b/src/carawayrun/relay/exchange/stream.rs
@@ -21,6 +21,7 @@
 use crate::relay::quarantine::Verdict;
 use crate::relay::request_log::RequestOutcome;
 use crate::relay::responder::{Responder, WriteError};
+use crate::relay::tally::RouteDigest;
 use crate::relay::traffic::{MemoryHold, StreamTimes};
 use crate::relay::view::UpstreamKey;
 
@@ -162,8 +163,11 @@
                     progress.reason = SendReason::Lost;
                     progress.losses += 1;
                     self.record_answer_failure(current.key);
-                    self.traffic
-                        .record_loss(&current.upstream, Loss::Interrupted);
+                    self.traffic.record_loss(
+                        &current.upstream,
+                        RouteDigest::of(&route.name),
+                        Loss::Interrupted,
+                    );
                 }
             }
             events.discard_partial();
@@ -391,14 +395,20 @@
             progress.record_attempt(&attempt);
             match attempt {
                 AttemptOutcome::Answered(next) if head.continues_in(&next) => {
-                    self.record_outcome(&next.upstream, progress, false, Some(next.head_delay));
+                    self.record_outcome(
+                        route,
+                        &next.upstream,
+                        progress,
+                        false,
+                        Some(next.head_delay),
+                    );
                     self.traffic.metrics.resumes.inc();
                     return Ok(next);
                 }
                 AttemptOutcome::Answered(next) => {
                     tracing::info!(request = %self.request.id, upstream = %next.upstream.name, status = next.head.status.as_u16(), media_type = %next.answer.media_type, "answer does not continue the stream");
                     self.record_answer_failure(next.key);
-                    self.record_outcome(&next.upstream, progress, true, None);
+                    self.record_outcome(route, &next.upstream, progress, true, None);
                 }
                 AttemptOutcome::NotSent
                 | AttemptOutcome::Displaced
--- a/src/carawayrun/relay/follow/rollouts.rs
+++ b/src/carawayrun/relay/follow/rollouts.rs
@@ -93,6 +93,7 @@
             sleep(TICK_INTERVAL).await;
             self.update_lag();
             if self.state.borrow().has_open_rollout() {
+                self.handle(Event::TalliesCounted(self.shared.tallies()));
                 self.handle(Event::OutcomesCounted(self.shared.outcomes()));
             }
             let settings = self.shared.settings.load_full();
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -17,6 +17,7 @@
 use super::evidence::{Comparison, Outcomes, RolloutEvidence};
 use super::readers::Confirmation;
 use super::rollout::OrderId;
+use super::tally::{RouteDigest, RouteEvidence, RouteTallies, TIME_BINS, Tally, TallyPair};
 use super::traffic::Traffic;
 use super::view::OutcomesView;
 use crate::peer::message::{self, Node, RelayReport, RolloutOutcomes, TableRead};
@@ -177,9 +178,75 @@
         recent_old: encode(&evidence.recent.old),
         recent_new: encode(&evidence.recent.new),
         has_sessions: false,
+        routes: encode_routes(&view.routes),
     }
 }
 
+// Counts in a report are multiples of this.
+const COUNT_UNIT: f64 = 1.0 / 16.0;
+
+fn encode_routes(evidence: &RouteEvidence) -> Vec<message::RouteTallies> {
+    let largest = evidence.largest();
+    let routes = largest
+        .routes
+        .iter()
+        .map(|(route, tallies)| message::RouteTallies {
+            route: route.0,
+            old: encode_tally(&tallies.all.old),
+            new: encode_tally(&tallies.all.new),
+            recent_old: encode_tally(&tallies.recent.old),
+            recent_new: encode_tally(&tallies.recent.new),
+        });
+    routes.collect()
+}
+
+// Returns `None` if nothing was counted.
+fn encode_tally(tally: &Tally) -> Option<message::Tally> {
+    let count = |count: f64| (count / COUNT_UNIT).round() as u32;
+    let times = tally.times.map(count);
+    let first = times.iter().position(|count| *count > 0);
+    let last = times.iter().rposition(|count| *count > 0);
+    let bins = first.zip(last).map(|(first, last)| first..=last);
+    let encoded = message::Tally {
+        answered: count(tally.answered),
+        failed: count(tally.failed),
+        first_bin: first.unwrap_or(0) as u32,
+        times: bins.map_or_else(Vec::new, |bins| times[bins].to_vec()),
+    };
+    (encoded != message::Tally::default()).then_some(encoded)
+}
+
+fn decode_routes(received: &[message::RouteTallies]) -> RouteEvidence {
+    let decode = |tally: &Option<message::Tally>| tally.as_ref().map(decode_tally);
+    let routes = received.iter().map(|received| {
+        let pair = |old, new| TallyPair {
+            old: decode(old).unwrap_or_default(),
+            new: decode(new).unwrap_or_default(),
+        };
+        let tallies = RouteTallies {
+            all: pair(&received.old, &received.new),
+            recent: pair(&received.recent_old, &received.recent_new),
+        };
+        (RouteDigest(received.route), tallies)
+    });
+    RouteEvidence {
+        routes: routes.collect(),
+    }
+}
+
+fn decode_tally(received: &message::Tally) -> Tally {
+    let mut tally = Tally {
+        answered: f64::from(received.answered) * COUNT_UNIT,
+        failed: f64::from(received.failed) * COUNT_UNIT,
+        ..Tally::default()
+    };
+    let first = (received.first_bin as usize).min(TIME_BINS);
+    for (bin, count) in tally.times[first..].iter_mut().zip(&received.times) {
+        *bin = f64::from(*count) * COUNT_UNIT;
+    }
+    tally
+}
+
 /// Decodes the order of a roll-out for which another gateway sent outcomes.
 pub(super) fn decode_order(received: &RolloutOutcomes) -> OrderId {
     OrderId {
@@ -214,5 +281,6 @@
                 new: decode(&received.recent_new),
             },
         },
+        routes: decode_routes(&received.routes),
     }
 }
--- a/src/carawayrun/relay/losses.rs
+++ b/src/carawayrun/relay/losses.rs
@@ -13,6 +13,7 @@
 
 use compact_str::CompactString;
 
+use super::tally::RouteDigest;
 use super::view::UpstreamKey;
 
 /// Time around a loss in which crashes count as its cause, and for which the loss
@@ -36,6 +37,7 @@
 struct PendingLoss {
     service: CompactString,
     version: CompactString,
+    route: RouteDigest,
     loss: Loss,
     at: Duration,
 }
@@ -58,10 +60,18 @@
 
 impl LossTracker {
     /// Records that a request sent to a version got no complete answer.
-    pub fn record_loss(&mut self, service: &str, version: &str, loss: Loss, now: Duration) {
+    pub fn record_loss(
+        &mut self,
+        service: &str,
+        version: &str,
+        route: RouteDigest,
+        loss: Loss,
+        now: Duration,
+    ) {
         self.pending.push_back(PendingLoss {
             service: service.into(),
             version: version.into(),
+            route,
             loss,
             at: now,
         });
@@ -84,8 +94,11 @@
     }
 
     /// Removes the losses whose holding time has passed and returns those that
-    /// count against their version, as service, version and kind.
-    pub fn take_attributed(&mut self, now: Duration) -> Vec<(CompactString, CompactString, Loss)> {
+    /// count against their version, as service, version, route and kind.
+    pub fn take_attributed(
+        &mut self,
+        now: Duration,
+    ) -> Vec<(CompactString, CompactString, RouteDigest, Loss)> {
         let mut counted = Vec::new();
         while self
             .pending
@@ -96,7 +109,12 @@
                 break;
             };
             if self.count_correlated_crashes(&pending) < MIN_CRASHED_UPSTREAMS {
-                counted.push((pending.service, pending.version, pending.loss));
+                counted.push((
+                    pending.service,
+                    pending.version,
+                    pending.route,
+                    pending.loss,
+                ));
             }
         }
         while self
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -12,6 +12,7 @@
 //! | [`control`] | the reducer, from events to effects |
 //! | [`rollout`] | phases of a roll-out |
 //! | [`evidence`] | evidence about the new version of a roll-out |
+//! | [`tally`] | counts of attempts by route, for that evidence |
 //! | [`placement`] | choice of a request's upstream |
 //! | [`outage`] | outages of the store, as a gateway sees them |
 //! | [`pace`] | pace of each engine relative to the usual one |
@@ -89,6 +90,7 @@
 pub mod shares;
 mod stalls;
 pub mod store_clock;
+pub mod tally;
 #[cfg(test)]
 mod tests;
 mod traffic;
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -7,6 +7,7 @@
 use crate::relay::control::{Effect, Event, Registration, State};
 use crate::relay::evidence::{Comparison, Outcomes, RolloutEvidence};
 use crate::relay::rollout::{OrderId, Phase, RolloutOrder, RolloutRow};
+use crate::relay::tally::RouteEvidence;
 use crate::relay::view::{OutcomesView, Upstream};
 
 /// Newest version of a copy of the store.
@@ -296,6 +297,7 @@
         service: "engines".into(),
         order: order(3).id,
         evidence,
+        routes: RouteEvidence::default(),
     };
     let node = node.into();
     state.handle(Event::OutcomesReceived { node, outcomes }, millis(0));
--- a/src/carawayrun/relay/tests/losses.rs
+++ b/src/carawayrun/relay/tests/losses.rs
@@ -4,6 +4,7 @@
 use test_case::test_case;
 
 use crate::relay::losses::{Loss, LossTracker};
+use crate::relay::tally::RouteDigest;
 use crate::relay::view::UpstreamKey;
 
 fn millis(ms: u64) -> Duration {
@@ -22,7 +23,13 @@
     let upstreams = upstreams();
     let mut losses = LossTracker::default();
     for _ in 0..20 {
-        losses.record_loss("engines", "v2", Loss::Unanswered, millis(1_000));
+        losses.record_loss(
+            "engines",
+            "v2",
+            RouteDigest::OTHERS,
+            Loss::Unanswered,
+            millis(1_000),
+        );
     }
     losses.record_unreachable(upstreams[0], "engines", "v1", millis(1_200));
     losses.record_unreachable(upstreams[1], "engines", "v1", millis(1_900));
@@ -37,13 +44,24 @@
 fn loss_counts_against_its_version(service: &str, version: &str, crashed: u64) {
     let upstreams = upstreams();
     let mut losses = LossTracker::default();
-    losses.record_loss("engines", "v2", Loss::Unanswered, millis(1_000));
+    losses.record_loss(
+        "engines",
+        "v2",
+        RouteDigest::OTHERS,
+        Loss::Unanswered,
+        millis(1_000),
+    );
     for upstream in &upstreams {
         losses.record_unreachable(*upstream, service, version, millis(crashed));
     }
     assert_eq!(
         losses.take_attributed(millis(4_000)),
-        [("engines".into(), "v2".into(), Loss::Unanswered)]
+        [(
+            "engines".into(),
+            "v2".into(),
+            RouteDigest::OTHERS,
+            Loss::Unanswered
+        )]
     );
 }
 
@@ -52,7 +70,13 @@
 fn repeated_failures_of_one_upstream_do_not_excuse_loss() {
     let upstreams = upstreams();
     let mut losses = LossTracker::default();
-    losses.record_loss("engines", "v2", Loss::Unanswered, millis(1_000));
+    losses.record_loss(
+        "engines",
+        "v2",
+        RouteDigest::OTHERS,
+        Loss::Unanswered,
+        millis(1_000),
+    );
     for ms in [900, 1_100, 1_300] {
         losses.record_unreachable(upstreams[0], "engines", "v1", millis(ms));
     }
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -53,6 +53,7 @@
 use super::session_lists::{SessionLists, WAIT_TTL};
 use super::sessions::{MAX_REPORTED_SESSIONS, Sessions};
 use super::stalls::StallMonitor;
+use super::tally::{RouteDigest, Tally, TallyKey};
 use super::usual_time::UsualTime;
 use super::view::{OutcomesView, Upstream, UpstreamKey, View};
 use crate::peer::message::{PromptCopy, RelayReport, TableRead, UpstreamLoad, UpstreamPace};
@@ -60,6 +61,13 @@
 /// Outcomes by service and version, for the evaluation of roll-outs.
 pub(super) type OutcomeCounts = Arc<Mutex<FxHashMap<(CompactString, CompactString), Outcomes>>>;
 
+/// Attempts by service, version and route, for the evaluation of roll-outs.
+pub(super) type TallyCounts = Arc<Mutex<FxHashMap<TallyKey, Tally>>>;
+
+/// Largest number of tallies that a gateway keeps; attempts of further routes are
+/// counted together.
+const MAX_TALLIES: usize = 256;
+
 /// Part of another gateway's report that the control thread uses.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct PeerUpdate {
@@ -76,6 +84,7 @@
     pub(super) settings: Arc<ArcSwap<RelaySettings>>,
     pub(super) view: Arc<ArcSwap<View>>,
     pub(super) outcome_counts: OutcomeCounts,
+    pub(super) tally_counts: TallyCounts,
     pub(super) peer_updates: PeerUpdates,
     /// Notified when a newer view is published.
     pub(super) view_published: Arc<Notify>,
@@ -93,6 +102,7 @@
             settings: Arc::new(ArcSwap::from_pointee(settings)),
             view: Arc::default(),
             outcome_counts: Arc::default(),
+            tally_counts: Arc::default(),
             peer_updates: Arc::default(),
             view_published: Arc::default(),
             peer_updated: Arc::default(),
@@ -113,6 +123,16 @@
             .collect()
     }
 
+    /// Returns the tallies of all services, versions and routes since the process started.
+    pub(super) fn tallies(&self) -> Vec<(TallyKey, Tally)> {
+        let tally_counts = self
+            .tally_counts
+            .lock()
+            .expect("no holder of the lock panics");
+        let tallies = tally_counts.iter();
+        tallies.map(|(key, seen)| (key.clone(), *seen)).collect()
+    }
+
     /// Removes and returns the latest changed update of each other gateway since the
     /// last call.
     pub(super) fn take_peer_updates(&self) -> FxHashMap<CompactString, PeerUpdate> {
@@ -632,6 +652,10 @@
         };
         let key = (sample.service.into(), sample.version.into());
         self.add_outcomes(key, &outcomes);
+        if let Some(route) = sample.route {
+            let tally = Tally::of_answer(sample.failed);
+            self.add_tally(sample.service, sample.version, route, &tally);
+        }
     }
 
     /// Returns true if a roll-out of this version is under way, so that its answers
@@ -661,6 +685,13 @@
         self.add_outcomes((upstream.service.clone(), upstream.version.clone()), &timed);
     }
 
+    /// Counts the time to the first byte of an answer, or the time after which it was
+    /// given up.
+    pub(super) fn record_time(&self, upstream: &Upstream, route: RouteDigest, time: Duration) {
+        let tally = Tally::of_time(time);
+        self.add_tally(&upstream.service, &upstream.version, route, &tally);
+    }
+
     /// Adds the time to the first byte of a good answer to the usual ones, unless its
     /// version is under evaluation.
     pub(super) fn record_usual_time(
@@ -680,14 +711,14 @@
     }
 
     /// Records a request that was sent to an upstream and lost.
-    pub(super) fn record_loss(&self, upstream: &Upstream, loss: Loss) {
+    pub(super) fn record_loss(&self, upstream: &Upstream, route: RouteDigest, loss: Loss) {
         let Upstream {
             service, version, ..
         } = upstream;
         let now = self.now();
         self.losses
             .borrow_mut()
-            .record_loss(service, version, loss, now);
+            .record_loss(service, version, route, loss, now);
     }
 
     /// Records an upstream that could not be reached.
@@ -704,13 +735,19 @@
     // Adds the losses that are attributed to a version by now to its outcomes.
     fn count_losses(&self) {
         let counted = self.losses.borrow_mut().take_attributed(self.now());
-        for (service, version, loss) in counted {
+        for (service, version, route, loss) in counted {
             let answered = if loss == Loss::Unanswered { 1.0 } else { 0.0 };
             let lost = Outcomes {
                 answered,
                 failed: 1.0,
                 ..Outcomes::default()
             };
+            let tally = Tally {
+                answered,
+                failed: 1.0,
+                ..Tally::default()
+            };
+            self.add_tally(&service, &version, route, &tally);
             self.add_outcomes((service, version), &lost);
         }
     }
@@ -724,6 +761,20 @@
             .expect("no holder of the lock panics");
         outcome_counts.entry(key).or_default().add(outcomes);
     }
+
+    // Adds a tally to that of a service, version and route.
+    fn add_tally(&self, service: &str, version: &str, route: RouteDigest, tally: &Tally) {
+        let mut tally_counts = self
+            .shared
+            .tally_counts
+            .lock()
+            .expect("no holder of the lock panics");
+        let mut key = (service.into(), version.into(), route);
+        if tally_counts.len() >= MAX_TALLIES && !tally_counts.contains_key(&key) {
+            key.2 = RouteDigest::OTHERS;
+        }
+        tally_counts.entry(key).or_default().add(tally);
+    }
 }
 
 /// Times of a stream that ended whole at one engine.
@@ -742,6 +793,8 @@
     pub(super) service: &'a str,
     pub(super) model: &'a str,
     pub(super) version: &'a str,
+    /// Route to whose tally it counts.
+    pub(super) route: Option<RouteDigest>,
     pub(super) failed: bool,
     /// Time to the first byte of the answer.
     pub(super) first_byte: Option<Duration>,
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -13,6 +13,7 @@
 use super::evidence::RolloutEvidence;
 use super::readers::Confirmation;
 use super::rollout::OrderId;
+use super::tally::RouteEvidence;
 
 new_key_type! {
     /// Key of one incarnation of an upstream; a restart under the same name gets
@@ -81,6 +82,8 @@
     pub order: OrderId,
     /// Outcomes at this gateway.
     pub evidence: RolloutEvidence,
+    /// Attempts at this gateway, by route.
+    pub routes: RouteEvidence,
 }
 
 /// Control state that the data path needs, as of the moment at which the control
