Don't count a gateway's own row among the others that must report

Callers of a service with few requests got a good version late or not at all: a step without evidence is allowed once all gateways were heard and what is left is within the allowed exposure. The store lists each gateway, the reading one too, and that one never reports to itself. So all were never heard, but for a gateway that had read the list before it wrote its own row.

The reducer now knows the address under which it lists itself. The new test fails without it.

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -102,6 +102,8 @@
     TableRead(u32, Confirmation),
     /// The report addresses of the other gateways were read.
     GatewaysRead(Vec<SocketAddr>),
+    /// The address under which this gateway lists itself in the store was read.
+    AddressSet(SocketAddr),
     /// The limits of the settings were read; they may have changed.
     LimitsRead {
         /// Largest share of a service's requests that a bad version may get.
@@ -166,6 +168,8 @@
     early_orders: Vec<RolloutOrder>,
     outcomes: FxHashMap<(CompactString, CompactString), Outcomes>,
     tallies: FxHashMap<TallyKey, Tally>,
+    /// Address under which this gateway lists itself in the store.
+    own_addr: Option<SocketAddr>,
     /// The newest configuration in the store.
     newest: NewestConfiguration,
     confirmed_at: Duration,
@@ -198,6 +202,7 @@
             early_orders: Vec::new(),
             outcomes: FxHashMap::default(),
             tallies: FxHashMap::default(),
+            own_addr: None,
             newest: NewestConfiguration::Read,
             confirmed_at: Duration::ZERO,
             registrations_synced: false,
@@ -302,6 +307,7 @@
                     self.publish(&mut effects);
                 }
             }
+            Event::AddressSet(addr) => self.own_addr = Some(addr),
             Event::LimitsRead {
                 exposure_share,
                 exposure_slack,
@@ -384,6 +390,7 @@
         let write_delay = self.write_delay;
         let mut has_changed = false;
         let mut writes = Vec::new();
+        let others = self.view.is_listed.then(|| self.count_other_gateways());
         let is_write_due = self.restored_at.is_none_or(|at| now >= at + write_delay);
         for rollout in self.rollouts.values_mut() {
             let slots = count_slots(&self.upstreams, &self.evacuations, &rollout.order);
@@ -398,8 +405,7 @@
                         exposure_share: self.exposure_share,
                         exposure_slack: self.exposure_slack,
                         rate: rollout.total_outcomes().rate(),
-                        is_complete: self.view.is_listed
-                            && rollout.peers.len() >= self.view.peers.len(),
+                        is_complete: others.is_some_and(|others| rollout.peers.len() >= others),
                     },
                 };
                 writes.extend(rollout.due_effect(stored, &due));
@@ -412,6 +418,12 @@
         effects.extend(writes);
     }
 
+    // Number of the gateways that are listed in the store, without this one.
+    fn count_other_gateways(&self) -> usize {
+        let peers = self.view.peers.iter();
+        peers.filter(|peer| Some(**peer) != self.own_addr).count()
+    }
+
     // Rebuilds the view and adds the effect that publishes it, once.
     fn publish(&mut self, effects: &mut Vec<Effect>) {
         self.view.catalog.clone_from(&self.catalog);
--- a/src/carawayrun/relay/follow/gateways.rs
+++ b/src/carawayrun/relay/follow/gateways.rs
@@ -38,6 +38,7 @@
     // Polls the addresses of the other gateways and writes the own one after each
     // read.
     pub(super) async fn sync_gateways(self: Rc<Self>) {
+        self.handle(Event::AddressSet(self.settings.peer_listen));
         let mut interval = FIRST_READ_INTERVAL;
         loop {
             let Some(snapshot) = self.read_snapshot(Keyspace::Gateways).await else {
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -303,6 +304,43 @@
     state.handle(Event::OutcomesReceived { node, outcomes }, millis(0));
 }
 
+// A gateway's own row in the store counted as one more gateway that had not reported, so
+// that no service with few requests spent the slack of its exposure.
+#[test]
+fn own_row_in_store_keeps_gateways_from_knowing_all() {
+    let mut state = state();
+    state.handle(
+        Event::LimitsRead {
+            exposure_share: 0.15,
+            exposure_slack: 30.0,
+            drain_limit: Duration::from_secs(2),
+        },
+        millis(0),
+    );
+    let row = begin(&mut state);
+    state.handle(Event::RolloutRead(row, 12), millis(0));
+    let answered = |answered: f64| Outcomes {
+        answered,
+        ..Outcomes::default()
+    };
+    let all = Comparison {
+        old: answered(60.0),
+        new: answered(3.0),
+    };
+    receive(&mut state, "edge-2", RolloutEvidence { all, recent: all });
+    let addr = |port: u16| SocketAddr::from(([10, 0, 0, 1], port));
+    state.handle(Event::AddressSet(addr(1)), millis(0));
+    state.handle(Event::GatewaysRead(vec![addr(1), addr(2)]), millis(0));
+    let effects = tick(&mut state, 1_000 + 16_000);
+    assert!(
+        matches!(&*effects, [.., Effect::AdvanceRollout(row, 12)] if row.phase == Phase::Spread),
+        "{effects:?}"
+    );
+    let unheard = vec![addr(1), addr(2), addr(3)];
+    state.handle(Event::GatewaysRead(unheard), millis(0));
+    assert_eq!(tick(&mut state, 1_000 + 16_000), []);
+}
+
 // The upstreams of a slow version were there so late that the canary had no answers,
 // and all traffic moved. Seen on mwlsa-lathe-grown, day hasty.
 #[test]
