Ask for evidence by route before each step of a roll-out

What callers saw: a version of a plain service that takes four or eight times as long for a third or half of its requests got all traffic, in calm too, and stayed.

Cause, one class: a step is taken though the evidence for it is missing, or is of a measure that can't see the fault. - Answers counted as late beyond 1.5 times the usual time, and 0.4 to 0.85 late as between good and bad. That is an engine's; a plain service that slows down a third of its requests is late for 0.45 of them. - Failures were pooled over routes. One route fails in a quarter of its attempts, one that tests configurations always. - From the first step to all traffic, and to completion, time was enough. - Without outcomes of the old version, half of the requests failing was usual. - The canary's part of what is allowed left out the slack, most of what a service with few requests has.

Change: one question for each step, asked of failures and times by route (route_test.rs): do all answers, and the recent ones, exclude a bad version? If not the step is held, and at the limit the version is withdrawn. The row keeps a digest of the old version's outcomes, for gateways that are all restarted. Requests without a session get a larger canary once the rate is known; a part is kept for a version that turns bad.

--- a/src/carawayrun/relay/control/mod.rs
+++ b/src/carawayrun/relay/control/mod.rs
@@ -394,22 +394,24 @@
         let is_write_due = self.restored_at.is_none_or(|at| now >= at + write_delay);
         for rollout in self.rollouts.values_mut() {
             let slots = count_slots(&self.upstreams, &self.evacuations, &rollout.order);
-            has_changed |= rollout.evaluate(slots, now);
+            let evidence = rollout.evidence();
+            let due = DueInput {
+                store_now,
+                write_delay,
+                is_stored: rollout.is_confirmed && !self.has_stale_rows,
+                repeats_rows: is_write_due,
+                outlook: TrafficOutlook {
+                    exposure_share: self.exposure_share,
+                    exposure_slack: self.exposure_slack,
+                    rate: evidence.outcomes.rate(),
+                    is_complete: others.is_some_and(|others| rollout.peers.len() >= others),
+                },
+                load: rollout.update_load(slots, &evidence, now),
+                evidence,
+            };
+            has_changed |= rollout.evaluate(&due);
             let stored = self.rows.get(&rollout.order.service);
-            if rollout.is_confirmed && !self.has_stale_rows {
-                let due = DueInput {
-                    store_now,
-                    write_delay,
-                    repeats_rows: is_write_due,
-                    outlook: TrafficOutlook {
-                        exposure_share: self.exposure_share,
-                        exposure_slack: self.exposure_slack,
-                        rate: rollout.total_outcomes().rate(),
-                        is_complete: others.is_some_and(|others| rollout.peers.len() >= others),
-                    },
-                };
-                writes.extend(rollout.due_effect(stored, &due));
-            }
+            writes.extend(rollout.due_effect(stored, &due));
         }
         // A withdrawal takes effect before it is written, which may take seconds.
         if has_changed {
--- a/src/carawayrun/relay/control/orders.rs
+++ b/src/carawayrun/relay/control/orders.rs
@@ -96,6 +96,7 @@
             updated_at: Duration::ZERO,
             peers: FxHashMap::default(),
             regression: None,
+            held: None,
             is_confirmed: true,
             order,
         }
--- a/src/carawayrun/relay/control/rollout.rs
+++ b/src/carawayrun/relay/control/rollout.rs
@@ -8,9 +8,13 @@
 
 use super::Effect;
 use crate::relay::evidence::{
-    Comparison, Outcomes, Regression, RolloutEvidence, SlotLoad, recent_decay,
+    Comparison, Evidence, Lack, NextStep, Outcomes, Regression, RolloutEvidence, SlotLoad,
+    recent_decay,
+};
+use crate::relay::reference::Reference;
+use crate::relay::rollout::{
+    self, OrderId, Phase, RolloutOrder, RolloutRow, Step, StepInput, TrafficOutlook,
 };
-use crate::relay::rollout::{self, OrderId, Phase, RolloutOrder, RolloutRow, Step, TrafficOutlook};
 use crate::relay::tally::{RouteDigest, RouteEvidence, Tally, TallyKey, TallyPair};
 use crate::relay::view::{OutcomesView, RolloutView};
 
@@ -27,9 +31,15 @@
     pub(super) store_now: Option<Duration>,
     /// Delay of this gateway's writes.
     pub(super) write_delay: Duration,
+    /// True if the order and its row are known to be in the store.
+    pub(super) is_stored: bool,
     /// True if rows that the store lost may be written again.
     pub(super) repeats_rows: bool,
     pub(super) outlook: TrafficOutlook,
+    /// Load of the slots, once all traffic goes to the new version.
+    pub(super) load: Option<SlotLoad>,
+    /// What all gateways know of the new version.
+    pub(super) evidence: Evidence,
 }
 
 #[derive(Debug)]
@@ -63,6 +73,8 @@
     /// Why the new version is withdrawn, once the outcomes known at this gateway were
     /// enough, even if the store does not record it yet.
     pub(super) regression: Option<Regression>,
+    /// The step that was held back at the last tick, and why.
+    pub(super) held: Option<(NextStep, Lack)>,
     /// True if the order was read since the last restore of the store.
     pub(super) is_confirmed: bool,
 }
@@ -129,6 +141,7 @@
             order: self.order.id,
             is_open: self.is_open(),
             share: row.map_or(0.0, |row| rollout::traffic_share(row, exposure_share)),
+            session_share: row.map_or(0.0, |row| rollout::session_share(row, exposure_share)),
             moves_sessions: row.is_some_and(|row| row.phase != Phase::Canary),
             withdrawn: self.withdrawn_versions(),
             started_at: self.started_at,
@@ -182,15 +195,6 @@
         self.tallied_at = now;
     }
 
-    // Attempts at all gateways by route since the order.
-    pub(super) fn total_routes(&self) -> RouteEvidence {
-        let mut sum = self.own_routes.clone();
-        for peer in self.peer_routes.values() {
-            sum.add(peer);
-        }
-        sum
-    }
-
     // This gateway's outcomes since the order, of the old and the new version.
     pub(super) fn compare(
         &self,
@@ -212,48 +216,83 @@
         all
     }
 
+    // Load of the slots, once all traffic goes to the new version.
+    pub(super) fn update_load(
+        &mut self,
+        slots: VersionSlots,
+        evidence: &Evidence,
+        now: Duration,
+    ) -> Option<SlotLoad> {
+        let row = self.current_row().filter(|row| row.phase.is_open())?;
+        let is_alone = row.phase == Phase::Spread && row.share >= 1.0;
+        let total = &evidence.outcomes;
+        if !is_alone {
+            let elapsed = now.saturating_sub(self.ordered_at).as_secs_f64();
+            let requests = total.all.old.answered + total.all.new.answered;
+            self.usual_load = requests / elapsed.max(1.0) / f64::from(slots.old.max(1));
+        }
+        is_alone.then(|| SlotLoad {
+            usual: self.usual_load,
+            present: total.rate() / f64::from(slots.new.max(1)),
+        })
+    }
+
     // Withdraws a bad version at this gateway, even during a store outage;
     // returns true if it was not withdrawn here before.
-    pub(super) fn evaluate(&mut self, slots: VersionSlots, now: Duration) -> bool {
+    pub(super) fn evaluate(&mut self, due: &DueInput) -> bool {
         let Some(row) = self.current_row().filter(|row| row.phase.is_open()) else {
             return false;
         };
         if self.regression.is_some() {
             return false;
         }
-        let is_alone = row.phase == Phase::Spread && row.share >= 1.0;
-        let total = self.total_outcomes();
-        if !is_alone {
-            let elapsed = now.saturating_sub(self.ordered_at).as_secs_f64();
-            let requests = total.all.old.answered + total.all.new.answered;
-            self.usual_load = requests / elapsed.max(1.0) / f64::from(slots.old.max(1));
+        let store_now = due.store_now.filter(|_| due.is_stored);
+        let input = store_now.map(|now| self.step_input(row, due, now));
+        let held = input.as_ref().and_then(rollout::held_step);
+        let regression = due.evidence.regression(due.load);
+        if held != self.held {
+            self.log_held(held, due);
+            self.held = held;
         }
-        let load = is_alone.then(|| SlotLoad {
-            usual: self.usual_load,
-            present: total.rate() / f64::from(slots.new.max(1)),
-        });
-        self.regression = total.regression(load);
+        self.regression = regression;
         if let Some(regression) = self.regression {
-            tracing::warn!(
-                service = %self.order.service,
-                to = %self.order.to,
-                because = %regression,
-                outcomes = ?total.all,
-                recent = ?total.recent,
-                routes = %self.total_routes(),
-                ?load,
-                gateways = self.peers.len() + 1,
-                "new version withdrawn"
-            );
+            self.log_withdrawn(regression, due);
         }
         self.regression.is_some()
     }
 
-    // Outcomes of all gateways since the order.
-    pub(super) fn total_outcomes(&self) -> RolloutEvidence {
-        let mut sum = self.own;
+    fn step_input<'a>(
+        &'a self,
+        row: &'a RolloutRow,
+        due: &'a DueInput,
+        now: Duration,
+    ) -> StepInput<'a> {
+        StepInput {
+            order: &self.order,
+            row,
+            evidence: &due.evidence,
+            outlook: &due.outlook,
+            load: due.load,
+            now,
+        }
+    }
+
+    // What all gateways know of the new version. The old versions' outcomes are those that
+    // the row keeps if the gateways have too few.
+    pub(super) fn evidence(&self) -> Evidence {
+        let mut sum = Evidence {
+            outcomes: self.own,
+            routes: self.own_routes.clone(),
+        };
         for peer in self.peers.values() {
-            sum.add(peer);
+            sum.outcomes.add(peer);
+        }
+        for peer in self.peer_routes.values() {
+            sum.routes.add(peer);
+        }
+        let reference = self.current_row().and_then(|row| row.reference.as_ref());
+        if let Some(reference) = reference {
+            reference.complete(&mut sum);
         }
         sum
     }
@@ -266,7 +305,7 @@
         stored: Option<&(RolloutRow, u64)>,
         due: &DueInput,
     ) -> Option<Effect> {
-        let now = due.store_now?;
+        let now = due.store_now.filter(|_| due.is_stored)?;
         let version = stored.map_or(0, |(_, version)| *version);
         let Some(row) = self.current_row() else {
             let row = rollout::begin(&self.order, self.row.as_ref(), now);
@@ -275,7 +314,8 @@
         if let Some(step) = self.due_step(row, due, now) {
             let mut row = row.clone();
             row.enter(step, now);
-            self.log_due(&row);
+            row.reference = Reference::of(&due.evidence).or(row.reference);
+            self.log_due(&row, due);
             return Some(Effect::AdvanceRollout(row, version));
         }
         (due.repeats_rows && self.is_ahead_of(stored)).then(|| {
@@ -285,34 +325,68 @@
     }
 
     // The write delays differ between gateways, so that mostly one of them writes. A
-    // bad version is reverted without delay.
+    // version is reverted without delay.
     fn due_step(&self, row: &RolloutRow, due: &DueInput, now: Duration) -> Option<Step> {
         if row.phase.is_open() && self.regression.is_some() {
             return Some(Step::REVERT);
         }
-        let total = self.total_outcomes();
         let now = now.saturating_sub(due.write_delay);
-        rollout::due_step(&self.order, row, &total, &due.outlook, now)
+        rollout::due_step(&self.step_input(row, due, now))
+    }
+
+    fn log_withdrawn(&self, regression: Regression, due: &DueInput) {
+        let Evidence { outcomes, routes } = &due.evidence;
+        tracing::warn!(
+            service = %self.order.service,
+            to = %self.order.to,
+            because = %regression,
+            outcomes = ?outcomes.all,
+            recent = ?outcomes.recent,
+            %routes,
+            findings = ?due.evidence.since_order(),
+            recent_findings = ?due.evidence.recent(),
+            load = ?due.load,
+            gateways = self.peers.len() + 1,
+            "new version withdrawn"
+        );
+    }
+
+    fn log_held(&self, held: Option<(NextStep, Lack)>, due: &DueInput) {
+        let Some((step, lack)) = held else {
+            return;
+        };
+        tracing::info!(
+            service = %self.order.service,
+            to = %self.order.to,
+            ?step,
+            ?lack,
+            findings = ?due.evidence.since_order(),
+            recent_findings = ?due.evidence.recent(),
+            gateways = self.peers.len() + 1,
+            "roll-out step lacks evidence"
+        );
     }
 
-    fn log_due(&self, row: &RolloutRow) {
-        let total = self.total_outcomes();
+    fn log_due(&self, row: &RolloutRow, due: &DueInput) {
+        let Evidence { outcomes, routes } = &due.evidence;
+        let Comparison { old, new } = &outcomes.all;
         tracing::info!(
             service = %row.service,
             to = %row.to,
             phase = ?row.phase,
             share = row.share,
-            new_answered = total.all.new.answered,
-            new_failed = total.all.new.failed,
-            new_slow = total.all.new.slow,
-            new_timed = total.all.new.timed,
-            new_late = total.all.new.late,
-            old_answered = total.all.old.answered,
-            old_failed = total.all.old.failed,
-            old_slow = total.all.old.slow,
-            old_timed = total.all.old.timed,
-            old_late = total.all.old.late,
-            routes = %self.total_routes(),
+            new_answered = new.answered,
+            new_failed = new.failed,
+            new_slow = new.slow,
+            new_timed = new.timed,
+            new_late = new.late,
+            old_answered = old.answered,
+            old_failed = old.failed,
+            old_slow = old.slow,
+            old_timed = old.timed,
+            old_late = old.late,
+            %routes,
+            findings = ?due.evidence.since_order(),
             gateways = self.peers.len() + 1,
             "roll-out phase change due"
         );
--- a/src/carawayrun/relay/evidence.rs
+++ b/src/carawayrun/relay/evidence.rs
@@ -18,6 +18,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::route_test::{self, MIN_REFERENCE, RouteFindings, Statistics};
+use super::tally::{RouteEvidence, RouteTallies, TallyPair};
 use crate::policy::log_evidence_of_excess;
 
 /// Tolerated increase of the share of bad outcomes: about what one failing
@@ -55,9 +57,38 @@
 /// Timed answers below which the usual time counts as unknown.
 const MIN_TIMED: f64 = 10.0;
 
-/// Outcomes below which recent ones of the old versions are no reference, as after
-/// all traffic has moved.
-const MIN_REFERENCE: f64 = 20.0;
+/// Tolerated probability of reverting a good version by one test of its routes.
+const FALSE_ROUTE_REVERT_RATE: f64 = 0.005;
+
+/// What the statistics must reach for a step.
+struct Thresholds {
+    /// Against versions that are bad on all routes.
+    overall: f64,
+    /// Against versions that are bad on one route. It may have few requests that fail often
+    /// by themselves: more evidence would not be there in time, and good versions would be
+    /// withdrawn.
+    alone: f64,
+    /// As `overall`, of the recent attempts, which alone tell of a version that turns bad
+    /// or that is bad under the load of the present share.
+    recent: f64,
+}
+
+impl Thresholds {
+    const fn of(step: NextStep, is_lenient: bool) -> Self {
+        let (overall, alone, recent) = match (step, is_lenient) {
+            (NextStep::FirstShare, false) => (2.3, -1.0, 0.0),
+            (NextStep::AllTraffic, false) => (3.4, -0.5, 1.5),
+            (NextStep::Completion, false) => (4.6, 0.0, 1.0),
+            (NextStep::FirstShare, true) => (1.6, -1.5, 0.0),
+            (NextStep::AllTraffic | NextStep::Completion, true) => (2.3, -1.5, 0.0),
+        };
+        Self {
+            overall,
+            alone,
+            recent,
+        }
+    }
+}
 
 /// Half-life of recent outcomes: long enough for a dozen requests at a usual
 /// canary share.
@@ -176,6 +207,10 @@
     Slow,
     /// Most of its answers begin later than usual.
     Late,
+    /// It fails more often on a route, or on all.
+    RouteFailures,
+    /// More of its answers begin several times later than usual on a route, or on all.
+    RouteTimes,
 }
 
 impl fmt::Display for Regression {
@@ -184,6 +219,8 @@
             Self::Failures => "failures",
             Self::Slow => "slow answers",
             Self::Late => "late answers",
+            Self::RouteFailures => "failures by route",
+            Self::RouteTimes => "slow answers by route",
         })
     }
 }
@@ -284,10 +321,157 @@
             good_failures.min(0.98),
             bad_failures,
         );
+        failures >= threshold && self.has_times_in_favour(is_lenient)
+    }
+
+    // True if the times of the new version exclude that it is late for most requests.
+    fn has_times_in_favour(&self, is_lenient: bool) -> bool {
+        let (strict, lenient) = FALSE_SPREAD_RATES;
+        let threshold = -(if is_lenient { lenient } else { strict }).ln();
+        let new = &self.all.new;
         let times = log_likelihood_ratio(new.late, new.timed, GOOD_LATE_SHARE, BAD_LATE_SHARE);
         let is_untimed = is_lenient && new.timed < MIN_TIMED;
-        failures >= threshold && (is_untimed || times >= threshold)
+        is_untimed || times >= threshold
+    }
+}
+
+/// Step of a roll-out that asks for evidence in favour of the new version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextStep {
+    /// The first share of the traffic that is more than the canary's.
+    FirstShare,
+    /// All traffic.
+    AllTraffic,
+    /// The old version is no longer used.
+    Completion,
+}
+
+/// What a step lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// Outcomes of the old versions to compare with.
+    Reference,
+    /// Outcomes of the new version, or better ones.
+    Outcomes,
+    /// Evidence that the new version does not fail more often.
+    Failures,
+    /// Evidence that it does not fail more often on one of the routes.
+    RouteFailures,
+    /// Evidence that it is not several times slower.
+    Times,
+    /// Evidence that it is not several times slower on one of the routes.
+    RouteTimes,
+    /// Recent attempts in its favour.
+    Recent,
+}
+
+/// All that is known of the new version of a roll-out.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Evidence {
+    /// Outcomes on all routes together.
+    pub outcomes: RolloutEvidence,
+    /// Attempts by route; empty if none were counted.
+    pub routes: RouteEvidence,
+}
+
+impl From<RolloutEvidence> for Evidence {
+    fn from(outcomes: RolloutEvidence) -> Self {
+        Self {
+            outcomes,
+            routes: RouteEvidence::default(),
+        }
+    }
+}
+
+impl Evidence {
+    /// Kind of outcome in which the new version is worse than tolerated; see
+    /// [`RolloutEvidence::regression`].
+    pub fn regression(&self, load: Option<SlotLoad>) -> Option<Regression> {
+        let pooled = self.outcomes.regression(load);
+        pooled.or_else(|| {
+            let all = route_regression(self.since_order(), load);
+            all.or_else(|| route_regression(self.recent(), load))
+        })
+    }
+
+    /// Comparison of all attempts since the order; `None` without a reference.
+    pub fn since_order(&self) -> Option<RouteFindings> {
+        self.compare(|tallies| &tallies.all)
+    }
+
+    /// Comparison of the recent attempts; `None` without a reference.
+    pub fn recent(&self) -> Option<RouteFindings> {
+        self.compare(|tallies| &tallies.recent)
+    }
+
+    fn compare(&self, select: impl Fn(&RouteTallies) -> &TallyPair) -> Option<RouteFindings> {
+        route_test::compare(&self.routes, select)
+    }
+
+    /// What the answers of the new version lack to exclude, but for a small chance, that
+    /// it is bad; `None` if the step may be taken. `is_lenient` takes a greater chance,
+    /// and accepts answers whose usual time is not known. `load` is as for
+    /// [`Self::regression`].
+    pub fn lack(&self, step: NextStep, is_lenient: bool, load: Option<SlotLoad>) -> Option<Lack> {
+        if self.outcomes.all.old.answered < MIN_REFERENCE {
+            return Some(Lack::Reference);
+        }
+        let Some(all) = self.since_order() else {
+            let is_in_favour = self.outcomes.is_in_favour(is_lenient);
+            return (!is_in_favour).then_some(Lack::Outcomes);
+        };
+        let least = Thresholds::of(step, is_lenient);
+        if let Some(lack) = all
+            .failures
+            .lack(&least, Lack::Failures, Lack::RouteFailures)
+        {
+            return Some(lack);
+        }
+        let judges_times = load.is_none_or(|load| load.is_comparable());
+        match all.times.filter(|_| judges_times) {
+            Some(times) => {
+                let lack = times.lack(&least, Lack::Times, Lack::RouteTimes);
+                if lack.is_some() {
+                    return lack;
+                }
+            }
+            // Engines' times are not counted by route.
+            None if judges_times && !self.outcomes.has_times_in_favour(is_lenient) => {
+                return Some(Lack::Times);
+            }
+            None => {}
+        }
+        let is_recent_enough = self.recent().is_some_and(|recent| {
+            let times = recent.times.filter(|_| judges_times);
+            let times = times.is_none_or(|times| times.overall >= least.recent);
+            recent.failures.overall >= least.recent && times
+        });
+        (!is_recent_enough).then_some(Lack::Recent)
+    }
+}
+
+impl Statistics {
+    fn lack(&self, least: &Thresholds, overall: Lack, alone: Lack) -> Option<Lack> {
+        if self.overall < least.overall {
+            Some(overall)
+        } else {
+            (self.alone < least.alone).then_some(alone)
+        }
+    }
+
+    fn is_against(&self) -> bool {
+        self.overall.min(self.alone) <= FALSE_ROUTE_REVERT_RATE.ln()
+    }
+}
+
+fn route_regression(findings: Option<RouteFindings>, load: Option<SlotLoad>) -> Option<Regression> {
+    let findings = findings?;
+    if findings.failures.is_against() {
+        return Some(Regression::RouteFailures);
     }
+    let judges_times = load.is_none_or(|load| load.is_comparable());
+    let times = findings.times.filter(|_| judges_times)?;
+    times.is_against().then_some(Regression::RouteTimes)
 }
 
 // Logarithm of the likelihood of the rate `good` over that of the rate `bad`. A
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -158,7 +158,8 @@
     }
 }
 
-fn encode_outcomes(view: &OutcomesView) -> RolloutOutcomes {
+/// Encodes the outcomes of a roll-out at this gateway.
+pub(super) fn encode_outcomes(view: &OutcomesView) -> RolloutOutcomes {
     let encode = |outcomes: &Outcomes| {
         Some(message::Outcomes {
             answered: outcomes.answered as f32,
--- a/src/carawayrun/relay/mod.rs
+++ b/src/carawayrun/relay/mod.rs
@@ -12,6 +12,8 @@
 //! | [`control`] | the reducer, from events to effects |
 //! | [`rollout`] | phases of a roll-out |
 //! | [`evidence`] | evidence about the new version of a roll-out |
+//! | [`route_test`] | comparison of versions, route by route |
+//! | [`mod@reference`] | what a roll-out's row keeps of the old versions |
 //! | [`tally`] | counts of attempts by route, for that evidence |
 //! | [`placement`] | choice of a request's upstream |
 //! | [`outage`] | outages of the store, as a gateway sees them |
@@ -78,11 +80,13 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod readers;
+pub mod reference;
 mod request_log;
 mod responder;
 mod restarts;
 pub mod rests;
 pub mod rollout;
+pub mod route_test;
 mod serve;
 mod service_time;
 mod session_lists;
--- a/src/carawayrun/relay/sessions.rs
+++ b/src/carawayrun/relay/sessions.rs
@@ -178,12 +178,17 @@
     if input.pinned.is_some_and(|pinned| pinned == rollout.to) {
         return true;
     }
+    let share = if input.has_session {
+        rollout.session_share
+    } else {
+        rollout.share
+    };
     if rollout.moves_sessions {
-        return input.hash_point < rollout.share;
+        return input.hash_point < share;
     }
     if input.pinned.is_some() || input.is_peer_pinned {
         return false;
     }
     let is_settled = input.knows_sessions || input.now >= rollout.started_at + input.gap;
-    input.hash_point < rollout.share && (is_settled || !input.has_session)
+    input.hash_point < share && (is_settled || !input.has_session)
 }
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -7,6 +7,7 @@
 use crate::relay::catalog::Catalog;
 use crate::relay::control::{Effect, Event, Registration, State};
 use crate::relay::evidence::{Comparison, Outcomes, RolloutEvidence};
+use crate::relay::reference::Reference;
 use crate::relay::rollout::{OrderId, Phase, RolloutOrder, RolloutRow};
 use crate::relay::tally::RouteEvidence;
 use crate::relay::view::{OutcomesView, Upstream};
@@ -193,6 +194,7 @@
         started_ms: 1_000,
         phase: Phase::Complete,
         share: 1.0,
+        reference: None,
         stepped_ms: 0,
         withdrawn: Vec::new(),
     };
@@ -240,6 +242,8 @@
     spread.phase = Phase::Spread;
     spread.share = 0.3;
     spread.stepped_ms = 1_000 + 12_500;
+    spread.reference = Reference::of(&good_evidence().into());
+    assert!(spread.reference.is_some());
     assert_eq!(effects, [Effect::AdvanceRollout(spread.clone(), 12)]);
     state.handle(Event::RolloutRead(spread, 15), millis(0));
     // A row that is read out of order does not replace a newer one.
--- a/src/carawayrun/relay/tests/evacuation.rs
+++ b/src/carawayrun/relay/tests/evacuation.rs
@@ -274,6 +274,7 @@
         started_ms: 1_000,
         phase: Phase::Canary,
         share: 1.0,
+        reference: None,
         stepped_ms: 0,
         withdrawn: Vec::new(),
     };
--- a/src/carawayrun/relay/tests/fleet.rs
+++ b/src/carawayrun/relay/tests/fleet.rs
@@ -478,6 +478,7 @@
         order: OrderId::default(),
         is_open: true,
         share: 0.4,
+        session_share: 0.4,
         moves_sessions: true,
         withdrawn: Vec::new(),
         started_at: Duration::ZERO,
--- a/src/carawayrun/relay/tests/rollout.rs
+++ b/src/carawayrun/relay/tests/rollout.rs
@@ -3,9 +3,12 @@
 use compact_str::CompactString;
 use test_case::test_case;
 
-use crate::relay::evidence::{Comparison, Outcomes, Regression, RolloutEvidence, SlotLoad};
+use crate::relay::evidence::{
+    Comparison, Evidence, Outcomes, Regression, RolloutEvidence, SlotLoad,
+};
 use crate::relay::rollout::{
-    OrderId, Phase, RolloutOrder, RolloutRow, Step, TrafficOutlook, begin, due_step, traffic_share,
+    OrderId, Phase, RolloutOrder, RolloutRow, Step, StepInput, TrafficOutlook, begin, due_step,
+    traffic_share,
 };
 
 fn order() -> RolloutOrder {
@@ -59,13 +62,31 @@
 fn row(phase: Phase, share: f64, stepped_s: u64) -> RolloutRow {
     let mut row = begin(&order(), None, START);
     let stepped = START + Duration::from_secs(stepped_s);
-    row.enter(Step { phase, share }, stepped);
+    if phase != Phase::Canary {
+        row.enter(Step { phase, share }, stepped);
+    }
     row
 }
 
+fn step_at(
+    row: &RolloutRow,
+    evidence: &RolloutEvidence,
+    outlook: &TrafficOutlook,
+    now: Duration,
+) -> Option<Step> {
+    due_step(&StepInput {
+        order: &order(),
+        row,
+        evidence: &Evidence::from(*evidence),
+        outlook,
+        load: None,
+        now,
+    })
+}
+
 fn due(row: &RolloutRow, evidence: &RolloutEvidence, after_s: u64) -> Option<(Phase, f64)> {
     let now = START + Duration::from_secs(after_s);
-    let step = due_step(&order(), row, evidence, &outlook(), now);
+    let step = step_at(row, evidence, &outlook(), now);
     step.map(|step| (step.phase, step.share))
 }
 
@@ -114,11 +135,11 @@
         rate: 3.0,
         ..outlook()
     };
-    let step = due_step(&order(), &row, &evidence, &outlook, now);
+    let step = step_at(&row, &evidence, &outlook, now);
     assert_eq!(step.map(|step| step.phase), Some(Phase::Spread));
     // Gateways that were not heard may have more.
     outlook.is_complete = false;
-    assert_eq!(due_step(&order(), &row, &evidence, &outlook, now), None);
+    assert_eq!(step_at(&row, &evidence, &outlook, now), None);
 }
 
 #[test]
--- a/src/carawayrun/relay/tests/rollout_trials.rs
+++ b/src/carawayrun/relay/tests/rollout_trials.rs
@@ -10,9 +10,9 @@
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
 
-use crate::relay::evidence::{Comparison, Outcomes, RolloutEvidence, SlotLoad};
+use crate::relay::evidence::{Comparison, Evidence, Outcomes, RolloutEvidence, SlotLoad};
 use crate::relay::rollout::{
-    OrderId, Phase, RolloutOrder, Step, TrafficOutlook, begin, due_step, traffic_share,
+    OrderId, Phase, RolloutOrder, Step, StepInput, TrafficOutlook, begin, due_step, traffic_share,
 };
 
 const TICK: Duration = Duration::from_millis(200);
@@ -146,7 +146,16 @@
             continue;
         }
         let step = evidence.regression(load).map(|_| Step::REVERT);
-        let step = step.or_else(|| due_step(&order, &row, &evidence, &outlook, now));
+        let step = step.or_else(|| {
+            due_step(&StepInput {
+                order: &order,
+                row: &row,
+                evidence: &Evidence::from(evidence),
+                outlook: &outlook,
+                load,
+                now,
+            })
+        });
         if let Some(step) = step {
             row.enter(step, now);
             ended_at = now;
--- a/src/carawayrun/relay/tests/sessions.rs
+++ b/src/carawayrun/relay/tests/sessions.rs
@@ -16,6 +16,7 @@
         order: OrderId::default(),
         is_open: true,
         share,
+        session_share: share,
         moves_sessions: false,
         withdrawn: Vec::new(),
         started_at: Duration::from_secs(100),
@@ -160,3 +161,19 @@
     sessions.pin("engines", "s", &version, 0.01, now);
     assert!(sessions.pinned_sessions("v2", 0.075, now).is_empty());
 }
+
+// The canary's share grows once the rate of requests is known, when gateways have told
+// each other only the sessions of its first share.
+#[test]
+fn session_is_moved_when_canary_grows() {
+    let mut rollout = rollout(0.2);
+    rollout.session_share = 0.06;
+    let later = 200;
+    let session = input(0.1, None, later);
+    assert!(!uses_new_version(&rollout, &session));
+    let request = VersionInput {
+        has_session: false,
+        ..input(0.1, None, later)
+    };
+    assert!(uses_new_version(&rollout, &request));
+}
--- a/src/carawayrun/relay/traffic/mod.rs
+++ b/src/carawayrun/relay/traffic/mod.rs
@@ -439,7 +439,7 @@
         let mut sessions = self.sessions.borrow_mut();
         let (mut digests, mut complete) = (Vec::new(), Vec::new());
         for rollout in view.rollouts.iter().filter(|rollout| rollout.is_canary()) {
-            let pinned = sessions.pinned_sessions(&rollout.to, rollout.share, self.now());
+            let pinned = sessions.pinned_sessions(&rollout.to, rollout.session_share, self.now());
             if pinned.len() < MAX_REPORTED_SESSIONS {
                 complete.push(rollout.service.clone());
             }
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -54,8 +54,10 @@
     pub order: OrderId,
     /// True until the roll-out has completed or been reverted.
     pub is_open: bool,
-    /// Share of sessions and of other requests that the new version gets.
+    /// Share of the requests without a session that the new version gets.
     pub share: f64,
+    /// Share of the sessions that the new version gets.
+    pub session_share: f64,
     /// True once sessions on the old version may move to the new one.
     pub moves_sessions: bool,
     /// Versions that must get no traffic.
