Let a due withdrawal take effect before it is written, and tell it

What callers saw: a version that was given up for want of evidence went on getting its share at a gateway that couldn't write the revert, and at those that lacked the evidence of the one that had withdrawn it.

Cause: only a regression took effect at once. A revert that was due because the time for a step had passed waited for the row, each 200 ms, and neither was told to the others but by that row.

Change: a due revert withdraws the version at this gateway as a regression does; reports say so, and gateways that hear it withdraw the version too.

Evidence: both tests fail without it (withdrawn stays empty).

--- a/src/carawayrun/peer/message.rs
+++ b/src/carawayrun/peer/message.rs
@@ -713,6 +713,9 @@
     /// Attempts by route.
     #[prost(message, repeated, tag = "9")]
     pub routes: ::prost::alloc::vec::Vec<RouteTallies>,
+    /// True once the sender has withdrawn the new version.
+    #[prost(bool, tag = "10")]
+    pub withdrawn: bool,
 }
 /// Attempts of one route at the old versions and at the new one of a roll-out.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/carawayrun/relay/control/orders.rs
+++ b/src/carawayrun/relay/control/orders.rs
@@ -96,6 +96,7 @@
             updated_at: Duration::ZERO,
             peers: FxHashMap::default(),
             regression: None,
+            was_told: false,
             held: None,
             is_confirmed: true,
             order,
@@ -150,6 +151,9 @@
     pub(super) fn set_peer_outcomes(&mut self, node: CompactString, outcomes: OutcomesView) {
         let rollout = self.rollouts.get_mut(&outcomes.service);
         if let Some(rollout) = rollout.filter(|rollout| rollout.order.id == outcomes.order) {
+            if outcomes.is_withdrawn {
+                rollout.withdraw_as_told(&node);
+            }
             rollout.peer_routes.insert(node.clone(), outcomes.routes);
             rollout.peers.insert(node, outcomes.evidence);
         }
--- a/src/carawayrun/relay/control/rollout.rs
+++ b/src/carawayrun/relay/control/rollout.rs
@@ -73,6 +73,8 @@
     /// Why the new version is withdrawn, once the outcomes known at this gateway were
     /// enough, even if the store does not record it yet.
     pub(super) regression: Option<Regression>,
+    /// True if another gateway's withdrawal was taken over and is not published yet.
+    pub(super) was_told: bool,
     /// The step that was held back at the last tick, and why.
     pub(super) held: Option<(NextStep, Lack)>,
     /// True if the order was read since the last restore of the store.
@@ -167,6 +169,7 @@
             order: self.order.id,
             evidence: self.own,
             routes: self.own_routes.clone(),
+            is_withdrawn: self.regression.is_some(),
         }
     }
 
@@ -237,30 +240,49 @@
         })
     }
 
-    // Withdraws a bad version at this gateway, even during a store outage;
-    // returns true if it was not withdrawn here before.
+    // Withdraws a version at this gateway that is bad, or for which the time for the next
+    // step has passed without enough evidence, even during a store outage; returns true
+    // if it was not withdrawn here before.
     pub(super) fn evaluate(&mut self, due: &DueInput) -> bool {
         let Some(row) = self.current_row().filter(|row| row.phase.is_open()) else {
             return false;
         };
         if self.regression.is_some() {
-            return false;
+            return std::mem::take(&mut self.was_told);
         }
         let store_now = due.store_now.filter(|_| due.is_stored);
         let input = store_now.map(|now| self.step_input(row, due, now));
+        let gives_up = input
+            .as_ref()
+            .is_some_and(|input| rollout::due_step(input) == Some(Step::REVERT));
         let held = input.as_ref().and_then(rollout::held_step);
         let regression = due.evidence.regression(due.load);
         if held != self.held {
             self.log_held(held, due);
             self.held = held;
         }
-        self.regression = regression;
+        self.regression = regression.or(gives_up.then_some(Regression::Unproven));
         if let Some(regression) = self.regression {
             self.log_withdrawn(regression, due);
         }
         self.regression.is_some()
     }
 
+    // Withdraws the new version as another gateway has, which may know more.
+    pub(super) fn withdraw_as_told(&mut self, node: &str) {
+        if self.regression.is_some() || !self.is_open() {
+            return;
+        }
+        tracing::warn!(
+            service = %self.order.service,
+            to = %self.order.to,
+            by = node,
+            "new version withdrawn, as another gateway has"
+        );
+        self.regression = Some(Regression::Told);
+        self.was_told = true;
+    }
+
     fn step_input<'a>(
         &'a self,
         row: &'a RolloutRow,
--- a/src/carawayrun/relay/evidence.rs
+++ b/src/carawayrun/relay/evidence.rs
@@ -211,6 +211,10 @@
     RouteFailures,
     /// More of its answers begin several times later than usual on a route, or on all.
     RouteTimes,
+    /// The time for the next step has passed without enough evidence in its favour.
+    Unproven,
+    /// Another gateway has withdrawn it.
+    Told,
 }
 
 impl fmt::Display for Regression {
@@ -221,6 +225,8 @@
             Self::Late => "late answers",
             Self::RouteFailures => "failures by route",
             Self::RouteTimes => "slow answers by route",
+            Self::Unproven => "lack of evidence in its favour",
+            Self::Told => "another gateway's withdrawal",
         })
     }
 }
--- a/src/carawayrun/relay/gossip.rs
+++ b/src/carawayrun/relay/gossip.rs
@@ -180,6 +180,7 @@
         recent_new: encode(&evidence.recent.new),
         has_sessions: false,
         routes: encode_routes(&view.routes),
+        withdrawn: view.is_withdrawn,
     }
 }
 
@@ -283,5 +284,6 @@
             },
         },
         routes: decode_routes(&received.routes),
+        is_withdrawn: received.withdrawn,
     }
 }
--- a/src/carawayrun/relay/tests/control.rs
+++ b/src/carawayrun/relay/tests/control.rs
@@ -303,6 +303,7 @@
         order: order(3).id,
         evidence,
         routes: RouteEvidence::default(),
+        is_withdrawn: false,
     };
     let node = node.into();
     state.handle(Event::OutcomesReceived { node, outcomes }, millis(0));
@@ -345,6 +346,41 @@
     assert_eq!(tick(&mut state, 1_000 + 16_000), []);
 }
 
+// A gateway that could not write went on with the canary while the revert was due.
+#[test]
+fn withdrawal_that_is_not_written_takes_no_effect() {
+    let mut state = state();
+    let row = begin(&mut state);
+    state.handle(Event::RolloutRead(row, 12), millis(0));
+    assert!(share(&state) > 0.0);
+    // The time for the first step has passed without any answer.
+    let effects = tick(&mut state, 1_000 + 24_500);
+    assert!(effects.contains(&Effect::Publish), "{effects:?}");
+    assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
+    assert!(share(&state).abs() < f64::EPSILON);
+}
+
+// Only the gateway that had the evidence stopped sending requests to a bad version.
+#[test]
+fn withdrawal_is_not_told_to_gateways_without_store() {
+    let mut state = state();
+    let row = begin(&mut state);
+    state.handle(Event::RolloutRead(row, 12), millis(0));
+    let told = OutcomesView {
+        service: "engines".into(),
+        order: order(3).id,
+        evidence: RolloutEvidence::default(),
+        routes: RouteEvidence::default(),
+        is_withdrawn: true,
+    };
+    let node = "edge-2".into();
+    let outcomes = told.clone();
+    state.handle(Event::OutcomesReceived { node, outcomes }, millis(0));
+    state.handle(Event::Tick { store_now: None }, millis(200));
+    assert_eq!(state.view().rollouts[0].withdrawn, ["v2"]);
+    assert!(state.view().outcomes[0].is_withdrawn);
+}
+
 // The upstreams of a slow version were there so late that the canary had no answers,
 // and all traffic moved. Seen on mwlsa-lathe-grown, day hasty.
 #[test]
--- a/src/carawayrun/relay/tests/tally.rs
+++ b/src/carawayrun/relay/tests/tally.rs
@@ -37,6 +37,7 @@
         order: OrderId { era: 1, version: 7 },
         evidence: RolloutEvidence::default(),
         routes: evidence(3),
+        is_withdrawn: true,
     };
     assert_eq!(decode_outcomes(&encode_outcomes(&view)), view);
 }
--- a/src/carawayrun/relay/view.rs
+++ b/src/carawayrun/relay/view.rs
@@ -86,6 +86,8 @@
     pub evidence: RolloutEvidence,
     /// Attempts at this gateway, by route.
     pub routes: RouteEvidence,
+    /// True once this gateway has withdrawn the new version.
+    pub is_withdrawn: bool,
 }
 
 /// Control state that the data path needs, as of the moment at which the control
