--- a/src/carawayrun/relay/evidence.rs
+++ b/src/carawayrun/relay/evidence.rs
@@ -78,9 +78,10 @@
         let (overall, alone, recent) = match (step, is_lenient) {
             (NextStep::FirstShare, false) => (2.3, -1.0, 0.0),
             (NextStep::AllTraffic, false) => (3.4, -0.5, 1.5),
-            (NextStep::Completion, false) => (4.6, 0.0, 1.0),
+            (NextStep::Completion, false) => (2.3, 0.0, 1.0),
             (NextStep::FirstShare, true) => (1.6, -1.5, 0.0),
-            (NextStep::AllTraffic | NextStep::Completion, true) => (2.3, -1.5, 0.0),
+            (NextStep::AllTraffic, true) => (2.3, -1.5, 0.0),
+            (NextStep::Completion, true) => (1.0, -1.0, 0.0),
         };
         Self {
             overall,
--- a/src/carawayrun/relay/rollout.rs
+++ b/src/carawayrun/relay/rollout.rs
@@ -46,7 +46,7 @@
 
 /// Fraction of the time limit at which a version is withdrawn that may not get all
 /// traffic. Later, streams on the old version would not end in time.
-const LAST_SPREAD_FRACTION: f64 = 0.82;
+const LAST_SPREAD_FRACTION: f64 = 0.85;
 
 /// Fraction of the time limit at which the roll-out completes. Streams on the old
 /// version have a third of the time to end, and a write whose response was lost can
